Add the design page, the workspace and the core and HTTP crates

The design page decides placement (one owning router per endpoint), at most once (a claim row per idempotency key), configuration (an ordered log under compare-and-set) and membership (probes with piggybacked updates). It states for each choice what was weighed and which measurement would overturn it.

The core crate holds ids, clock, verdicts, reasons, events and the fleet configuration. The HTTP crate wraps xitca-web and hyper-util with limits and verdicts.

--- /dev/null
+++ b/crates/core/src/clock.rs
@@ -0,0 +1,75 @@
+//! The clock, passed in so that tests run on virtual time.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant, SystemTime};
+
+/// Source of time for every decision.
+///
+/// Decisions use [`Clock::now`], which never goes back. Wall time only appears in rows and messages
+/// that other processes read.
+pub trait Clock: Send + Sync {
+    /// Time since an arbitrary origin; monotonic.
+    fn now(&self) -> Duration;
+
+    /// Wall-clock time.
+    fn wall(&self) -> SystemTime;
+}
+
+/// The operating system's clock.
+#[derive(Debug)]
+pub struct SystemClock {
+    origin: Instant,
+}
+
+impl SystemClock {
+    /// Creates a clock whose origin is the moment of the call.
+    pub fn new() -> SystemClock {
+        SystemClock {
+            origin: Instant::now(),
+        }
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> SystemClock {
+        SystemClock::new()
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// A clock that only moves when told to; used by tests and measurements.
+#[derive(Debug, Default)]
+pub struct ManualClock {
+    elapsed: Mutex<Duration>,
+}
+
+impl ManualClock {
+    /// Creates a clock at its origin.
+    pub fn new() -> ManualClock {
+        ManualClock::default()
+    }
+
+    /// Moves the clock forward by `step`.
+    pub fn advance(&self, step: Duration) {
+        *self.elapsed.lock().expect("clock lock") += step;
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Duration {
+        *self.elapsed.lock().expect("clock lock")
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + self.now()
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,38 @@
+//! Identifiers, clock, verdicts, reasons, events and the fleet configuration.
+//!
+//! Every other crate of the fleet speaks in the types of this one. Nothing here does I/O.
+//!
+//! The central type is [`Verdict`]: whether a request may have run. It travels with every error,
+//! because the verdict alone decides whether a call may be repeated. See section 4.3 of
+//! `docs/design.md`.
+//!
+//! ```
+//! use sequoiaridge_core::{Refusal, RefusalReason, Verdict};
+//! use std::time::Duration;
+//!
+//! let refusal = Refusal::not_run(RefusalReason::Overload, Duration::from_secs(2));
+//! assert_eq!(refusal.verdict, Verdict::NotRun);
+//! ```
+
+mod clock;
+mod config;
+mod event;
+mod hash;
+mod id;
+mod member;
+mod reason;
+mod targets;
+mod verdict;
+
+pub use clock::{Clock, ManualClock, SystemClock};
+pub use config::{Change, ChangeError, Class, Customer, FleetConfig, Team};
+pub use event::{Event, Severity};
+pub use hash::{hash_parts, hash64, token_digest};
+pub use id::{
+    ChatKey, ClassName, CustomerId, DomainId, EndpointId, Fingerprint, InstanceId, ModelName,
+    Nonce, RegionId, RouterId, TeamId, Version,
+};
+pub use member::{Member, MemberState, Role};
+pub use reason::{RefusalReason, RetryReason};
+pub use targets::{Repeat, TargetError, Targets};
+pub use verdict::{Refusal, Verdict};
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for engines, services and the platform, with failures that tests can order.
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,266 @@
+//! The HTTP client.
+
+use crate::BodyStream;
+use bytes::Bytes;
+use displaydoc::Display;
+use http::{HeaderMap, Method, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use sequoiaridge_core::Verdict;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Unread chunks of an answer after which reading pauses.
+const BODY_DEPTH: usize = 16;
+
+/// Settings of a [`Client`].
+#[derive(Clone, Debug)]
+pub struct ClientConfig {
+    /// Time in which a connection must open.
+    pub connect: Duration,
+    /// Time in which the head of an answer must arrive.
+    pub head: Duration,
+    /// Longest pause within the body of an answer.
+    pub silence: Duration,
+    /// Time after which an idle connection is not used again.
+    pub idle: Duration,
+}
+
+impl Default for ClientConfig {
+    fn default() -> ClientConfig {
+        ClientConfig {
+            connect: Duration::from_secs(1),
+            head: Duration::from_secs(2),
+            silence: Duration::from_secs(2),
+            idle: Duration::from_secs(5),
+        }
+    }
+}
+
+/// A call that got no whole answer.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum ClientError {
+    /// could not connect to {0}
+    Connect(SocketAddr),
+    /// the request is not valid HTTP
+    Invalid,
+    /// the connection to {0} broke
+    Broke(SocketAddr),
+    /// {0} sent nothing within the bound
+    Silent(SocketAddr),
+    /// the answer of {0} is larger than {1} bytes
+    TooLarge(SocketAddr, usize),
+}
+
+impl std::error::Error for ClientError {}
+
+impl ClientError {
+    /// Whether the request may have run at the server.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            ClientError::Connect(_) | ClientError::Invalid => Verdict::NotRun,
+            ClientError::Broke(_) | ClientError::Silent(_) | ClientError::TooLarge(..) => {
+                Verdict::MayHaveRun
+            }
+        }
+    }
+}
+
+/// Head of an answer with its unread body.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Headers of the answer.
+    pub headers: HeaderMap,
+    body: Incoming,
+    server: SocketAddr,
+    silence: Duration,
+}
+
+impl Answer {
+    /// A header's value, if it is there and is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// The next chunk of the body; `None` once the body is whole.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke or was silent for longer than the bound.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, ClientError> {
+        loop {
+            let frame = tokio::time::timeout(self.silence, self.body.frame())
+                .await
+                .map_err(|_| ClientError::Silent(self.server))?;
+            match frame {
+                None => return Ok(None),
+                Some(Err(_)) => return Err(ClientError::Broke(self.server)),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) if !data.is_empty() => return Ok(Some(data)),
+                    _ => continue,
+                },
+            }
+        }
+    }
+
+    /// The whole body.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Answer::chunk`], or the body is larger than `limit` bytes.
+    pub async fn whole(mut self, limit: usize) -> Result<Bytes, ClientError> {
+        let mut whole = Vec::new();
+        while let Some(chunk) = self.chunk().await? {
+            if whole.len() + chunk.len() > limit {
+                return Err(ClientError::TooLarge(self.server, limit));
+            }
+            whole.extend_from_slice(&chunk);
+        }
+        Ok(whole.into())
+    }
+
+    /// Copies the body into a stream, in a task of its own.
+    pub fn into_stream(mut self) -> BodyStream {
+        let (sender, stream) = BodyStream::new(BODY_DEPTH);
+        tokio::spawn(async move {
+            loop {
+                match self.chunk().await {
+                    Ok(None) => return,
+                    Ok(Some(chunk)) => {
+                        if !sender.send(chunk).await {
+                            return;
+                        }
+                    }
+                    Err(_) => return sender.fail("the answer broke off").await,
+                }
+            }
+        });
+        stream
+    }
+}
+
+/// HTTP client that never repeats a request by itself.
+#[derive(Clone, Debug)]
+pub struct Client {
+    config: ClientConfig,
+    pool: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Creates a client.
+    pub fn new(config: ClientConfig) -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(config.connect));
+        connector.set_nodelay(true);
+        let pool = legacy::Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(config.idle)
+            .pool_timer(TokioTimer::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Client { config, pool }
+    }
+
+    /// Sends a request on a pooled connection. Only for idempotent requests: a pooled connection
+    /// may have been closed by the server without notice, and then the verdict is "may have run".
+    ///
+    /// # Errors
+    ///
+    /// No head of an answer arrived; the error says whether the request may have run.
+    pub async fn send(
+        &self,
+        server: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Result<Answer, ClientError> {
+        let request = build(
+            &format!("http://{server}{path}"),
+            server,
+            method,
+            headers,
+            body,
+        )?;
+        let sent = tokio::time::timeout(self.config.head, self.pool.request(request)).await;
+        match sent {
+            Err(_) => Err(ClientError::Silent(server)),
+            Ok(Err(error)) if error.is_connect() => Err(ClientError::Connect(server)),
+            Ok(Err(_)) => Err(ClientError::Broke(server)),
+            Ok(Ok(response)) => Ok(self.answer(server, response, self.config.silence)),
+        }
+    }
+
+    /// Sends a request on a fresh connection, so that "not run" is certain when connecting fails.
+    /// `head` bounds the wait for the head of the answer, `silence` each pause in its body.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::send`].
+    pub async fn send_fresh(
+        &self,
+        server: SocketAddr,
+        request: http::Request<Bytes>,
+        head: Duration,
+        silence: Duration,
+    ) -> Result<Answer, ClientError> {
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let request = build(path, server, parts.method, &parts.headers, body)?;
+        let stream = tokio::time::timeout(self.config.connect, TcpStream::connect(server)).await;
+        let Ok(Ok(stream)) = stream else {
+            return Err(ClientError::Connect(server));
+        };
+        let _ = stream.set_nodelay(true);
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| ClientError::Connect(server))?;
+        tokio::spawn(connection);
+        match tokio::time::timeout(head, sender.send_request(request)).await {
+            Err(_) => Err(ClientError::Silent(server)),
+            Ok(Err(_)) => Err(ClientError::Broke(server)),
+            Ok(Ok(response)) => Ok(self.answer(server, response, silence)),
+        }
+    }
+
+    fn answer(
+        &self,
+        server: SocketAddr,
+        response: http::Response<Incoming>,
+        silence: Duration,
+    ) -> Answer {
+        let (parts, body) = response.into_parts();
+        Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            server,
+            silence,
+        }
+    }
+}
+
+fn build(
+    uri: &str,
+    server: SocketAddr,
+    method: Method,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Result<http::Request<Full<Bytes>>, ClientError> {
+    let mut request = http::Request::builder()
+        .method(method)
+        .uri(uri)
+        .header(http::header::HOST, server.to_string())
+        .body(Full::new(body))
+        .map_err(|_| ClientError::Invalid)?;
+    for (name, value) in headers {
+        request.headers_mut().append(name, value.clone());
+    }
+    Ok(request)
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,288 @@
+//! The HTTP server.
+
+use crate::BodyStream;
+use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use xitca_web::body::{BodyExt, RequestBody, ResponseBody, StreamDataBody};
+use xitca_web::http::{WebRequest, WebResponse};
+use xitca_web::service::fn_service;
+
+/// Size of the read buffer of a connection in bytes, which bounds the request head.
+const MAX_HEAD: usize = 64 * 1024;
+
+/// A request whose body has arrived whole.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Method of the request.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Query without the question mark; empty if there is none.
+    pub query: String,
+    /// Headers of the request.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Address of the client.
+    pub peer: SocketAddr,
+}
+
+impl Request {
+    /// A header's value, if it is there and is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// The token of an `Authorization: Bearer` header.
+    pub fn bearer(&self) -> Option<&str> {
+        self.header("authorization")?.strip_prefix("Bearer ")
+    }
+}
+
+/// Body of a reply.
+#[derive(Debug)]
+enum ReplyBody {
+    Whole(Bytes),
+    Stream(BodyStream),
+}
+
+/// Answer of a [`Handler`].
+#[derive(Debug)]
+pub struct Reply {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: ReplyBody,
+}
+
+impl Reply {
+    /// A reply with a whole body.
+    pub fn new(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+        Reply {
+            status,
+            headers: HeaderMap::new(),
+            body: ReplyBody::Whole(body.into()),
+        }
+    }
+
+    /// A reply with a JSON body.
+    pub fn json(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+        Reply::new(status, body).with_header("content-type", "application/json")
+    }
+
+    /// A reply whose body is produced while it is sent.
+    pub fn stream(status: StatusCode, body: BodyStream) -> Reply {
+        Reply {
+            status,
+            headers: HeaderMap::new(),
+            body: ReplyBody::Stream(body),
+        }
+    }
+
+    /// Sets a header. A name or value that HTTP does not allow is left out.
+    pub fn with_header(mut self, name: &str, value: &str) -> Reply {
+        if let (Ok(name), Ok(value)) = (
+            HeaderName::from_bytes(name.as_bytes()),
+            HeaderValue::from_str(value),
+        ) {
+            self.headers.insert(name, value);
+        }
+        self
+    }
+
+    /// Status of the reply.
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    fn into_response(self) -> WebResponse {
+        let body = match self.body {
+            ReplyBody::Whole(bytes) => ResponseBody::bytes(bytes),
+            ReplyBody::Stream(stream) => ResponseBody::boxed(StreamDataBody::new(stream)),
+        };
+        let mut response = WebResponse::new(body);
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
+
+/// Future of a reply.
+pub type ReplyFuture = Pin<Box<dyn Future<Output = Reply> + Send>>;
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request. Dropping the future means that the client has gone.
+    fn handle(self: Arc<Self>, request: Request) -> ReplyFuture;
+}
+
+/// A request that does not reach the handler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum ServerError {
+    /// the body is larger than the limit of {0} bytes
+    TooLarge(usize),
+    /// the body did not arrive within {0:?}
+    TooSlow(Duration),
+    /// the body broke off
+    Broken,
+}
+
+impl std::error::Error for ServerError {}
+
+/// Bounds on what a client may send.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Largest body in bytes.
+    pub body: usize,
+    /// Time in which the body must arrive.
+    pub arrival: Duration,
+    /// Threads that serve connections.
+    pub threads: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            body: 4 * 1024 * 1024,
+            arrival: Duration::from_secs(10),
+            threads: 2,
+        }
+    }
+}
+
+/// A running HTTP server.
+pub struct Server {
+    address: SocketAddr,
+    handle: xitca_server::ServerHandle,
+    thread: Option<JoinHandle<io::Result<()>>>,
+}
+
+impl Server {
+    /// Serves `handler` on `address`; port 0 takes a free port.
+    ///
+    /// `refuse` makes the reply to a request that breaks `limits`. Replies are made on the runtime of
+    /// the caller, so the server's own threads only move bytes.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub fn start(
+        address: SocketAddr,
+        limits: Limits,
+        handler: Arc<dyn Handler>,
+        refuse: fn(ServerError) -> Reply,
+    ) -> io::Result<Server> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let runtime = Handle::current();
+        let threads = limits.threads;
+        let service = fn_service(move |request: WebRequest| {
+            let (handler, runtime, limits) = (handler.clone(), runtime.clone(), limits.clone());
+            async move { Ok::<_, Infallible>(respond(request, handler, runtime, limits, refuse).await) }
+        });
+        let mut server = xitca_web::HttpServer::serve(service)
+            .disable_signal()
+            .worker_threads(threads)
+            .max_read_buf_size::<MAX_HEAD>()
+            .listen(listener)?
+            .run();
+        let handle = server.handle()?;
+        let thread = std::thread::Builder::new()
+            .name("http-accept".to_string())
+            .spawn(move || server.wait())?;
+        Ok(Server {
+            address,
+            handle,
+            thread: Some(thread),
+        })
+    }
+
+    /// Address on which the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, waits for the connections in flight and ends the server's threads.
+    ///
+    /// # Errors
+    ///
+    /// The server's thread failed.
+    pub fn stop(mut self) -> io::Result<()> {
+        self.handle.stop(true);
+        match self.thread.take().map(JoinHandle::join) {
+            Some(Ok(result)) => result,
+            Some(Err(_)) => Err(io::Error::other("the server's thread panicked")),
+            None => Ok(()),
+        }
+    }
+}
+
+async fn respond(
+    request: WebRequest,
+    handler: Arc<dyn Handler>,
+    runtime: Handle,
+    limits: Limits,
+    refuse: fn(ServerError) -> Reply,
+) -> WebResponse {
+    let (head, body) = request.into_parts();
+    let (extension, body) = body.replace_body(());
+    let body = match collect(body, &limits).await {
+        Ok(body) => body,
+        Err(error) => {
+            return refuse(error)
+                .with_header("connection", "close")
+                .into_response();
+        }
+    };
+    let request = Request {
+        method: head.method,
+        path: head.uri.path().to_string(),
+        query: head.uri.query().unwrap_or_default().to_string(),
+        headers: head.headers,
+        body,
+        peer: *extension.socket_addr(),
+    };
+    let (sender, receiver) = oneshot::channel();
+    let task = runtime.spawn(async move {
+        let mut sender = sender;
+        tokio::select! {
+            reply = handler.handle(request) => drop(sender.send(reply)),
+            _ = sender.closed() => {}
+        }
+    });
+    match receiver.await {
+        Ok(reply) => reply.into_response(),
+        Err(_) => {
+            let _ = task.await;
+            Reply::new(StatusCode::INTERNAL_SERVER_ERROR, "the handler failed").into_response()
+        }
+    }
+}
+
+async fn collect(body: RequestBody, limits: &Limits) -> Result<Bytes, ServerError> {
+    let mut body = pin!(body);
+    let mut whole = BytesMut::new();
+    let read = async {
+        while let Some(data) = body.as_mut().data().await {
+            let data = data.map_err(|_| ServerError::Broken)?;
+            if whole.len() + data.len() > limits.body {
+                return Err(ServerError::TooLarge(limits.body));
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    };
+    tokio::time::timeout(limits.arrival, read)
+        .await
+        .unwrap_or(Err(ServerError::TooSlow(limits.arrival)))
+}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of the decision code over a virtual clock.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Failure detection between routers and health of endpoints: state machines without I/O.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement, load bound, admission, retries and crash quarantine: decisions without I/O.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router process: callers, operators, peers and endpoints.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of one router process.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! The platform's table service and object store: claims, configuration and membership list.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authenticated datagrams and framed streams between routers.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! Router fleet.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! Command line.
+fn main() {}
