--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,215 @@
+//! Metrics of one router, described in docs/metrics.md.
+//!
+//! Label sets are bounded: classes and reasons are labels, customers are not, because there may be
+//! thousands.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use sequoiaridge_core::{RefusalReason, RetryReason};
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+/// Largest number of classes with a histogram of their own; further ones share the label `other`.
+const MAX_CLASSES: usize = 256;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ClassLabel {
+    class: String,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct OutcomeLabel {
+    class: String,
+    verdict: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct TrafficLabel {
+    kind: &'static str,
+    direction: &'static str,
+}
+
+type Histograms = Family<ClassLabel, Histogram, fn() -> Histogram>;
+
+/// Kinds of control traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Traffic {
+    Gossip,
+    Probe,
+    Notice,
+    Config,
+    List,
+}
+
+impl Traffic {
+    const ALL: [Traffic; 5] =
+        [Traffic::Gossip, Traffic::Probe, Traffic::Notice, Traffic::Config, Traffic::List];
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Traffic::Gossip => "gossip",
+            Traffic::Probe => "probe",
+            Traffic::Notice => "notice",
+            Traffic::Config => "config",
+            Traffic::List => "list",
+        }
+    }
+}
+
+/// Counters, gauges and histograms of one router.
+pub(crate) struct Metrics {
+    registry: Registry,
+    refusals: Family<ReasonLabel, Counter>,
+    retries: Family<ReasonLabel, Counter>,
+    calls: Family<OutcomeLabel, Counter>,
+    control: Family<TrafficLabel, Counter>,
+    rejected: Family<ReasonLabel, Counter>,
+    first_token: Histograms,
+    between_tokens: Histograms,
+    pub(crate) attempts: Counter,
+    pub(crate) prompt_tokens: Counter,
+    pub(crate) cached_tokens: Counter,
+    pub(crate) skew: Gauge<f64, AtomicU64>,
+    pub(crate) in_flight: Gauge,
+    pub(crate) version: Gauge,
+}
+
+impl Metrics {
+    /// Creates all metrics; each reason's counter exists from the start.
+    pub(crate) fn new() -> Metrics {
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("sequoiaridge"),
+            refusals: Family::default(),
+            retries: Family::default(),
+            calls: Family::default(),
+            control: Family::default(),
+            rejected: Family::default(),
+            first_token: Family::new_with_constructor(latency as fn() -> Histogram),
+            between_tokens: Family::new_with_constructor(latency as fn() -> Histogram),
+            attempts: Counter::default(),
+            prompt_tokens: Counter::default(),
+            cached_tokens: Counter::default(),
+            skew: Gauge::default(),
+            in_flight: Gauge::default(),
+            version: Gauge::default(),
+        };
+        metrics.register();
+        for reason in RefusalReason::ALL {
+            metrics.refusals.get_or_create(&ReasonLabel { reason: reason.as_str() });
+        }
+        for reason in RetryReason::ALL {
+            metrics.retries.get_or_create(&ReasonLabel { reason: reason.as_str() });
+        }
+        for kind in Traffic::ALL {
+            metrics.sent(kind, 0);
+            metrics.received(kind, 0);
+        }
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("refusals", "Calls refused or ended without their whole answer, by reason", self.refusals.clone());
+        registry.register("retries", "Calls sent again, by reason", self.retries.clone());
+        registry.register("calls", "Calls ended, by class and verdict", self.calls.clone());
+        registry.register("attempts", "Requests sent to endpoints, including retries", self.attempts.clone());
+        registry.register_with_unit("control_traffic", "Control traffic by kind and direction", Unit::Bytes, self.control.clone());
+        registry.register("peer_messages_rejected", "Messages of peers that were dropped, by reason", self.rejected.clone());
+        registry.register_with_unit("first_token", "Time from arrival to the first token, by class", Unit::Seconds, self.first_token.clone());
+        registry.register_with_unit("between_tokens", "Time between chunks of a streamed answer, by class", Unit::Seconds, self.between_tokens.clone());
+        registry.register("prompt_tokens", "Prompt tokens of finished chats", self.prompt_tokens.clone());
+        registry.register("cached_tokens", "Prompt tokens that the engine had cached", self.cached_tokens.clone());
+        registry.register("load_skew", "Largest load of an engine over the mean, among the groups this router knows", self.skew.clone());
+        registry.register("calls_in_flight", "Calls of callers in flight", self.in_flight.clone());
+        registry.register("config_version", "Version of the configuration in force", self.version.clone());
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn refused(&self, reason: RefusalReason) {
+        self.refusals.get_or_create(&ReasonLabel { reason: reason.as_str() }).inc();
+    }
+
+    /// Counts a retry.
+    pub(crate) fn retried(&self, reason: RetryReason) {
+        self.retries.get_or_create(&ReasonLabel { reason: reason.as_str() }).inc();
+    }
+
+    /// Counts the end of a call.
+    pub(crate) fn ended(&self, class: &str, verdict: sequoiaridge_core::Verdict) {
+        let class = self.class(class);
+        self.calls.get_or_create(&OutcomeLabel { class, verdict: verdict.as_str() }).inc();
+    }
+
+    /// Counts control bytes sent.
+    pub(crate) fn sent(&self, kind: Traffic, bytes: usize) {
+        let label = TrafficLabel { kind: kind.as_str(), direction: "sent" };
+        self.control.get_or_create(&label).inc_by(bytes as u64);
+    }
+
+    /// Counts control bytes received.
+    pub(crate) fn received(&self, kind: Traffic, bytes: usize) {
+        let label = TrafficLabel { kind: kind.as_str(), direction: "received" };
+        self.control.get_or_create(&label).inc_by(bytes as u64);
+    }
+
+    /// Counts a message of a peer that was dropped.
+    pub(crate) fn rejected(&self, reason: &'static str) {
+        self.rejected.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Records the time to the first token.
+    pub(crate) fn first_token(&self, class: &str, time: Duration) {
+        let class = self.class(class);
+        self.first_token.get_or_create(&ClassLabel { class }).observe(time.as_secs_f64());
+    }
+
+    /// Records the time between two chunks.
+    pub(crate) fn between_tokens(&self, class: &str, time: Duration) {
+        let class = self.class(class);
+        self.between_tokens.get_or_create(&ClassLabel { class }).observe(time.as_secs_f64());
+    }
+
+    /// Refusals so far, by reason.
+    pub(crate) fn refusal_counts(&self) -> Vec<(RefusalReason, u64)> {
+        let count = |reason: RefusalReason| {
+            self.refusals.get_or_create(&ReasonLabel { reason: reason.as_str() }).get()
+        };
+        RefusalReason::ALL.iter().map(|reason| (*reason, count(*reason))).collect()
+    }
+
+    /// Retries so far, by reason.
+    pub(crate) fn retry_counts(&self) -> Vec<(RetryReason, u64)> {
+        let count = |reason: RetryReason| {
+            self.retries.get_or_create(&ReasonLabel { reason: reason.as_str() }).get()
+        };
+        RetryReason::ALL.iter().map(|reason| (*reason, count(*reason))).collect()
+    }
+
+    /// All metrics in the OpenMetrics text format.
+    pub(crate) fn encode(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string does not fail");
+        text
+    }
+
+    fn class(&self, class: &str) -> String {
+        let label = ClassLabel { class: class.to_string() };
+        let known = self.first_token.contains(&label) || self.first_token.len() < MAX_CLASSES;
+        if known { label.class } else { "other".to_string() }
+    }
+}
+
+/// Buckets from 1 ms to about 130 s.
+fn latency() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 18))
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,212 @@
+//! Starts the binary's parts as separate processes on free ports, and ends them by id.
+
+#![allow(dead_code)] // each test file uses a part of these helpers
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use sequoiaridge_http::{Client, ClientConfig, ClientError};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+/// Longest wait for a process to start or for a condition to hold.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// A process of ours that is killed at the end of the test.
+pub struct Process {
+    child: Child,
+    addresses: BTreeMap<String, SocketAddr>,
+}
+
+impl Process {
+    /// Starts `sequoiaridge ARGS` and reads its addresses from its first line of output, which has
+    /// the form `listening name=address name=address`.
+    pub fn start(args: &[&str]) -> Process {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_sequoiaridge"))
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(log_target())
+            .spawn()
+            .expect("the binary starts");
+        let mut lines = BufReader::new(child.stdout.take().expect("stdout is piped")).lines();
+        let line = lines.next().expect("a first line").expect("readable output");
+        let words = line.strip_prefix("listening ").unwrap_or_else(|| panic!("first line: {line}"));
+        let addresses = words
+            .split(' ')
+            .map(|word| word.split_once('=').expect("name=address"))
+            .map(|(name, address)| (name.to_string(), address.parse().expect("an address")))
+            .collect();
+        std::thread::spawn(move || lines.for_each(drop));
+        Process { child, addresses }
+    }
+
+    /// The address with this name.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.addresses[name]
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{name}"), &id]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the process can be waited for") {
+                return status;
+            }
+            assert!(start.elapsed() < PATIENCE, "process {} did not end", self.child.id());
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Whether the process still runs.
+    pub fn running(&mut self) -> bool {
+        self.child.try_wait().expect("the process can be waited for").is_none()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Logs of the processes are shown when `TEST_LOGS` is set.
+fn log_target() -> Stdio {
+    if std::env::var_os("TEST_LOGS").is_some() { Stdio::inherit() } else { Stdio::null() }
+}
+
+/// An answer whose body was read whole.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// Why the body is not whole, if it is not.
+    pub broken: Option<ClientError>,
+}
+
+impl Reply {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+
+    pub fn verdict(&self) -> &str {
+        self.header("x-verdict")
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).to_string()
+    }
+
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_else(|_| panic!("not JSON: {}", self.text()))
+    }
+}
+
+/// A caller or an operator.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client,
+    token: String,
+}
+
+impl Caller {
+    pub fn new(token: &str) -> Caller {
+        let config = ClientConfig {
+            head: Duration::from_secs(60),
+            silence: Duration::from_secs(60),
+            ..ClientConfig::default()
+        };
+        Caller { client: Client::new(config), token: token.to_string() }
+    }
+
+    /// Sends a request on a fresh connection and reads the whole answer.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Reply, ClientError> {
+        let mut request = http::Request::builder().method(method).uri(path).body(body.into()).unwrap();
+        let bearer = format!("Bearer {}", self.token);
+        let all = [("authorization", bearer.as_str()), ("content-type", "application/json")];
+        for (name, value) in all.into_iter().chain(headers.iter().copied()) {
+            let name: HeaderName = name.parse().unwrap();
+            request.headers_mut().insert(name, HeaderValue::from_str(value).unwrap());
+        }
+        let minute = Duration::from_secs(60);
+        let mut answer = self.client.send_fresh(address, request, minute, minute).await?;
+        let mut body = Vec::new();
+        let broken = loop {
+            match answer.chunk().await {
+                Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+                Ok(None) => break None,
+                Err(error) => break Some(error),
+            }
+        };
+        Ok(Reply { status: answer.status.as_u16(), headers: answer.headers, body: body.into(), broken })
+    }
+
+    /// Sends a chat; `turns` are user messages, each but the last followed by an answer `ok`.
+    pub async fn chat(&self, address: SocketAddr, id: &str, turns: &[&str], stream: bool) -> Reply {
+        let body = chat_body(turns, stream);
+        let headers = [("x-chat-id", id), ("x-work-class", "chat")];
+        self.send(address, Method::POST, "/v1/chat/completions", &headers, body)
+            .await
+            .expect("an answer")
+    }
+
+    /// Calls the booking service under an idempotency key.
+    pub async fn book(&self, address: SocketAddr, key: &str, body: &str) -> Result<Reply, ClientError> {
+        let headers = [("idempotency-key", key), ("x-work-class", "booking")];
+        self.send(address, Method::POST, "/services/booking/orders", &headers, body.to_string()).await
+    }
+}
+
+/// Body of a chat request for the model `small`.
+pub fn chat_body(turns: &[&str], stream: bool) -> String {
+    let mut messages = vec![serde_json::json!({"role": "system", "content": "You scale recipes."})];
+    for (at, turn) in turns.iter().enumerate() {
+        messages.push(serde_json::json!({"role": "user", "content": turn}));
+        if at + 1 < turns.len() {
+            messages.push(serde_json::json!({"role": "assistant", "content": "ok"}));
+        }
+    }
+    serde_json::json!({
+        "model": "small", "messages": messages, "stream": stream, "max_tokens": 8,
+    })
+    .to_string()
+}
+
+/// Waits until `check` holds.
+pub async fn eventually<F, Fut>(what: &str, mut check: F)
+where
+    F: FnMut() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    let start = Instant::now();
+    while !check().await {
+        assert!(start.elapsed() < PATIENCE, "did not come true within {PATIENCE:?}: {what}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Writes a file below the test's temporary folder and returns its path.
+pub fn temp_file(name: &str, text: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = folder.join(format!("{}-{}", std::process::id(), name));
+    std::fs::write(&path, text).expect("the temporary folder is writable");
+    path
+}
