Add the store crate: table, objects, claims, configuration log, list

Routers need claims that survive a dead holder, a configuration that never reverts and the membership list. Claims rest on conditional inserts alone; a lease was ruled out because a paused holder still believes in it. A write without an answer is resolved by reading its nonce back.

--- /dev/null
+++ b/crates/store/src/claim.rs
@@ -0,0 +1,203 @@
+//! Claims, stored answers and their rows.
+
+use crate::{Attribute, Cond, Key, Op, Row};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use sequoiaridge_core::{CustomerId, Nonce};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::time::Duration;
+
+/// Digest of a request, by which a repeated request is told from another one under the same key.
+pub type RequestDigest = [u8; 32];
+
+/// Prefix of the keys of all claim rows.
+pub(crate) const CLAIM_PREFIX: &str = "claim/";
+const NONCE: &str = "nonce";
+const STATE: &str = "state";
+const DIGEST: &str = "digest";
+const WRITTEN: &str = "written";
+const ANSWER: &str = "answer";
+const OBJECT: &str = "object";
+
+/// Result of [`ClaimLedger::claim`](crate::ClaimLedger::claim).
+#[derive(Debug)]
+pub enum Claim {
+    /// The caller holds the claim and may dispatch the call once.
+    Held(HeldClaim),
+    /// An earlier call with the key and the same digest got this answer.
+    Stored(StoredAnswer),
+}
+
+/// A claim that this process holds. It ends in `release` or `store`; a claim that is dropped stays in
+/// the table, and later calls with its key get "may have run".
+#[derive(Debug)]
+pub struct HeldClaim {
+    pub(crate) customer: CustomerId,
+    pub(crate) key: String,
+    pub(crate) digest: RequestDigest,
+    pub(crate) nonce: Nonce,
+    pub(crate) deadline: Duration,
+}
+
+impl HeldClaim {
+    /// Customer whose key is claimed.
+    pub fn customer(&self) -> &CustomerId {
+        &self.customer
+    }
+
+    /// The idempotency key.
+    pub fn key(&self) -> &str {
+        &self.key
+    }
+
+    /// Random value that identifies the claim in the table.
+    pub fn nonce(&self) -> Nonce {
+        self.nonce
+    }
+
+    /// Time of the clock after which the call must not be dispatched.
+    pub fn deadline(&self) -> Duration {
+        self.deadline
+    }
+
+    /// Key of the claim's row. Names of customers contain no slash, so the key is unambiguous.
+    pub(crate) fn row_key(&self) -> Key {
+        format!("{CLAIM_PREFIX}{}/{}", self.customer, self.key)
+    }
+
+    /// Name of the object for an answer that is too large for the row.
+    pub(crate) fn object_name(&self) -> String {
+        format!("answers/{}/{}", self.customer, self.key)
+    }
+
+    /// Inserts the claim.
+    pub(crate) fn insert(&self, written: u64) -> Op {
+        Op::Put {
+            key: self.row_key(),
+            value: self.row(written).with_text(STATE, "claimed"),
+            cond: Cond::Absent,
+        }
+    }
+
+    /// Deletes the claim.
+    pub(crate) fn delete(&self) -> Op {
+        Op::Delete {
+            key: self.row_key(),
+            cond: self.still_held(),
+        }
+    }
+
+    /// Replaces the claim by an answer.
+    pub(crate) fn finish(&self, written: u64, answer: &AnswerPlace) -> Op {
+        let row = self.row(written).with_text(STATE, "done");
+        let value = match answer {
+            AnswerPlace::Inline(text) => row.with_text(ANSWER, text),
+            AnswerPlace::Object(name) => row.with_text(OBJECT, name),
+        };
+        Op::Put {
+            key: self.row_key(),
+            value,
+            cond: self.still_held(),
+        }
+    }
+
+    fn row(&self, written: u64) -> Row {
+        Row::new()
+            .with_text(NONCE, nonce_text(self.nonce))
+            .with_text(DIGEST, hex(&self.digest))
+            .with_number(WRITTEN, written)
+    }
+
+    fn still_held(&self) -> Cond {
+        Cond::Equals {
+            attribute: NONCE,
+            value: Attribute::Text(nonce_text(self.nonce)),
+        }
+    }
+}
+
+/// Where the answer of a finished claim is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerPlace {
+    /// In the row, as JSON.
+    Inline(String),
+    /// In the object store, under this name.
+    Object(String),
+}
+
+/// What a claim row says to another claimant.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum RowState {
+    /// The row has the reader's own nonce.
+    Own,
+    /// A call with the key is running or its end is unknown. Rows that cannot be read count as such.
+    Claimed,
+    /// A call with another digest has finished.
+    OtherRequest,
+    /// The same call has finished.
+    Done(AnswerPlace),
+}
+
+impl RowState {
+    /// Reads a row for the claimant of `claim`.
+    pub(crate) fn read(row: &Row, claim: &HeldClaim) -> RowState {
+        if row.text(NONCE) == Some(&nonce_text(claim.nonce)) {
+            return RowState::Own;
+        }
+        if row.text(STATE) != Some("done") {
+            return RowState::Claimed;
+        }
+        if row.text(DIGEST) != Some(&hex(&claim.digest)) {
+            return RowState::OtherRequest;
+        }
+        match (row.text(ANSWER), row.text(OBJECT)) {
+            (Some(text), _) => RowState::Done(AnswerPlace::Inline(text.to_string())),
+            (None, Some(name)) => RowState::Done(AnswerPlace::Object(name.to_string())),
+            (None, None) => RowState::Claimed,
+        }
+    }
+}
+
+/// Deletes a row that was written before `oldest`, in seconds since the Unix epoch; `None` if the row
+/// is younger or its age cannot be read.
+pub(crate) fn removal(key: &Key, row: &Row, oldest: u64) -> Option<Op> {
+    let nonce = row.text(NONCE)?;
+    let cond = Cond::Equals {
+        attribute: NONCE,
+        value: Attribute::Text(nonce.to_string()),
+    };
+    let key = key.clone();
+    (row.number(WRITTEN)? < oldest).then_some(Op::Delete { key, cond })
+}
+
+/// The answer of a finished call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredAnswer {
+    /// Status of the answer.
+    pub status: u16,
+    /// Headers of the answer, in their order.
+    pub headers: Vec<(String, String)>,
+    /// Body of the answer.
+    #[serde(serialize_with = "write_base64", deserialize_with = "read_base64")]
+    pub body: Bytes,
+}
+
+fn write_base64<S: Serializer>(body: &Bytes, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_str(&STANDARD.encode(body))
+}
+
+fn read_base64<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Bytes, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    let body = STANDARD.decode(text).map_err(serde::de::Error::custom)?;
+    Ok(body.into())
+}
+
+/// A nonce as rows hold it.
+pub(crate) fn nonce_text(nonce: Nonce) -> String {
+    format!("{nonce:032x}")
+}
+
+fn hex(digest: &RequestDigest) -> String {
+    blake3::Hash::from(*digest).to_hex().to_string()
+}
--- /dev/null
+++ b/crates/store/src/config_log.rs
@@ -0,0 +1,275 @@
+//! The configuration log. See section 4.4 of `docs/design.md`.
+
+use crate::backoff::Backoff;
+use crate::config_rows::{
+    HEAD, LOG_PREFIX, SNAPSHOTS, Snapshots, append_ops, head_version, log_entry, log_key,
+    snapshot_name,
+};
+use crate::{ConfigError, LogEntry, Objects, Op, Table, TableError};
+use sequoiaridge_core::{Change, ChangeError, Clock, FleetConfig, Nonce, Version};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Versions between two snapshots.
+const SNAPSHOT_EVERY: Version = 64;
+/// Rows read or deleted at once.
+const PAGE: usize = 25;
+/// Time in which an unknown write is resolved before the operator is told to read again.
+const RESOLVE_LIMIT: Duration = Duration::from_secs(8);
+
+/// Answer to a proposed change.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Accept {
+    /// The change is version `.0` and stays it.
+    Committed(Version),
+    /// The change was not made, because the log is at version `.0`.
+    Conflict(Version),
+    /// The change was not made, because it is not valid.
+    Refused(Vec<ChangeError>),
+    /// The change may have been made or may yet be; the operator has to read again.
+    Unknown,
+}
+
+/// What a reader at some version is missing.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Since {
+    /// The changes after that version, in order; empty if the reader is up to date.
+    Changes(Vec<LogEntry>),
+    /// The whole configuration at the head, because the log no longer holds the changes.
+    Snapshot(FleetConfig),
+}
+
+/// The fleet configuration in the platform's table.
+pub struct ConfigLog {
+    table: Arc<dyn Table>,
+    objects: Arc<dyn Objects>,
+    clock: Arc<dyn Clock>,
+    /// The newest configuration that was read; it only saves reads.
+    cache: Mutex<FleetConfig>,
+}
+
+impl ConfigLog {
+    /// A log over the platform's services.
+    pub fn new(
+        table: Arc<dyn Table>,
+        objects: Arc<dyn Objects>,
+        clock: Arc<dyn Clock>,
+    ) -> ConfigLog {
+        ConfigLog {
+            table,
+            objects,
+            clock,
+            cache: Mutex::new(FleetConfig::default()),
+        }
+    }
+
+    /// The newest version.
+    ///
+    /// # Errors
+    ///
+    /// The head row cannot be read.
+    pub async fn head(&self) -> Result<Version, ConfigError> {
+        head_version(self.table.get(HEAD).await?.as_ref())
+    }
+
+    /// What a reader at `version` is missing, at least up to the head at the time of the call.
+    ///
+    /// # Errors
+    ///
+    /// The platform does not answer, a row is missing or not valid, or `version` is newer than the
+    /// head. A row is never skipped.
+    pub async fn since(&self, version: Version) -> Result<Since, ConfigError> {
+        let head = self.head().await?;
+        if version > head {
+            let asked = version;
+            return Err(ConfigError::Ahead { asked, head });
+        }
+        match self.changes(version, head).await {
+            // Rows up to the snapshot before the last are removed.
+            Err(ConfigError::Gap(missing)) if missing == version + 1 => {
+                let snapshots = Snapshots::read(self.table.get(SNAPSHOTS).await?.as_ref())?;
+                if snapshots.last <= version {
+                    return Err(ConfigError::Gap(missing));
+                }
+                self.rebuild(snapshots.last).await.map(Since::Snapshot)
+            }
+            changes => changes.map(Since::Changes),
+        }
+    }
+
+    /// The configuration at the head.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ConfigLog::since`].
+    pub async fn load(&self) -> Result<FleetConfig, ConfigError> {
+        let mut config = self.cache.lock().expect("cache lock").clone();
+        match self.since(config.version).await? {
+            Since::Changes(entries) => entries.iter().for_each(|e| config.apply(&e.change)),
+            Since::Snapshot(snapshot) => config = snapshot,
+        }
+        let mut cache = self.cache.lock().expect("cache lock");
+        if config.version > cache.version {
+            *cache = config.clone();
+        }
+        Ok(config)
+    }
+
+    /// Adds a change to version `base`. The change is checked against the configuration at `base`, so
+    /// that each version in the log is valid.
+    ///
+    /// # Errors
+    ///
+    /// The configuration cannot be read; nothing was written.
+    pub async fn append(&self, base: Version, change: &Change) -> Result<Accept, ConfigError> {
+        let config = self.load().await?;
+        if config.version != base {
+            return Ok(Accept::Conflict(config.version));
+        }
+        let problems = change.problems(&config);
+        if !problems.is_empty() {
+            return Ok(Accept::Refused(problems));
+        }
+        let accept = self.write(base, change, rand::random()).await?;
+        if let Accept::Committed(version) = accept
+            && version.is_multiple_of(SNAPSHOT_EVERY)
+        {
+            let mut config = config;
+            config.apply(change);
+            // A failed snapshot costs nothing but a longer log; the next one makes up for it.
+            let _ = self.snapshot(&config).await;
+        }
+        Ok(accept)
+    }
+
+    /// Writes until the end is known. Repeated writes carry the same nonce, and the condition on the
+    /// head lets at most one of them take effect.
+    async fn write(
+        &self,
+        base: Version,
+        change: &Change,
+        nonce: Nonce,
+    ) -> Result<Accept, ConfigError> {
+        let end = self.clock.now() + RESOLVE_LIMIT;
+        let ops = append_ops(base, change, nonce);
+        let mut backoff = Backoff::new();
+        let mut unsure = false;
+        loop {
+            match self.table.commit(ops.clone(), nonce).await {
+                Ok(()) => return Ok(Accept::Committed(base + 1)),
+                Err(TableError::Refused) => {}
+                Err(_) => {
+                    unsure = true;
+                    if let Some(accept) = self.read_back(base, nonce).await {
+                        return Ok(accept);
+                    }
+                }
+            }
+            let left = end.saturating_sub(self.clock.now());
+            if left.is_zero() {
+                return match unsure {
+                    true => Ok(Accept::Unknown),
+                    false => Err(ConfigError::Table(TableError::Refused)),
+                };
+            }
+            backoff.wait(left).await;
+        }
+    }
+
+    /// Finds the end of a write by the nonce of its log row; `None` if it is still open.
+    async fn read_back(&self, base: Version, nonce: Nonce) -> Option<Accept> {
+        let key = log_key(base + 1);
+        // The row is read again after the head, because it may be written between the two reads.
+        for _ in 0..2 {
+            if let Some(row) = self.table.get(&key).await.ok()? {
+                return Some(match log_entry(&key, &row) {
+                    Ok(entry) if entry.nonce == nonce => Accept::Committed(base + 1),
+                    Ok(_) => Accept::Conflict(self.head().await.ok()?.max(base + 1)),
+                    Err(_) => Accept::Unknown,
+                });
+            }
+            if self.head().await.ok()? == base {
+                return None;
+            }
+        }
+        // The log has moved on so far that the row is removed.
+        Some(Accept::Unknown)
+    }
+
+    /// The changes after `version`, at least up to `head`.
+    async fn changes(&self, version: Version, head: Version) -> Result<Vec<LogEntry>, ConfigError> {
+        let mut entries: Vec<LogEntry> = Vec::new();
+        let mut after = log_key(version);
+        loop {
+            let page = self.table.scan(LOG_PREFIX, Some(&after), PAGE).await?;
+            for (key, row) in &page.rows {
+                let entry = log_entry(key, row)?;
+                let expected = version + 1 + entries.len() as Version;
+                if entry.version != expected {
+                    return Err(ConfigError::Gap(expected));
+                }
+                entries.push(entry);
+            }
+            match page.next {
+                Some(next) => after = next,
+                None => break,
+            }
+        }
+        let reached = version + entries.len() as Version;
+        match reached >= head {
+            true => Ok(entries),
+            false => Err(ConfigError::Gap(reached + 1)),
+        }
+    }
+
+    /// The configuration at the head, from a snapshot and the changes after it.
+    async fn rebuild(&self, version: Version) -> Result<FleetConfig, ConfigError> {
+        let name = snapshot_name(version);
+        let unreadable = || ConfigError::Unreadable(name.clone());
+        let content = self.objects.get(&name).await?.ok_or_else(unreadable)?;
+        let mut config: FleetConfig = serde_json::from_slice(&content).map_err(|_| unreadable())?;
+        if config.version != version {
+            return Err(unreadable());
+        }
+        let head = self.head().await?;
+        for entry in self.changes(version, head).await? {
+            config.apply(&entry.change);
+        }
+        Ok(config)
+    }
+
+    /// Writes a snapshot, names it and removes the log rows up to the snapshot before the last. All
+    /// routers would write the same content for a version, so a repeated write does no harm.
+    async fn snapshot(&self, config: &FleetConfig) -> Result<(), ConfigError> {
+        let content = serde_json::to_vec(config).expect("a configuration is valid JSON");
+        let name = snapshot_name(config.version);
+        self.objects.put(&name, content.into()).await?;
+        let snapshots = Snapshots::read(self.table.get(SNAPSHOTS).await?.as_ref())?;
+        if snapshots.last >= config.version {
+            return Ok(());
+        }
+        let ops = vec![snapshots.advance(config.version)];
+        self.table.commit(ops, rand::random()).await?;
+        self.remove_until(snapshots.last).await
+    }
+
+    /// Removes the log rows up to `version`, oldest first, so that no gap appears in between.
+    async fn remove_until(&self, version: Version) -> Result<(), ConfigError> {
+        loop {
+            let page = self.table.scan(LOG_PREFIX, None, PAGE).await?;
+            let last = log_key(version);
+            let keys = page.rows.into_iter().map(|(key, _)| key);
+            let ops: Vec<Op> = keys
+                .take_while(|key| *key <= last)
+                .map(|key| Op::Delete {
+                    key,
+                    cond: crate::Cond::None,
+                })
+                .collect();
+            if ops.is_empty() {
+                return Ok(());
+            }
+            self.table.commit(ops, rand::random()).await?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/ledger.rs
@@ -0,0 +1,322 @@
+//! The claim ledger. See section 4.2 of `docs/design.md`.
+
+use crate::backoff::Backoff;
+use crate::batch::Batcher;
+use crate::claim::{AnswerPlace, CLAIM_PREFIX, RowState, removal};
+use crate::stats::{Counters, Pending, add};
+use crate::{
+    Claim, HeldClaim, Key, LedgerStats, Objects, Op, RequestDigest, Row, StoredAnswer, Table,
+    TableError,
+};
+use bytes::Bytes;
+use sequoiaridge_core::{Clock, CustomerId, Refusal, RefusalReason};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+/// Longest idempotency key in bytes. With customer and prefix it stays below the 1,024 bytes that the
+/// table service allows for a sort key.
+const MAX_KEY: usize = 512;
+/// Largest answer in bytes that a row holds; a larger one goes to the object store.
+const MAX_INLINE: usize = 64 * 1024;
+/// Time after which a caller should ask again about a claimed key or an unwritten claim.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time for which releases and answers are retried: longer than the platform's usual outages.
+const SETTLE_LIMIT: Duration = Duration::from_secs(600);
+/// Rows read by one step of the removal.
+const REMOVAL_ROWS: usize = 100;
+
+/// Result of one step of [`ClaimLedger::remove_expired`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Removal {
+    /// Rows deleted.
+    pub removed: usize,
+    /// Key from which the next step continues; `None` at the end of the table.
+    pub next: Option<Key>,
+}
+
+/// Grants each idempotency key to at most one dispatch in the whole fleet.
+///
+/// The ledger relies on conditional inserts alone. A claim is never taken over, whatever its age, so
+/// a holder that pauses and wakes later does no harm.
+#[derive(Clone)]
+pub struct ClaimLedger {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    table: Arc<dyn Table>,
+    objects: Arc<dyn Objects>,
+    clock: Arc<dyn Clock>,
+    batcher: Arc<Batcher>,
+    counters: Arc<Counters>,
+}
+
+impl ClaimLedger {
+    /// A ledger over the platform's services.
+    pub fn new(
+        table: Arc<dyn Table>,
+        objects: Arc<dyn Objects>,
+        clock: Arc<dyn Clock>,
+    ) -> ClaimLedger {
+        let counters = Arc::new(Counters::default());
+        let batcher = Arc::new(Batcher::new(table.clone(), counters.clone()));
+        ClaimLedger {
+            inner: Arc::new(Inner {
+                table,
+                objects,
+                clock,
+                batcher,
+                counters,
+            }),
+        }
+    }
+
+    /// Claims `key` of `customer`, or returns the stored answer of an earlier call with it.
+    ///
+    /// Attempts go on until `deadline`, a time of the clock. A claim that is written after the caller
+    /// has dropped the future is released.
+    ///
+    /// # Errors
+    ///
+    /// * [`RefusalReason::BadRequest`], not run: the key is empty or longer than 512 bytes.
+    /// * [`RefusalReason::KeyReused`], not run: the key was used for a request with another digest.
+    /// * [`RefusalReason::KeyClaimed`], may have run: a call with the key runs or its end is unknown.
+    /// * [`RefusalReason::ClaimUnavailable`], not run: the claim could not be written in time.
+    pub async fn claim(
+        &self,
+        customer: &CustomerId,
+        key: &str,
+        digest: RequestDigest,
+        deadline: Duration,
+    ) -> Result<Claim, Refusal> {
+        if !(1..=MAX_KEY).contains(&key.len()) {
+            return Err(Refusal::not_run(RefusalReason::BadRequest, Duration::ZERO));
+        }
+        let claim = HeldClaim {
+            customer: customer.clone(),
+            key: key.to_string(),
+            digest,
+            nonce: rand::random(),
+            deadline,
+        };
+        let inner = self.inner.clone();
+        let (sender, receiver) = oneshot::channel();
+        tokio::spawn(async move {
+            let result = inner.clone().resolve(claim).await;
+            if let Err(Ok(Claim::Held(claim))) = sender.send(result) {
+                inner.release(claim).await;
+            }
+        });
+        // The task ends without a result only when the runtime shuts down.
+        receiver.await.unwrap_or_else(|_| Err(unavailable()))
+    }
+
+    /// Whether the call may be dispatched now; to be asked just before, because the process may have
+    /// been paused since the claim was written.
+    pub fn may_dispatch(&self, claim: &HeldClaim) -> bool {
+        self.inner.clock.now() < claim.deadline
+    }
+
+    /// Gives up a claim whose call certainly did not run. The task retries in the background; its
+    /// result says whether the claim is gone.
+    pub fn release(&self, claim: HeldClaim) -> JoinHandle<bool> {
+        let inner = self.inner.clone();
+        tokio::spawn(async move { inner.release(claim).await })
+    }
+
+    /// Stores the whole answer of a claimed call. The task retries in the background; its result says
+    /// whether the answer is stored.
+    pub fn store(&self, claim: HeldClaim, answer: StoredAnswer) -> JoinHandle<bool> {
+        let inner = self.inner.clone();
+        tokio::spawn(async move { inner.store(claim, answer).await })
+    }
+
+    /// Deletes the rows among the next 100 after `after` that were written more than `retention` ago.
+    /// The caller continues with [`Removal::next`] at its own pace.
+    ///
+    /// # Errors
+    ///
+    /// The rows could not be read. Rows that could not be deleted are left to the next pass.
+    pub async fn remove_expired(
+        &self,
+        retention: Duration,
+        after: Option<&str>,
+    ) -> Result<Removal, TableError> {
+        let inner = &self.inner;
+        let page = inner.table.scan(CLAIM_PREFIX, after, REMOVAL_ROWS).await?;
+        add(&inner.counters.reads, 1);
+        let oldest = inner.wall().saturating_sub(retention.as_secs());
+        let removals = page
+            .rows
+            .iter()
+            .filter_map(|(key, row)| removal(key, row, oldest));
+        let writes: Vec<_> = removals.map(|op| inner.batcher.submit(op)).collect();
+        let mut removed = 0;
+        for write in writes {
+            removed += usize::from(write.await == Ok(Ok(())));
+        }
+        let next = page.next;
+        Ok(Removal { removed, next })
+    }
+
+    /// The counters of the ledger.
+    pub fn stats(&self) -> LedgerStats {
+        self.inner.counters.snapshot()
+    }
+}
+
+impl Inner {
+    /// Rules 1 to 3: inserts the claim and reads it back while the end of the insert is unknown.
+    async fn resolve(self: Arc<Self>, claim: HeldClaim) -> Result<Claim, Refusal> {
+        let mut backoff = Backoff::new();
+        let mut unsure = false;
+        while let Some(left) = self.time_left(claim.deadline) {
+            let write = self.batcher.write(claim.insert(self.wall()));
+            let result = tokio::time::timeout(left, write).await;
+            match result.unwrap_or(Err(TableError::Unknown)) {
+                Ok(()) => return Ok(Claim::Held(claim)),
+                Err(TableError::Refused) => {}
+                Err(error) => {
+                    unsure |= error == TableError::Unknown;
+                    if let Some(row) = self.read_back(&claim).await {
+                        return self.decide(&row, claim).await;
+                    }
+                }
+            }
+            backoff.wait(left).await;
+        }
+        if unsure {
+            tokio::spawn(async move { self.release(claim).await });
+        }
+        Err(unavailable())
+    }
+
+    /// Reads the claim's row until the deadline; `None` if there is no row or no answer in time.
+    async fn read_back(&self, claim: &HeldClaim) -> Option<Row> {
+        let key = claim.row_key();
+        let mut backoff = Backoff::new();
+        while let Some(left) = self.time_left(claim.deadline) {
+            add(&self.counters.reads, 1);
+            if let Ok(Ok(row)) = tokio::time::timeout(left, self.table.get(&key)).await {
+                return row;
+            }
+            backoff.wait(left).await;
+        }
+        None
+    }
+
+    async fn decide(&self, row: &Row, claim: HeldClaim) -> Result<Claim, Refusal> {
+        let place = match RowState::read(row, &claim) {
+            RowState::Own => return Ok(Claim::Held(claim)),
+            RowState::Claimed => return Err(claimed()),
+            RowState::OtherRequest => {
+                return Err(Refusal::not_run(RefusalReason::KeyReused, Duration::ZERO));
+            }
+            RowState::Done(place) => place,
+        };
+        let content = match place {
+            AnswerPlace::Inline(text) => Some(Bytes::from(text)),
+            AnswerPlace::Object(name) => self.read_object(&name, claim.deadline).await,
+        };
+        let answer = content.and_then(|content| serde_json::from_slice(&content).ok());
+        answer.map(Claim::Stored).ok_or_else(claimed)
+    }
+
+    async fn read_object(&self, name: &str, deadline: Duration) -> Option<Bytes> {
+        let mut backoff = Backoff::new();
+        while let Some(left) = self.time_left(deadline) {
+            if let Ok(Ok(content)) = tokio::time::timeout(left, self.objects.get(name)).await {
+                return content;
+            }
+            backoff.wait(left).await;
+        }
+        None
+    }
+
+    /// Rule 5: deletes the row on condition that it holds the claim's nonce.
+    async fn release(&self, claim: HeldClaim) -> bool {
+        let _pending = Pending::start(&self.counters);
+        let released = self.settle(|| claim.delete()).await;
+        add(&self.counters.unresolved, usize::from(!released));
+        released
+    }
+
+    /// Rule 6: writes the answer on condition that the row holds the claim's nonce.
+    async fn store(&self, claim: HeldClaim, answer: StoredAnswer) -> bool {
+        let _pending = Pending::start(&self.counters);
+        let text = serde_json::to_string(&answer).expect("an answer is valid JSON");
+        let size = answer.body.len() + header_size(&answer);
+        let place = if size <= MAX_INLINE {
+            AnswerPlace::Inline(text)
+        } else {
+            let name = claim.object_name();
+            if !self.write_object(&name, text.into()).await {
+                add(&self.counters.not_stored, 1);
+                return false;
+            }
+            AnswerPlace::Object(name)
+        };
+        let stored = self.settle(|| claim.finish(self.wall(), &place)).await;
+        add(&self.counters.not_stored, usize::from(!stored));
+        stored
+    }
+
+    async fn write_object(&self, name: &str, content: Bytes) -> bool {
+        let end = self.clock.now() + SETTLE_LIMIT;
+        let mut backoff = Backoff::new();
+        while let Some(left) = self.time_left(end) {
+            if self.objects.put(name, content.clone()).await.is_ok() {
+                return true;
+            }
+            backoff.wait(left).await;
+        }
+        false
+    }
+
+    /// Writes until the write takes effect or its condition fails. Each operation is conditional on
+    /// the claim's nonce, so a repeated one changes nothing.
+    async fn settle(&self, op: impl Fn() -> Op) -> bool {
+        let end = self.clock.now() + SETTLE_LIMIT;
+        let mut backoff = Backoff::new();
+        while let Some(left) = self.time_left(end) {
+            let op = op();
+            let deletes = matches!(op, Op::Delete { .. });
+            match self.batcher.write(op).await {
+                Ok(()) => return true,
+                // The row does not hold the nonce: a release is done, an answer has no place.
+                Err(TableError::Conflict { .. }) => return deletes,
+                Err(_) => backoff.wait(left).await,
+            }
+        }
+        false
+    }
+
+    fn time_left(&self, end: Duration) -> Option<Duration> {
+        let left = end.saturating_sub(self.clock.now());
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Seconds since the Unix epoch.
+    fn wall(&self) -> u64 {
+        let since = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        since.map_or(0, |since| since.as_secs())
+    }
+}
+
+fn header_size(answer: &StoredAnswer) -> usize {
+    let sizes = answer
+        .headers
+        .iter()
+        .map(|(name, value)| name.len() + value.len());
+    sizes.sum()
+}
+
+fn claimed() -> Refusal {
+    Refusal::may_have_run(RefusalReason::KeyClaimed, RETRY_AFTER)
+}
+
+fn unavailable() -> Refusal {
+    Refusal::not_run(RefusalReason::ClaimUnavailable, RETRY_AFTER)
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,38 @@
 //! The platform's table service and object store: claims, configuration and membership list.
+//!
+//! [`Table`] and [`Objects`] are the interfaces to the platform, [`HttpTable`] and [`HttpObjects`]
+//! their HTTP clients. [`ClaimLedger`] keeps every idempotency key to at most one dispatch,
+//! [`ConfigLog`] orders the changes of the fleet configuration, [`ConfigState`] holds the version in
+//! force, and [`MemberList`] reads the membership list.
+//!
+//! A write whose answer is lost may have taken effect or may do so later. Both the ledger and the log
+//! write a random nonce with each row, and find the end of such a write by reading the nonce back.
+//! See sections 4.2 and 4.4 of `docs/design.md`.
+
+mod backoff;
+mod batch;
+mod claim;
+mod config_error;
+mod config_log;
+mod config_rows;
+mod config_state;
+mod dynamo;
+mod http_table;
+mod ledger;
+mod member_list;
+mod objects;
+mod platform;
+mod stats;
+mod table;
+
+pub use claim::{Claim, HeldClaim, RequestDigest, StoredAnswer};
+pub use config_error::ConfigError;
+pub use config_log::{Accept, ConfigLog, Since};
+pub use config_rows::LogEntry;
+pub use config_state::{Applied, ConfigState};
+pub use http_table::HttpTable;
+pub use ledger::{ClaimLedger, Removal};
+pub use member_list::{EntryError, ListError, MemberList, Members};
+pub use objects::{HttpObjects, ObjectError, Objects};
+pub use stats::LedgerStats;
+pub use table::{Attribute, Cond, Key, Op, Page, Row, StoreFuture, Table, TableError};
