Add engine and service stand-ins with failures that tests order

Cause: the router's tests need endpoints whose failures they choose, in one process or as processes of their own.

Ruled out: injecting cuts and silence in the HTTP server. A handler can neither cut its connection before the head nor stay silent on connections opened so far, so each stand-in puts a relay in front of its server and drops or discards bytes there.

Aborting the process is only reached in a process of its own and is not tested here.

--- /dev/null
+++ b/crates/fakes/src/engine.rs
@@ -0,0 +1,166 @@
+//! Stand-in for a model engine.
+
+mod cache;
+mod chat;
+mod config;
+mod generate;
+mod streams;
+
+pub use config::EngineConfig;
+
+use crate::control::{Control, Host, Identity, json};
+use cache::PrefixCache;
+use chat::Chat;
+use hyper::{Method, StatusCode};
+use sequoiaridge_http::{Handler, Reply, Request};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use streams::Streams;
+
+/// A running engine stand-in. Dropping it stops it.
+///
+/// It answers `POST /v1/chat/completions` with text that is derived from a hash of model and
+/// messages; see [`expected_text`].
+pub struct Engine {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    config: EngineConfig,
+    host: Arc<Host>,
+    memory: Mutex<Memory>,
+    resumed: AtomicU64,
+    prompt_tokens: AtomicU64,
+    cached_tokens: AtomicU64,
+    output_tokens: AtomicU64,
+}
+
+/// What a restart loses.
+struct Memory {
+    boot: String,
+    cache: PrefixCache,
+    streams: Streams,
+}
+
+impl Engine {
+    /// Serves on `address`; port 0 takes a free port. Must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub fn start(address: SocketAddr, config: EngineConfig) -> io::Result<Engine> {
+        let host = Arc::new(Host::new(Identity {
+            id: config.id.clone(),
+            id_header: "x-engine-id",
+            models: config.models.clone(),
+            capacity: config.capacity,
+            queue: config.queue,
+            load_lag: config.load_lag,
+            abort: config.abort,
+        }));
+        let memory = Memory {
+            boot: host.boot(),
+            cache: PrefixCache::new(config.cache_tokens),
+            streams: Streams::default(),
+        };
+        let inner = Arc::new(Inner {
+            config,
+            host,
+            memory: Mutex::new(memory),
+            resumed: AtomicU64::new(0),
+            prompt_tokens: AtomicU64::new(0),
+            cached_tokens: AtomicU64::new(0),
+            output_tokens: AtomicU64::new(0),
+        });
+        inner.host.serve(address, inner.clone())?;
+        Ok(Engine { inner })
+    }
+
+    /// Address on which the engine listens.
+    pub fn address(&self) -> SocketAddr {
+        self.inner.host.address()
+    }
+
+    /// Client for orders to this engine.
+    pub fn control(&self) -> Control {
+        Control::new(self.address())
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.inner.host.stop();
+    }
+}
+
+/// The text with which every engine answers a request with this body; `None` if the body is not a
+/// valid request.
+pub fn expected_text(body: &[u8]) -> Option<String> {
+    Some(Chat::parse(body).ok()?.text())
+}
+
+/// The whole event stream with which every engine answers a request with this body, provided that
+/// the request does not ask for usage; `None` if the body is not a valid request.
+pub fn expected_events(body: &[u8]) -> Option<Vec<u8>> {
+    let chat = Chat::parse(body).ok()?;
+    let events = 0..chat.event_count();
+    Some(
+        events
+            .flat_map(|i| chat.event(i, chat::Usage::default()))
+            .collect(),
+    )
+}
+
+impl Handler for Inner {
+    fn handle(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Reply> + Send>> {
+        Box::pin(self.answer(request))
+    }
+}
+
+impl Inner {
+    async fn answer(self: Arc<Self>, request: Request) -> Reply {
+        if let Some(reply) = self.host.answer_load(&request) {
+            return reply;
+        }
+        match (&request.method, request.path.as_str()) {
+            (&Method::GET, "/control") => json(StatusCode::OK, &self.counters()),
+            (&Method::POST, "/v1/chat/completions") => match self.complete(request).await {
+                Ok(reply) | Err(reply) => reply,
+            },
+            _ => error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    /// Runs `work` on the memory of the present boot.
+    fn with_memory<T>(&self, work: impl FnOnce(&mut Memory) -> T) -> T {
+        let boot = self.host.boot();
+        let mut memory = self.memory.lock().expect("engine lock");
+        if memory.boot != boot {
+            memory.boot = boot;
+            memory.cache.clear();
+            memory.streams.clear();
+        }
+        work(&mut memory)
+    }
+
+    fn counters(&self) -> crate::control::Counters {
+        crate::control::Counters {
+            resumed: self.resumed.load(Ordering::SeqCst),
+            prompt_tokens: self.prompt_tokens.load(Ordering::SeqCst),
+            cached_tokens: self.cached_tokens.load(Ordering::SeqCst),
+            output_tokens: self.output_tokens.load(Ordering::SeqCst),
+            ..self.host.counters()
+        }
+    }
+}
+
+fn error(status: StatusCode, message: &str) -> Reply {
+    let body = serde_json::json!({
+        "error": { "message": message, "type": "invalid_request_error" },
+    });
+    json(status, &body)
+}
