--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -72,6 +72,8 @@
     EndpointLeaving = 302, Info, "endpoint-leaving";
     /// An endpoint changes state too often and is held down.
     EndpointDamped = 303, Warn, "endpoint-damped";
+    /// An endpoint is new in the membership list.
+    EndpointJoined = 306, Info, "endpoint-joined";
     /// An endpoint restarted: its boot id changed.
     EndpointRestarted = 304, Warn, "endpoint-restarted";
     /// An endpoint sent an answer that was not valid for its request.
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -57,6 +57,8 @@
         RetryBudget => "retry-budget",
         /// the request crashed several endpoints and is held back
         Quarantined => "quarantined",
+        /// the endpoint refused before running
+        EndpointRefused => "endpoint-refused",
         /// the connection to the endpoint broke before the answer was whole
         EndpointBroke => "endpoint-broke",
         /// the endpoint sent nothing within the bound
--- /dev/null
+++ b/crates/router/src/config_sync.rs
@@ -0,0 +1,184 @@
+//! Keeps the configuration in force up to date. See section 4.4 of `docs/design.md`.
+
+use crate::metrics::Traffic;
+use crate::shared::{Phase, Shared, lock};
+use crate::{event, gossip};
+use bytes::Bytes;
+use rand::RngExt;
+use sequoiaridge_core::{Change, Event, FleetConfig, Version};
+use sequoiaridge_membership::Message;
+use sequoiaridge_store::{Applied, Since};
+use sequoiaridge_wire::Frame;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two looks at the versions that gossip reports.
+const TICK: Duration = Duration::from_millis(50);
+/// Mean time between two looks at the platform. Notices and gossip are faster; this finds a change
+/// whose accepting router died before it told anyone.
+const POLL: Duration = Duration::from_secs(2);
+/// Time in which a peer must answer a pull.
+const PULL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Runs until the router stops.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let stopped = shared.stopped();
+    tokio::pin!(stopped);
+    let mut next_poll = Duration::ZERO;
+    loop {
+        let now = shared.now();
+        let behind = behind(&shared);
+        if let Some((peer, version)) = behind {
+            if !pull(&shared, peer, version).await {
+                next_poll = next_poll.min(now);
+            }
+        }
+        if now >= next_poll {
+            poll(&shared).await;
+            next_poll = shared.now() + POLL.mul_f64(shared.rng().random_range(0.5..1.5));
+        }
+        tokio::select! {
+            () = &mut stopped => return,
+            () = tokio::time::sleep(TICK) => {}
+        }
+    }
+}
+
+/// The peer with the highest version, if this router is behind it. Without a configuration any peer or
+/// seed will do.
+fn behind(shared: &Shared) -> Option<(SocketAddr, Version)> {
+    let own = shared.config.version();
+    let (highest, peer, peers) = {
+        let detector = lock(&shared.detector);
+        let (version, peer) = detector.highest_version();
+        (version, peer, detector.view())
+    };
+    let address = |id: &String| peers.iter().find(|p| &p.id == id).map(|peer| peer.addr);
+    match own {
+        Some(own) if highest > own => Some((address(&peer?)?, highest)),
+        Some(_) => None,
+        None => {
+            let peer = peer.as_ref().and_then(address).or(peers.first().map(|peer| peer.addr));
+            let seed = shared.settings.peers.seeds.first().copied();
+            peer.or(seed).map(|address| (address, highest))
+        }
+    }
+}
+
+/// Fetches from a peer what is missing here; `false` if that failed.
+async fn pull(shared: &Arc<Shared>, peer: SocketAddr, _version: Version) -> bool {
+    let since = shared.config.version().unwrap_or(0);
+    let pulled = tokio::time::timeout(PULL_LIMIT, async {
+        let mut link = shared.links.checkout(peer).await.ok()?;
+        link.send(&Frame::ConfigPull { since }).await.ok()?;
+        let frame = link.recv().await.ok()??;
+        shared.links.checkin(link);
+        Some(frame)
+    });
+    match pulled.await {
+        Ok(Some(Frame::ConfigPush { changes, snapshot })) => {
+            let before = shared.config.version();
+            if let Some(snapshot) = snapshot {
+                shared.metrics.received(Traffic::Config, snapshot.len());
+                apply_snapshot(shared, &snapshot);
+            }
+            for change in changes {
+                shared.metrics.received(Traffic::Config, change.change.len());
+                match serde_json::from_slice::<Change>(&change.change) {
+                    Ok(parsed) => drop(apply(shared, change.version, &parsed)),
+                    Err(error) => return invalid(&format!("version {}: {error}", change.version)),
+                }
+            }
+            note_in_force(shared, before);
+            shared.config.version() > before
+        }
+        _ => false,
+    }
+}
+
+fn apply_snapshot(shared: &Shared, snapshot: &[u8]) {
+    match serde_json::from_slice::<FleetConfig>(snapshot) {
+        Ok(config) => drop(shared.config.replace(config)),
+        Err(error) => drop(invalid(&format!("snapshot: {error}"))),
+    }
+}
+
+fn invalid(detail: &str) -> bool {
+    event::log(Event::ConfigInvalid, detail);
+    false
+}
+
+/// Applies one change and keeps it for peers.
+pub(crate) fn apply(shared: &Shared, version: Version, change: &Change) -> Applied {
+    let applied = shared.config.apply(version, change);
+    if applied == Applied::Applied {
+        shared.recent.push(version, change);
+    }
+    applied
+}
+
+/// Asks the platform for what is missing here.
+async fn poll(shared: &Arc<Shared>) {
+    let before = shared.config.version();
+    let result = match before {
+        None => shared.log.load().await.map(Since::Snapshot),
+        Some(version) => shared.log.since(version).await,
+    };
+    match result {
+        Ok(since) => {
+            shared.platform_answered();
+            match since {
+                Since::Changes(entries) => {
+                    for entry in entries {
+                        apply(shared, entry.version, &entry.change);
+                    }
+                }
+                Since::Snapshot(config) => drop(shared.config.replace(config)),
+            }
+            note_in_force(shared, before);
+        }
+        Err(error) => {
+            shared.platform_failed(&error.to_string());
+            if !matches!(error, sequoiaridge_store::ConfigError::Table(_)) {
+                invalid(&error.to_string());
+            }
+        }
+    }
+}
+
+/// Tells the detector and the log about a newer configuration; the first one makes the router ready.
+pub(crate) fn note_in_force(shared: &Shared, before: Option<Version>) {
+    let Some(version) = shared.config.version() else {
+        return;
+    };
+    if before == Some(version) {
+        return;
+    }
+    lock(&shared.detector).set_version(version);
+    shared.metrics.version.set(version as i64);
+    event::log(Event::ConfigApplied, &format!("version {version}"));
+    if shared.advance(Phase::Serving) {
+        event::log(Event::RouterReady, "");
+    }
+}
+
+/// Announces a version that was just accepted here.
+pub(crate) async fn announce(shared: &Shared, version: Version) {
+    gossip::broadcast(shared, Message::config_notice(version)).await;
+}
+
+/// Answer to a peer that has all changes up to `since`.
+pub(crate) fn push_for(shared: &Shared, since: Version) -> Frame {
+    let current = shared.config.current();
+    let changes = if since == 0 { None } else { shared.recent.since(since) };
+    match (current, changes) {
+        (Some(config), None) if config.version > since || since == 0 => {
+            let snapshot = serde_json::to_vec(config.as_ref()).ok().map(Bytes::from);
+            Frame::ConfigPush { changes: Vec::new(), snapshot }
+        }
+        (_, changes) => {
+            Frame::ConfigPush { changes: changes.unwrap_or_default(), snapshot: None }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/crash.rs
@@ -0,0 +1,76 @@
+//! Requests that may have crashed an endpoint. See section 4.3 of `docs/design.md`.
+
+use crate::probes;
+use crate::shared::{Shared, lock};
+use crate::upstream::Target;
+use sequoiaridge_core::{Event, Fingerprint, Refusal, RefusalReason, Verdict};
+use sequoiaridge_membership::{CrashKind, CrashNotice, Message};
+use sequoiaridge_policy::{Crash, Standing};
+use sequoiaridge_wire::CallFrame;
+
+/// Learns from a failed run: a connection that could not be opened or that broke leads to a probe,
+/// and if the endpoint's process is gone, to a strike.
+pub(crate) async fn after_failure(
+    shared: &Shared,
+    frame: &CallFrame,
+    target: &Target,
+    boot: Option<u64>,
+    refusal: &Refusal,
+) {
+    let broke = matches!(refusal.reason, RefusalReason::EndpointBroke | RefusalReason::EndpointSilent);
+    if refusal.reason != RefusalReason::NoEndpoint && !broke {
+        return;
+    }
+    let now_boot = probes::probe(shared, &target.id, target.address).await;
+    let crashed = broke && refusal.verdict == Verdict::MayHaveRun && now_boot != boot;
+    let (true, Some(boot)) = (crashed, boot) else {
+        return;
+    };
+    let notice = CrashNotice {
+        fingerprint: frame.fingerprint,
+        endpoint: target.id.clone(),
+        boot,
+        kind: CrashKind::Strike,
+    };
+    strike(shared, &notice);
+    crate::gossip::broadcast(shared, Message::crash_notice(notice)).await;
+}
+
+/// Counts a crash that this router saw or was told of.
+pub(crate) fn strike(shared: &Shared, notice: &CrashNotice) {
+    let crash = Crash {
+        fingerprint: notice.fingerprint,
+        endpoint: notice.endpoint.clone(),
+        boot: notice.boot.to_string(),
+    };
+    let standing = lock(&shared.quarantine).strike(&crash, shared.now());
+    let detail = format!("request {:016x} at {}", notice.fingerprint, notice.endpoint);
+    crate::event::log(Event::CrashStrike, &detail);
+    if matches!(standing, Standing::Held { .. }) {
+        crate::event::log(Event::Quarantined, &detail);
+    }
+}
+
+/// Takes in what another router reports.
+pub(crate) fn receive(shared: &Shared, notice: &CrashNotice) {
+    match notice.kind {
+        CrashKind::Strike => strike(shared, notice),
+        CrashKind::Cleared { .. } => lock(&shared.quarantine).clear(notice.fingerprint),
+    }
+}
+
+/// A run that became whole clears the request of suspicion, here and at all other routers.
+pub(crate) fn clear(shared: &std::sync::Arc<Shared>, fingerprint: Fingerprint) {
+    let mut quarantine = lock(&shared.quarantine);
+    if quarantine.state(fingerprint, shared.now()) == Standing::Clear {
+        return;
+    }
+    quarantine.clear(fingerprint);
+    drop(quarantine);
+    let kind = CrashKind::Cleared { nonce: rand::random() };
+    let notice = CrashNotice { fingerprint, endpoint: String::new(), boot: 0, kind };
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        crate::gossip::broadcast(&shared, Message::crash_notice(notice)).await;
+    });
+}
--- /dev/null
+++ b/crates/router/src/list_sync.rs
@@ -0,0 +1,77 @@
+//! Follows the platform's membership list.
+
+use crate::event;
+use crate::metrics::Traffic;
+use crate::shared::{Shared, lock};
+use rand::RngExt;
+use sequoiaridge_core::{EndpointId, Event, Member, Role};
+use sequoiaridge_membership::MemberInfo;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Mean time between two fetches of the list.
+const POLL: Duration = Duration::from_secs(1);
+/// Size of an entry of the list, for the count of control bytes.
+const ENTRY_BYTES: usize = 220;
+
+/// Runs until the router stops.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let stopped = shared.stopped();
+    tokio::pin!(stopped);
+    let mut first = true;
+    let mut problems = 0;
+    loop {
+        match shared.list.fetch().await {
+            Ok(list) => {
+                shared.platform_answered();
+                shared.metrics.received(Traffic::List, list.members.len() * ENTRY_BYTES);
+                if list.problems.len() != problems {
+                    list.problems.iter().for_each(|problem| tracing::warn!("{problem}"));
+                    problems = list.problems.len();
+                }
+                take_in(&shared, list.members, first);
+                first = false;
+            }
+            Err(error) => shared.platform_failed(&error.to_string()),
+        }
+        let pause = POLL.mul_f64(shared.rng().random_range(0.75..1.25));
+        tokio::select! {
+            () = &mut stopped => return,
+            () = tokio::time::sleep(pause) => {}
+        }
+    }
+}
+
+/// Takes in a list. Endpoints that are new in it have joined, but for those of the first list.
+fn take_in(shared: &Shared, list: Vec<Member>, first: bool) {
+    let now = shared.now();
+    let (routers, endpoints): (Vec<Member>, Vec<Member>) =
+        list.into_iter().partition(|member| member.role == Role::Router);
+    let routers: Vec<MemberInfo> = routers
+        .into_iter()
+        .filter(|member| &member.id != shared.id())
+        .map(|member| MemberInfo {
+            id: member.id,
+            addr: member.address,
+            domain: member.domain,
+            region: member.region,
+        })
+        .collect();
+    let endpoints: BTreeMap<EndpointId, Member> =
+        endpoints.into_iter().map(|member| (member.id.clone(), member)).collect();
+    let new: Vec<EndpointId> = {
+        let mut members = lock(&shared.members);
+        let new = endpoints.keys().filter(|id| !members.contains_key(*id)).cloned().collect();
+        *members = endpoints;
+        new
+    };
+    lock(&shared.detector).set_list(&routers, now);
+    if first {
+        return;
+    }
+    for id in new {
+        shared.note_joined(&id);
+        event::log(Event::EndpointJoined, &id);
+    }
+}
--- /dev/null
+++ b/crates/router/src/peer_server.rs
@@ -0,0 +1,138 @@
+//! Serves connections of other routers.
+
+use crate::execute::execute;
+use crate::metrics::Traffic;
+use crate::part::{Part, PartReceiver};
+use crate::remote::frame_of;
+use crate::shared::{Shared, lock};
+use crate::{config_sync, event};
+use sequoiaridge_core::Event;
+use sequoiaridge_policy::ChatEntry;
+use sequoiaridge_wire::{Frame, FrameReader, FrameStream, FrameWriter, IndexEntry, LinkError};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pause after a connection could not be accepted, for instance because file handles ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Connections of peers at the same time.
+const MAX_CONNECTIONS: usize = 4096;
+
+type Reader = FrameReader<ReadHalf<TcpStream>>;
+type Writer = FrameWriter<WriteHalf<TcpStream>>;
+
+/// Accepts connections until the router stops.
+pub(crate) async fn run(shared: Arc<Shared>, listener: TcpListener) {
+    let places = Arc::new(tokio::sync::Semaphore::new(MAX_CONNECTIONS));
+    let stopped = shared.stopped();
+    tokio::pin!(stopped);
+    loop {
+        let accepted = tokio::select! {
+            () = &mut stopped => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, address)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            shared.metrics.rejected("too-many-connections");
+            continue;
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let _place = place;
+            if let Err(error) = serve(&shared, stream).await {
+                note(&shared, address, &error);
+            }
+        });
+    }
+}
+
+fn note(shared: &Shared, address: std::net::SocketAddr, error: &LinkError) {
+    let reason = match error {
+        LinkError::Handshake(reason) | LinkError::Refused(reason) => reason.as_str(),
+        LinkError::HandshakeTimeout(_) => "handshake-timeout",
+        _ => return,
+    };
+    shared.metrics.rejected(reason);
+    event::log(Event::PeerRejected, &format!("connection from {address}: {error}"));
+}
+
+async fn serve(shared: &Arc<Shared>, stream: TcpStream) -> Result<(), LinkError> {
+    let _ = stream.set_nodelay(true);
+    let stream = FrameStream::accept(stream, &shared.keys, &Default::default()).await?;
+    // The connecting side drops idle connections first, so that none closes as it is used.
+    let idle = shared.settings.links.idle * 2;
+    let (mut reader, mut writer) = stream.split();
+    loop {
+        let Some(frame) = reader.recv_within(idle).await? else {
+            return Ok(());
+        };
+        match frame {
+            Frame::Call(call) => {
+                let parts = execute(shared, *call);
+                if !serve_call(shared, parts, &mut reader, &mut writer).await? {
+                    return Ok(());
+                }
+            }
+            Frame::ConfigPull { since } => {
+                let push = config_sync::push_for(shared, since);
+                writer.send(&push).await?;
+                shared.metrics.sent(Traffic::Config, push_size(&push));
+            }
+            Frame::IndexPush { entries } => {
+                merge_index(shared, &entries);
+                writer.send(&Frame::Ack).await?;
+            }
+            _ => return Ok(()),
+        }
+    }
+}
+
+/// Passes the parts of an answer on; `false` if the peer has gone.
+async fn serve_call(
+    shared: &Shared,
+    mut parts: PartReceiver,
+    reader: &mut Reader,
+    writer: &mut Writer,
+) -> Result<bool, LinkError> {
+    let mut keepalive = tokio::time::interval(shared.settings.links.keepalive);
+    keepalive.reset();
+    loop {
+        tokio::select! {
+            part = parts.recv() => {
+                let Some(part) = part else { return Ok(false) };
+                let last = !matches!(part, Part::Head(_) | Part::Chunk(_));
+                writer.send(&frame_of(part)).await?;
+                keepalive.reset();
+                if last {
+                    return Ok(true);
+                }
+            }
+            _ = keepalive.tick() => writer.send(&Frame::Keepalive).await?,
+            // A peer sends nothing while it waits for an answer, so this is the end of the link.
+            received = reader.recv() => return received.map(|_| false),
+        }
+    }
+}
+
+fn push_size(frame: &Frame) -> usize {
+    match frame {
+        Frame::ConfigPush { changes, snapshot } => {
+            let changes: usize = changes.iter().map(|change| change.change.len()).sum();
+            changes + snapshot.as_ref().map_or(0, |snapshot| snapshot.len())
+        }
+        _ => 0,
+    }
+}
+
+fn merge_index(shared: &Shared, entries: &[IndexEntry]) {
+    let now = shared.now();
+    let entries: Vec<ChatEntry> = entries
+        .iter()
+        .map(|entry| ChatEntry { chat: entry.chat, endpoint: entry.endpoint.clone(), age: entry.age })
+        .collect();
+    lock(&shared.owner).merge_chats(&entries, now);
+}
--- /dev/null
+++ b/crates/router/src/probes.rs
@@ -0,0 +1,194 @@
+//! Probes of the endpoints that this router owns. See section 4.5 of `docs/design.md`.
+
+use crate::metrics::Traffic;
+use crate::shared::{Shared, lock};
+use crate::{event, maintain};
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use sequoiaridge_core::{EndpointId, Event, Member, MemberState, hash64};
+use sequoiaridge_membership::{
+    EndpointHealth, EndpointReport, EndpointState, HealthConfig, HealthEvent, HealthState,
+};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two looks at which probes are due.
+const TICK: Duration = Duration::from_millis(100);
+/// Largest load report in bytes.
+const MAX_REPORT: usize = 64 * 1024;
+/// Time for which this router stays a substitute after it took a call as one.
+const ADOPTION: Duration = Duration::from_secs(5);
+/// Size of a probe without its body: request line, headers and the answer's head.
+const PROBE_OVERHEAD: usize = 256;
+
+/// What an endpoint reports on `GET /load`.
+#[derive(Debug, Deserialize)]
+struct LoadReport {
+    boot: String,
+    state: ReportedState,
+    running: u32,
+    capacity: u32,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum ReportedState {
+    Up,
+    Leaving,
+}
+
+/// Probes endpoints until the router stops.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let stopped = shared.stopped();
+    tokio::pin!(stopped);
+    loop {
+        tokio::select! {
+            () = &mut stopped => return,
+            _ = ticks.tick() => {}
+        }
+        for (id, address) in due(&shared) {
+            let shared = shared.clone();
+            tokio::spawn(async move { probe(&shared, &id, address).await });
+        }
+    }
+}
+
+/// Own endpoints that are due for a probe.
+fn due(shared: &Shared) -> Vec<(EndpointId, SocketAddr)> {
+    let now = shared.now();
+    let view = shared.view();
+    let mut health = lock(&shared.health);
+    let mut due = Vec::new();
+    for (id, health) in health.iter_mut() {
+        let Some(endpoint) = view.endpoints.get(id) else { continue };
+        if health.probe_due(now) {
+            due.push((id.clone(), endpoint.member.address));
+        }
+    }
+    due
+}
+
+/// Probes an endpoint now and returns its boot id, or `None` if it does not answer.
+pub(crate) async fn probe(shared: &Shared, id: &EndpointId, address: SocketAddr) -> Option<u64> {
+    let result = fetch(shared, address).await;
+    let now = shared.now();
+    let boot = result.as_ref().ok().map(|report| report.boot);
+    {
+        let mut health = lock(&shared.health);
+        let Some(health) = health.get_mut(id) else {
+            return boot;
+        };
+        match result {
+            Ok(report) => health.probe_ok(report, now),
+            Err(connect) => health.probe_failed(now, connect),
+        }
+    }
+    apply(shared, id);
+    boot
+}
+
+/// Fetches a load report; the error says whether the connection could not be opened.
+async fn fetch(shared: &Shared, address: SocketAddr) -> Result<EndpointReport, bool> {
+    shared.metrics.sent(Traffic::Probe, PROBE_OVERHEAD / 2);
+    let limit = shared.settings.health.silence;
+    let request = http::Request::builder()
+        .method(Method::GET)
+        .uri("/load")
+        .body(Bytes::new())
+        .map_err(|_| false)?;
+    let answer = shared
+        .client
+        .send_fresh(address, request, limit, limit)
+        .await
+        .map_err(|error| matches!(error, sequoiaridge_http::ClientError::Connect(_)))?;
+    if !answer.status.is_success() {
+        return Err(false);
+    }
+    let body = answer.whole(MAX_REPORT).await.map_err(|_| false)?;
+    shared.metrics.received(Traffic::Probe, body.len() + PROBE_OVERHEAD / 2);
+    let report: LoadReport = serde_json::from_slice(&body).map_err(|_| false)?;
+    Ok(EndpointReport {
+        boot: hash64(report.boot.as_bytes()),
+        leaving: matches!(report.state, ReportedState::Leaving),
+        running: report.running,
+        capacity: report.capacity,
+    })
+}
+
+/// Carries the health of an endpoint over to the owner's table, and logs changes.
+fn apply(shared: &Shared, id: &EndpointId) {
+    let now = shared.now();
+    let (state, report, events) = {
+        let mut health = lock(&shared.health);
+        let Some(health) = health.get_mut(id) else { return };
+        (health.state(now), health.report(), health.events())
+    };
+    for change in events {
+        note(shared, id, change);
+    }
+    let started = {
+        let mut owner = lock(&shared.owner);
+        owner.set_state(id, maintain::policy_state(state.into()), now);
+        if let (HealthState::Up, Some(report)) = (state, report) {
+            owner.probed(id, report.running, now);
+        }
+        owner.start_waiting(now)
+    };
+    shared.start(started);
+}
+
+fn note(shared: &Shared, id: &EndpointId, change: HealthEvent) {
+    if matches!(change, HealthEvent::Down | HealthEvent::Restarted { .. }) {
+        shared.note_joined(id);
+    }
+    let event = match change {
+        HealthEvent::Up => Event::EndpointUp,
+        HealthEvent::Leaving => Event::EndpointLeaving,
+        HealthEvent::Down => Event::EndpointDown,
+        HealthEvent::Damped => Event::EndpointDamped,
+        HealthEvent::Restarted { .. } => Event::EndpointRestarted,
+    };
+    event::log(event, id);
+}
+
+/// Boot id of an endpoint at its last probe.
+pub(crate) fn boot_of(shared: &Shared, id: &EndpointId) -> Option<u64> {
+    lock(&shared.health).get(id)?.report().map(|report| report.boot)
+}
+
+/// State of an endpoint as its owner reports it to others.
+pub(crate) fn state_of(shared: &Shared, id: &EndpointId) -> EndpointState {
+    let now = shared.now();
+    lock(&shared.health).get(id).map_or(EndpointState::Unknown, |health| health.state(now).into())
+}
+
+/// New health of an endpoint that this router begins to own.
+pub(crate) fn new_health(shared: &Shared) -> EndpointHealth {
+    let probe_every = shared.settings.health.interval;
+    EndpointHealth::new(HealthConfig { probe_every, ..HealthConfig::default() })
+}
+
+/// Makes this router a substitute for the owner of an endpoint, which a caller of ours cannot reach.
+/// The endpoint is probed first, because nothing is admitted to an endpoint without a probe.
+pub(crate) async fn adopt(shared: &Shared, member: &Member) {
+    let now = shared.now();
+    let known = {
+        let mut health = lock(&shared.health);
+        let mut adopted = lock(&shared.adopted);
+        let known = adopted.insert(member.id.clone(), now + ADOPTION).is_some_and(|end| end > now);
+        let entry = health.entry(member.id.clone()).or_insert_with(|| new_health(shared));
+        entry.listed(member.state == MemberState::Leaving, now);
+        let info = maintain::endpoint_info(member, true, entry.state(now).into(), None);
+        if !known {
+            lock(&shared.owner).set_endpoint(info, now);
+        }
+        known
+    };
+    if !known {
+        probe(shared, &member.id, member.address).await;
+    }
+}
--- /dev/null
+++ b/crates/router/src/remote.rs
@@ -0,0 +1,98 @@
+//! A call at another router.
+
+use crate::part::{Head, Part, PartReceiver, PartSender, channel};
+use crate::shared::Shared;
+use sequoiaridge_core::{Refusal, RefusalReason, Verdict};
+use sequoiaridge_wire::{CallFrame, Frame, Header, Link, LinkError};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after which a caller should come back when a peer broke off.
+const SOON: Duration = Duration::from_secs(1);
+
+/// Sends a call to a peer. Dropping the receiver closes the connection, which cancels the call there.
+pub(crate) fn call(shared: &Arc<Shared>, peer: SocketAddr, frame: CallFrame) -> PartReceiver {
+    let (parts, receiver) = channel();
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let gone = parts.clone();
+        let outcome = tokio::select! {
+            outcome = relay(&shared, peer, frame, &parts) => outcome,
+            () = gone.closed() => return,
+        };
+        match outcome {
+            Ok(link) => shared.links.checkin(link),
+            Err(error) => {
+                // The other connections to this peer may be silent for the same reason.
+                if matches!(error, LinkError::Silent(_)) {
+                    shared.links.forget(peer);
+                }
+                let _ = parts.send(Part::Fail(refusal(&error))).await;
+            }
+        }
+    });
+    receiver
+}
+
+/// Passes the parts of the answer on and returns the connection once the answer has ended.
+async fn relay(
+    shared: &Shared,
+    peer: SocketAddr,
+    frame: CallFrame,
+    parts: &PartSender,
+) -> Result<Link, LinkError> {
+    let mut link = shared.links.checkout(peer).await?;
+    link.send(&Frame::Call(Box::new(frame))).await?;
+    loop {
+        let frame = link.recv().await?.ok_or(LinkError::Truncated)?;
+        let Some(part) = part_of(frame) else { continue };
+        let last = !matches!(part, Part::Head(_) | Part::Chunk(_));
+        if parts.send(part).await.is_err() || last {
+            return if last { Ok(link) } else { Err(LinkError::Truncated) };
+        }
+    }
+}
+
+/// A refusal for a connection to a peer that failed.
+fn refusal(error: &LinkError) -> Refusal {
+    let verdict = error.verdict();
+    debug_assert!(verdict != Verdict::Done);
+    Refusal { reason: RefusalReason::PeerBroke, verdict, retry_after: SOON }
+}
+
+/// The part that a frame carries; `None` for frames that only show that the peer is alive.
+fn part_of(frame: Frame) -> Option<Part> {
+    Some(match frame {
+        Frame::Head { status, headers } => {
+            let text = |header: Header| {
+                (header.name, String::from_utf8_lossy(&header.value).into_owned())
+            };
+            Part::Head(Head { status, headers: headers.into_iter().map(text).collect() })
+        }
+        Frame::Chunk(chunk) => Part::Chunk(chunk),
+        Frame::End => Part::End,
+        Frame::Fail(refusal) => Part::Fail(refusal),
+        Frame::Forward { endpoint, next, lookup } => Part::Forward { endpoint, next, lookup },
+        Frame::NotOwner => Part::NotOwner,
+        _ => return None,
+    })
+}
+
+/// The frame that carries a part.
+pub(crate) fn frame_of(part: Part) -> Frame {
+    match part {
+        Part::Head(head) => {
+            let header = |(name, value): (String, String)| Header::new(name, value);
+            Frame::Head {
+                status: head.status,
+                headers: head.headers.into_iter().map(header).collect(),
+            }
+        }
+        Part::Chunk(chunk) => Frame::Chunk(chunk),
+        Part::End => Frame::End,
+        Part::Fail(refusal) => Frame::Fail(refusal),
+        Part::Forward { endpoint, next, lookup } => Frame::Forward { endpoint, next, lookup },
+        Part::NotOwner => Frame::NotOwner,
+    }
+}
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -84,7 +84,7 @@
         return Ok(());
     }
     let seconds = answer.header("retry-after").and_then(|value| value.parse().ok()).unwrap_or(1);
-    Err(Refusal::not_run(RefusalReason::Overload, Duration::from_secs(seconds)))
+    Err(Refusal::not_run(RefusalReason::EndpointRefused, Duration::from_secs(seconds)))
 }
 
 /// An answer that names another request is not passed on, whatever it contains.
--- /dev/null
+++ b/crates/router/src/view.rs
@@ -0,0 +1,96 @@
+//! The routers and endpoints that a router currently knows, made from list, gossip and probes.
+
+use sequoiaridge_core::{EndpointId, Member, ModelName, RouterId};
+use sequoiaridge_membership::{EndpointState, LoadReport, PeerView};
+use sequoiaridge_policy::{Candidate, RouterInfo, owner_of};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// One endpoint in a [`View`].
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointView {
+    pub(crate) member: Member,
+    /// Router that owns the endpoint.
+    pub(crate) owner: RouterId,
+    /// State that the owner reports; `Unknown` before its first report.
+    pub(crate) state: EndpointState,
+    /// Requests that routers report as outstanding.
+    pub(crate) outstanding: u32,
+}
+
+/// A consistent picture of the fleet at one time.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    pub(crate) routers: BTreeMap<RouterId, SocketAddr>,
+    infos: Vec<RouterInfo>,
+    pub(crate) endpoints: BTreeMap<EndpointId, EndpointView>,
+    groups: BTreeMap<ModelName, Vec<Candidate>>,
+}
+
+impl View {
+    /// Builds the view. `me` takes part as a router only while it serves.
+    pub(crate) fn build(
+        me: Option<RouterInfo>,
+        peers: &[PeerView],
+        members: &BTreeMap<EndpointId, Member>,
+        loads: &[LoadReport],
+    ) -> View {
+        let live = peers.iter().filter(|peer| peer.state.owns());
+        let routers = live.clone().map(|peer| (peer.id.clone(), peer.addr)).collect();
+        let mut infos: Vec<RouterInfo> = live
+            .map(|peer| RouterInfo {
+                id: peer.id.clone(),
+                domain: peer.domain.clone(),
+                region: peer.region.clone(),
+            })
+            .collect();
+        infos.extend(me);
+        let mut view = View { routers, infos, ..View::default() };
+        view.add_endpoints(members, loads);
+        view
+    }
+
+    fn add_endpoints(&mut self, members: &BTreeMap<EndpointId, Member>, loads: &[LoadReport]) {
+        let mut reported: BTreeMap<&EndpointId, Vec<&LoadReport>> = BTreeMap::new();
+        for load in loads {
+            reported.entry(&load.endpoint).or_default().push(load);
+        }
+        for (id, member) in members {
+            let owner = owner_of(id, &member.domain, &member.region, &self.infos);
+            let Some(owner) = owner else { continue };
+            let reports = reported.remove(id).unwrap_or_default();
+            let own = reports.iter().find(|report| report.owner == owner);
+            let state = own.or(reports.last()).map_or(EndpointState::Unknown, |report| report.state);
+            let outstanding = reports.iter().map(|report| report.outstanding).sum();
+            let usable = matches!(state, EndpointState::Unknown | EndpointState::Up)
+                && member.state == sequoiaridge_core::MemberState::Live;
+            if usable {
+                let candidate = Candidate::new(id.clone(), member.capacity);
+                for group in &member.serves {
+                    self.groups.entry(group.clone()).or_default().push(candidate.clone());
+                }
+            }
+            let entry = EndpointView { member: member.clone(), owner, state, outstanding };
+            self.endpoints.insert(id.clone(), entry);
+        }
+    }
+
+    /// Endpoints of a group that may take work.
+    pub(crate) fn candidates(&self, group: &str) -> &[Candidate] {
+        self.groups.get(group).map_or(&[], Vec::as_slice)
+    }
+
+    /// Whether any endpoint serves the group, in whatever state.
+    pub(crate) fn knows_group(&self, group: &str) -> bool {
+        self.groups.contains_key(group)
+            || self.endpoints.values().any(|e| e.member.serves.iter().any(|name| name == group))
+    }
+
+    /// Owner of an endpoint when some routers cannot be reached.
+    pub(crate) fn owner_without(&self, endpoint: &str, unreachable: &[RouterId]) -> Option<RouterId> {
+        let member = &self.endpoints.get(endpoint)?.member;
+        let reachable: Vec<RouterInfo> =
+            self.infos.iter().filter(|info| !unreachable.contains(&info.id)).cloned().collect();
+        owner_of(endpoint, &member.domain, &member.region, &reachable)
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -57,8 +57,12 @@
     pub remaining: Duration,
     /// Owners that were asked before.
     pub asked: u8,
+    /// Candidates after `endpoint`, best first.
+    pub next: Vec<EndpointId>,
     /// The call is only to be run if the receiver has the chat in its index.
     pub lookup: bool,
+    /// The sender cannot reach the owner, and the receiver is to admit the call in its place.
+    pub substitute: bool,
     /// Endpoints that must not be used, because they failed this call before.
     pub excluded: Vec<EndpointId>,
 }
@@ -105,8 +109,12 @@
     Forward {
         /// Endpoint whose owner is to be asked.
         endpoint: EndpointId,
+        /// Candidates after it, best first.
+        next: Vec<EndpointId>,
+        /// The owner is only to run the call if it knows the chat.
+        lookup: bool,
     },
-    /// The receiver of the call does not own the endpoint, or does not know the chat of a lookup.
+    /// The receiver of the call does not own the endpoint.
     NotOwner,
     /// Shows that the sender is alive while a stream is quiet.
     Keepalive,
--- a/crates/wire/tests/stream.rs
+++ b/crates/wire/tests/stream.rs
@@ -44,7 +44,9 @@
         fingerprint: 4,
         remaining: Duration::from_millis(1500),
         asked: 1,
+        next: vec!["engine-3".to_string()],
         lookup: true,
+        substitute: true,
         excluded: vec!["engine-2".to_string()],
     }))
 }
@@ -83,6 +85,8 @@
         )),
         Frame::Forward {
             endpoint: "engine-3".to_string(),
+            next: vec!["engine-4".to_string()],
+            lookup: true,
         },
         Frame::NotOwner,
         Frame::Keepalive,
