--- a/crates/fakes/src/control/host.rs
+++ b/crates/fakes/src/control/host.rs
@@ -253,6 +253,17 @@
         self.gate().closed(request.peer).await;
     }
 
+    /// Adds the ids that identify request and instance to a reply that is not a full answer.
+    pub(crate) fn identify(&self, request_id: Option<&str>, reply: Reply) -> Reply {
+        let reply = match request_id {
+            Some(id) => reply.with_header("x-request-id", id),
+            None => reply,
+        };
+        reply
+            .with_header(self.identity.id_header, &self.identity.id)
+            .with_header("x-boot-id", &self.boot())
+    }
+
     /// Refuses a request as not run.
     pub(crate) fn refuse(&self, reason: &str) -> Reply {
         self.refused.fetch_add(1, Ordering::SeqCst);
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -128,9 +128,11 @@
         }
         match (&request.method, request.path.as_str()) {
             (&Method::GET, "/control") => json(StatusCode::OK, &self.counters()),
-            (&Method::POST, "/v1/chat/completions") => match self.complete(request).await {
-                Ok(reply) | Err(reply) => reply,
-            },
+            (&Method::POST, "/v1/chat/completions") => {
+                let id = request.header("x-request-id").map(str::to_string);
+                let result = self.clone().complete(request).await;
+                result.unwrap_or_else(|reply| self.host.identify(id.as_deref(), reply))
+            }
             _ => error(StatusCode::NOT_FOUND, "no such path"),
         }
     }
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -131,9 +131,9 @@
         if let Some(reply) = self.host.answer_load(&request) {
             return reply;
         }
-        match self.run(&request).await {
-            Ok(reply) | Err(reply) => reply,
-        }
+        let result = self.run(&request).await;
+        let id = request.header("x-request-id");
+        result.unwrap_or_else(|reply| self.host.identify(id, reply))
     }
 
     async fn run(&self, request: &Request) -> Result<Reply, Reply> {
--- a/crates/fakes/tests/engine.rs
+++ b/crates/fakes/tests/engine.rs
@@ -134,7 +134,10 @@
         }));
         tokio::time::sleep(Duration::from_millis(30)).await;
     }
-    let refused = call(address, &[], &streamed("more", 1)).await.unwrap();
+    let headers = [("x-request-id", "r")];
+    let refused = call(address, &headers, &streamed("more", 1)).await;
+    let refused = refused.unwrap();
+    assert_eq!(refused.header("x-request-id"), Some("r"));
     assert_eq!(
         (refused.status.as_u16(), refused.header("x-not-run")),
         (503, Some("1"))
