Cut answers of the stand-ins at an exact byte

Cause: with 84 test processes at once on a busy machine, some runs failed. A crashed request could still be answered, because the relay sometimes passed on a reply made after the cut. A cut at a stage waited 30 ms for the bytes before it, which was at times too short.

Ruled out: a longer wait before the cut, which only makes the failure rarer.

Now the relay checks for the cut before it passes on a piece, and the handler marks the cut with a NUL byte, which JSON cannot contain.

--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -13,7 +13,7 @@
 
 pub use client::Control;
 pub(crate) use faults::Plan;
-pub(crate) use host::{Host, Identity, json};
+pub(crate) use host::{Host, Identity, cut_mark, json};
 pub(crate) use slots::Slot;
 
 use serde::{Deserialize, Serialize};
--- a/crates/fakes/src/control/gate.rs
+++ b/crates/fakes/src/control/gate.rs
@@ -14,6 +14,9 @@
 
 /// Size of a relayed piece in bytes.
 const PIECE: usize = 16 * 1024;
+/// Byte in an answer at which its connection is cut. Answers are JSON and event streams of JSON, in
+/// which it cannot occur otherwise.
+pub(crate) const CUT_MARK: u8 = 0;
 /// Pause between attempts to listen again after a crash.
 const REBIND_PAUSE: Duration = Duration::from_millis(10);
 
@@ -216,13 +219,21 @@
             if length == 0 {
                 return Ok(());
             }
+            // An answer that is made after the cut may be read before this task learns of the cut.
+            if *link.closed.borrow() {
+                return Ok(());
+            }
             if self.silent.load(Ordering::SeqCst) {
                 link.silent.store(true, Ordering::SeqCst);
             }
             // Bytes of a silent connection are read and dropped, so that the request still runs.
             let silent = link.silent.load(Ordering::SeqCst);
+            let cut = piece[..length].iter().position(|byte| *byte == CUT_MARK);
             if !silent || link.control.load(Ordering::SeqCst) {
-                to.write_all(&piece[..length]).await?;
+                to.write_all(&piece[..cut.unwrap_or(length)]).await?;
+            }
+            if cut.is_some() {
+                return Ok(());
             }
         }
     }
