Check claim histories for linearizability under seeded faults

The ledger must dispatch a key at most once while answers are lost, writes are delayed, the table is out and holders sleep past every timeout. The rule tests found that a done row without a digest was taken for another request and answered as not run; it now counts as claimed. Nonces and waits take a seed so that a schedule can be repeated.

--- a/crates/store/src/backoff.rs
+++ b/crates/store/src/backoff.rs
@@ -1,6 +1,6 @@
 //! Waits between attempts.
 
-use rand::RngExt;
+use crate::random::Random;
 use std::time::Duration;
 
 /// Upper bound of the first wait.
@@ -11,19 +11,23 @@
 /// Exponential backoff with full jitter, so that routers do not return to a recovered platform all at
 /// the same moment.
 #[derive(Debug)]
-pub(crate) struct Backoff {
+pub(crate) struct Backoff<'a> {
+    random: &'a Random,
     bound: Duration,
 }
 
-impl Backoff {
+impl<'a> Backoff<'a> {
     /// A backoff before its first wait.
-    pub(crate) fn new() -> Backoff {
-        Backoff { bound: FIRST }
+    pub(crate) fn new(random: &'a Random) -> Backoff<'a> {
+        Backoff {
+            random,
+            bound: FIRST,
+        }
     }
 
     /// Length of the next wait.
     pub(crate) fn next(&mut self) -> Duration {
-        let wait = self.bound.mul_f64(rand::rng().random::<f64>());
+        let wait = self.bound.mul_f64(self.random.share());
         self.bound = (self.bound * 2).min(LONGEST);
         wait
     }
--- a/crates/store/src/batch.rs
+++ b/crates/store/src/batch.rs
@@ -1,5 +1,6 @@
 //! Group commit: operations that wait while a transaction is in flight share the next one.
 
+use crate::random::Random;
 use crate::stats::{Counters, add};
 use crate::{Op, Table, TableError};
 use std::collections::{BTreeSet, VecDeque};
@@ -28,15 +29,21 @@
 pub(crate) struct Batcher {
     table: Arc<dyn Table>,
     counters: Arc<Counters>,
+    random: Arc<Random>,
     queue: Mutex<Queue>,
 }
 
 impl Batcher {
     /// A batcher without waiting operations.
-    pub(crate) fn new(table: Arc<dyn Table>, counters: Arc<Counters>) -> Batcher {
+    pub(crate) fn new(
+        table: Arc<dyn Table>,
+        counters: Arc<Counters>,
+        random: Arc<Random>,
+    ) -> Batcher {
         Batcher {
             table,
             counters,
+            random,
             queue: Mutex::new(Queue::default()),
         }
     }
@@ -98,7 +105,7 @@
             let ops: Vec<Op> = batch.iter().map(|waiting| waiting.op.clone()).collect();
             add(&self.counters.batches, 1);
             add(&self.counters.batch_rows, ops.len());
-            let result = match self.table.commit(ops, rand::random()).await {
+            let result = match self.table.commit(ops, self.random.nonce()).await {
                 Err(TableError::Conflict { index }) if index < batch.len() => {
                     let split = batch.remove(index);
                     let _ = split.done.send(Err(TableError::Conflict { index: 0 }));
--- a/crates/store/src/claim.rs
+++ b/crates/store/src/claim.rs
@@ -148,8 +148,10 @@
         if row.text(STATE) != Some("done") {
             return RowState::Claimed;
         }
-        if row.text(DIGEST) != Some(&hex(&claim.digest)) {
-            return RowState::OtherRequest;
+        match row.text(DIGEST) {
+            None => return RowState::Claimed,
+            Some(digest) if digest != hex(&claim.digest) => return RowState::OtherRequest,
+            Some(_) => {}
         }
         match (row.text(ANSWER), row.text(OBJECT)) {
             (Some(text), _) => RowState::Done(AnswerPlace::Inline(text.to_string())),
--- a/crates/store/src/config_log.rs
+++ b/crates/store/src/config_log.rs
@@ -5,6 +5,7 @@
     HEAD, LOG_PREFIX, SNAPSHOTS, Snapshots, append_ops, head_version, log_entry, log_key,
     snapshot_name,
 };
+use crate::random::Random;
 use crate::{ConfigError, LogEntry, Objects, Op, Table, TableError};
 use sequoiaridge_core::{Change, ChangeError, Clock, FleetConfig, Nonce, Version};
 use std::sync::{Arc, Mutex};
@@ -44,6 +45,7 @@
     table: Arc<dyn Table>,
     objects: Arc<dyn Objects>,
     clock: Arc<dyn Clock>,
+    random: Random,
     /// The newest configuration that was read; it only saves reads.
     cache: Mutex<FleetConfig>,
 }
@@ -54,11 +56,32 @@
         table: Arc<dyn Table>,
         objects: Arc<dyn Objects>,
         clock: Arc<dyn Clock>,
+    ) -> ConfigLog {
+        ConfigLog::build(table, objects, clock, Random::new())
+    }
+
+    /// A log whose nonces and waits repeat for equal seeds. Only for tests: two logs on one table
+    /// must never share a seed.
+    pub fn seeded(
+        table: Arc<dyn Table>,
+        objects: Arc<dyn Objects>,
+        clock: Arc<dyn Clock>,
+        seed: u64,
+    ) -> ConfigLog {
+        ConfigLog::build(table, objects, clock, Random::seeded(seed))
+    }
+
+    fn build(
+        table: Arc<dyn Table>,
+        objects: Arc<dyn Objects>,
+        clock: Arc<dyn Clock>,
+        random: Random,
     ) -> ConfigLog {
         ConfigLog {
             table,
             objects,
             clock,
+            random,
             cache: Mutex::new(FleetConfig::default()),
         }
     }
@@ -130,7 +153,7 @@
         if !problems.is_empty() {
             return Ok(Accept::Refused(problems));
         }
-        let accept = self.write(base, change, rand::random()).await?;
+        let accept = self.write(base, change, self.random.nonce()).await?;
         if let Accept::Committed(version) = accept
             && version.is_multiple_of(SNAPSHOT_EVERY)
         {
@@ -152,7 +175,7 @@
     ) -> Result<Accept, ConfigError> {
         let end = self.clock.now() + RESOLVE_LIMIT;
         let ops = append_ops(base, change, nonce);
-        let mut backoff = Backoff::new();
+        let mut backoff = Backoff::new(&self.random);
         let mut unsure = false;
         loop {
             match self.table.commit(ops.clone(), nonce).await {
@@ -249,7 +272,7 @@
             return Ok(());
         }
         let ops = vec![snapshots.advance(config.version)];
-        self.table.commit(ops, rand::random()).await?;
+        self.table.commit(ops, self.random.nonce()).await?;
         self.remove_until(snapshots.last).await
     }
 
@@ -269,7 +292,7 @@
             if ops.is_empty() {
                 return Ok(());
             }
-            self.table.commit(ops, rand::random()).await?;
+            self.table.commit(ops, self.random.nonce()).await?;
         }
     }
 }
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -3,6 +3,7 @@
 use crate::backoff::Backoff;
 use crate::batch::Batcher;
 use crate::claim::{AnswerPlace, CLAIM_PREFIX, RowState, removal};
+use crate::random::Random;
 use crate::stats::{Counters, Pending, add};
 use crate::{
     Claim, HeldClaim, Key, LedgerStats, Objects, Op, RequestDigest, Row, StoredAnswer, Table,
@@ -51,6 +52,7 @@
     clock: Arc<dyn Clock>,
     batcher: Arc<Batcher>,
     counters: Arc<Counters>,
+    random: Arc<Random>,
 }
 
 impl ClaimLedger {
@@ -60,8 +62,33 @@
         objects: Arc<dyn Objects>,
         clock: Arc<dyn Clock>,
     ) -> ClaimLedger {
+        ClaimLedger::build(table, objects, clock, Random::new())
+    }
+
+    /// A ledger whose nonces and waits repeat for equal seeds. Only for tests: two ledgers on one
+    /// table must never share a seed.
+    pub fn seeded(
+        table: Arc<dyn Table>,
+        objects: Arc<dyn Objects>,
+        clock: Arc<dyn Clock>,
+        seed: u64,
+    ) -> ClaimLedger {
+        ClaimLedger::build(table, objects, clock, Random::seeded(seed))
+    }
+
+    fn build(
+        table: Arc<dyn Table>,
+        objects: Arc<dyn Objects>,
+        clock: Arc<dyn Clock>,
+        random: Random,
+    ) -> ClaimLedger {
+        let random = Arc::new(random);
         let counters = Arc::new(Counters::default());
-        let batcher = Arc::new(Batcher::new(table.clone(), counters.clone()));
+        let batcher = Arc::new(Batcher::new(
+            table.clone(),
+            counters.clone(),
+            random.clone(),
+        ));
         ClaimLedger {
             inner: Arc::new(Inner {
                 table,
@@ -69,6 +96,7 @@
                 clock,
                 batcher,
                 counters,
+                random,
             }),
         }
     }
@@ -98,7 +126,7 @@
             customer: customer.clone(),
             key: key.to_string(),
             digest,
-            nonce: rand::random(),
+            nonce: self.inner.random.nonce(),
             deadline,
         };
         let inner = self.inner.clone();
@@ -170,7 +198,7 @@
 impl Inner {
     /// Rules 1 to 3: inserts the claim and reads it back while the end of the insert is unknown.
     async fn resolve(self: Arc<Self>, claim: HeldClaim) -> Result<Claim, Refusal> {
-        let mut backoff = Backoff::new();
+        let mut backoff = Backoff::new(&self.random);
         let mut unsure = false;
         while let Some(left) = self.time_left(claim.deadline) {
             let write = self.batcher.write(claim.insert(self.wall()));
@@ -196,7 +224,7 @@
     /// Reads the claim's row until the deadline; `None` if there is no row or no answer in time.
     async fn read_back(&self, claim: &HeldClaim) -> Option<Row> {
         let key = claim.row_key();
-        let mut backoff = Backoff::new();
+        let mut backoff = Backoff::new(&self.random);
         while let Some(left) = self.time_left(claim.deadline) {
             add(&self.counters.reads, 1);
             if let Ok(Ok(row)) = tokio::time::timeout(left, self.table.get(&key)).await {
@@ -225,7 +253,7 @@
     }
 
     async fn read_object(&self, name: &str, deadline: Duration) -> Option<Bytes> {
-        let mut backoff = Backoff::new();
+        let mut backoff = Backoff::new(&self.random);
         while let Some(left) = self.time_left(deadline) {
             if let Ok(Ok(content)) = tokio::time::timeout(left, self.objects.get(name)).await {
                 return content;
@@ -265,7 +293,7 @@
 
     async fn write_object(&self, name: &str, content: Bytes) -> bool {
         let end = self.clock.now() + SETTLE_LIMIT;
-        let mut backoff = Backoff::new();
+        let mut backoff = Backoff::new(&self.random);
         while let Some(left) = self.time_left(end) {
             if self.objects.put(name, content.clone()).await.is_ok() {
                 return true;
@@ -279,7 +307,7 @@
     /// the claim's nonce, so a repeated one changes nothing.
     async fn settle(&self, op: impl Fn() -> Op) -> bool {
         let end = self.clock.now() + SETTLE_LIMIT;
-        let mut backoff = Backoff::new();
+        let mut backoff = Backoff::new(&self.random);
         while let Some(left) = self.time_left(end) {
             let op = op();
             let deletes = matches!(op, Op::Delete { .. });
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -22,6 +22,7 @@
 mod member_list;
 mod objects;
 mod platform;
+mod random;
 mod stats;
 mod table;
 
--- /dev/null
+++ b/crates/store/tests/support/mod.rs
@@ -0,0 +1,237 @@
+//! In-memory table and objects with seeded faults, on tokio's paused clock.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use sequoiaridge_core::{Clock, Nonce};
+use sequoiaridge_store::{
+    Cond, Key, ObjectError, Objects, Op, Page, Row, StoreFuture, Table, TableError,
+};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime};
+use tokio::time::{Instant, sleep};
+
+/// A clock that follows tokio's, which tests pause.
+pub struct TestClock(Instant);
+
+impl TestClock {
+    pub fn new() -> Arc<TestClock> {
+        Arc::new(TestClock(Instant::now()))
+    }
+}
+
+impl Clock for TestClock {
+    fn now(&self) -> Duration {
+        self.0.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + Duration::from_secs(1_700_000_000) + self.now()
+    }
+}
+
+type Rows = Arc<Mutex<BTreeMap<Key, Row>>>;
+
+/// A table that loses answers, delays writes, refuses calls and has outages.
+pub struct FaultyTable {
+    pub rows: Rows,
+    pub sizes: Mutex<Vec<usize>>,
+    rng: Mutex<StdRng>,
+    faults: f64,
+    outages: Vec<(Duration, Duration)>,
+    start: Instant,
+}
+
+impl FaultyTable {
+    /// A share of `faults` of the calls goes wrong, and there are three outages in the first minute.
+    pub fn new(seed: u64, faults: f64) -> Arc<FaultyTable> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut outages = Vec::new();
+        for _ in 0..if faults > 0.0 { 3 } else { 0 } {
+            let from = Duration::from_millis(rng.random_range(0..60_000));
+            outages.push((
+                from,
+                from + Duration::from_millis(rng.random_range(0..8_000)),
+            ));
+        }
+        Arc::new(FaultyTable {
+            rows: Rows::default(),
+            sizes: Mutex::new(Vec::new()),
+            rng: Mutex::new(rng),
+            faults,
+            outages,
+            start: Instant::now(),
+        })
+    }
+
+    fn draw(&self, range: std::ops::Range<u64>) -> u64 {
+        self.rng.lock().unwrap().random_range(range)
+    }
+
+    fn fails(&self) -> bool {
+        let share: f64 = self.rng.lock().unwrap().random();
+        share < self.faults
+    }
+
+    /// Waits for the network; the error is that of an outage.
+    async fn travel(&self) -> Result<(), TableError> {
+        sleep(Duration::from_millis(self.draw(1..20))).await;
+        let now = self.start.elapsed();
+        let out = self
+            .outages
+            .iter()
+            .any(|(from, to)| (*from..*to).contains(&now));
+        match out {
+            true => Err(TableError::Unknown),
+            false => Ok(()),
+        }
+    }
+}
+
+fn holds(cond: &Cond, row: Option<&Row>) -> bool {
+    match cond {
+        Cond::None => true,
+        Cond::Absent => row.is_none(),
+        Cond::Equals { attribute, value } => row.and_then(|r| r.get(attribute)) == Some(value),
+    }
+}
+
+fn apply(rows: &Rows, ops: &[Op]) -> Result<(), TableError> {
+    let mut rows = rows.lock().unwrap();
+    for (index, op) in ops.iter().enumerate() {
+        let (Op::Put { cond, .. } | Op::Delete { cond, .. }) = op;
+        if !holds(cond, rows.get(op.key())) {
+            return Err(TableError::Conflict { index });
+        }
+    }
+    for op in ops.iter().cloned() {
+        match op {
+            Op::Put { key, value, .. } => drop(rows.insert(key, value)),
+            Op::Delete { key, .. } => drop(rows.remove(&key)),
+        }
+    }
+    Ok(())
+}
+
+impl Table for FaultyTable {
+    fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Result<Option<Row>, TableError>> {
+        Box::pin(async move {
+            self.travel().await?;
+            match self.fails() {
+                true => Err(TableError::Unknown),
+                false => Ok(self.rows.lock().unwrap().get(key).cloned()),
+            }
+        })
+    }
+
+    fn scan<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Option<&'a str>,
+        limit: usize,
+    ) -> StoreFuture<'a, Result<Page, TableError>> {
+        Box::pin(async move {
+            self.travel().await?;
+            let rows = self.rows.lock().unwrap();
+            let mut found = rows.range(prefix.to_string()..).filter(|(key, _)| {
+                key.starts_with(prefix) && after.is_none_or(|after| key.as_str() > after)
+            });
+            let page = found.by_ref().take(limit);
+            let rows: Vec<(Key, Row)> = page.map(|(k, r)| (k.clone(), r.clone())).collect();
+            let last = rows.last().map(|(key, _)| key.clone());
+            let next = found.next().and(last);
+            Ok(Page { rows, next })
+        })
+    }
+
+    /// Client request tokens are ignored: safety must rest on the conditions alone.
+    fn commit(&self, ops: Vec<Op>, _token: Nonce) -> StoreFuture<'_, Result<(), TableError>> {
+        Box::pin(async move {
+            self.sizes.lock().unwrap().push(ops.len());
+            self.travel().await?;
+            if !self.fails() {
+                return apply(&self.rows, &ops);
+            }
+            match self.draw(0..4) {
+                0 => Err(TableError::Refused),
+                1 => Err(TableError::Unknown),
+                2 => {
+                    let _ = apply(&self.rows, &ops);
+                    Err(TableError::Unknown)
+                }
+                _ => {
+                    let (rows, delay) = (self.rows.clone(), self.draw(10..20_000));
+                    tokio::spawn(async move {
+                        sleep(Duration::from_millis(delay)).await;
+                        let _ = apply(&rows, &ops);
+                    });
+                    Err(TableError::Unknown)
+                }
+            }
+        })
+    }
+}
+
+/// Objects in memory, without faults.
+#[derive(Default)]
+pub struct MemoryObjects(pub Mutex<BTreeMap<String, Bytes>>);
+
+impl Objects for MemoryObjects {
+    fn get<'a>(&'a self, name: &'a str) -> StoreFuture<'a, Result<Option<Bytes>, ObjectError>> {
+        Box::pin(async move { Ok(self.0.lock().unwrap().get(name).cloned()) })
+    }
+
+    fn put<'a>(
+        &'a self,
+        name: &'a str,
+        content: Bytes,
+    ) -> StoreFuture<'a, Result<(), ObjectError>> {
+        Box::pin(async move {
+            self.0.lock().unwrap().insert(name.to_string(), content);
+            Ok(())
+        })
+    }
+}
+
+/// Calls and responses in the order in which they happened. Each operation gets a process id of its
+/// own; an operation that ends without a known result stays open until the end of the history.
+pub struct Recorder<T> {
+    actions: Mutex<Vec<(usize, todc_utils::Action<T>)>>,
+    open: Mutex<BTreeMap<usize, T>>,
+}
+
+impl<T: Clone> Recorder<T> {
+    pub fn new() -> Recorder<T> {
+        Recorder {
+            actions: Mutex::new(Vec::new()),
+            open: Mutex::new(BTreeMap::new()),
+        }
+    }
+
+    /// Starts an operation; `open` is its result if it is never ended.
+    pub fn call(&self, open: T) -> usize {
+        let mut running = self.open.lock().unwrap();
+        let mut actions = self.actions.lock().unwrap();
+        let process = actions.len();
+        actions.push((process, todc_utils::Action::Call(open.clone())));
+        running.insert(process, open);
+        process
+    }
+
+    pub fn end(&self, process: usize, result: T) {
+        self.open.lock().unwrap().remove(&process);
+        let action = todc_utils::Action::Response(result);
+        self.actions.lock().unwrap().push((process, action));
+    }
+
+    /// The whole history.
+    pub fn history(&self) -> todc_utils::History<T> {
+        let mut actions = self.actions.lock().unwrap().clone();
+        for (process, result) in self.open.lock().unwrap().iter() {
+            actions.push((*process, todc_utils::Action::Response(result.clone())));
+        }
+        todc_utils::History::from_actions(actions)
+    }
+}
