--- /dev/null
+++ b/crates/policy/src/backoff.rs
@@ -0,0 +1,34 @@
+//! Delay before a retry. See section 4.3 of `docs/design.md`.
+
+use rand::{Rng, RngExt};
+use std::time::Duration;
+
+/// Exponential backoff with full jitter.
+///
+/// Full jitter spreads the retries of calls that failed together over the whole interval.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Backoff {
+    /// Upper end of the first delay.
+    pub base: Duration,
+    /// Upper end of every delay.
+    pub limit: Duration,
+}
+
+impl Backoff {
+    /// Delay before retry number `retry`, counted from 0: uniform up to `base * 2^retry`, at most
+    /// `limit`.
+    pub fn delay(&self, retry: u32, rng: &mut dyn Rng) -> Duration {
+        let factor = 2u32.saturating_pow(retry);
+        let ceiling = self.base.saturating_mul(factor).min(self.limit);
+        ceiling.mul_f64(rng.random_range(0.0..=1.0))
+    }
+}
+
+impl Default for Backoff {
+    fn default() -> Backoff {
+        Backoff {
+            base: Duration::from_millis(20),
+            limit: Duration::from_secs(1),
+        }
+    }
+}
