policy: check the slots that each customer holds in the random test

Cause: with the decrement of a customer's held slots taken out, all tests still passed. A customer whose calls have ended would then count as beyond its share.

Seen: with the decrement taken out the random test now fails; with it, all tests pass.

--- a/crates/policy/src/owner/query.rs
+++ b/crates/policy/src/owner/query.rs
@@ -38,6 +38,12 @@
         running.map(|(t, r)| (*t, r.fingerprint)).collect()
     }
 
+    /// Running calls of the customer in the group, which its share is compared with.
+    pub fn held(&self, group: &str, customer: &str) -> u32 {
+        let held = self.groups.get(group).and_then(|g| g.held.get(customer));
+        held.copied().unwrap_or(0)
+    }
+
     /// Number of calls that run.
     pub fn running(&self) -> usize {
         self.running.len()
--- a/crates/policy/tests/owner_model.rs
+++ b/crates/policy/tests/owner_model.rs
@@ -124,10 +124,14 @@
         let (mut owner, mut now) = owner(config, &OWN, &["x", "y"], CAPACITY as u32);
         let mut model = Model::default();
         let mut suspects = BTreeSet::new();
+        let mut customers = BTreeMap::new();
         for op in ops {
             match op {
                 Op::Place { ticket, customer, first, asked, suspect } => {
                     let known = model.running.contains_key(&ticket) || model.waiting.contains(&ticket);
+                    if !known {
+                        customers.insert(ticket, ["p", "q", "r"][customer]);
+                    }
                     let call = Call { suspect, ..call(ticket, ["p", "q", "r"][customer], now) };
                     let mut list = ids(&ALL);
                     list.rotate_left(first);
@@ -196,6 +200,10 @@
             }
             prop_assert_eq!(owner.running(), model.running.len());
             prop_assert_eq!(owner.waiting(), model.waiting.len());
+            for customer in ["p", "q", "r"] {
+                let held = model.running.keys().filter(|t| customers[t] == customer).count();
+                prop_assert_eq!(owner.held("m", customer) as usize, held);
+            }
             for id in ALL {
                 let own = model.running.values().filter(|(e, _)| e == id).count();
                 prop_assert_eq!(owner.outstanding(id) as usize, own);
