Add the router failure detector and endpoint health

Cause: routers must know which peers are alive, which endpoints take work, and which configuration version is the highest, without a coordination service (design 4.4, 4.5).

Ruled out: - Rumors that may fill a datagram. When 370 routers start together, their introductions kept load reports out for more than 18 s: the worst informed router knew 40 of 7,400 reports. Half of a digest is now kept for loads. - Relaying the oldest load report first. At the target size there are more reports than datagrams carry, so only old ones arrived. - A configuration notice that is sent once. At 5 % loss 334 of 369 routers confirmed it; with repeats to the others all did.

At the target size a router knows a sample of the load reports, not all of them.

--- /dev/null
+++ b/crates/membership/src/config.rs
@@ -0,0 +1,54 @@
+//! Settings of the detector.
+
+use crate::MemberInfo;
+use std::time::Duration;
+
+/// Settings of a [`Detector`](crate::Detector). The defaults are those of section 4.5 of the design.
+#[derive(Clone, Debug)]
+pub struct DetectorConfig {
+    /// The own router.
+    pub me: MemberInfo,
+    /// Start time of the process in milliseconds; higher than that of every earlier process.
+    pub incarnation: u64,
+    /// Seed of the random choices.
+    pub seed: u64,
+    /// Time between two probes. Default: 500 ms.
+    pub period: Duration,
+    /// Time after which other routers are asked to probe. Default: 200 ms.
+    pub ack_timeout: Duration,
+    /// Time after which a suspect is dead. Default: 2 s.
+    pub suspicion: Duration,
+    /// A peer of another domain is probed in every period of this number. Default: 4.
+    pub far_every: u64,
+    /// Routers that are asked for an indirect probe. Default: 2.
+    pub helpers: usize,
+    /// Time after which a dead member that the list removed is forgotten. Default: 30 s.
+    pub forget_removed: Duration,
+    /// Time after which a dead member that was never listed is forgotten. It is longer than a usual
+    /// split between regions, so that both sides find each other without the list. Default: 10 min.
+    pub forget_unlisted: Duration,
+    /// Time after which an unchanged own load is reported again. Default: 5 s.
+    pub load_refresh: Duration,
+    /// Time after which a load report that was not refreshed is dropped. Default: 30 s.
+    pub load_expiry: Duration,
+}
+
+impl DetectorConfig {
+    /// Settings of router `me` with the default times.
+    pub fn new(me: MemberInfo, incarnation: u64, seed: u64) -> DetectorConfig {
+        DetectorConfig {
+            me,
+            incarnation,
+            seed,
+            period: Duration::from_millis(500),
+            ack_timeout: Duration::from_millis(200),
+            suspicion: Duration::from_secs(2),
+            far_every: 4,
+            helpers: 2,
+            forget_removed: Duration::from_secs(30),
+            forget_unlisted: Duration::from_secs(600),
+            load_refresh: Duration::from_secs(5),
+            load_expiry: Duration::from_secs(30),
+        }
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,1 +1,45 @@
 //! Failure detection between routers and health of endpoints: state machines without I/O.
+//!
+//! [`Detector`] probes other routers, spreads updates, load reports and crash notices, and knows
+//! the highest configuration version. [`EndpointHealth`] judges one endpoint by its probes.
+//! Callers pass the time and send what is returned. See section 4.5 of `docs/design.md`.
+//!
+//! ```
+//! use sequoiaridge_membership::{Detector, DetectorConfig, MemberInfo, Message};
+//! use std::time::Duration;
+//!
+//! let info = |id: &str, port| MemberInfo {
+//!     id: id.to_string(),
+//!     addr: ([127, 0, 0, 1], port).into(),
+//!     domain: "tonala".to_string(),
+//!     region: "west".to_string(),
+//! };
+//! let mut detector = Detector::new(DetectorConfig::new(info("router-1", 7001), 1, 42));
+//! detector.set_list(&[info("router-2", 7002)], Duration::ZERO);
+//! let sent = detector.tick(Duration::from_secs(1));
+//! assert!(matches!(sent[0].message, Message::Probe { .. }));
+//! ```
+
+mod config;
+mod crash;
+mod detector;
+mod digest;
+mod flap;
+mod health;
+mod load;
+mod message;
+mod plan;
+mod probe;
+mod receive;
+mod roster;
+mod rumor;
+
+pub use config::DetectorConfig;
+pub use detector::{Detector, MemberEvent, PeerView};
+pub use health::{EndpointHealth, EndpointReport, HealthConfig, HealthEvent, HealthState};
+pub use load::{EndpointLoad, EndpointState, LoadReport};
+pub use message::{
+    CrashKind, CrashNotice, Digest, MemberInfo, Message, Outgoing, OwnerLoads, SentLoad, Update,
+};
+pub use plan::PeerPlan;
+pub use roster::PeerState;
