--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use body::{BodySender, BodyStream, Chunk};
 pub use client::{Answer, Client, ClientConfig, ClientError};
-pub use server::{Handler, Limits, Reply, Request, Server, ServerError};
+pub use server::{Handler, Limits, Reply, ReplyFuture, Request, Server, ServerError};
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -28,7 +28,11 @@
 /// Result of [`admit`].
 pub(crate) enum Admission {
     Run(Slot),
-    Forward { endpoint: EndpointId, next: Vec<EndpointId>, lookup: bool },
+    Forward {
+        endpoint: EndpointId,
+        next: Vec<EndpointId>,
+        lookup: bool,
+    },
     Refused(Refusal),
 }
 
@@ -43,7 +47,11 @@
     // the owner has queued it.
     let (sender, turn) = oneshot::channel();
     lock(&shared.waiters).insert(call.ticket, sender);
-    let mut guard = Ticket { shared: shared.clone(), ticket: call.ticket, armed: true };
+    let mut guard = Ticket {
+        shared: shared.clone(),
+        ticket: call.ticket,
+        armed: true,
+    };
     let placement = lock(&shared.owner).place(call, candidates, asked, shared.now());
     match placement {
         Placement::Admit { endpoint } => {
@@ -63,9 +71,17 @@
                 )),
             }
         }
-        Placement::Forward { endpoint, next, only_if_known } => {
+        Placement::Forward {
+            endpoint,
+            next,
+            only_if_known,
+        } => {
             guard.release();
-            Admission::Forward { endpoint, next, lookup: only_if_known }
+            Admission::Forward {
+                endpoint,
+                next,
+                lookup: only_if_known,
+            }
         }
         Placement::Refused(refusal) => {
             guard.release();
@@ -91,7 +107,11 @@
 impl Ticket {
     fn into_slot(mut self, endpoint: EndpointId) -> Slot {
         self.armed = false;
-        Slot { shared: self.shared.clone(), ticket: self.ticket, endpoint }
+        Slot {
+            shared: self.shared.clone(),
+            ticket: self.ticket,
+            endpoint,
+        }
     }
 
     /// The owner neither runs nor queues the call.
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -6,6 +6,7 @@
     Targets, hash_parts, token_digest,
 };
 use sequoiaridge_http::Request;
+use sequoiaridge_store::RequestDigest;
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -71,7 +72,10 @@
     /// The refusal that the caller gets; nothing was sent to an endpoint.
     pub(crate) fn parse(request: &Request, config: &FleetConfig) -> Result<Call, Refusal> {
         let customer = authenticate(request, config)?;
-        let class = request.header("x-work-class").unwrap_or(DEFAULT_CLASS).to_string();
+        let class = request
+            .header("x-work-class")
+            .unwrap_or(DEFAULT_CLASS)
+            .to_string();
         let targets = config
             .classes
             .get(&class)
@@ -119,30 +123,50 @@
             .and_then(|rest| rest.split_once('/').or(Some((rest, ""))))
             .filter(|(name, _)| !name.is_empty())
             .ok_or_else(|| mistake(RefusalReason::BadRequest))?;
-        let query = if request.query.is_empty() { String::new() } else { format!("?{}", request.query) };
-        Ok(Target { group: name.to_string(), chat: None, stream: false, path: format!("/{path}{query}") })
+        let query = if request.query.is_empty() {
+            String::new()
+        } else {
+            format!("?{}", request.query)
+        };
+        Ok(Target {
+            group: name.to_string(),
+            chat: None,
+            stream: false,
+            path: format!("/{path}{query}"),
+        })
     }
 
     fn chat(request: &Request, customer: &CustomerId) -> Result<Target, Refusal> {
-        let body: ChatBody<'_> =
-            serde_json::from_slice(&request.body).map_err(|_| mistake(RefusalReason::BadRequest))?;
+        let body: ChatBody<'_> = serde_json::from_slice(&request.body)
+            .map_err(|_| mistake(RefusalReason::BadRequest))?;
         if body.messages.is_empty() || body.model.is_empty() {
             return Err(mistake(RefusalReason::BadRequest));
         }
-        let named = request.header("x-chat-id").map(str::to_string).or(body.prompt_cache_key.clone());
+        let named = request
+            .header("x-chat-id")
+            .map(str::to_string)
+            .or(body.prompt_cache_key.clone());
         let chat = match named {
             Some(id) if id.len() > MAX_KEY => return Err(mistake(RefusalReason::BadRequest)),
             Some(id) => hash_parts(&[b"id", customer.as_bytes(), id.as_bytes()]),
             None => opening_key(customer, &body.messages),
         };
-        Ok(Target { group: body.model, chat: Some(chat), stream: body.stream, path: CHAT_PATH.to_string() })
+        Ok(Target {
+            group: body.model,
+            chat: Some(chat),
+            stream: body.stream,
+            path: CHAT_PATH.to_string(),
+        })
     }
 }
 
 /// Key of a chat that has no id: its opening messages, up to and including the first of the user,
 /// stay the same in every turn.
 fn opening_key(customer: &CustomerId, messages: &[ChatMessage<'_>]) -> ChatKey {
-    let opening = messages.iter().position(|message| message.role == "user").unwrap_or(0);
+    let opening = messages
+        .iter()
+        .position(|message| message.role == "user")
+        .unwrap_or(0);
     let mut parts: Vec<&[u8]> = vec![b"opening", customer.as_bytes()];
     for message in &messages[..=opening] {
         parts.push(message.role.as_bytes());
@@ -154,16 +178,23 @@
 fn authenticate(request: &Request, config: &FleetConfig) -> Result<CustomerId, Refusal> {
     let digest = request.bearer().map(token_digest);
     let known = digest.and_then(|digest| {
-        config.customers.iter().find(|(_, customer)| customer.tokens.contains(&digest))
+        config
+            .customers
+            .iter()
+            .find(|(_, customer)| customer.tokens.contains(&digest))
     });
-    known.map(|(id, _)| id.clone()).ok_or_else(|| mistake(RefusalReason::BadToken))
+    known
+        .map(|(id, _)| id.clone())
+        .ok_or_else(|| mistake(RefusalReason::BadToken))
 }
 
 fn idempotency_key(request: &Request, targets: &Targets) -> Result<Option<String>, Refusal> {
     if targets.repeat == sequoiaridge_core::Repeat::Allowed {
         return Ok(None);
     }
-    let key = request.header("idempotency-key").ok_or_else(|| mistake(RefusalReason::KeyMissing))?;
+    let key = request
+        .header("idempotency-key")
+        .ok_or_else(|| mistake(RefusalReason::KeyMissing))?;
     let valid = (1..=MAX_KEY).contains(&key.len()) && key.bytes().all(|b| b.is_ascii_graphic());
     if !valid {
         return Err(mistake(RefusalReason::BadRequest));
@@ -178,6 +209,17 @@
         .collect()
 }
 
+/// Digest by which a repeated request is told from another one under the same idempotency key.
+pub(crate) fn request_digest(method: &str, path: &str, body: &[u8]) -> RequestDigest {
+    let mut digest = blake3::Hasher::new();
+    for part in [method.as_bytes(), path.as_bytes(), body] {
+        digest
+            .update(&(part.len() as u64).to_le_bytes())
+            .update(part);
+    }
+    *digest.finalize().as_bytes()
+}
+
 fn mistake(reason: RefusalReason) -> Refusal {
     Refusal::not_run(reason, AFTER_MISTAKE)
 }
--- a/crates/router/src/config_sync.rs
+++ b/crates/router/src/config_sync.rs
@@ -28,11 +28,10 @@
     let mut next_poll = Duration::ZERO;
     loop {
         let now = shared.now();
-        let behind = behind(&shared);
-        if let Some((peer, version)) = behind {
-            if !pull(&shared, peer, version).await {
-                next_poll = next_poll.min(now);
-            }
+        if let Some(peer) = behind(&shared)
+            && !pull(&shared, peer).await
+        {
+            next_poll = next_poll.min(now);
         }
         if now >= next_poll {
             poll(&shared).await;
@@ -47,7 +46,7 @@
 
 /// The peer with the highest version, if this router is behind it. Without a configuration any peer or
 /// seed will do.
-fn behind(shared: &Shared) -> Option<(SocketAddr, Version)> {
+fn behind(shared: &Shared) -> Option<SocketAddr> {
     let own = shared.config.version();
     let (highest, peer, peers) = {
         let detector = lock(&shared.detector);
@@ -56,18 +55,21 @@
     };
     let address = |id: &String| peers.iter().find(|p| &p.id == id).map(|peer| peer.addr);
     match own {
-        Some(own) if highest > own => Some((address(&peer?)?, highest)),
+        Some(own) if highest > own => address(&peer?),
         Some(_) => None,
         None => {
-            let peer = peer.as_ref().and_then(address).or(peers.first().map(|peer| peer.addr));
+            let peer = peer
+                .as_ref()
+                .and_then(address)
+                .or(peers.first().map(|peer| peer.addr));
             let seed = shared.settings.peers.seeds.first().copied();
-            peer.or(seed).map(|address| (address, highest))
+            peer.or(seed)
         }
     }
 }
 
 /// Fetches from a peer what is missing here; `false` if that failed.
-async fn pull(shared: &Arc<Shared>, peer: SocketAddr, _version: Version) -> bool {
+async fn pull(shared: &Arc<Shared>, peer: SocketAddr) -> bool {
     let since = shared.config.version().unwrap_or(0);
     let pulled = tokio::time::timeout(PULL_LIMIT, async {
         let mut link = shared.links.checkout(peer).await.ok()?;
@@ -84,7 +86,9 @@
                 apply_snapshot(shared, &snapshot);
             }
             for change in changes {
-                shared.metrics.received(Traffic::Config, change.change.len());
+                shared
+                    .metrics
+                    .received(Traffic::Config, change.change.len());
                 match serde_json::from_slice::<Change>(&change.change) {
                     Ok(parsed) => drop(apply(shared, change.version, &parsed)),
                     Err(error) => return invalid(&format!("version {}: {error}", change.version)),
@@ -171,14 +175,22 @@
 /// Answer to a peer that has all changes up to `since`.
 pub(crate) fn push_for(shared: &Shared, since: Version) -> Frame {
     let current = shared.config.current();
-    let changes = if since == 0 { None } else { shared.recent.since(since) };
+    let changes = if since == 0 {
+        None
+    } else {
+        shared.recent.since(since)
+    };
     match (current, changes) {
         (Some(config), None) if config.version > since || since == 0 => {
             let snapshot = serde_json::to_vec(config.as_ref()).ok().map(Bytes::from);
-            Frame::ConfigPush { changes: Vec::new(), snapshot }
-        }
-        (_, changes) => {
-            Frame::ConfigPush { changes: changes.unwrap_or_default(), snapshot: None }
+            Frame::ConfigPush {
+                changes: Vec::new(),
+                snapshot,
+            }
         }
+        (_, changes) => Frame::ConfigPush {
+            changes: changes.unwrap_or_default(),
+            snapshot: None,
+        },
     }
 }
--- a/crates/router/src/crash.rs
+++ b/crates/router/src/crash.rs
@@ -17,7 +17,10 @@
     boot: Option<u64>,
     refusal: &Refusal,
 ) {
-    let broke = matches!(refusal.reason, RefusalReason::EndpointBroke | RefusalReason::EndpointSilent);
+    let broke = matches!(
+        refusal.reason,
+        RefusalReason::EndpointBroke | RefusalReason::EndpointSilent
+    );
     if refusal.reason != RefusalReason::NoEndpoint && !broke {
         return;
     }
@@ -67,8 +70,15 @@
     }
     quarantine.clear(fingerprint);
     drop(quarantine);
-    let kind = CrashKind::Cleared { nonce: rand::random() };
-    let notice = CrashNotice { fingerprint, endpoint: String::new(), boot: 0, kind };
+    let kind = CrashKind::Cleared {
+        nonce: rand::random(),
+    };
+    let notice = CrashNotice {
+        fingerprint,
+        endpoint: String::new(),
+        boot: 0,
+        kind,
+    };
     let shared = shared.clone();
     tokio::spawn(async move {
         crate::gossip::broadcast(&shared, Message::crash_notice(notice)).await;
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -7,7 +7,9 @@
 use crate::shared::{Shared, lock};
 use crate::view::View;
 use bytes::{Bytes, BytesMut};
-use sequoiaridge_core::{EndpointId, Refusal, RefusalReason, RetryReason, RouterId, Verdict, hash_parts};
+use sequoiaridge_core::{
+    EndpointId, Refusal, RefusalReason, RetryReason, RouterId, Verdict, hash_parts,
+};
 use sequoiaridge_membership::EndpointState;
 use sequoiaridge_policy::{Backoff, ClassPolicy, Standing, rank_top};
 use sequoiaridge_wire::{CallFrame, Header};
@@ -44,11 +46,17 @@
 
 impl Failure {
     fn new(refusal: Refusal, endpoint: &EndpointId) -> Failure {
-        Failure { refusal, endpoint: Some(endpoint.clone()) }
+        Failure {
+            refusal,
+            endpoint: Some(endpoint.clone()),
+        }
     }
 
     fn not_run(reason: RefusalReason) -> Failure {
-        Failure { refusal: Refusal::not_run(reason, SOON), endpoint: None }
+        Failure {
+            refusal: Refusal::not_run(reason, SOON),
+            endpoint: None,
+        }
     }
 }
 
@@ -57,11 +65,21 @@
 /// # Errors
 ///
 /// The final refusal.
-pub(crate) async fn dispatch(shared: &Arc<Shared>, call: &Call, id: u64) -> Result<Opened, Refusal> {
+pub(crate) async fn dispatch(
+    shared: &Arc<Shared>,
+    call: &Call,
+    id: u64,
+) -> Result<Opened, Refusal> {
     let arrival = shared.now();
     let policy = ClassPolicy::from_targets(&call.targets);
     let deadline = arrival + policy.deadline;
-    let mut walk = Walk { shared, call, id, deadline, excluded: Vec::new() };
+    let mut walk = Walk {
+        shared,
+        call,
+        id,
+        deadline,
+        excluded: Vec::new(),
+    };
     lock(&shared.budgets).deposit(&call.class, &call.customer);
     let mut attempts = 1;
     loop {
@@ -75,7 +93,10 @@
             return Err(failure.refusal);
         };
         if !lock(&shared.budgets).take(&call.class, &call.customer) {
-            return Err(Refusal { reason: RefusalReason::RetryBudget, ..failure.refusal });
+            return Err(Refusal {
+                reason: RefusalReason::RetryBudget,
+                ..failure.refusal
+            });
         }
         let pause = Backoff::default().delay(attempts - 1, &mut shared.rng());
         if shared.now() + pause >= deadline {
@@ -136,8 +157,17 @@
         loop {
             match self.ask(&step).await? {
                 Reply::Opened(opened) => return Ok(opened),
-                Reply::Forward { endpoint, next, lookup } => {
-                    step = Step { endpoint, next, asked: step.asked + 1, lookup };
+                Reply::Forward {
+                    endpoint,
+                    next,
+                    lookup,
+                } => {
+                    step = Step {
+                        endpoint,
+                        next,
+                        asked: step.asked + 1,
+                        lookup,
+                    };
                 }
                 Reply::Refused(refusal) => step = self.after_refusal(&home, &step, refusal)?,
             }
@@ -152,7 +182,10 @@
             return Err(Failure::new(refusal, &step.endpoint));
         }
         if step.lookup {
-            return Ok(Step { asked: 1, ..home.clone() });
+            return Ok(Step {
+                asked: 1,
+                ..home.clone()
+            });
         }
         match step.next.split_first() {
             Some((first, rest)) if step.asked + 1 < MAX_ASKED => Ok(Step {
@@ -161,7 +194,10 @@
                 asked: step.asked + 1,
                 lookup: false,
             }),
-            _ => Ok(Step { asked: MAX_ASKED, ..home.clone() }),
+            _ => Ok(Step {
+                asked: MAX_ASKED,
+                ..home.clone()
+            }),
         }
     }
 
@@ -174,10 +210,18 @@
             .filter(|candidate| !self.excluded.contains(candidate.id()))
             .cloned()
             .collect();
-        let usable = if usable.is_empty() { candidates } else { &usable };
+        let usable = if usable.is_empty() {
+            candidates
+        } else {
+            &usable
+        };
         if usable.is_empty() {
             let known = view.knows_group(&call.group);
-            let reason = if known { RefusalReason::NoEndpoint } else { RefusalReason::UnknownModel };
+            let reason = if known {
+                RefusalReason::NoEndpoint
+            } else {
+                RefusalReason::UnknownModel
+            };
             return Err(Failure::not_run(reason));
         }
         let suspect = lock(&self.shared.quarantine).state(call.fingerprint, self.shared.now());
@@ -185,7 +229,15 @@
             (Standing::Clear, Some(chat)) => chat,
             _ => hash_parts(&[b"fingerprint", &call.fingerprint.to_le_bytes()]),
         };
-        let mut ranked = rank_top(key, usable, if call.chat.is_some() { RANKED } else { usable.len() });
+        let mut ranked = rank_top(
+            key,
+            usable,
+            if call.chat.is_some() {
+                RANKED
+            } else {
+                usable.len()
+            },
+        );
         if call.chat.is_none() {
             // Services have no cache to return to, so the least used instance goes first.
             ranked.sort_by_key(|id| {
@@ -227,7 +279,10 @@
                         || self.call.idempotent()
                         || self.call.key.is_some();
                     if !safe || unreachable.len() >= MAX_SUBSTITUTES {
-                        return Err(Failure { refusal, endpoint: None });
+                        return Err(Failure {
+                            refusal,
+                            endpoint: None,
+                        });
                     }
                     let reason = retry_reason(&refusal).unwrap_or(RetryReason::PeerBroke);
                     self.shared.count_retry(reason, self.id);
@@ -248,7 +303,9 @@
     fn send(&self, view: &View, owner: &RouterId, step: &Step, substitute: bool) -> PartReceiver {
         let frame = self.frame(step, substitute);
         match view.routers.get(owner) {
-            Some(address) if owner != self.shared.id() => remote::call(self.shared, *address, frame),
+            Some(address) if owner != self.shared.id() => {
+                remote::call(self.shared, *address, frame)
+            }
             _ => execute(self.shared, frame),
         }
     }
@@ -305,8 +362,16 @@
                     return Begun::PeerLost(refusal);
                 }
                 Part::Fail(refusal) => return Begun::Reply(Reply::Refused(refusal)),
-                Part::Forward { endpoint, next, lookup } => {
-                    return Begun::Reply(Reply::Forward { endpoint, next, lookup });
+                Part::Forward {
+                    endpoint,
+                    next,
+                    lookup,
+                } => {
+                    return Begun::Reply(Reply::Forward {
+                        endpoint,
+                        next,
+                        lookup,
+                    });
                 }
                 Part::NotOwner => return Begun::NotOwner,
             }
@@ -329,13 +394,18 @@
 
 fn is_event_stream(head: Option<&Head>) -> bool {
     let value = |head: &Head| head.header("content-type").map(str::to_string);
-    head.and_then(value).is_some_and(|kind| kind.starts_with("text/event-stream"))
+    head.and_then(value)
+        .is_some_and(|kind| kind.starts_with("text/event-stream"))
 }
 
 /// What an owner said.
 enum Reply {
     Opened(Opened),
-    Forward { endpoint: EndpointId, next: Vec<EndpointId>, lookup: bool },
+    Forward {
+        endpoint: EndpointId,
+        next: Vec<EndpointId>,
+        lookup: bool,
+    },
     Refused(Refusal),
 }
 
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -1,6 +1,7 @@
 //! A call at the router that owns the endpoint: admission, claim, one run, its end.
 
 use crate::admission::{Admission, Slot, admit};
+use crate::call::request_digest;
 use crate::part::{Part, PartReceiver, PartSender, channel};
 use crate::shared::{Shared, lock};
 use crate::upstream::{self, Finish, Target, Work};
@@ -21,6 +22,9 @@
 /// Shortest bounds on the wait for a head and on a pause, whatever the targets.
 const MIN_WAIT: Duration = Duration::from_secs(2);
 
+/// Bytes of a request that count as one more unit of work.
+const COST_BYTES: usize = 4096;
+
 /// Runs a call here. Dropping the receiver cancels a call that may be repeated; one that must not be
 /// repeated runs on, so that its answer can be stored.
 pub(crate) fn execute(shared: &Arc<Shared>, frame: CallFrame) -> PartReceiver {
@@ -48,15 +52,28 @@
 impl Execution {
     fn new(shared: Arc<Shared>, frame: CallFrame, parts: PartSender) -> Execution {
         let arrival = shared.now();
-        Execution { shared, frame, parts, arrival }
+        Execution {
+            shared,
+            frame,
+            parts,
+            arrival,
+        }
     }
 
     async fn run(self) {
         let part = match self.place().await {
             Ok(Admission::Run(slot)) => self.serve(slot).await,
-            Ok(Admission::Forward { endpoint, next, lookup }) => {
+            Ok(Admission::Forward {
+                endpoint,
+                next,
+                lookup,
+            }) => {
                 self.note_forward(&endpoint, lookup);
-                Part::Forward { endpoint, next, lookup }
+                Part::Forward {
+                    endpoint,
+                    next,
+                    lookup,
+                }
             }
             Ok(Admission::Refused(refusal)) | Err(Ending::Refused(refusal)) => Part::Fail(refusal),
             Err(Ending::NotOwner) => Part::NotOwner,
@@ -77,15 +94,23 @@
         let mut candidates = vec![self.frame.endpoint.clone()];
         candidates.extend(self.frame.next.iter().cloned());
         candidates.retain(|id| !self.frame.excluded.contains(id));
-        Ok(admit(&self.shared, &call, &candidates, u32::from(self.frame.asked)).await)
+        Ok(admit(
+            &self.shared,
+            &call,
+            &candidates,
+            u32::from(self.frame.asked),
+        )
+        .await)
     }
 
     fn targets(&self) -> Result<Targets, Ending> {
         let config = self.shared.config.current();
-        let class = config.as_ref().and_then(|config| config.classes.get(&self.frame.class));
-        class.map(|class| class.targets.clone()).ok_or_else(|| {
-            Ending::Refused(Refusal::not_run(RefusalReason::UnknownClass, SOON))
-        })
+        let class = config
+            .as_ref()
+            .and_then(|config| config.classes.get(&self.frame.class));
+        class
+            .map(|class| class.targets.clone())
+            .ok_or_else(|| Ending::Refused(Refusal::not_run(RefusalReason::UnknownClass, SOON)))
     }
 
     fn check_quarantine(&self) -> Result<bool, Ending> {
@@ -93,9 +118,10 @@
         match state {
             Standing::Clear => Ok(false),
             Standing::Suspect => Ok(true),
-            Standing::Held { retry_after } => {
-                Err(Ending::Refused(Refusal::not_run(RefusalReason::Quarantined, retry_after)))
-            }
+            Standing::Held { retry_after } => Err(Ending::Refused(Refusal::not_run(
+                RefusalReason::Quarantined,
+                retry_after,
+            ))),
         }
     }
 
@@ -121,6 +147,7 @@
             class: self.frame.class.clone(),
             policy: ClassPolicy::from_targets(targets),
             group: self.frame.group.clone(),
+            cost: cost(self.frame.body.len()),
             chat: self.frame.chat,
             fingerprint: self.frame.fingerprint,
             suspect,
@@ -142,7 +169,10 @@
         let Some(endpoint) = self.shared.view().endpoints.get(slot.endpoint()).cloned() else {
             return Part::Fail(Refusal::not_run(RefusalReason::NoEndpoint, SOON));
         };
-        let target = Target { id: slot.endpoint().clone(), address: endpoint.member.address };
+        let target = Target {
+            id: slot.endpoint().clone(),
+            address: endpoint.member.address,
+        };
         if self.frame.key.is_none() || endpoint.member.deduplicates {
             return last_part(self.dispatch(&target, &self.parts).await.map(drop));
         }
@@ -155,12 +185,12 @@
 
     async fn claim(&self) -> Result<Claim, Refusal> {
         let key = self.frame.key.clone().unwrap_or_default();
-        let mut digest = blake3::Hasher::new();
-        for part in [self.frame.method.as_bytes(), self.frame.path.as_bytes(), &self.frame.body] {
-            digest.update(&(part.len() as u64).to_le_bytes()).update(part);
-        }
-        let digest = *digest.finalize().as_bytes();
-        self.shared.ledger.claim(&self.frame.customer, &key, digest, self.deadline()).await
+        let frame = &self.frame;
+        let digest = request_digest(&frame.method, &frame.path, &frame.body);
+        self.shared
+            .ledger
+            .claim(&self.frame.customer, &key, digest, self.deadline())
+            .await
     }
 
     /// Runs the call once under its claim. The answer is collected before it is passed on, because
@@ -198,13 +228,19 @@
         let id = self.frame.id;
         tokio::spawn(async move {
             if !stored.await.unwrap_or(false) {
-                crate::event::log(sequoiaridge_core::Event::AnswerNotStored, &format!("call {id}"));
+                crate::event::log(
+                    sequoiaridge_core::Event::AnswerNotStored,
+                    &format!("call {id}"),
+                );
             }
         });
     }
 
     async fn replay(&self, answer: StoredAnswer) -> Part {
-        let head = crate::part::Head { status: answer.status, headers: answer.headers };
+        let head = crate::part::Head {
+            status: answer.status,
+            headers: answer.headers,
+        };
         let _ = self.parts.send(Part::Head(head)).await;
         let _ = self.parts.send(Part::Chunk(answer.body)).await;
         Part::End
@@ -226,7 +262,9 @@
             .unwrap_or_else(|_| Err(Refusal::may_have_run(RefusalReason::Deadline, SOON)));
         match &result {
             Ok(finish) => self.finished(finish),
-            Err(refusal) => crash::after_failure(&self.shared, &self.frame, target, boot, refusal).await,
+            Err(refusal) => {
+                crash::after_failure(&self.shared, &self.frame, target, boot, refusal).await
+            }
         }
         result
     }
@@ -238,7 +276,8 @@
             metrics.cached_tokens.inc_by(usage.cached_tokens());
         }
         for _ in 0..finish.resumes {
-            self.shared.count_retry(sequoiaridge_core::RetryReason::StreamResumed, self.frame.id);
+            self.shared
+                .count_retry(sequoiaridge_core::RetryReason::StreamResumed, self.frame.id);
         }
         crash::clear(&self.shared, self.frame.fingerprint);
     }
@@ -247,18 +286,34 @@
         let targets = self.targets().unwrap_or_else(|_| Targets::default());
         let policy = ClassPolicy::from_targets(&targets);
         let chat = self.frame.chat.is_some();
-        let silence = Duration::from_secs_f64(targets.between_tokens * SILENCE_FACTOR).max(MIN_WAIT);
+        let silence =
+            Duration::from_secs_f64(targets.between_tokens * SILENCE_FACTOR).max(MIN_WAIT);
         let head = (targets.first_token() * HEAD_FACTOR).max(MIN_WAIT);
         let mut headers: Vec<(String, String)> = self
             .frame
             .headers
             .iter()
-            .map(|header| (header.name.clone(), String::from_utf8_lossy(&header.value).into_owned()))
+            .map(|header| {
+                (
+                    header.name.clone(),
+                    String::from_utf8_lossy(&header.value).into_owned(),
+                )
+            })
             .collect();
         headers.push(("x-priority".to_string(), policy.engine_priority.to_string()));
-        headers.extend(self.frame.key.clone().map(|key| ("idempotency-key".to_string(), key)));
+        headers.extend(
+            self.frame
+                .key
+                .clone()
+                .map(|key| ("idempotency-key".to_string(), key)),
+        );
         Work {
-            request_id: format!("{}-{}-{}", self.shared.id(), self.shared.incarnation, self.shared.next_id()),
+            request_id: format!(
+                "{}-{}-{}",
+                self.shared.id(),
+                self.shared.incarnation,
+                self.shared.next_id()
+            ),
             chat,
             method: self.frame.method.clone(),
             path: self.frame.path.clone(),
@@ -278,6 +333,11 @@
     NotOwner,
 }
 
+/// Work of a call for the fair queue: longer requests take an engine longer.
+fn cost(body: usize) -> u32 {
+    u32::try_from(1 + body / COST_BYTES).unwrap_or(u32::MAX)
+}
+
 fn last_part(result: Result<(), Refusal>) -> Part {
     result.map_or_else(Part::Fail, |()| Part::End)
 }
@@ -289,7 +349,11 @@
         match part {
             Part::Head(head) => {
                 let body = bytes::Bytes::new();
-                answer = Some(StoredAnswer { status: head.status, headers: head.headers, body });
+                answer = Some(StoredAnswer {
+                    status: head.status,
+                    headers: head.headers,
+                    body,
+                });
             }
             Part::Chunk(chunk) => {
                 if let Some(answer) = &mut answer {
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -44,13 +44,15 @@
         Ok((sender, incarnation, message)) => {
             shared.metrics.received(kind_of(&message), datagram.len());
             let now = shared.now();
-            let outgoing =
-                lock(&shared.detector).receive(&sender, incarnation, from, message, now);
+            let outgoing = lock(&shared.detector).receive(&sender, incarnation, from, message, now);
             send(shared, outgoing).await;
         }
         Err(error) => {
             shared.metrics.rejected(error.as_str());
-            event::log(Event::PeerRejected, &format!("datagram from {from}: {error}"));
+            event::log(
+                Event::PeerRejected,
+                &format!("datagram from {from}: {error}"),
+            );
         }
     }
 }
@@ -94,7 +96,9 @@
     }
     for change in events {
         match change {
-            MemberEvent::Joined { id } | MemberEvent::Refuted { id } | MemberEvent::Restarted { id } => {
+            MemberEvent::Up { id }
+            | MemberEvent::Refuted { id }
+            | MemberEvent::Restarted { id } => {
                 event::log(Event::PeerUp, &id);
             }
             MemberEvent::Suspect { id } => event::log(Event::PeerSuspect, &id),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,44 @@
 //! The router process: callers, operators, peers and endpoints.
+//!
+//! A [`Router`] accepts calls over HTTP and ranks the endpoints that can serve them. Each endpoint
+//! has one owning router, which alone admits calls to it; the router that received a call passes it to
+//! the owner, over TCP if the owner is another router. See `docs/design.md` for the decisions.
+//!
+//! | module | job |
+//! |---|---|
+//! | `callers`, `call`, `reply` | callers' HTTP: understanding requests, answering them |
+//! | `dispatch` | the receiving router: ranking, the walk over owners, retries |
+//! | `execute`, `admission`, `upstream`, `sse`, `crash` | the owning router: admission, claim, one run |
+//! | `remote`, `peer_server`, `gossip` | other routers |
+//! | `probes`, `maintain`, `view` | endpoints and the picture of the fleet |
+//! | `config_sync`, `recent`, `list_sync` | the platform: configuration and membership list |
+//! | `operators` | operators' HTTP: commands and queries |
+//! | `drain` | planned stop |
+
+mod admission;
+mod call;
+mod callers;
+mod config_sync;
+mod crash;
+mod dispatch;
+mod drain;
+mod event;
+mod execute;
+mod gossip;
+mod list_sync;
+mod maintain;
+mod metrics;
+mod operators;
+mod part;
+mod peer_server;
+mod probes;
+mod recent;
+mod remote;
+mod reply;
+mod router;
+mod shared;
+mod sse;
+mod upstream;
+mod view;
+
+pub use router::{Drained, Router, StartError};
--- a/crates/router/src/list_sync.rs
+++ b/crates/router/src/list_sync.rs
@@ -25,9 +25,13 @@
         match shared.list.fetch().await {
             Ok(list) => {
                 shared.platform_answered();
-                shared.metrics.received(Traffic::List, list.members.len() * ENTRY_BYTES);
+                shared
+                    .metrics
+                    .received(Traffic::List, list.members.len() * ENTRY_BYTES);
                 if list.problems.len() != problems {
-                    list.problems.iter().for_each(|problem| tracing::warn!("{problem}"));
+                    list.problems
+                        .iter()
+                        .for_each(|problem| tracing::warn!("{problem}"));
                     problems = list.problems.len();
                 }
                 take_in(&shared, list.members, first);
@@ -46,8 +50,9 @@
 /// Takes in a list. Endpoints that are new in it have joined, but for those of the first list.
 fn take_in(shared: &Shared, list: Vec<Member>, first: bool) {
     let now = shared.now();
-    let (routers, endpoints): (Vec<Member>, Vec<Member>) =
-        list.into_iter().partition(|member| member.role == Role::Router);
+    let (routers, endpoints): (Vec<Member>, Vec<Member>) = list
+        .into_iter()
+        .partition(|member| member.role == Role::Router);
     let routers: Vec<MemberInfo> = routers
         .into_iter()
         .filter(|member| &member.id != shared.id())
@@ -58,11 +63,17 @@
             region: member.region,
         })
         .collect();
-    let endpoints: BTreeMap<EndpointId, Member> =
-        endpoints.into_iter().map(|member| (member.id.clone(), member)).collect();
+    let endpoints: BTreeMap<EndpointId, Member> = endpoints
+        .into_iter()
+        .map(|member| (member.id.clone(), member))
+        .collect();
     let new: Vec<EndpointId> = {
         let mut members = lock(&shared.members);
-        let new = endpoints.keys().filter(|id| !members.contains_key(*id)).cloned().collect();
+        let new = endpoints
+            .keys()
+            .filter(|id| !members.contains_key(*id))
+            .cloned()
+            .collect();
         *members = endpoints;
         new
     };
--- a/crates/router/src/maintain.rs
+++ b/crates/router/src/maintain.rs
@@ -104,7 +104,9 @@
         let member = &endpoint.member;
         let mut state = endpoint.state;
         if own.contains(id) {
-            let entry = health.entry(id.clone()).or_insert_with(|| probes::new_health(shared));
+            let entry = health
+                .entry(id.clone())
+                .or_insert_with(|| probes::new_health(shared));
             entry.listed(member.state == MemberState::Leaving, now);
             state = entry.state(now).into();
         } else if state == Reported::Unknown {
@@ -136,10 +138,15 @@
 /// Publishes counts and states of the endpoints that this router admits to.
 fn report_loads(shared: &Shared) {
     let own: Vec<EndpointId> = lock(&shared.health).keys().cloned().collect();
-    let states: BTreeMap<EndpointId, Reported> =
-        own.into_iter().map(|id| (id.clone(), probes::state_of(shared, &id))).collect();
+    let states: BTreeMap<EndpointId, Reported> = own
+        .into_iter()
+        .map(|id| (id.clone(), probes::state_of(shared, &id)))
+        .collect();
     let counts: BTreeMap<EndpointId, u32> = lock(&shared.owner).counts().into_iter().collect();
-    let busy = counts.iter().filter(|(_, count)| **count > 0).map(|(id, _)| id);
+    let busy = counts
+        .iter()
+        .filter(|(_, count)| **count > 0)
+        .map(|(id, _)| id);
     let ids: BTreeSet<&EndpointId> = states.keys().chain(busy).collect();
     let loads: Vec<EndpointLoad> = ids
         .into_iter()
@@ -165,7 +172,9 @@
         }
     }
     let skews = groups.values().filter(|(sum, _, _)| *sum > 0);
-    skews.map(|(sum, max, count)| f64::from(*max * count) / f64::from(*sum)).fold(0.0, f64::max)
+    skews
+        .map(|(sum, max, count)| f64::from(*max * count) / f64::from(*sum))
+        .fold(0.0, f64::max)
 }
 
 /// A router that hears neither the platform nor any peer, though it knows peers, cannot know of a newer
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -11,7 +11,9 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 use sequoiaridge_core::{RefusalReason, RetryReason};
+use std::collections::BTreeSet;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 /// Largest number of classes with a histogram of their own; further ones share the label `other`.
@@ -52,8 +54,13 @@
 }
 
 impl Traffic {
-    const ALL: [Traffic; 5] =
-        [Traffic::Gossip, Traffic::Probe, Traffic::Notice, Traffic::Config, Traffic::List];
+    const ALL: [Traffic; 5] = [
+        Traffic::Gossip,
+        Traffic::Probe,
+        Traffic::Notice,
+        Traffic::Config,
+        Traffic::List,
+    ];
 
     fn as_str(self) -> &'static str {
         match self {
@@ -69,6 +76,7 @@
 /// Counters, gauges and histograms of one router.
 pub(crate) struct Metrics {
     registry: Registry,
+    classes: Mutex<BTreeSet<String>>,
     refusals: Family<ReasonLabel, Counter>,
     retries: Family<ReasonLabel, Counter>,
     calls: Family<OutcomeLabel, Counter>,
@@ -89,6 +97,7 @@
     pub(crate) fn new() -> Metrics {
         let mut metrics = Metrics {
             registry: Registry::with_prefix("sequoiaridge"),
+            classes: Mutex::default(),
             refusals: Family::default(),
             retries: Family::default(),
             calls: Family::default(),
@@ -105,10 +114,14 @@
         };
         metrics.register();
         for reason in RefusalReason::ALL {
-            metrics.refusals.get_or_create(&ReasonLabel { reason: reason.as_str() });
+            let _ = metrics.refusals.get_or_create(&ReasonLabel {
+                reason: reason.as_str(),
+            });
         }
         for reason in RetryReason::ALL {
-            metrics.retries.get_or_create(&ReasonLabel { reason: reason.as_str() });
+            let _ = metrics.retries.get_or_create(&ReasonLabel {
+                reason: reason.as_str(),
+            });
         }
         for kind in Traffic::ALL {
             metrics.sent(kind, 0);
@@ -119,46 +132,120 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
-        registry.register("refusals", "Calls refused or ended without their whole answer, by reason", self.refusals.clone());
-        registry.register("retries", "Calls sent again, by reason", self.retries.clone());
-        registry.register("calls", "Calls ended, by class and verdict", self.calls.clone());
-        registry.register("attempts", "Requests sent to endpoints, including retries", self.attempts.clone());
-        registry.register_with_unit("control_traffic", "Control traffic by kind and direction", Unit::Bytes, self.control.clone());
-        registry.register("peer_messages_rejected", "Messages of peers that were dropped, by reason", self.rejected.clone());
-        registry.register_with_unit("first_token", "Time from arrival to the first token, by class", Unit::Seconds, self.first_token.clone());
-        registry.register_with_unit("between_tokens", "Time between chunks of a streamed answer, by class", Unit::Seconds, self.between_tokens.clone());
-        registry.register("prompt_tokens", "Prompt tokens of finished chats", self.prompt_tokens.clone());
-        registry.register("cached_tokens", "Prompt tokens that the engine had cached", self.cached_tokens.clone());
-        registry.register("load_skew", "Largest load of an engine over the mean, among the groups this router knows", self.skew.clone());
-        registry.register("calls_in_flight", "Calls of callers in flight", self.in_flight.clone());
-        registry.register("config_version", "Version of the configuration in force", self.version.clone());
+        registry.register(
+            "refusals",
+            "Calls refused or ended without their whole answer, by reason",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "retries",
+            "Calls sent again, by reason",
+            self.retries.clone(),
+        );
+        registry.register(
+            "calls",
+            "Calls ended, by class and verdict",
+            self.calls.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Requests sent to endpoints, including retries",
+            self.attempts.clone(),
+        );
+        registry.register_with_unit(
+            "control_traffic",
+            "Control traffic by kind and direction",
+            Unit::Bytes,
+            self.control.clone(),
+        );
+        registry.register(
+            "peer_messages_rejected",
+            "Messages of peers that were dropped, by reason",
+            self.rejected.clone(),
+        );
+        registry.register_with_unit(
+            "first_token",
+            "Time from arrival to the first token, by class",
+            Unit::Seconds,
+            self.first_token.clone(),
+        );
+        registry.register_with_unit(
+            "between_tokens",
+            "Time between chunks of a streamed answer, by class",
+            Unit::Seconds,
+            self.between_tokens.clone(),
+        );
+        registry.register(
+            "prompt_tokens",
+            "Prompt tokens of finished chats",
+            self.prompt_tokens.clone(),
+        );
+        registry.register(
+            "cached_tokens",
+            "Prompt tokens that the engine had cached",
+            self.cached_tokens.clone(),
+        );
+        registry.register(
+            "load_skew",
+            "Largest load of an engine over the mean, among the groups this router knows",
+            self.skew.clone(),
+        );
+        registry.register(
+            "calls_in_flight",
+            "Calls of callers in flight",
+            self.in_flight.clone(),
+        );
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            self.version.clone(),
+        );
     }
 
     /// Counts a refusal.
     pub(crate) fn refused(&self, reason: RefusalReason) {
-        self.refusals.get_or_create(&ReasonLabel { reason: reason.as_str() }).inc();
+        self.refusals
+            .get_or_create(&ReasonLabel {
+                reason: reason.as_str(),
+            })
+            .inc();
     }
 
     /// Counts a retry.
     pub(crate) fn retried(&self, reason: RetryReason) {
-        self.retries.get_or_create(&ReasonLabel { reason: reason.as_str() }).inc();
+        self.retries
+            .get_or_create(&ReasonLabel {
+                reason: reason.as_str(),
+            })
+            .inc();
     }
 
     /// Counts the end of a call.
     pub(crate) fn ended(&self, class: &str, verdict: sequoiaridge_core::Verdict) {
         let class = self.class(class);
-        self.calls.get_or_create(&OutcomeLabel { class, verdict: verdict.as_str() }).inc();
+        self.calls
+            .get_or_create(&OutcomeLabel {
+                class,
+                verdict: verdict.as_str(),
+            })
+            .inc();
     }
 
     /// Counts control bytes sent.
     pub(crate) fn sent(&self, kind: Traffic, bytes: usize) {
-        let label = TrafficLabel { kind: kind.as_str(), direction: "sent" };
+        let label = TrafficLabel {
+            kind: kind.as_str(),
+            direction: "sent",
+        };
         self.control.get_or_create(&label).inc_by(bytes as u64);
     }
 
     /// Counts control bytes received.
     pub(crate) fn received(&self, kind: Traffic, bytes: usize) {
-        let label = TrafficLabel { kind: kind.as_str(), direction: "received" };
+        let label = TrafficLabel {
+            kind: kind.as_str(),
+            direction: "received",
+        };
         self.control.get_or_create(&label).inc_by(bytes as u64);
     }
 
@@ -170,29 +257,47 @@
     /// Records the time to the first token.
     pub(crate) fn first_token(&self, class: &str, time: Duration) {
         let class = self.class(class);
-        self.first_token.get_or_create(&ClassLabel { class }).observe(time.as_secs_f64());
+        self.first_token
+            .get_or_create(&ClassLabel { class })
+            .observe(time.as_secs_f64());
     }
 
     /// Records the time between two chunks.
     pub(crate) fn between_tokens(&self, class: &str, time: Duration) {
         let class = self.class(class);
-        self.between_tokens.get_or_create(&ClassLabel { class }).observe(time.as_secs_f64());
+        self.between_tokens
+            .get_or_create(&ClassLabel { class })
+            .observe(time.as_secs_f64());
     }
 
     /// Refusals so far, by reason.
     pub(crate) fn refusal_counts(&self) -> Vec<(RefusalReason, u64)> {
         let count = |reason: RefusalReason| {
-            self.refusals.get_or_create(&ReasonLabel { reason: reason.as_str() }).get()
+            self.refusals
+                .get_or_create(&ReasonLabel {
+                    reason: reason.as_str(),
+                })
+                .get()
         };
-        RefusalReason::ALL.iter().map(|reason| (*reason, count(*reason))).collect()
+        RefusalReason::ALL
+            .iter()
+            .map(|reason| (*reason, count(*reason)))
+            .collect()
     }
 
     /// Retries so far, by reason.
     pub(crate) fn retry_counts(&self) -> Vec<(RetryReason, u64)> {
         let count = |reason: RetryReason| {
-            self.retries.get_or_create(&ReasonLabel { reason: reason.as_str() }).get()
+            self.retries
+                .get_or_create(&ReasonLabel {
+                    reason: reason.as_str(),
+                })
+                .get()
         };
-        RetryReason::ALL.iter().map(|reason| (*reason, count(*reason))).collect()
+        RetryReason::ALL
+            .iter()
+            .map(|reason| (*reason, count(*reason)))
+            .collect()
     }
 
     /// All metrics in the OpenMetrics text format.
@@ -202,10 +307,14 @@
         text
     }
 
+    /// Label for a class. Classes beyond the bound share one label.
     fn class(&self, class: &str) -> String {
-        let label = ClassLabel { class: class.to_string() };
-        let known = self.first_token.contains(&label) || self.first_token.len() < MAX_CLASSES;
-        if known { label.class } else { "other".to_string() }
+        let mut known = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
+        if known.contains(class) || known.len() < MAX_CLASSES {
+            known.insert(class.to_string());
+            return class.to_string();
+        }
+        "other".to_string()
     }
 }
 
--- /dev/null
+++ b/crates/router/src/operators.rs
@@ -0,0 +1,88 @@
+//! HTTP for operators: health, metrics and the administration API (docs/admin-api.md).
+
+pub(crate) mod auth;
+pub(crate) mod commands;
+pub(crate) mod queries;
+
+use crate::shared::{Phase, Shared};
+use http::{Method, StatusCode};
+use sequoiaridge_http::{Handler, Reply, ReplyFuture, Request, ServerError};
+use serde::Serialize;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// Prefix of the administration API.
+const PREFIX: &str = "/admin/v1/";
+
+/// Answers operators.
+pub(crate) struct Operators {
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Handler for Operators {
+    fn handle(self: Arc<Self>, request: Request) -> ReplyFuture {
+        Box::pin(async move { answer(&self.shared, request).await })
+    }
+}
+
+/// Reply to a request that breaks a limit of the server.
+pub(crate) fn refuse(error: ServerError) -> Reply {
+    problem(StatusCode::BAD_REQUEST, "bad-request", &[error.to_string()])
+}
+
+async fn answer(shared: &Arc<Shared>, request: Request) -> Reply {
+    match (&request.method, request.path.as_str()) {
+        (&Method::GET, "/live") => Reply::new(StatusCode::OK, "live\n"),
+        (&Method::GET, "/ready") => ready(shared),
+        (&Method::GET, "/metrics") => Reply::new(StatusCode::OK, shared.metrics.encode())
+            .with_header(
+                "content-type",
+                "application/openmetrics-text; version=1.0.0; charset=utf-8",
+            ),
+        (_, path) => match path.strip_prefix(PREFIX) {
+            Some(rest) => admin(shared, &request, rest).await,
+            None => problem(StatusCode::NOT_FOUND, "not-found", &[]),
+        },
+    }
+}
+
+/// Whether the platform's balancer should send callers here.
+fn ready(shared: &Shared) -> Reply {
+    let isolated = shared.isolated.load(Ordering::Relaxed);
+    match shared.phase() {
+        Phase::Serving if !isolated => Reply::new(StatusCode::OK, "ready\n"),
+        Phase::Serving => Reply::new(StatusCode::SERVICE_UNAVAILABLE, "isolated\n"),
+        Phase::Starting => Reply::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n"),
+        Phase::Draining | Phase::Stopped => {
+            Reply::new(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
+        }
+    }
+}
+
+async fn admin(shared: &Arc<Shared>, request: &Request, rest: &str) -> Reply {
+    let operator = match auth::authenticate(shared, request) {
+        Ok(operator) => operator,
+        Err(reply) => return *reply,
+    };
+    match request.method {
+        Method::GET => queries::answer(shared, &operator, rest),
+        Method::PUT | Method::DELETE => commands::answer(shared, &operator, request, rest).await,
+        _ => problem(StatusCode::METHOD_NOT_ALLOWED, "method-not-allowed", &[]),
+    }
+}
+
+/// A JSON reply.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Reply {
+    Reply::json(status, serde_json::to_vec(value).unwrap_or_default())
+}
+
+#[derive(Serialize)]
+struct ProblemBody<'a> {
+    result: &'a str,
+    problems: &'a [String],
+}
+
+/// A reply that lists every mistake.
+pub(crate) fn problem(status: StatusCode, result: &str, problems: &[String]) -> Reply {
+    json(status, &ProblemBody { result, problems })
+}
--- /dev/null
+++ b/crates/router/src/operators/commands.rs
@@ -0,0 +1,176 @@
+//! Commands of the administration API: changes of the fleet configuration.
+
+use super::auth::Operator;
+use super::{json, problem};
+use crate::shared::{Shared, lock};
+use crate::{config_sync, event};
+use http::{Method, StatusCode};
+use sequoiaridge_core::{Change, Class, Customer, Event, RouterId, Team, Version};
+use sequoiaridge_http::{Reply, Request};
+use sequoiaridge_store::Accept;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause between two looks at which routers have a version in force.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Answer to a change that was made.
+#[derive(Serialize)]
+struct Committed {
+    result: &'static str,
+    version: Version,
+    in_force: Vec<RouterId>,
+    pending: Vec<RouterId>,
+}
+
+#[derive(Serialize)]
+struct Conflict {
+    result: &'static str,
+    version: Version,
+}
+
+/// Makes a change.
+pub(crate) async fn answer(
+    shared: &Arc<Shared>,
+    operator: &Operator,
+    request: &Request,
+    rest: &str,
+) -> Reply {
+    let (base, change) = match parse(request, rest) {
+        Ok(parsed) => parsed,
+        Err(reply) => return *reply,
+    };
+    let Some(config) = shared.config.current() else {
+        return problem(StatusCode::SERVICE_UNAVAILABLE, "not-ready", &[]);
+    };
+    if !operator.may(&change, &config) {
+        let detail = "the token's team may not change this entry".to_string();
+        event::log(
+            Event::AdminRefused,
+            &format!("{} from {}", request.path, request.peer),
+        );
+        return problem(StatusCode::FORBIDDEN, "refused", &[detail]);
+    }
+    accept(shared, base, &change).await
+}
+
+async fn accept(shared: &Arc<Shared>, base: Version, change: &Change) -> Reply {
+    match shared.log.append(base, change).await {
+        Ok(Accept::Committed(version)) => {
+            shared.platform_answered();
+            event::log(
+                Event::ConfigAccepted,
+                &format!("version {version}: {}", change.name()),
+            );
+            let before = shared.config.version();
+            config_sync::apply(shared, version, change);
+            config_sync::note_in_force(shared, before);
+            config_sync::announce(shared, version).await;
+            let (in_force, pending) = wait_in_force(shared, version).await;
+            json(
+                StatusCode::OK,
+                &Committed {
+                    result: "committed",
+                    version,
+                    in_force,
+                    pending,
+                },
+            )
+        }
+        Ok(Accept::Conflict(version)) => {
+            event::log(
+                Event::ConfigConflict,
+                &format!("based on {base}, now {version}"),
+            );
+            json(
+                StatusCode::CONFLICT,
+                &Conflict {
+                    result: "conflict",
+                    version,
+                },
+            )
+        }
+        Ok(Accept::Refused(problems)) => {
+            let problems: Vec<String> = problems.iter().map(ToString::to_string).collect();
+            problem(StatusCode::UNPROCESSABLE_ENTITY, "refused", &problems)
+        }
+        Ok(Accept::Unknown) => {
+            event::log(
+                Event::ConfigUnknown,
+                &format!("based on {base}: {}", change.name()),
+            );
+            let detail = "the change may have been made; read the entry again".to_string();
+            problem(StatusCode::GATEWAY_TIMEOUT, "unknown-read-again", &[detail])
+        }
+        Err(error) => {
+            shared.platform_failed(&error.to_string());
+            let detail = format!("the change was not made: {error}");
+            problem(StatusCode::SERVICE_UNAVAILABLE, "refused", &[detail])
+                .with_header("retry-after", "5")
+        }
+    }
+}
+
+/// Waits until all routers have the version in force, at most for the time in which they must.
+async fn wait_in_force(shared: &Shared, version: Version) -> (Vec<RouterId>, Vec<RouterId>) {
+    let end = shared.now() + shared.settings.config.in_force;
+    loop {
+        let peers = lock(&shared.detector).view();
+        let live = peers.into_iter().filter(|peer| peer.state.owns());
+        let (mut in_force, pending): (Vec<_>, Vec<_>) = live.partition(|p| p.version >= version);
+        if pending.is_empty() || shared.now() >= end {
+            let id = |peer: sequoiaridge_membership::PeerView| peer.id;
+            let mut names: Vec<RouterId> = in_force.drain(..).map(id).collect();
+            names.push(shared.id().clone());
+            names.sort();
+            return (names, pending.into_iter().map(id).collect());
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Reads the version that the change is based on, and the change.
+fn parse(request: &Request, rest: &str) -> Result<(Version, Change), Box<Reply>> {
+    let bad = |detail: String| Box::new(problem(StatusCode::BAD_REQUEST, "bad-request", &[detail]));
+    let base = request
+        .header("if-match")
+        .and_then(|value| value.trim_matches('"').parse().ok());
+    let base = base.ok_or_else(|| {
+        let detail = "the header 'if-match: VERSION' must give the version that was read";
+        let problems = [detail.to_string()];
+        Box::new(problem(
+            StatusCode::PRECONDITION_REQUIRED,
+            "bad-request",
+            &problems,
+        ))
+    })?;
+    let (kind, name) = rest
+        .split_once('/')
+        .ok_or_else(|| Box::new(problem(StatusCode::NOT_FOUND, "not-found", &[])))?;
+    let name = name.to_string();
+    let change = match (kind, &request.method) {
+        ("classes", &Method::PUT) => Change::SetClass {
+            name,
+            class: body::<Class>(request).map_err(bad)?,
+        },
+        ("classes", _) => Change::RemoveClass { name },
+        ("customers", &Method::PUT) => Change::SetCustomer {
+            name,
+            customer: body::<Customer>(request).map_err(bad)?,
+        },
+        ("customers", _) => Change::RemoveCustomer { name },
+        ("teams", &Method::PUT) => Change::SetTeam {
+            name,
+            team: body::<Team>(request).map_err(bad)?,
+        },
+        ("teams", _) => Change::RemoveTeam { name },
+        _ => return Err(Box::new(problem(StatusCode::NOT_FOUND, "not-found", &[]))),
+    };
+    Ok((base, change))
+}
+
+fn body<T: DeserializeOwned>(request: &Request) -> Result<T, String> {
+    serde_json::from_slice(&request.body).map_err(|error| format!("the body is not valid: {error}"))
+}
--- a/crates/router/src/part.rs
+++ b/crates/router/src/part.rs
@@ -17,7 +17,10 @@
 impl Head {
     /// Value of a header.
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+        self.headers
+            .iter()
+            .find(|(known, _)| known == name)
+            .map(|(_, value)| value.as_str())
     }
 }
 
--- a/crates/router/src/peer_server.rs
+++ b/crates/router/src/peer_server.rs
@@ -57,7 +57,10 @@
         _ => return,
     };
     shared.metrics.rejected(reason);
-    event::log(Event::PeerRejected, &format!("connection from {address}: {error}"));
+    event::log(
+        Event::PeerRejected,
+        &format!("connection from {address}: {error}"),
+    );
 }
 
 async fn serve(shared: &Arc<Shared>, stream: TcpStream) -> Result<(), LinkError> {
@@ -132,7 +135,11 @@
     let now = shared.now();
     let entries: Vec<ChatEntry> = entries
         .iter()
-        .map(|entry| ChatEntry { chat: entry.chat, endpoint: entry.endpoint.clone(), age: entry.age })
+        .map(|entry| ChatEntry {
+            chat: entry.chat,
+            endpoint: entry.endpoint.clone(),
+            age: entry.age,
+        })
         .collect();
     lock(&shared.owner).merge_chats(&entries, now);
 }
--- a/crates/router/src/probes.rs
+++ b/crates/router/src/probes.rs
@@ -4,7 +4,7 @@
 use crate::shared::{Shared, lock};
 use crate::{event, maintain};
 use bytes::Bytes;
-use http::{HeaderMap, Method};
+use http::Method;
 use sequoiaridge_core::{EndpointId, Event, Member, MemberState, hash64};
 use sequoiaridge_membership::{
     EndpointHealth, EndpointReport, EndpointState, HealthConfig, HealthEvent, HealthState,
@@ -64,7 +64,9 @@
     let mut health = lock(&shared.health);
     let mut due = Vec::new();
     for (id, health) in health.iter_mut() {
-        let Some(endpoint) = view.endpoints.get(id) else { continue };
+        let Some(endpoint) = view.endpoints.get(id) else {
+            continue;
+        };
         if health.probe_due(now) {
             due.push((id.clone(), endpoint.member.address));
         }
@@ -109,7 +111,9 @@
         return Err(false);
     }
     let body = answer.whole(MAX_REPORT).await.map_err(|_| false)?;
-    shared.metrics.received(Traffic::Probe, body.len() + PROBE_OVERHEAD / 2);
+    shared
+        .metrics
+        .received(Traffic::Probe, body.len() + PROBE_OVERHEAD / 2);
     let report: LoadReport = serde_json::from_slice(&body).map_err(|_| false)?;
     Ok(EndpointReport {
         boot: hash64(report.boot.as_bytes()),
@@ -124,7 +128,9 @@
     let now = shared.now();
     let (state, report, events) = {
         let mut health = lock(&shared.health);
-        let Some(health) = health.get_mut(id) else { return };
+        let Some(health) = health.get_mut(id) else {
+            return;
+        };
         (health.state(now), health.report(), health.events())
     };
     for change in events {
@@ -157,19 +163,27 @@
 
 /// Boot id of an endpoint at its last probe.
 pub(crate) fn boot_of(shared: &Shared, id: &EndpointId) -> Option<u64> {
-    lock(&shared.health).get(id)?.report().map(|report| report.boot)
+    lock(&shared.health)
+        .get(id)?
+        .report()
+        .map(|report| report.boot)
 }
 
 /// State of an endpoint as its owner reports it to others.
 pub(crate) fn state_of(shared: &Shared, id: &EndpointId) -> EndpointState {
     let now = shared.now();
-    lock(&shared.health).get(id).map_or(EndpointState::Unknown, |health| health.state(now).into())
+    lock(&shared.health)
+        .get(id)
+        .map_or(EndpointState::Unknown, |health| health.state(now).into())
 }
 
 /// New health of an endpoint that this router begins to own.
 pub(crate) fn new_health(shared: &Shared) -> EndpointHealth {
     let probe_every = shared.settings.health.interval;
-    EndpointHealth::new(HealthConfig { probe_every, ..HealthConfig::default() })
+    EndpointHealth::new(HealthConfig {
+        probe_every,
+        ..HealthConfig::default()
+    })
 }
 
 /// Makes this router a substitute for the owner of an endpoint, which a caller of ours cannot reach.
@@ -179,8 +193,12 @@
     let known = {
         let mut health = lock(&shared.health);
         let mut adopted = lock(&shared.adopted);
-        let known = adopted.insert(member.id.clone(), now + ADOPTION).is_some_and(|end| end > now);
-        let entry = health.entry(member.id.clone()).or_insert_with(|| new_health(shared));
+        let known = adopted
+            .insert(member.id.clone(), now + ADOPTION)
+            .is_some_and(|end| end > now);
+        let entry = health
+            .entry(member.id.clone())
+            .or_insert_with(|| new_health(shared));
         entry.listed(member.state == MemberState::Leaving, now);
         let info = maintain::endpoint_info(member, true, entry.state(now).into(), None);
         if !known {
--- a/crates/router/src/recent.rs
+++ b/crates/router/src/recent.rs
@@ -22,10 +22,16 @@
             return;
         };
         let mut changes = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
-        if changes.back().is_some_and(|last| last.version + 1 != version) {
+        if changes
+            .back()
+            .is_some_and(|last| last.version + 1 != version)
+        {
             changes.clear();
         }
-        changes.push_back(VersionedChange { version, change: Bytes::from(json) });
+        changes.push_back(VersionedChange {
+            version,
+            change: Bytes::from(json),
+        });
         if changes.len() > KEPT {
             changes.pop_front();
         }
@@ -35,7 +41,12 @@
     pub(crate) fn since(&self, since: Version) -> Option<Vec<VersionedChange>> {
         let changes = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
         let first = changes.front()?.version;
-        (first <= since + 1)
-            .then(|| changes.iter().filter(|change| change.version > since).cloned().collect())
+        (first <= since + 1).then(|| {
+            changes
+                .iter()
+                .filter(|change| change.version > since)
+                .cloned()
+                .collect()
+        })
     }
 }
--- a/crates/router/src/remote.rs
+++ b/crates/router/src/remote.rs
@@ -49,7 +49,11 @@
         let Some(part) = part_of(frame) else { continue };
         let last = !matches!(part, Part::Head(_) | Part::Chunk(_));
         if parts.send(part).await.is_err() || last {
-            return if last { Ok(link) } else { Err(LinkError::Truncated) };
+            return if last {
+                Ok(link)
+            } else {
+                Err(LinkError::Truncated)
+            };
         }
     }
 }
@@ -58,7 +62,11 @@
 fn refusal(error: &LinkError) -> Refusal {
     let verdict = error.verdict();
     debug_assert!(verdict != Verdict::Done);
-    Refusal { reason: RefusalReason::PeerBroke, verdict, retry_after: SOON }
+    Refusal {
+        reason: RefusalReason::PeerBroke,
+        verdict,
+        retry_after: SOON,
+    }
 }
 
 /// The part that a frame carries; `None` for frames that only show that the peer is alive.
@@ -66,14 +74,28 @@
     Some(match frame {
         Frame::Head { status, headers } => {
             let text = |header: Header| {
-                (header.name, String::from_utf8_lossy(&header.value).into_owned())
+                (
+                    header.name,
+                    String::from_utf8_lossy(&header.value).into_owned(),
+                )
             };
-            Part::Head(Head { status, headers: headers.into_iter().map(text).collect() })
+            Part::Head(Head {
+                status,
+                headers: headers.into_iter().map(text).collect(),
+            })
         }
         Frame::Chunk(chunk) => Part::Chunk(chunk),
         Frame::End => Part::End,
         Frame::Fail(refusal) => Part::Fail(refusal),
-        Frame::Forward { endpoint, next, lookup } => Part::Forward { endpoint, next, lookup },
+        Frame::Forward {
+            endpoint,
+            next,
+            lookup,
+        } => Part::Forward {
+            endpoint,
+            next,
+            lookup,
+        },
         Frame::NotOwner => Part::NotOwner,
         _ => return None,
     })
@@ -92,7 +114,15 @@
         Part::Chunk(chunk) => Frame::Chunk(chunk),
         Part::End => Frame::End,
         Part::Fail(refusal) => Frame::Fail(refusal),
-        Part::Forward { endpoint, next, lookup } => Frame::Forward { endpoint, next, lookup },
+        Part::Forward {
+            endpoint,
+            next,
+            lookup,
+        } => Frame::Forward {
+            endpoint,
+            next,
+            lookup,
+        },
         Part::NotOwner => Frame::NotOwner,
     }
 }
--- a/crates/router/src/reply.rs
+++ b/crates/router/src/reply.rs
@@ -50,7 +50,10 @@
     Reply::json(status(refusal.reason), error_json(refusal))
         .with_header("x-verdict", refusal.verdict.as_str())
         .with_header("x-refusal", refusal.reason.as_str())
-        .with_header("retry-after", &retry_seconds(refusal.retry_after).to_string())
+        .with_header(
+            "retry-after",
+            &retry_seconds(refusal.retry_after).to_string(),
+        )
 }
 
 /// Puts the head of an endpoint's answer on a reply.
--- /dev/null
+++ b/crates/router/src/router.rs
@@ -0,0 +1,283 @@
+//! Starts and stops the workers of one router.
+
+use crate::callers::{self, Callers};
+use crate::operators::{self, Operators};
+use crate::shared::{Phase, Services, Shared};
+use crate::{config_sync, drain, event, gossip, list_sync, maintain, peer_server, probes};
+use displaydoc::Display;
+use sequoiaridge_core::{Clock, Event};
+use sequoiaridge_http::{Client, ClientConfig, Limits, Server};
+use sequoiaridge_membership::{Detector, DetectorConfig, MemberInfo};
+use sequoiaridge_policy::{LoadBound, Owner, OwnerConfig};
+use sequoiaridge_settings::Settings;
+use sequoiaridge_store::{ClaimLedger, ConfigLog, HttpObjects, HttpTable, MemberList};
+use sequoiaridge_wire::{Links, LinksConfig, PeerKeys};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use tokio::net::{TcpListener, UdpSocket};
+
+/// Time between two passes over old claims, and the pause between their steps.
+const REMOVAL: Duration = Duration::from_secs(600);
+const REMOVAL_STEP: Duration = Duration::from_secs(1);
+/// Requests of operators are small.
+const OPERATOR_BODY: usize = 256 * 1024;
+
+/// A router that could not be started.
+#[derive(Debug, Display)]
+pub enum StartError {
+    /// cannot listen for {0} on {1}: {2}
+    Listen(&'static str, SocketAddr, io::Error),
+}
+
+impl std::error::Error for StartError {}
+
+/// How a drain ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Drained {
+    /// Every call ended by itself.
+    Whole,
+    /// The drain limit passed; this many calls were cut.
+    Cut(u64),
+}
+
+/// A running router.
+///
+/// [`Router::start`] returns when all addresses are bound. The router becomes ready when it has a
+/// configuration, from the platform or from a peer.
+pub struct Router {
+    shared: Arc<Shared>,
+    callers: Server,
+    operators: Server,
+    peers: SocketAddr,
+}
+
+impl Router {
+    /// Starts a router on the runtime of the caller.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be bound.
+    pub async fn start(settings: Settings, clock: Arc<dyn Clock>) -> Result<Router, StartError> {
+        let listener = listen_peers(settings.listen.peers).await?;
+        let (listener, socket) = listener;
+        let peers = listener
+            .local_addr()
+            .map_err(|error| StartError::Listen("peers", settings.listen.peers, error))?;
+        let incarnation = incarnation(clock.as_ref());
+        let services = services(&settings, clock, incarnation, socket, peers);
+        let shared = Arc::new(Shared::new(settings, incarnation, services));
+        event::log(Event::RouterStarted, &format!("{} at {peers}", shared.id()));
+        let callers = serve_callers(&shared)?;
+        let operators = serve_operators(&shared)?;
+        tokio::spawn(list_sync::run(shared.clone()));
+        tokio::spawn(config_sync::run(shared.clone()));
+        tokio::spawn(gossip::run(shared.clone()));
+        tokio::spawn(maintain::run(shared.clone()));
+        tokio::spawn(probes::run(shared.clone()));
+        tokio::spawn(peer_server::run(shared.clone(), listener));
+        tokio::spawn(remove_old_claims(shared.clone()));
+        Ok(Router {
+            shared,
+            callers,
+            operators,
+            peers,
+        })
+    }
+
+    /// Address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Address for operators.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Address for other routers, UDP and TCP.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
+    /// Stops gracefully: see section 4.9 of `docs/design.md`.
+    pub async fn drain(self) -> Drained {
+        let drained = drain::drain(&self.shared).await;
+        // The servers wait for their connections, which end by themselves or were cut.
+        let _ = tokio::task::spawn_blocking(|| {
+            let _ = self.callers.stop();
+            let _ = self.operators.stop();
+        })
+        .await;
+        self.shared.advance(Phase::Stopped);
+        drained
+    }
+}
+
+/// The start time in milliseconds, which tells a router from its predecessor.
+fn incarnation(clock: &dyn Clock) -> u64 {
+    let since = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Binds TCP and UDP to the same port. With port 0 the free TCP port may be taken for UDP, so some
+/// more are tried.
+async fn listen_peers(address: SocketAddr) -> Result<(TcpListener, UdpSocket), StartError> {
+    const TRIES: u32 = 16;
+    let failed = |error| StartError::Listen("peers", address, error);
+    let mut last = None;
+    for _ in 0..TRIES {
+        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let bound = listener.local_addr().map_err(failed)?;
+        match UdpSocket::bind(bound).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(error) if address.port() == 0 => last = Some(error),
+            Err(error) => return Err(failed(error)),
+        }
+    }
+    Err(failed(
+        last.unwrap_or_else(|| io::Error::other("no free port")),
+    ))
+}
+
+fn services(
+    settings: &Settings,
+    clock: Arc<dyn Clock>,
+    incarnation: u64,
+    socket: UdpSocket,
+    peers: SocketAddr,
+) -> Services {
+    let platform = &settings.platform;
+    let platform_client = Client::new(ClientConfig {
+        connect: platform.timeout.min(Duration::from_secs(1)),
+        head: platform.timeout,
+        silence: platform.timeout,
+        ..ClientConfig::default()
+    });
+    let table = HttpTable::new(
+        platform.table,
+        &platform.table_name,
+        platform_client.clone(),
+    );
+    let objects = HttpObjects::new(platform.objects, &platform.bucket, platform_client.clone());
+    let (table, objects) = (Arc::new(table), Arc::new(objects));
+    let keys = PeerKeys::from_bytes(
+        *settings.peers.key.expose(),
+        settings
+            .peers
+            .previous_key
+            .as_ref()
+            .map(|key| *key.expose()),
+    );
+    let links = LinksConfig {
+        silence: settings.links.silence,
+        idle_limit: settings.links.idle,
+        ..LinksConfig::default()
+    };
+    Services {
+        client: Client::new(ClientConfig::default()),
+        log: ConfigLog::new(table.clone(), objects.clone(), clock.clone()),
+        ledger: ClaimLedger::new(table, objects, clock.clone()),
+        list: MemberList::new(platform.members, platform_client),
+        links: Links::new(keys.clone(), links),
+        keys,
+        socket,
+        detector: detector(settings, incarnation, peers),
+        owner: Owner::new(owner_config(settings)),
+        clock,
+    }
+}
+
+fn detector(settings: &Settings, incarnation: u64, addr: SocketAddr) -> Detector {
+    let me = MemberInfo {
+        id: settings.id.clone(),
+        addr,
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+    };
+    let mut detector = Detector::new(DetectorConfig::new(me, incarnation, rand::random()));
+    settings
+        .peers
+        .seeds
+        .iter()
+        .for_each(|seed| detector.add_seed(*seed));
+    detector
+}
+
+fn owner_config(settings: &Settings) -> OwnerConfig {
+    OwnerConfig::builder()
+        .bound(LoadBound {
+            multiple: settings.load.multiple,
+        })
+        .leave_bound(settings.health.leave_bound)
+        .settle(settings.load.settle)
+        .lookback(settings.cache.lookback)
+        .queue_limit(settings.limits.waiting)
+        .chat_limit(settings.cache.chats)
+        .build()
+}
+
+fn serve_callers(shared: &Arc<Shared>) -> Result<Server, StartError> {
+    let settings = &shared.settings;
+    let limits = Limits {
+        body: settings.limits.body,
+        arrival: settings.limits.arrival,
+        threads: settings.limits.threads,
+    };
+    let address = settings.listen.callers;
+    let handler = Arc::new(Callers {
+        shared: shared.clone(),
+    });
+    Server::start(address, limits, handler, callers::refuse)
+        .map_err(|error| StartError::Listen("callers", address, error))
+}
+
+fn serve_operators(shared: &Arc<Shared>) -> Result<Server, StartError> {
+    let limits = Limits {
+        body: OPERATOR_BODY,
+        arrival: shared.settings.limits.arrival,
+        threads: 1,
+    };
+    let address = shared.settings.listen.operators;
+    let handler = Arc::new(Operators {
+        shared: shared.clone(),
+    });
+    Server::start(address, limits, handler, operators::refuse)
+        .map_err(|error| StartError::Listen("operators", address, error))
+}
+
+/// Deletes claims that are older than the retention. One router of the fleet does this at a time: the
+/// first by name, so that the table is not scanned by all of them.
+async fn remove_old_claims(shared: Arc<Shared>) {
+    let stopped = shared.stopped();
+    tokio::pin!(stopped);
+    loop {
+        tokio::select! {
+            () = &mut stopped => return,
+            () = tokio::time::sleep(REMOVAL) => {}
+        }
+        let first = shared
+            .view()
+            .routers
+            .keys()
+            .next()
+            .is_none_or(|peer| shared.id() < peer);
+        if !first {
+            continue;
+        }
+        let mut after: Option<String> = None;
+        let retention = shared.settings.claims.retention;
+        while let Ok(step) = shared
+            .ledger
+            .remove_expired(retention, after.as_deref())
+            .await
+        {
+            after = step.next;
+            if after.is_none() {
+                break;
+            }
+            tokio::time::sleep(REMOVAL_STEP).await;
+        }
+    }
+}
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -107,7 +107,11 @@
         let quarantine = &settings.quarantine;
         Shared {
             budgets: Mutex::new(RetryBudget::new(retry.share, retry.burst, BUDGETS)),
-            quarantine: Mutex::new(Quarantine::new(quarantine.strikes, quarantine.hold, FINGERPRINTS)),
+            quarantine: Mutex::new(Quarantine::new(
+                quarantine.strikes,
+                quarantine.hold,
+                FINGERPRINTS,
+            )),
             sealer: Sealer::new(&services.keys, settings.id.clone(), incarnation),
             opener: Mutex::new(Opener::new(&services.keys)),
             clock: services.clock,
@@ -155,7 +159,10 @@
 
     /// The current view of routers and endpoints.
     pub(crate) fn view(&self) -> Arc<View> {
-        self.view.read().unwrap_or_else(PoisonError::into_inner).clone()
+        self.view
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Where the router is in its life.
@@ -235,12 +242,18 @@
     /// Counts and logs a refusal.
     pub(crate) fn count_refusal(&self, reason: RefusalReason, call: u64) {
         self.metrics.refused(reason);
-        crate::event::log(Event::CallRefused, &format!("call {call}: {}", reason.as_str()));
+        crate::event::log(
+            Event::CallRefused,
+            &format!("call {call}: {}", reason.as_str()),
+        );
     }
 
     /// Counts and logs a retry.
     pub(crate) fn count_retry(&self, reason: RetryReason, call: u64) {
         self.metrics.retried(reason);
-        crate::event::log(Event::CallRetried, &format!("call {call}: {}", reason.as_str()));
+        crate::event::log(
+            Event::CallRetried,
+            &format!("call {call}: {}", reason.as_str()),
+        );
     }
 }
--- a/crates/router/src/sse.rs
+++ b/crates/router/src/sse.rs
@@ -115,5 +115,8 @@
 
 /// Position after the blank line that ends the first event.
 fn find_end(bytes: &[u8]) -> Option<usize> {
-    bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2)
+    bytes
+        .windows(2)
+        .position(|pair| pair == b"\n\n")
+        .map(|at| at + 2)
 }
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -71,20 +71,37 @@
         .map_err(refusal)?;
     check_refused(&answer)?;
     check_origin(&answer, work)?;
-    if answer.header("content-type").is_some_and(|kind| kind.starts_with("text/event-stream")) {
-        return Stream { client, target, work, parts }.run(answer).await;
+    if answer
+        .header("content-type")
+        .is_some_and(|kind| kind.starts_with("text/event-stream"))
+    {
+        return Stream {
+            client,
+            target,
+            work,
+            parts,
+        }
+        .run(answer)
+        .await;
     }
     whole(answer, work, parts).await
 }
 
 /// An endpoint that refuses before running says so with `x-not-run`.
 fn check_refused(answer: &Answer) -> Result<(), Refusal> {
-    let refused = matches!(answer.status.as_u16(), 429 | 503) && answer.header("x-not-run") == Some("1");
+    let refused =
+        matches!(answer.status.as_u16(), 429 | 503) && answer.header("x-not-run") == Some("1");
     if !refused {
         return Ok(());
     }
-    let seconds = answer.header("retry-after").and_then(|value| value.parse().ok()).unwrap_or(1);
-    Err(Refusal::not_run(RefusalReason::EndpointRefused, Duration::from_secs(seconds)))
+    let seconds = answer
+        .header("retry-after")
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(1);
+    Err(Refusal::not_run(
+        RefusalReason::EndpointRefused,
+        Duration::from_secs(seconds),
+    ))
 }
 
 /// An answer that names another request is not passed on, whatever it contains.
@@ -130,8 +147,15 @@
         self.send(Part::Head(head_of(&answer))).await?;
         loop {
             match self.read(&mut answer, &mut reader).await {
-                Ok(()) => return Ok(Finish { usage: reader.usage(), resumes }),
-                Err(refusal) if refusal.reason == RefusalReason::EndpointInvalid => return Err(refusal),
+                Ok(()) => {
+                    return Ok(Finish {
+                        usage: reader.usage(),
+                        resumes,
+                    });
+                }
+                Err(refusal) if refusal.reason == RefusalReason::EndpointInvalid => {
+                    return Err(refusal);
+                }
                 Err(refusal) => {
                     let Some(stream) = stream.as_deref().filter(|_| resumes < MAX_RESUMES) else {
                         return Err(refusal);
@@ -139,7 +163,10 @@
                     resumes += 1;
                     reader.restart();
                     tokio::time::sleep(RESUME_PAUSE).await;
-                    answer = self.resume(stream, boot.as_deref(), reader.events()).await.ok_or(refusal)?;
+                    answer = self
+                        .resume(stream, boot.as_deref(), reader.events())
+                        .await
+                        .ok_or(refusal)?;
                 }
             }
         }
@@ -162,9 +189,17 @@
     /// Asks the engine for the rest of the stream; `None` if the same process does not have it.
     async fn resume(&self, stream: &str, boot: Option<&str>, events: u64) -> Option<Answer> {
         let offset = events.to_string();
-        let headers = [("x-stream-id", stream), ("x-stream-offset", offset.as_str())];
+        let headers = [
+            ("x-stream-id", stream),
+            ("x-stream-offset", offset.as_str()),
+        ];
         let request = request(self.work, &headers).ok()?;
-        let sent = self.client.send_fresh(self.target.address, request, self.work.head, self.work.silence);
+        let sent = self.client.send_fresh(
+            self.target.address,
+            request,
+            self.work.head,
+            self.work.silence,
+        );
         let answer = sent.await.ok()?;
         let same = answer.status.is_success() && answer.header("x-boot-id") == boot;
         (same && check_origin(&answer, self.work).is_ok()).then_some(answer)
@@ -183,8 +218,13 @@
         .uri(work.path.as_str())
         .body(work.body.clone())
         .map_err(|_| Refusal::not_run(RefusalReason::BadRequest, Duration::ZERO))?;
-    let own = work.headers.iter().map(|(name, value)| (name.as_str(), value.as_str()));
-    let all = own.chain(extra.iter().copied()).chain([("x-request-id", work.request_id.as_str())]);
+    let own = work
+        .headers
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.as_str()));
+    let all = own
+        .chain(extra.iter().copied())
+        .chain([("x-request-id", work.request_id.as_str())]);
     set_headers(request.headers_mut(), all);
     Ok(request)
 }
@@ -202,7 +242,10 @@
         .iter()
         .filter_map(|name| Some((name.to_string(), answer.header(name)?.to_string())))
         .collect();
-    Head { status: answer.status.as_u16(), headers }
+    Head {
+        status: answer.status.as_u16(),
+        headers,
+    }
 }
 
 fn broken(reason: RefusalReason) -> Refusal {
@@ -219,5 +262,9 @@
     };
     let verdict = error.verdict();
     debug_assert!(verdict != Verdict::Done);
-    Refusal { reason, verdict, retry_after: AFTER_BREAK }
+    Refusal {
+        reason,
+        verdict,
+        retry_after: AFTER_BREAK,
+    }
 }
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -36,7 +36,10 @@
         loads: &[LoadReport],
     ) -> View {
         let live = peers.iter().filter(|peer| peer.state.owns());
-        let routers = live.clone().map(|peer| (peer.id.clone(), peer.addr)).collect();
+        let routers = live
+            .clone()
+            .map(|peer| (peer.id.clone(), peer.addr))
+            .collect();
         let mut infos: Vec<RouterInfo> = live
             .map(|peer| RouterInfo {
                 id: peer.id.clone(),
@@ -45,7 +48,11 @@
             })
             .collect();
         infos.extend(me);
-        let mut view = View { routers, infos, ..View::default() };
+        let mut view = View {
+            routers,
+            infos,
+            ..View::default()
+        };
         view.add_endpoints(members, loads);
         view
     }
@@ -60,17 +67,27 @@
             let Some(owner) = owner else { continue };
             let reports = reported.remove(id).unwrap_or_default();
             let own = reports.iter().find(|report| report.owner == owner);
-            let state = own.or(reports.last()).map_or(EndpointState::Unknown, |report| report.state);
+            let state = own
+                .or(reports.last())
+                .map_or(EndpointState::Unknown, |report| report.state);
             let outstanding = reports.iter().map(|report| report.outstanding).sum();
             let usable = matches!(state, EndpointState::Unknown | EndpointState::Up)
                 && member.state == sequoiaridge_core::MemberState::Live;
             if usable {
                 let candidate = Candidate::new(id.clone(), member.capacity);
                 for group in &member.serves {
-                    self.groups.entry(group.clone()).or_default().push(candidate.clone());
+                    self.groups
+                        .entry(group.clone())
+                        .or_default()
+                        .push(candidate.clone());
                 }
             }
-            let entry = EndpointView { member: member.clone(), owner, state, outstanding };
+            let entry = EndpointView {
+                member: member.clone(),
+                owner,
+                state,
+                outstanding,
+            };
             self.endpoints.insert(id.clone(), entry);
         }
     }
@@ -83,14 +100,25 @@
     /// Whether any endpoint serves the group, in whatever state.
     pub(crate) fn knows_group(&self, group: &str) -> bool {
         self.groups.contains_key(group)
-            || self.endpoints.values().any(|e| e.member.serves.iter().any(|name| name == group))
+            || self
+                .endpoints
+                .values()
+                .any(|e| e.member.serves.iter().any(|name| name == group))
     }
 
     /// Owner of an endpoint when some routers cannot be reached.
-    pub(crate) fn owner_without(&self, endpoint: &str, unreachable: &[RouterId]) -> Option<RouterId> {
+    pub(crate) fn owner_without(
+        &self,
+        endpoint: &str,
+        unreachable: &[RouterId],
+    ) -> Option<RouterId> {
         let member = &self.endpoints.get(endpoint)?.member;
-        let reachable: Vec<RouterInfo> =
-            self.infos.iter().filter(|info| !unreachable.contains(&info.id)).cloned().collect();
+        let reachable: Vec<RouterInfo> = self
+            .infos
+            .iter()
+            .filter(|info| !unreachable.contains(&info.id))
+            .cloned()
+            .collect();
         owner_of(endpoint, &member.domain, &member.region, &reachable)
     }
 }
--- a/crates/settings/src/checks.rs
+++ b/crates/settings/src/checks.rs
@@ -87,8 +87,9 @@
     }
 }
 
-/// Whether two addresses cannot both be listened on; 0.0.0.0 and :: stand for every address.
+/// Whether two addresses cannot both be listened on; 0.0.0.0 and :: stand for every address, and
+/// port 0 for any free port.
 fn overlap(one: SocketAddr, two: SocketAddr) -> bool {
     let any = one.ip().is_unspecified() || two.ip().is_unspecified();
-    one.port() == two.port() && (any || one.ip() == two.ip())
+    one.port() == two.port() && one.port() != 0 && (any || one.ip() == two.ip())
 }
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -10,6 +10,8 @@
 pub enum Kind {
     /// A name of an instance, domain, region, table or bucket.
     Name,
+    /// An IP address with a port to listen on; port 0 takes a free one.
+    Listen,
     /// An IP address with a port.
     Address,
     /// A list of IP addresses with ports.
@@ -85,6 +87,7 @@
     pub fn limits(&self) -> String {
         match self.kind {
             Kind::Name => format!("1 to {MAX_NAME} characters of a-z, 0-9, '-', '_' and '.'"),
+            Kind::Listen => "IP address and port; port 0 takes a free port".to_string(),
             Kind::Address => "IP address and port, port not 0".to_string(),
             Kind::Addresses => "IP addresses and ports, ports not 0, no duplicates".to_string(),
             Kind::Key | Kind::Digest => format!("{} hexadecimal digits", 2 * KEY_BYTES),
@@ -103,7 +106,7 @@
     pub(crate) fn wanted(&self) -> &'static str {
         match self.kind {
             Kind::Name | Kind::Choice(_) => "a text",
-            Kind::Address => "an address in quotes",
+            Kind::Listen | Kind::Address => "an address in quotes",
             Kind::Addresses => "a list of addresses",
             Kind::Key | Kind::Digest => "hexadecimal digits in quotes",
             Kind::Seconds(..) => "a number of seconds",
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -205,7 +205,7 @@
                 .then_some(value)
                 .ok_or_else(|| out_of_range(field, number.to_string()))
         }
-        (Kind::Address, tree) => check_address(field, tree).map(Value::Address),
+        (Kind::Listen | Kind::Address, tree) => check_address(field, tree).map(Value::Address),
         (Kind::Key, Tree::Text(text)) => {
             let key = Secret::from_hex(text).map(Value::Key);
             key.ok_or_else(|| out_of_range(field, text.clone()))
@@ -230,7 +230,7 @@
         return Err(wrong_type(field, tree));
     };
     match text.parse::<SocketAddr>() {
-        Ok(address) if address.port() != 0 => Ok(address),
+        Ok(address) if address.port() != 0 || field.kind == Kind::Listen => Ok(address),
         _ => Err(out_of_range(field, text.clone())),
     }
 }
@@ -258,7 +258,7 @@
 
 fn remedy(field: &Field, mistake: &Mistake) -> String {
     let example = match field.kind {
-        Kind::Address => "such as \"10.0.0.1:7000\"",
+        Kind::Listen | Kind::Address => "such as \"10.0.0.1:7000\"",
         Kind::Addresses => "such as [\"10.0.0.1:7002\"]",
         Kind::Key => "made for example with `openssl rand -hex 32`",
         Kind::Name => "in quotes if it looks like a number",
--- a/crates/store/src/claim.rs
+++ b/crates/store/src/claim.rs
@@ -29,6 +29,19 @@
     Stored(StoredAnswer),
 }
 
+/// Result of [`ClaimLedger::peek`](crate::ClaimLedger::peek).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Earlier {
+    /// No call with the key holds a claim.
+    Absent,
+    /// A call with the key runs or its end is unknown.
+    Claimed,
+    /// The key was used for a request with another digest.
+    OtherRequest,
+    /// The same call has finished with this answer.
+    Stored(StoredAnswer),
+}
+
 /// A claim that this process holds. It ends in `release` or `store`; a claim that is dropped stays in
 /// the table, and later calls with its key get "may have run".
 #[derive(Debug)]
@@ -63,7 +76,7 @@
 
     /// Key of the claim's row. Names of customers contain no slash, so the key is unambiguous.
     pub(crate) fn row_key(&self) -> Key {
-        format!("{CLAIM_PREFIX}{}/{}", self.customer, self.key)
+        claim_key(&self.customer, &self.key)
     }
 
     /// Name of the object for an answer that is too large for the row.
@@ -117,6 +130,11 @@
     }
 }
 
+/// Key of the row of a claim.
+pub(crate) fn claim_key(customer: &str, key: &str) -> Key {
+    format!("{CLAIM_PREFIX}{customer}/{key}")
+}
+
 /// Where the answer of a finished claim is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum AnswerPlace {
@@ -145,12 +163,17 @@
         if row.text(NONCE) == Some(&nonce_text(claim.nonce)) {
             return RowState::Own;
         }
+        RowState::of(row, &claim.digest)
+    }
+
+    /// Reads a row for a request that holds no claim.
+    pub(crate) fn of(row: &Row, digest: &RequestDigest) -> RowState {
         if row.text(STATE) != Some("done") {
             return RowState::Claimed;
         }
         match row.text(DIGEST) {
             None => return RowState::Claimed,
-            Some(digest) if digest != hex(&claim.digest) => return RowState::OtherRequest,
+            Some(known) if known != hex(digest) => return RowState::OtherRequest,
             Some(_) => {}
         }
         match (row.text(ANSWER), row.text(OBJECT)) {
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -2,12 +2,12 @@
 
 use crate::backoff::Backoff;
 use crate::batch::Batcher;
-use crate::claim::{AnswerPlace, CLAIM_PREFIX, RowState, removal};
+use crate::claim::{AnswerPlace, CLAIM_PREFIX, RowState, claim_key, removal};
 use crate::random::Random;
 use crate::stats::{Counters, Pending, add};
 use crate::{
-    Claim, HeldClaim, Key, LedgerStats, Objects, Op, RequestDigest, Row, StoredAnswer, Table,
-    TableError,
+    Claim, Earlier, HeldClaim, Key, LedgerStats, Objects, Op, RequestDigest, Row, StoredAnswer,
+    Table, TableError,
 };
 use bytes::Bytes;
 use sequoiaridge_core::{Clock, CustomerId, Refusal, RefusalReason};
@@ -141,6 +141,39 @@
         receiver.await.unwrap_or_else(|_| Err(unavailable()))
     }
 
+    /// What the table knows of `key` of `customer`, without claiming it.
+    ///
+    /// A call that is refused before it claims its key may have run in an earlier attempt. This read
+    /// tells, at the cost of one read in place of two writes.
+    ///
+    /// # Errors
+    ///
+    /// The row or the stored answer cannot be read now.
+    pub async fn peek(
+        &self,
+        customer: &CustomerId,
+        key: &str,
+        digest: &RequestDigest,
+    ) -> Result<Earlier, TableError> {
+        let inner = &self.inner;
+        add(&inner.counters.reads, 1);
+        let row = inner.table.get(&claim_key(customer, key)).await?;
+        let Some(row) = row else {
+            return Ok(Earlier::Absent);
+        };
+        let content = match RowState::of(&row, digest) {
+            RowState::OtherRequest => return Ok(Earlier::OtherRequest),
+            RowState::Own | RowState::Claimed => return Ok(Earlier::Claimed),
+            RowState::Done(AnswerPlace::Inline(text)) => Some(Bytes::from(text)),
+            RowState::Done(AnswerPlace::Object(name)) => {
+                let read = inner.objects.get(&name).await;
+                read.map_err(|_| TableError::Unknown)?
+            }
+        };
+        let answer = content.and_then(|content| serde_json::from_slice(&content).ok());
+        Ok(answer.map_or(Earlier::Claimed, Earlier::Stored))
+    }
+
     /// Whether the call may be dispatched now; to be asked just before, because the process may have
     /// been paused since the claim was written.
     pub fn may_dispatch(&self, claim: &HeldClaim) -> bool {
--- a/crates/wire/src/key.rs
+++ b/crates/wire/src/key.rs
@@ -117,7 +117,10 @@
 
     /// Takes keys as they are.
     pub fn from_bytes(current: [u8; KEY_BYTES], previous: Option<[u8; KEY_BYTES]>) -> PeerKeys {
-        PeerKeys { current: Key(current), previous: previous.map(Key) }
+        PeerKeys {
+            current: Key(current),
+            previous: previous.map(Key),
+        }
     }
 
     /// The accepted key under which `tag` is the tag over `parts`.
--- /dev/null
+++ b/src/cli/args.rs
@@ -0,0 +1,102 @@
+//! Arguments of the command line.
+
+use bpaf::Bpaf;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// A router fleet that keeps returning chats where their context is cached.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, generate(command))]
+pub(crate) enum Command {
+    /// Run one router until SIGTERM or SIGINT, then drain it
+    ///
+    /// Prints the addresses it listens on as its first line of output. Exits with 0 after a drain
+    /// that cut nothing, 1 on a failure, 2 on mistakes in the settings, and 3 if the drain limit
+    /// passed with calls in flight.
+    #[bpaf(command)]
+    Run {
+        /// Settings file of the router; see docs/configuration.md
+        #[bpaf(short, long, argument("FILE"))]
+        config: PathBuf,
+    },
+    /// Read a settings file and report every mistake
+    ///
+    /// Exits with 0 if the settings are valid and with 2 if they are not.
+    #[bpaf(command)]
+    Check {
+        /// Settings file to read
+        #[bpaf(short, long, argument("FILE"))]
+        config: PathBuf,
+    },
+    /// Run a stand-in for an engine, a service or the platform, for tests
+    #[bpaf(command)]
+    Fake(#[bpaf(external(fake))] Fake),
+    /// Run a small fleet on loopback in one process, to try things out
+    ///
+    /// Starts two routers, three engines, a service and a platform, and prints their addresses and
+    /// commands that work. Needs no settings and keeps nothing.
+    #[bpaf(command)]
+    Dev {
+        /// Port of the first router's callers; 0 takes a free port
+        #[bpaf(long, argument("PORT"), fallback(8080), display_fallback)]
+        port: u16,
+    },
+}
+
+/// Which stand-in to run.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum Fake {
+    /// Run an engine that answers chats with text derived from a hash of the request
+    #[bpaf(command)]
+    Engine {
+        /// Address to listen on
+        #[bpaf(long, argument("ADDRESS"), fallback(loopback()), display_fallback)]
+        listen: SocketAddr,
+        /// Name of the instance
+        #[bpaf(long, argument("ID"))]
+        id: String,
+        /// Model that the engine serves
+        #[bpaf(long, argument("MODEL"))]
+        model: String,
+        /// Requests that run at the same time
+        #[bpaf(long, argument("COUNT"), fallback(8), display_fallback)]
+        capacity: usize,
+        /// Microseconds for each prompt token that is not cached
+        #[bpaf(long, argument("MICROS"), fallback(20), display_fallback)]
+        prompt_token: u64,
+        /// Microseconds for each output token
+        #[bpaf(long, argument("MICROS"), fallback(1000), display_fallback)]
+        output_token: u64,
+    },
+    /// Run a plain service that counts each call it runs
+    #[bpaf(command)]
+    Service {
+        /// Address to listen on
+        #[bpaf(long, argument("ADDRESS"), fallback(loopback()), display_fallback)]
+        listen: SocketAddr,
+        /// Name of the instance
+        #[bpaf(long, argument("ID"))]
+        id: String,
+        /// Name of the service
+        #[bpaf(long, argument("NAME"))]
+        name: String,
+        /// Calls that run at the same time
+        #[bpaf(long, argument("COUNT"), fallback(8), display_fallback)]
+        capacity: usize,
+        /// Milliseconds that a call takes
+        #[bpaf(long, argument("MILLIS"), fallback(1), display_fallback)]
+        delay: u64,
+    },
+    /// Run a platform: table service, object store and membership list, all in memory
+    #[bpaf(command)]
+    Platform {
+        /// Address to listen on
+        #[bpaf(long, argument("ADDRESS"), fallback(loopback()), display_fallback)]
+        listen: SocketAddr,
+    },
+}
+
+/// A free port on loopback.
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,83 @@
+//! Commands and their exit codes.
+
+mod args;
+mod check;
+mod dev;
+mod fake;
+mod logs;
+mod run;
+
+use args::Command;
+use std::future::Future;
+use std::process::ExitCode;
+
+/// Exit codes; docs/operations.md lists them.
+pub(crate) mod exit {
+    /// Everything went well.
+    pub(crate) const OK: u8 = 0;
+    /// A failure while running, such as an address in use.
+    pub(crate) const FAILED: u8 = 1;
+    /// Mistakes in arguments or settings.
+    pub(crate) const INVALID: u8 = 2;
+    /// The drain limit passed with calls in flight.
+    pub(crate) const DRAIN_LIMIT: u8 = 3;
+}
+
+/// Parses the arguments and runs the command.
+pub(crate) fn run() -> ExitCode {
+    let command = match args::command().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => {
+            failure.print_message(100);
+            let code = if failure.exit_code() == 0 {
+                exit::OK
+            } else {
+                exit::INVALID
+            };
+            return ExitCode::from(code);
+        }
+    };
+    let code = match command {
+        Command::Run { config } => run::run(&config),
+        Command::Check { config } => check::check(&config),
+        Command::Fake(fake) => fake::fake(fake),
+        Command::Dev { port } => dev::dev(port),
+    };
+    ExitCode::from(code)
+}
+
+/// Runs a future on a runtime of its own.
+pub(crate) fn block_on<F: Future<Output = u8>>(future: F) -> u8 {
+    match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => {
+            let code = runtime.block_on(future);
+            runtime.shutdown_background();
+            code
+        }
+        Err(error) => failed(&format!("cannot start the runtime: {error}")),
+    }
+}
+
+/// Reports a failure on standard error.
+pub(crate) fn failed(message: &str) -> u8 {
+    eprintln!("error: {message}");
+    exit::FAILED
+}
+
+/// Waits for SIGTERM or SIGINT.
+pub(crate) async fn terminated() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (Ok(mut term), Ok(mut int)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,311 @@
+//! A fleet of separate processes: platform, engines, services and routers.
+
+use super::{Caller, Process, Reply, eventually, temp_file};
+use http::Method;
+use sequoiaridge::core::{
+    Change, Class, Customer, Member, MemberState, Repeat, Role, SystemClock, Targets, Team,
+    token_digest,
+};
+use sequoiaridge::fakes::control::Control;
+use sequoiaridge::fakes::platform::{Order, list_entry};
+use sequoiaridge::http::{Client, ClientConfig};
+use sequoiaridge::store::{Accept, ConfigLog, HttpObjects, HttpTable};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub const CALLER: &str = "caller-token";
+pub const OPERATOR: &str = "operator-token";
+const KEY: &str = "5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a";
+
+/// A fleet whose processes end with it.
+pub struct Fleet {
+    pub platform: Process,
+    pub engines: Vec<Process>,
+    pub services: Vec<Process>,
+    pub routers: Vec<Process>,
+    pub caller: Caller,
+    pub operator: Caller,
+    /// Lines that are added to the settings of each router.
+    pub settings: String,
+    members: Vec<Member>,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until it serves.
+    pub async fn start(routers: usize, engines: usize, services: usize) -> Fleet {
+        Fleet::start_with(routers, engines, services, "").await
+    }
+
+    /// Starts a fleet whose routers have further settings, in YAML.
+    pub async fn start_with(
+        routers: usize,
+        engines: usize,
+        services: usize,
+        settings: &str,
+    ) -> Fleet {
+        let platform = Process::start(&["fake", "platform"]);
+        configure(platform.address("http")).await;
+        let mut fleet = Fleet {
+            platform,
+            engines: Vec::new(),
+            services: Vec::new(),
+            routers: Vec::new(),
+            caller: Caller::new(CALLER),
+            operator: Caller::new(OPERATOR),
+            settings: settings.to_string(),
+            members: Vec::new(),
+        };
+        (0..engines).for_each(|_| fleet.add_engine());
+        (0..services).for_each(|_| fleet.add_service());
+        (0..routers).for_each(|_| fleet.add_router());
+        fleet.publish().await;
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Starts one more engine; [`Fleet::publish`] makes it known.
+    pub fn add_engine(&mut self) {
+        let number = self.engines.len();
+        let id = format!("engine-{number}");
+        let args = [
+            "fake",
+            "engine",
+            "--id",
+            &id,
+            "--model",
+            "small",
+            "--output-token",
+            "3000",
+        ];
+        let engine = Process::start(&args);
+        let address = engine.address("http");
+        self.engines.push(engine);
+        self.add_member(&id, Role::Engine, number, address, "small");
+    }
+
+    /// Starts one more instance of the booking service.
+    pub fn add_service(&mut self) {
+        let number = self.services.len();
+        let id = format!("booking-{number}");
+        let args = ["fake", "service", "--id", &id, "--name", "booking"];
+        let service = Process::start(&args);
+        let address = service.address("http");
+        self.services.push(service);
+        self.add_member(&id, Role::Service, number, address, "booking");
+    }
+
+    /// Starts one more router.
+    pub fn add_router(&mut self) {
+        let number = self.routers.len();
+        let id = format!("router-{number}");
+        let router = self.start_router(&id, number);
+        let address = router.address("peers");
+        self.routers.push(router);
+        self.add_member(&id, Role::Router, number, address, "");
+    }
+
+    /// Replaces a router that ended by a new process of the same name.
+    pub fn restart_router(&mut self, number: usize) {
+        let id = format!("router-{number}");
+        self.routers[number] = self.start_router(&id, number);
+        let address = self.routers[number].address("peers");
+        let entry = self
+            .members
+            .iter_mut()
+            .find(|member| member.id == id)
+            .unwrap();
+        entry.address = address;
+    }
+
+    fn start_router(&self, id: &str, number: usize) -> Process {
+        let platform = self.platform.address("http");
+        let seeds: Vec<String> = self
+            .routers
+            .iter()
+            .map(|router| format!("'{}'", router.address("peers")))
+            .collect();
+        let text = format!(
+            "id: {id}\ndomain: domain-{}\nregion: local\n\
+             listen: {{callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}}\n\
+             platform: {{table: '{platform}', objects: '{platform}', members: '{platform}'}}\n\
+             peers: {{key: '{KEY}', seeds: [{}]}}\n{}",
+            number % 2,
+            seeds.join(", "),
+            self.settings,
+        );
+        let file = temp_file(&format!("{id}-{}.yaml", platform.port()), &text);
+        Process::start(&["run", "--config", file.to_str().unwrap()])
+    }
+
+    fn add_member(
+        &mut self,
+        id: &str,
+        role: Role,
+        number: usize,
+        address: SocketAddr,
+        serves: &str,
+    ) {
+        let serves: Vec<String> = Some(serves.to_string())
+            .filter(|name| !name.is_empty())
+            .into_iter()
+            .collect();
+        self.members.push(Member {
+            id: id.to_string(),
+            role,
+            domain: format!("domain-{}", number % 2),
+            region: "local".to_string(),
+            state: MemberState::Live,
+            address,
+            capacity: if serves.is_empty() { 0 } else { 8 },
+            serves,
+            deduplicates: false,
+        });
+    }
+
+    /// Puts the members into the platform's list.
+    pub async fn publish(&self) {
+        let members = self.members.iter().map(list_entry).collect();
+        self.order(Order::Members { members }).await;
+    }
+
+    /// Marks a member as leaving, or removes it, in the next published list.
+    pub fn unlist(&mut self, id: &str) {
+        self.members.retain(|member| member.id != id);
+    }
+
+    /// Orders a failure of the platform.
+    pub async fn order(&self, order: Order) {
+        let body = serde_json::to_vec(&order).unwrap();
+        let address = self.platform.address("http");
+        let reply = self
+            .operator
+            .send(address, Method::POST, "/control", &[], body)
+            .await;
+        assert_eq!(reply.expect("the platform answers").status, 200);
+    }
+
+    /// Waits until every router serves and sees all endpoints up.
+    pub async fn wait_ready(&self) {
+        for number in 0..self.routers.len() {
+            let expected = self.engines.len() + self.services.len();
+            eventually("the router sees every endpoint up", || async {
+                self.up_endpoints(number).await >= expected
+            })
+            .await;
+        }
+    }
+
+    /// Number of endpoints that a router sees up.
+    pub async fn up_endpoints(&self, number: usize) -> usize {
+        match self.status(number).await {
+            Some(status) => status["endpoints"]
+                .as_array()
+                .map_or(0, |all| all.iter().filter(|e| e["state"] == "up").count()),
+            None => 0,
+        }
+    }
+
+    /// State of the fleet as one router reports it.
+    pub async fn status(&self, number: usize) -> Option<serde_json::Value> {
+        let address = self.routers[number].address("operators");
+        let sent = self
+            .operator
+            .send(address, Method::GET, "/admin/v1/status", &[], "");
+        sent.await
+            .ok()
+            .filter(|reply| reply.status == 200)
+            .map(|reply| reply.json())
+    }
+
+    /// Address of a router for callers.
+    pub fn callers(&self, number: usize) -> SocketAddr {
+        self.routers[number].address("callers")
+    }
+
+    /// Controls an engine.
+    pub fn engine(&self, number: usize) -> Control {
+        Control::new(self.engines[number].address("http"))
+    }
+
+    /// Controls an instance of the booking service.
+    pub fn service(&self, number: usize) -> Control {
+        Control::new(self.services[number].address("http"))
+    }
+
+    /// How often the services ran a call with this key, together.
+    pub async fn runs_of(&self, key: &str) -> u64 {
+        let mut runs = 0;
+        for number in 0..self.services.len() {
+            runs += self
+                .service(number)
+                .runs_of(key)
+                .await
+                .expect("the service answers");
+        }
+        runs
+    }
+
+    /// Puts a class as an operator, based on a version.
+    pub async fn put_class(&self, router: usize, name: &str, class: &str, base: u64) -> Reply {
+        let address = self.routers[router].address("operators");
+        let (path, base) = (format!("/admin/v1/classes/{name}"), base.to_string());
+        let headers = [("if-match", base.as_str())];
+        self.operator
+            .send(address, Method::PUT, &path, &headers, class.to_string())
+            .await
+            .expect("the operators' address answers")
+    }
+}
+
+/// Writes the configuration that all tests use: a team, a customer and the classes `chat`, whose calls
+/// may be repeated, and `booking`, whose calls must not.
+async fn configure(platform: SocketAddr) {
+    let client = Client::new(ClientConfig::default());
+    let table = Arc::new(HttpTable::new(platform, "sequoiaridge", client.clone()));
+    let objects = Arc::new(HttpObjects::new(platform, "sequoiaridge", client));
+    let log = ConfigLog::new(table, objects, Arc::new(SystemClock::new()));
+    let class = |name: &str, targets| Change::SetClass {
+        name: name.to_string(),
+        class: Class {
+            team: "team".to_string(),
+            targets,
+        },
+    };
+    let chat = Targets {
+        first_token: 2.0,
+        deadline: 20.0,
+        ..Targets::default()
+    };
+    let booking = Targets {
+        repeat: Repeat::Never,
+        ..chat.clone()
+    };
+    let changes = [
+        Change::SetTeam {
+            name: "team".to_string(),
+            team: Team {
+                tokens: [token_digest(OPERATOR)].into(),
+                admin: true,
+            },
+        },
+        Change::SetCustomer {
+            name: "customer".to_string(),
+            customer: Customer {
+                tokens: [token_digest(CALLER)].into(),
+            },
+        },
+        class("chat", chat),
+        class("booking", booking),
+    ];
+    for (base, change) in changes.iter().enumerate() {
+        let accept = log
+            .append(base as u64, change)
+            .await
+            .expect("the platform answers");
+        assert_eq!(accept, Accept::Committed(base as u64 + 1));
+    }
+}
+
+/// Time that a fleet may take for what it does every second.
+pub const SETTLE: Duration = Duration::from_secs(3);
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,86 @@
+//! The whole path through separate processes: router, engine, service and platform.
+
+mod support;
+
+use sequoiaridge::fakes::engine::{expected_events, expected_text};
+use sequoiaridge::fakes::service::expected_answer;
+use support::chat_body;
+use support::fleet::Fleet;
+
+/// Guards against answers that are cut, mixed up or sent to the wrong caller, and against returning
+/// chats that lose their engine: two turns of a chat go through different routers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_chat_returns_to_its_engine_with_its_whole_answer() {
+    let fleet = Fleet::start(2, 3, 1).await;
+    let first = fleet
+        .caller
+        .chat(fleet.callers(0), "chat-1", &["Scale to 40 covers."], true)
+        .await;
+    assert_eq!(
+        (first.status, first.verdict()),
+        (200, "done"),
+        "{}",
+        first.text()
+    );
+    assert_eq!(first.broken, None);
+    let body = chat_body(&["Scale to 40 covers."], true);
+    assert_eq!(
+        first.body,
+        expected_events(body.as_bytes()).expect("a chat")
+    );
+
+    let turns = ["Scale to 40 covers.", "And without eggs?"];
+    let second = fleet
+        .caller
+        .chat(fleet.callers(1), "chat-1", &turns, false)
+        .await;
+    assert_eq!(
+        (second.status, second.verdict()),
+        (200, "done"),
+        "{}",
+        second.text()
+    );
+    let answer = second.json();
+    let body = chat_body(&turns, false);
+    let text = expected_text(body.as_bytes()).expect("a chat");
+    assert_eq!(answer["choices"][0]["message"]["content"], text);
+    assert_eq!(second.header("x-engine-id"), first.header("x-engine-id"));
+    let cached = answer["usage"]["prompt_tokens_details"]["cached_tokens"].as_u64();
+    assert!(cached.is_some_and(|tokens| tokens > 0), "{answer}");
+}
+
+/// Guards against bookings that run twice when a caller repeats them through another router.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_booking_runs_once() {
+    let fleet = Fleet::start(2, 1, 2).await;
+    let order = r#"{"item":"masa","kilos":40}"#;
+    let expected = expected_answer("booking", "POST", "/orders", order.as_bytes());
+    for router in [0, 1, 0] {
+        let reply = fleet
+            .caller
+            .book(fleet.callers(router), "order-1", order)
+            .await
+            .unwrap();
+        assert_eq!(
+            (reply.status, reply.verdict()),
+            (200, "done"),
+            "{}",
+            reply.text()
+        );
+        assert_eq!(reply.body, expected);
+    }
+    assert_eq!(fleet.runs_of("order-1").await, 1);
+
+    let other = fleet
+        .caller
+        .book(fleet.callers(1), "order-1", r#"{"item":"eggs"}"#)
+        .await
+        .unwrap();
+    assert_eq!(
+        (other.status, other.header("x-refusal")),
+        (422, "key-reused"),
+        "{}",
+        other.text()
+    );
+    assert_eq!(fleet.runs_of("order-1").await, 1);
+}
