--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -212,6 +212,11 @@
         self.address
     }
 
+    /// Ends the server without waiting for its connections.
+    pub fn abort(&self) {
+        self.handle.stop(false);
+    }
+
     /// Stops accepting, waits for the connections in flight and ends the server's threads.
     ///
     /// # Errors
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -34,6 +34,8 @@
         lookup: bool,
     },
     Refused(Refusal),
+    /// The endpoints have a new owner.
+    Moved,
 }
 
 /// Places a call, waiting for its turn if need be. Dropping the future ends the call.
@@ -60,15 +62,12 @@
         }
         Placement::Queued { shed } => {
             if let Some(ended) = shed {
-                tell(shared, ended.ticket, Err(ended.refusal));
+                tell(shared, ended.ticket, Turn::Refused(ended.refusal));
             }
             match turn.await {
-                Ok(Ok(endpoint)) => Admission::Run(guard.into_slot(endpoint)),
-                Ok(Err(refusal)) => Admission::Refused(refusal),
-                Err(_) => Admission::Refused(Refusal::not_run(
-                    sequoiaridge_core::RefusalReason::Draining,
-                    std::time::Duration::from_secs(1),
-                )),
+                Ok(Turn::Run(endpoint)) => Admission::Run(guard.into_slot(endpoint)),
+                Ok(Turn::Refused(refusal)) => Admission::Refused(refusal),
+                Ok(Turn::Moved) | Err(_) => Admission::Moved,
             }
         }
         Placement::Forward {
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -26,7 +26,14 @@
 
 impl Handler for Callers {
     fn handle(self: Arc<Self>, request: Request) -> ReplyFuture {
-        Box::pin(async move { answer(&self.shared, request).await })
+        Box::pin(async move {
+            let reply = answer(&self.shared, request).await;
+            // A caller that keeps its connection would stay with a router that goes away.
+            match self.shared.phase() {
+                Phase::Draining | Phase::Stopped => reply.with_header("connection", "close"),
+                _ => reply,
+            }
+        })
     }
 }
 
@@ -90,8 +97,11 @@
     let refuse = |reason| Err(Refusal::not_run(reason, SOON));
     match shared.phase() {
         Phase::Starting => return refuse(RefusalReason::NotReady),
-        Phase::Draining | Phase::Stopped => return refuse(RefusalReason::Draining),
-        Phase::Serving => {}
+        Phase::Draining if shared.closed.load(Ordering::Relaxed) => {
+            return refuse(RefusalReason::Draining);
+        }
+        Phase::Stopped => return refuse(RefusalReason::Draining),
+        Phase::Serving | Phase::Draining => {}
     }
     if shared.isolated.load(Ordering::Relaxed) {
         return refuse(RefusalReason::Isolated);
--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -8,6 +8,7 @@
 use sequoiaridge_wire::{Frame, IndexEntry};
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Time between two looks at the calls in flight.
@@ -15,6 +16,8 @@
 /// Time without any call after which the router stops. Callers and peers learn of the drain in this
 /// time, so that none of them meets a closed port.
 const QUIET: Duration = Duration::from_millis(700);
+/// Time for which new calls are still taken, while the balancer learns that the router is not ready.
+const GRACE: Duration = Duration::from_secs(5);
 /// Time in which a successor must take an index over.
 const PUSH_LIMIT: Duration = Duration::from_secs(2);
 /// Entries in one frame.
@@ -29,11 +32,15 @@
     // From here on the view has no endpoint of this router, so the index goes to the successors.
     maintain::round(shared);
     push_index(shared).await;
-    let end = shared.now() + shared.settings.drain.limit;
-    let mut quiet_since = shared.now();
+    let start = shared.now();
+    let end = start + shared.settings.drain.limit;
+    let mut quiet_since = start;
     loop {
         let left = in_flight(shared);
         let now = shared.now();
+        if now >= start + GRACE {
+            shared.closed.store(true, Ordering::Relaxed);
+        }
         if left > 0 {
             quiet_since = now;
         } else if now.saturating_sub(quiet_since) >= QUIET {
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -76,7 +76,7 @@
                 }
             }
             Ok(Admission::Refused(refusal)) | Err(Ending::Refused(refusal)) => Part::Fail(refusal),
-            Err(Ending::NotOwner) => Part::NotOwner,
+            Ok(Admission::Moved) | Err(Ending::NotOwner) => Part::NotOwner,
         };
         let _ = self.parts.send(part).await;
     }
@@ -131,6 +131,7 @@
             return Err(Ending::NotOwner);
         };
         if &endpoint.owner == self.shared.id() {
+            probes::ensure_probed(&self.shared, &endpoint.member).await;
             return Ok(());
         }
         if !self.frame.substitute {
@@ -189,10 +190,20 @@
         let digest = request_digest(&frame.method, &frame.path, &frame.body);
         self.shared
             .ledger
-            .claim(&self.frame.customer, &key, digest, self.deadline())
+            .claim(&self.frame.customer, &key, digest, self.claim_end())
             .await
     }
 
+    /// Time until which a claim is tried. In an outage of the platform the caller gets its final
+    /// answer then, and not only at the deadline.
+    fn claim_end(&self) -> Duration {
+        let first_token = self
+            .targets()
+            .map_or(Duration::ZERO, |targets| targets.first_token());
+        let wait = first_token.max(self.shared.settings.platform.timeout * 2);
+        self.deadline().min(self.arrival + wait)
+    }
+
     /// Runs the call once under its claim. The answer is collected before it is passed on, because
     /// it is stored whole.
     async fn serve_claimed(&self, claim: HeldClaim, target: &Target) -> Part {
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -1,7 +1,7 @@
 //! Datagrams between routers.
 
 use crate::metrics::Traffic;
-use crate::shared::{Shared, lock};
+use crate::shared::{Phase, Shared, lock};
 use crate::{crash, event};
 use sequoiaridge_core::Event;
 use sequoiaridge_membership::{MemberEvent, Message, Outgoing};
@@ -14,7 +14,12 @@
 const TICK: Duration = Duration::from_millis(50);
 
 /// Receives datagrams and runs the detector until the router stops.
+///
+/// A router without a configuration cannot serve calls, so it stays silent until it has one: peers
+/// would otherwise give it endpoints to own.
 pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut phase = shared.phase.subscribe();
+    let _ = phase.wait_for(|phase| *phase >= Phase::Serving).await;
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_DATAGRAM + 1];
--- a/crates/router/src/maintain.rs
+++ b/crates/router/src/maintain.rs
@@ -1,6 +1,6 @@
 //! Periodic upkeep: the view, the owner's table, waiting calls, isolation.
 
-use crate::shared::{Phase, Shared, lock};
+use crate::shared::{Phase, Shared, Turn, lock};
 use crate::view::View;
 use crate::{admission, event, probes};
 use sequoiaridge_core::{EndpointId, Event, Member, MemberState};
@@ -64,16 +64,19 @@
 }
 
 fn refresh_view(shared: &Shared) {
-    let me = (shared.phase() < Phase::Draining).then(|| RouterInfo {
-        id: shared.id().clone(),
-        domain: shared.settings.domain.clone(),
-        region: shared.settings.region.clone(),
-    });
     let members = lock(&shared.members).clone();
     let (peers, loads) = {
         let detector = lock(&shared.detector);
         (detector.view(), detector.loads())
     };
+    // A draining router gives its endpoints up, unless nobody else could take them.
+    let alone = !peers.iter().any(|peer| peer.state.owns());
+    let owns = shared.phase() == Phase::Serving || (shared.phase() == Phase::Draining && alone);
+    let me = owns.then(|| RouterInfo {
+        id: shared.id().clone(),
+        domain: shared.settings.domain.clone(),
+        region: shared.settings.region.clone(),
+    });
     let view = View::build(me, &peers, &members, &loads);
     {
         let mut owner = lock(&shared.owner);
@@ -98,7 +101,9 @@
         .filter(|(id, endpoint)| &endpoint.owner == shared.id() || adopted.contains_key(*id))
         .map(|(id, _)| id)
         .collect();
+    let before = health.len();
     health.retain(|id, _| own.contains(id));
+    let moved = health.len() < before;
     let mut owner = lock(&shared.owner);
     for (id, endpoint) in &view.endpoints {
         let member = &endpoint.member;
@@ -120,6 +125,10 @@
     for id in known.iter().filter(|id| !view.endpoints.contains_key(*id)) {
         owner.remove_endpoint(id);
     }
+    drop((owner, adopted, health));
+    if moved {
+        shared.move_waiting();
+    }
 }
 
 /// Ends calls that waited too long, and starts calls for which room appeared.
@@ -130,7 +139,7 @@
         (owner.expire(now), owner.start_waiting(now))
     };
     for ended in ended {
-        admission::tell(shared, ended.ticket, Err(ended.refusal));
+        admission::tell(shared, ended.ticket, Turn::Refused(ended.refusal));
     }
     shared.start(started);
 }
--- a/crates/router/src/probes.rs
+++ b/crates/router/src/probes.rs
@@ -186,6 +186,22 @@
     })
 }
 
+/// Probes an own endpoint that was not probed yet. A router that has just become the owner would
+/// otherwise turn calls away until its first regular probe.
+pub(crate) async fn ensure_probed(shared: &Shared, member: &Member) {
+    let unknown = {
+        let mut health = lock(&shared.health);
+        let entry = health
+            .entry(member.id.clone())
+            .or_insert_with(|| new_health(shared));
+        entry.listed(member.state == MemberState::Leaving, shared.now());
+        entry.state(shared.now()) == HealthState::Unknown
+    };
+    if unknown {
+        probe(shared, &member.id, member.address).await;
+    }
+}
+
 /// Makes this router a substitute for the owner of an endpoint, which a caller of ours cannot reach.
 /// The endpoint is probed first, because nothing is admitted to an endpoint without a probe.
 pub(crate) async fn adopt(shared: &Shared, member: &Member) {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -104,7 +104,13 @@
     /// Stops gracefully: see section 4.9 of `docs/design.md`.
     pub async fn drain(self) -> Drained {
         let drained = drain::drain(&self.shared).await;
-        // The servers wait for their connections, which end by themselves or were cut.
+        if let Drained::Cut(_) = drained {
+            self.callers.abort();
+            self.operators.abort();
+            self.shared.advance(Phase::Stopped);
+            return drained;
+        }
+        // The servers wait for the connections that still carry the end of an answer.
         let _ = tokio::task::spawn_blocking(|| {
             let _ = self.callers.stop();
             let _ = self.operators.stop();
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -9,7 +9,9 @@
 use crate::view::View;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use sequoiaridge_core::{Clock, EndpointId, Event, Member, RefusalReason, RetryReason, RouterId};
+use sequoiaridge_core::{
+    Clock, EndpointId, Event, Member, Refusal, RefusalReason, RetryReason, RouterId,
+};
 use sequoiaridge_http::Client;
 use sequoiaridge_membership::{Detector, EndpointHealth};
 use sequoiaridge_policy::{Owner, Quarantine, RetryBudget, Started, TicketId};
@@ -37,7 +39,15 @@
 }
 
 /// What a waiting call is told.
-pub(crate) type Turn = Result<EndpointId, sequoiaridge_core::Refusal>;
+#[derive(Debug)]
+pub(crate) enum Turn {
+    /// It runs on this endpoint.
+    Run(EndpointId),
+    /// It waited too long or made room for others.
+    Refused(Refusal),
+    /// Another router owns the endpoints now; the call is to be sent there.
+    Moved,
+}
 
 /// State of one router; see the module for the lock order.
 pub(crate) struct Shared {
@@ -58,6 +68,9 @@
     pub(crate) metrics: Metrics,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) isolated: AtomicBool,
+    /// A draining router takes calls until this is set, because the balancer needs some time to send
+    /// them elsewhere.
+    pub(crate) closed: AtomicBool,
     pub(crate) members: Mutex<BTreeMap<EndpointId, Member>>,
     pub(crate) detector: Mutex<Detector>,
     pub(crate) health: Mutex<BTreeMap<EndpointId, EndpointHealth>>,
@@ -131,6 +144,7 @@
             metrics: Metrics::new(),
             phase: watch::Sender::new(Phase::Starting),
             isolated: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             members: Mutex::default(),
             health: Mutex::default(),
             adopted: Mutex::default(),
@@ -213,13 +227,22 @@
     pub(crate) fn start(&self, started: Vec<Started>) {
         for Started { ticket, endpoint } in started {
             let waiter = lock(&self.waiters).remove(&ticket);
-            let told = waiter.is_some_and(|waiter| waiter.send(Ok(endpoint)).is_ok());
+            let told = waiter.is_some_and(|waiter| waiter.send(Turn::Run(endpoint)).is_ok());
             if !told {
                 self.finish(ticket);
             }
         }
     }
 
+    /// Sends every waiting call away, because endpoints of this router have a new owner.
+    pub(crate) fn move_waiting(&self) {
+        let waiting = lock(&self.owner).take_waiting();
+        for waiting in waiting {
+            let waiter = lock(&self.waiters).remove(&waiting.call.ticket);
+            let _ = waiter.map(|waiter| waiter.send(Turn::Moved));
+        }
+    }
+
     /// Notes that the platform answered.
     pub(crate) fn platform_answered(&self) {
         let now = self.now();
--- a/src/cli/logs.rs
+++ b/src/cli/logs.rs
@@ -1,6 +1,7 @@
 //! Sets up log output on standard error.
 
 use sequoiaridge::settings::{LogFormat, LogLevel};
+use std::io::IsTerminal;
 use tracing_subscriber::EnvFilter;
 
 /// Writes log lines of the given format and level. Libraries only log warnings.
@@ -11,7 +12,8 @@
     ));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_writer(std::io::stderr);
+        .with_writer(std::io::stderr)
+        .with_ansi(std::io::stderr().is_terminal());
     match format {
         LogFormat::Json => builder.json().init(),
         LogFormat::Text => builder.init(),
--- /dev/null
+++ b/tests/leaving_endpoint.rs
@@ -0,0 +1,67 @@
+//! A leaving endpoint receives no new work after the bound of 3 s.
+
+mod support;
+
+use sequoiaridge::fakes::platform::Order;
+use std::time::{Duration, Instant};
+use support::fleet::Fleet;
+
+/// `health.leave_bound`, the stated bound.
+const BOUND: Duration = Duration::from_secs(3);
+
+/// Sends chats through both routers for two seconds and returns the runs at engine 0 meanwhile.
+async fn runs_meanwhile(fleet: &Fleet) -> u64 {
+    let before = fleet.engine(0).counters().await.unwrap().runs;
+    let start = Instant::now();
+    let mut number = 0;
+    while start.elapsed() < Duration::from_secs(2) {
+        let id = format!("chat-{number}");
+        let reply = fleet
+            .caller
+            .chat(fleet.callers(number % 2), &id, &["Scale it."], false)
+            .await;
+        assert_eq!(
+            (reply.status, reply.verdict()),
+            (200, "done"),
+            "{}",
+            reply.text()
+        );
+        number += 1;
+    }
+    fleet.engine(0).counters().await.unwrap().runs - before
+}
+
+/// Guards against work for an engine that says itself that it leaves, while the list lags.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_reports_leaving_gets_no_new_work() {
+    let fleet = Fleet::start(2, 3, 0).await;
+    assert!(runs_meanwhile(&fleet).await > 0);
+    fleet.engine(0).leave().await.unwrap();
+    tokio::time::sleep(BOUND).await;
+    assert_eq!(runs_meanwhile(&fleet).await, 0);
+}
+
+/// Guards against work for an engine whose leaving is only in a list that reaches the routers late:
+/// the list is cut off, the engine is silent towards probes.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_cannot_be_probed_gets_no_new_work() {
+    let fleet = Fleet::start(2, 3, 0).await;
+    fleet.order(Order::Outage).await;
+    fleet
+        .engine(0)
+        .silent(sequoiaridge::fakes::control::Scope::All)
+        .await
+        .unwrap();
+    tokio::time::sleep(BOUND).await;
+    assert_eq!(runs_meanwhile(&fleet).await, 0);
+}
+
+/// Guards against work for an engine that has gone from the list.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_left_the_list_gets_no_new_work() {
+    let mut fleet = Fleet::start(2, 3, 0).await;
+    fleet.unlist("engine-0");
+    fleet.publish().await;
+    tokio::time::sleep(BOUND).await;
+    assert_eq!(runs_meanwhile(&fleet).await, 0);
+}
