Name a router that died meanwhile as pending, and test the configuration under failure

Cause: the accepting router only listed routers that were live at the end of its wait, so one that froze just before was in neither list of the answer. Seen: 'pending' was empty although router-1 was stopped. Ruled out: a slow notice, since the other router was listed at once.

After: all five tests of the configuration pass: racing operators, lost, dropped and delayed write answers, routers killed, frozen and started in an outage, a router without configuration, an isolated router.

--- a/crates/router/src/operators/commands.rs
+++ b/crates/router/src/operators/commands.rs
@@ -7,9 +7,11 @@
 use http::{Method, StatusCode};
 use sequoiaridge_core::{Change, Class, Customer, Event, RouterId, Team, Version};
 use sequoiaridge_http::{Reply, Request};
+use sequoiaridge_membership::PeerView;
 use sequoiaridge_store::Accept;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -113,24 +115,32 @@
     }
 }
 
-/// Waits until all routers have the version in force, at most for the time in which they must.
+/// Waits until all routers have the version in force, at most for the time in which they must. A
+/// router that was live at the start and dies meanwhile is not waited for, but named as pending.
 async fn wait_in_force(shared: &Shared, version: Version) -> (Vec<RouterId>, Vec<RouterId>) {
     let end = shared.now() + shared.settings.config.in_force;
+    let live = |peer: &PeerView| peer.state.owns();
+    let asked: BTreeSet<RouterId> = peers(shared).filter(live).map(|peer| peer.id).collect();
     loop {
-        let peers = lock(&shared.detector).view();
-        let live = peers.into_iter().filter(|peer| peer.state.owns());
-        let (mut in_force, pending): (Vec<_>, Vec<_>) = live.partition(|p| p.version >= version);
-        if pending.is_empty() || shared.now() >= end {
-            let id = |peer: sequoiaridge_membership::PeerView| peer.id;
-            let mut names: Vec<RouterId> = in_force.drain(..).map(id).collect();
-            names.push(shared.id().clone());
-            names.sort();
-            return (names, pending.into_iter().map(id).collect());
+        let known: Vec<PeerView> = peers(shared)
+            .filter(|peer| asked.contains(&peer.id))
+            .collect();
+        let (done, pending): (Vec<_>, Vec<_>) = known.iter().partition(|p| p.version >= version);
+        if !pending.iter().any(|peer| live(peer)) || shared.now() >= end {
+            let names = |peers: Vec<&PeerView>| peers.into_iter().map(|p| p.id.clone()).collect();
+            let mut in_force: Vec<RouterId> = names(done);
+            in_force.push(shared.id().clone());
+            in_force.sort();
+            return (in_force, names(pending));
         }
         tokio::time::sleep(LOOK).await;
     }
 }
 
+fn peers(shared: &Shared) -> impl Iterator<Item = PeerView> {
+    lock(&shared.detector).view().into_iter()
+}
+
 /// Reads the version that the change is based on, and the change.
 fn parse(request: &Request, rest: &str) -> Result<(Version, Change), Box<Reply>> {
     let bad = |detail: String| Box::new(problem(StatusCode::BAD_REQUEST, "bad-request", &[detail]));
--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,210 @@
+//! Configuration: one winner, in force within 4 s, never an older version again.
+
+mod support;
+
+use sequoiaridge::fakes::platform::Order;
+use serde_json::Value;
+use std::time::{Duration, Instant};
+use support::eventually;
+use support::fleet::Fleet;
+
+/// The stated bound on the time until a change is in force.
+const IN_FORCE: Duration = Duration::from_secs(4);
+/// Version of the configuration with which every fleet of the tests starts.
+const BASE: u64 = 4;
+
+fn class(first_token: f64) -> String {
+    format!(
+        r#"{{"team":"team","targets":{{"first_token":{first_token},"between_tokens":0.03,"answered":0.99,"deadline":20.0,"repeat":"allowed"}}}}"#
+    )
+}
+
+async fn version(fleet: &Fleet, router: usize) -> u64 {
+    fleet
+        .status(router)
+        .await
+        .and_then(|status| status["version"].as_u64())
+        .unwrap_or(0)
+}
+
+/// Guards against lost updates: of operators that race on the same version one wins, the others get
+/// the current version, and every router ends with the winner's change.
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_racing_operators_one_wins() {
+    let fleet = Fleet::start(3, 1, 0).await;
+    for round in 0..5 {
+        let base = BASE + round;
+        let classes = [class(1.0), class(2.0), class(3.0)];
+        let (a, b, c) = tokio::join!(
+            fleet.put_class(0, "race", &classes[0], base),
+            fleet.put_class(1, "race", &classes[1], base),
+            fleet.put_class(2, "race", &classes[2], base),
+        );
+        let replies = [(1.0, a), (2.0, b), (3.0, c)];
+        let won: Vec<_> = replies
+            .iter()
+            .filter(|(_, reply)| reply.status == 200)
+            .collect();
+        assert_eq!(won.len(), 1, "{replies:?}");
+        assert_eq!(
+            won[0].1.json()["pending"],
+            serde_json::json!([]),
+            "{}",
+            won[0].1.text()
+        );
+        for (_, lost) in replies.iter().filter(|(_, reply)| reply.status != 200) {
+            assert_eq!(
+                (lost.status, &lost.json()["version"]),
+                (409, &Value::from(base + 1))
+            );
+        }
+        for router in 0..3 {
+            let address = fleet.routers[router].address("operators");
+            let path = "/admin/v1/classes/race";
+            let reply = fleet
+                .operator
+                .send(address, http::Method::GET, path, &[], "")
+                .await
+                .unwrap();
+            assert_eq!(reply.json()["class"]["targets"]["first_token"], won[0].0);
+        }
+    }
+}
+
+/// Guards against a change that is reported as accepted and then lost, and against one that is
+/// reported as refused and then applied, when the platform's answers to writes are lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_write_answers_are_resolved() {
+    let fleet = Fleet::start(2, 1, 0).await;
+    for (number, order) in [
+        Order::LoseAnswers { count: 1 },
+        Order::DropWrites { count: 1 },
+        Order::DelayWrites { ms: 300, count: 1 },
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        fleet.order(order).await;
+        let reply = fleet
+            .put_class(0, "lost", &class(1.0), BASE + number as u64)
+            .await;
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        assert_eq!(reply.json()["version"], BASE + number as u64 + 1);
+    }
+}
+
+/// Guards against routers that run an older version than they have shown, whatever happens to them:
+/// killed and started again, frozen past every timeout, started while the platform is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn versions_never_go_back() {
+    let mut fleet = Fleet::start(3, 1, 0).await;
+    fleet.routers[1].signal("STOP");
+    let reply = fleet.put_class(0, "first", &class(1.0), BASE).await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(
+        reply.json()["pending"],
+        serde_json::json!(["router-1"]),
+        "{}",
+        reply.text()
+    );
+    fleet.routers[1].signal("CONT");
+    let resumed = Instant::now();
+    eventually("the frozen router is up to date", || async {
+        version(&fleet, 1).await == BASE + 1
+    })
+    .await;
+    assert!(resumed.elapsed() < IN_FORCE, "{:?}", resumed.elapsed());
+
+    fleet.order(Order::Outage).await;
+    fleet.routers[2].signal("KILL");
+    fleet.routers[2].wait();
+    fleet.restart_router(2);
+    let mut seen = Vec::new();
+    eventually(
+        "a router started in an outage gets the version of its peers",
+        || async { version(&fleet, 2).await > 0 },
+    )
+    .await;
+    for _ in 0..20 {
+        seen.push(version(&fleet, 2).await);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(seen.iter().all(|version| *version == BASE + 1), "{seen:?}");
+    let refused = fleet.put_class(0, "second", &class(1.0), BASE + 1).await;
+    assert!(
+        refused.status == 503 || refused.status == 504,
+        "{}",
+        refused.text()
+    );
+
+    fleet.order(Order::Heal).await;
+    eventually("changes are accepted again", || async {
+        fleet
+            .put_class(2, "second", &class(1.0), BASE + 1)
+            .await
+            .status
+            == 200
+    })
+    .await;
+}
+
+/// Guards against an instance without configuration that serves callers: a router that starts when
+/// neither platform nor peers answer stays unready.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_without_configuration_stays_unready() {
+    let mut fleet = Fleet::start(1, 1, 0).await;
+    fleet.order(Order::Outage).await;
+    fleet.routers[0].signal("KILL");
+    fleet.routers[0].wait();
+    fleet.restart_router(0);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let reply = fleet
+        .caller
+        .chat(fleet.callers(0), "chat", &["Scale it."], false)
+        .await;
+    assert_eq!(
+        (reply.status, reply.header("x-refusal")),
+        (503, "not-ready"),
+        "{}",
+        reply.text()
+    );
+    assert_eq!(reply.verdict(), "not-run");
+    let operators = fleet.routers[0].address("operators");
+    let ready = fleet
+        .operator
+        .send(operators, http::Method::GET, "/ready", &[], "")
+        .await
+        .unwrap();
+    assert_eq!(ready.status, 503);
+    fleet.order(Order::Heal).await;
+    eventually("the router becomes ready", || async {
+        fleet.status(0).await.is_some()
+    })
+    .await;
+}
+
+/// Guards against a router that goes on under an old configuration while it is cut off from
+/// everything: it refuses new calls as not run, and serves again when it hears a peer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_isolated_router_refuses_calls() {
+    let fleet = Fleet::start(2, 1, 0).await;
+    fleet.order(Order::Silent).await;
+    fleet.routers[1].signal("STOP");
+    eventually("the router knows that it is isolated", || async {
+        let reply = fleet
+            .caller
+            .chat(fleet.callers(0), "chat", &["Scale it."], false)
+            .await;
+        reply.header("x-refusal") == "isolated" && reply.verdict() == "not-run"
+    })
+    .await;
+    fleet.routers[1].signal("CONT");
+    eventually("the router serves again", || async {
+        let reply = fleet
+            .caller
+            .chat(fleet.callers(0), "chat", &["Scale it."], false)
+            .await;
+        reply.status == 200
+    })
+    .await;
+}
