--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -11,7 +11,7 @@
 /// The stated bound on the time until a change is in force.
 const IN_FORCE: Duration = Duration::from_secs(4);
 /// Version of the configuration with which every fleet of the tests starts.
-const BASE: u64 = 4;
+const BASE: u64 = 5;
 
 fn class(first_token: f64) -> String {
     format!(
--- /dev/null
+++ b/tests/silence.rs
@@ -0,0 +1,137 @@
+//! Connections that go silent while new ones work, towards endpoints, peers and the platform.
+
+mod support;
+
+use sequoiaridge::fakes::control::Scope;
+use sequoiaridge::fakes::platform::Order;
+use std::time::{Duration, Instant};
+use support::fleet::Fleet;
+
+/// The stated bound: `links.silence` of 3 s, and as long again for the call that follows.
+const BOUND: Duration = Duration::from_secs(6);
+
+/// Guards against callers that wait for ever on a connection to an engine that lost track of it, and
+/// against an engine that is given up although new connections work.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_to_engines_are_found() {
+    let fleet = Fleet::start(2, 2, 0).await;
+    for engine in 0..2 {
+        fleet
+            .engine(engine)
+            .slow(Duration::from_millis(500))
+            .await
+            .unwrap();
+    }
+    let calls: Vec<_> = (0..4)
+        .map(|number| {
+            let (caller, address) = (fleet.caller.clone(), fleet.callers(number % 2));
+            let id = format!("chat-{number}");
+            tokio::spawn(async move { caller.chat(address, &id, &["Scale it."], true).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for engine in 0..2 {
+        fleet.engine(engine).silent(Scope::Open).await.unwrap();
+    }
+    let start = Instant::now();
+    for call in calls {
+        let reply = call.await.expect("the call ends");
+        let whole = reply.status == 200 && reply.text().ends_with("data: [DONE]\n\n");
+        let failed = reply.verdict() != "done" || reply.broken.is_some();
+        assert!(whole || failed, "{reply:?}");
+    }
+    assert!(start.elapsed() < BOUND, "{:?}", start.elapsed());
+    let reply = fleet
+        .caller
+        .chat(fleet.callers(0), "new", &["Scale it."], true)
+        .await;
+    assert_eq!(
+        (reply.status, reply.verdict()),
+        (200, "done"),
+        "{}",
+        reply.text()
+    );
+}
+
+/// Guards against calls that wait for a peer that froze: another router stands in for it, and a
+/// chat that had not begun is answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_peer_is_worked_around() {
+    let fleet = Fleet::start(2, 4, 0).await;
+    for number in 0..8 {
+        let id = format!("chat-{number}");
+        fleet
+            .caller
+            .chat(fleet.callers(0), &id, &["Scale it."], true)
+            .await;
+    }
+    fleet.routers[1].signal("STOP");
+    for number in 0..8 {
+        let start = Instant::now();
+        let id = format!("chat-{number}");
+        let reply = fleet
+            .caller
+            .chat(fleet.callers(0), &id, &["Scale it."], true)
+            .await;
+        assert_eq!(
+            (reply.status, reply.verdict()),
+            (200, "done"),
+            "{}",
+            reply.text()
+        );
+        assert!(start.elapsed() < BOUND, "{:?}", start.elapsed());
+    }
+    fleet.routers[1].signal("CONT");
+}
+
+/// Guards against a platform client that goes on using a connection which went silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_platform_is_reached_again_after_silence() {
+    let fleet = Fleet::start(1, 1, 1).await;
+    let before = fleet
+        .caller
+        .book(fleet.callers(0), "before", "{}")
+        .await
+        .unwrap();
+    assert_eq!(
+        (before.status, before.verdict()),
+        (200, "done"),
+        "{}",
+        before.text()
+    );
+    fleet.order(Order::Silent).await;
+    let during = fleet
+        .caller
+        .book(fleet.callers(0), "during", "{}")
+        .await
+        .unwrap();
+    assert_eq!(
+        (during.status, during.verdict()),
+        (503, "not-run"),
+        "{}",
+        during.text()
+    );
+    assert_eq!(during.header("x-refusal"), "claim-unavailable");
+    assert!(!during.header("retry-after").is_empty());
+    let chat = fleet
+        .caller
+        .chat(fleet.callers(0), "chat", &["Scale it."], true)
+        .await;
+    assert_eq!(
+        (chat.status, chat.verdict()),
+        (200, "done"),
+        "{}",
+        chat.text()
+    );
+    fleet.order(Order::Heal).await;
+    support::eventually("bookings run again", || async {
+        let reply = fleet
+            .caller
+            .book(fleet.callers(0), "during", "{}")
+            .await
+            .unwrap();
+        reply.status == 200
+    })
+    .await;
+    assert_eq!(fleet.runs_of("during").await, 1);
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -15,6 +15,8 @@
 use std::time::Duration;
 
 pub const CALLER: &str = "caller-token";
+/// Token of a second customer.
+pub const OTHER_CALLER: &str = "other-caller-token";
 pub const OPERATOR: &str = "operator-token";
 const KEY: &str = "5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a";
 
@@ -258,7 +260,7 @@
     }
 }
 
-/// Writes the configuration that all tests use: a team, a customer and the classes `chat`, whose calls
+/// Writes the configuration that all tests use: a team, two customers and the classes `chat`, whose calls
 /// may be repeated, and `booking`, whose calls must not.
 async fn configure(platform: SocketAddr) {
     let client = Client::new(ClientConfig::default());
@@ -297,6 +299,12 @@
         },
         class("chat", chat),
         class("booking", booking),
+        Change::SetCustomer {
+            name: "other".to_string(),
+            customer: Customer {
+                tokens: [token_digest(OTHER_CALLER)].into(),
+            },
+        },
     ];
     for (base, change) in changes.iter().enumerate() {
         let accept = log
--- /dev/null
+++ b/tests/surge.rs
@@ -0,0 +1,83 @@
+//! A surge of one customer neither starves the others nor overloads an engine.
+
+mod support;
+
+use std::time::{Duration, Instant};
+use support::Caller;
+use support::fleet::{Fleet, OTHER_CALLER};
+
+/// First-token target of the class `chat` in the tests.
+const TARGET: Duration = Duration::from_secs(2);
+/// Slots of each engine.
+const CAPACITY: u64 = 8;
+
+/// Guards against a queue in which one customer's calls delay all others past their target, against
+/// callers of the surge that are left waiting instead of being told when to come back, and against
+/// engines that get more calls than they have slots.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_surge_does_not_starve_other_customers() {
+    let fleet = Fleet::start(2, 3, 0).await;
+    for engine in 0..3 {
+        fleet
+            .engine(engine)
+            .slow(Duration::from_millis(150))
+            .await
+            .unwrap();
+    }
+    let surge: Vec<_> = (0..300)
+        .map(|number| {
+            let (caller, address) = (fleet.caller.clone(), fleet.callers(number % 2));
+            let id = format!("surge-{number}");
+            tokio::spawn(async move {
+                let start = Instant::now();
+                let reply = caller.chat(address, &id, &["Scale it."], true).await;
+                (reply, start.elapsed())
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let other = Caller::new(OTHER_CALLER);
+    let mut answered = 0;
+    for number in 0..10 {
+        let start = Instant::now();
+        let id = format!("other-{number}");
+        let reply = other
+            .chat(fleet.callers(number % 2), &id, &["Scale it."], true)
+            .await;
+        assert_eq!(
+            (reply.status, reply.verdict()),
+            (200, "done"),
+            "{}",
+            reply.text()
+        );
+        assert!(
+            start.elapsed() < TARGET,
+            "call {number} took {:?}",
+            start.elapsed()
+        );
+        answered += 1;
+    }
+    let mut refused = 0;
+    for call in surge {
+        let (reply, elapsed) = call.await.expect("the call ends");
+        if reply.status == 200 {
+            answered += 1;
+            continue;
+        }
+        refused += 1;
+        assert_eq!(reply.verdict(), "not-run", "{}", reply.text());
+        assert!(!reply.header("retry-after").is_empty());
+        assert!(elapsed < TARGET, "a refusal took {elapsed:?}");
+    }
+    assert!(refused > 0, "300 calls at once do not fit");
+    let mut runs = 0;
+    for engine in 0..3 {
+        let counters = fleet.engine(engine).counters().await.unwrap();
+        assert!(counters.highest as u64 <= CAPACITY, "{counters:?}");
+        runs += counters.runs;
+    }
+    assert_eq!(
+        runs, answered,
+        "each answered call ran once, no refused call ran"
+    );
+}
