--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -101,7 +101,7 @@
     pub fn add_router(&mut self) {
         let number = self.routers.len();
         let id = format!("router-{number}");
-        let router = self.start_router(&id, number);
+        let router = self.start_router(number);
         let address = router.address("peers");
         self.routers.push(router);
         self.add_member(&id, Role::Router, number, address, "");
@@ -110,7 +110,7 @@
     /// Replaces a router that ended by a new process of the same name.
     pub fn restart_router(&mut self, number: usize) {
         let id = format!("router-{number}");
-        self.routers[number] = self.start_router(&id, number);
+        self.routers[number] = self.start_router(number);
         let address = self.routers[number].address("peers");
         let entry = self
             .members
@@ -120,23 +120,36 @@
         entry.address = address;
     }
 
-    fn start_router(&self, id: &str, number: usize) -> Process {
-        let platform = self.platform.address("http");
-        let seeds: Vec<String> = self
-            .routers
-            .iter()
-            .map(|router| format!("'{}'", router.address("peers")))
-            .collect();
+    fn start_router(&self, number: usize) -> Process {
+        let routers = self.routers.iter();
+        let seeds: Vec<SocketAddr> = routers.map(|router| router.address("peers")).collect();
+        Fleet::router(
+            self.platform.address("http"),
+            &seeds,
+            number,
+            2,
+            &self.settings,
+        )
+    }
+
+    /// Starts a router as a process; `settings` are further lines of its settings, in YAML.
+    pub fn router(
+        platform: SocketAddr,
+        seeds: &[SocketAddr],
+        number: usize,
+        domains: usize,
+        settings: &str,
+    ) -> Process {
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("'{seed}'")).collect();
         let text = format!(
-            "id: {id}\ndomain: domain-{}\nregion: local\n\
+            "id: router-{number}\ndomain: domain-{}\nregion: local\n\
              listen: {{callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}}\n\
              platform: {{table: '{platform}', objects: '{platform}', members: '{platform}'}}\n\
-             peers: {{key: '{KEY}', seeds: [{}]}}\n{}",
-            number % 2,
+             peers: {{key: '{KEY}', seeds: [{}]}}\n{settings}",
+            number % domains,
             seeds.join(", "),
-            self.settings,
         );
-        let file = temp_file(&format!("{id}-{}.yaml", platform.port()), &text);
+        let file = temp_file(&format!("router-{number}-{}.yaml", platform.port()), &text);
         Process::start(&["run", "--config", file.to_str().unwrap()])
     }
 
@@ -262,7 +275,7 @@
 
 /// Writes the configuration that all tests use: a team, two customers and the classes `chat`, whose calls
 /// may be repeated, and `booking`, whose calls must not.
-async fn configure(platform: SocketAddr) {
+pub async fn configure(platform: SocketAddr) {
     let client = Client::new(ClientConfig::default());
     let table = Arc::new(HttpTable::new(platform, "sequoiaridge", client.clone()));
     let objects = Arc::new(HttpObjects::new(platform, "sequoiaridge", client));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -55,6 +55,11 @@
         self.addresses[name]
     }
 
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
