Refresh the view only when it changes, and forget endpoints that left the list

Cause: each router rebuilt its picture of the fleet ten times a second, which grows with the number of endpoints. The picture is now rebuilt when list, peers or states change; counts are compared and only differences are applied.

Found on the way: an endpoint that left the list stayed in the owner's table as idle capacity, which lowered the bound of the others, and counts that a peer no longer reported stayed as well.

--- a/crates/policy/src/owner/query.rs
+++ b/crates/policy/src/owner/query.rs
@@ -26,6 +26,12 @@
         busy.map(|(id, e)| (id.clone(), e.outstanding)).collect()
     }
 
+    /// Every known endpoint, whoever owns it.
+    pub fn endpoint_ids(&self) -> Vec<EndpointId> {
+        let known = self.endpoints.iter().filter(|(_, e)| !e.removed);
+        known.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Whether the endpoint is in a state to take new work.
     pub fn is_open(&self, id: &str, now: Duration) -> bool {
         let endpoint = self.endpoints.get(id);
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -13,6 +13,7 @@
 use sequoiaridge_membership::EndpointState;
 use sequoiaridge_policy::{Backoff, ClassPolicy, Standing, rank_top};
 use sequoiaridge_wire::{CallFrame, Header};
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -205,16 +206,17 @@
     fn rank(&self, view: &View) -> Result<Vec<EndpointId>, Failure> {
         let call = self.call;
         let candidates = view.candidates(&call.group);
-        let usable: Vec<_> = candidates
-            .iter()
-            .filter(|candidate| !self.excluded.contains(candidate.id()))
-            .cloned()
-            .collect();
-        let usable = if usable.is_empty() {
-            candidates
-        } else {
-            &usable
-        };
+        // Copying thousands of candidates costs more than ranking them, so it is only done for retries.
+        let mut usable = Cow::Borrowed(candidates);
+        if !self.excluded.is_empty() {
+            let others = candidates
+                .iter()
+                .filter(|c| !self.excluded.contains(c.id()));
+            let others: Vec<_> = others.cloned().collect();
+            if !others.is_empty() {
+                usable = Cow::Owned(others);
+            }
+        }
         if usable.is_empty() {
             let known = view.knows_group(&call.group);
             let reason = if known {
@@ -231,7 +233,7 @@
         };
         let mut ranked = rank_top(
             key,
-            usable,
+            &usable,
             if call.chat.is_some() {
                 RANKED
             } else {
@@ -240,9 +242,13 @@
         );
         if call.chat.is_none() {
             // Services have no cache to return to, so the least used instance goes first.
+            let outstanding = self.shared.outstanding();
             ranked.sort_by_key(|id| {
                 let endpoint = &view.endpoints[id];
-                (endpoint.state != EndpointState::Up, endpoint.outstanding)
+                (
+                    endpoint.state != EndpointState::Up,
+                    outstanding.get(id).copied(),
+                )
             });
             ranked.truncate(RANKED);
         }
--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -2,7 +2,7 @@
 
 use crate::router::Drained;
 use crate::shared::{Phase, Shared, lock};
-use crate::{event, gossip, maintain};
+use crate::{event, gossip, refresh};
 use sequoiaridge_core::{Event, RouterId};
 use sequoiaridge_policy::ChatEntry;
 use sequoiaridge_wire::{Frame, IndexEntry};
@@ -30,7 +30,7 @@
     let outgoing = lock(&shared.detector).leave(shared.now());
     gossip::send(shared, outgoing).await;
     // From here on the view has no endpoint of this router, so the index goes to the successors.
-    maintain::round(shared);
+    refresh::refresh(shared);
     push_index(shared).await;
     let start = shared.now();
     let end = start + shared.settings.drain.limit;
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -8,6 +8,7 @@
 use sequoiaridge_wire::MAX_DATAGRAM;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Time between two calls of the detector.
@@ -99,6 +100,9 @@
     for notice in &crashes {
         crash::receive(shared, notice);
     }
+    if !events.is_empty() {
+        shared.stale.store(true, Ordering::Relaxed);
+    }
     for change in events {
         match change {
             MemberEvent::Up { id }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,7 +10,7 @@
 //! | `dispatch` | the receiving router: ranking, the walk over owners, retries |
 //! | `execute`, `admission`, `upstream`, `sse`, `crash` | the owning router: admission, claim, one run |
 //! | `remote`, `peer_server`, `gossip` | other routers |
-//! | `probes`, `maintain`, `view` | endpoints and the picture of the fleet |
+//! | `probes`, `maintain`, `refresh`, `view` | endpoints and the picture of the fleet |
 //! | `config_sync`, `recent`, `list_sync` | the platform: configuration and membership list |
 //! | `operators` | operators' HTTP: commands and queries |
 //! | `drain` | planned stop |
@@ -33,6 +33,7 @@
 mod peer_server;
 mod probes;
 mod recent;
+mod refresh;
 mod remote;
 mod reply;
 mod router;
--- a/crates/router/src/list_sync.rs
+++ b/crates/router/src/list_sync.rs
@@ -8,6 +8,7 @@
 use sequoiaridge_membership::MemberInfo;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Mean time between two fetches of the list.
@@ -67,16 +68,19 @@
         .into_iter()
         .map(|member| (member.id.clone(), member))
         .collect();
-    let new: Vec<EndpointId> = {
+    let mut new = Vec::new();
+    {
         let mut members = lock(&shared.members);
-        let new = endpoints
-            .keys()
-            .filter(|id| !members.contains_key(*id))
-            .cloned()
-            .collect();
-        *members = endpoints;
-        new
-    };
+        if *members.endpoints != endpoints {
+            let joined = endpoints
+                .keys()
+                .filter(|id| !members.endpoints.contains_key(*id));
+            new.extend(joined.cloned());
+            members.generation += 1;
+            members.endpoints = Arc::new(endpoints);
+            shared.stale.store(true, Ordering::Relaxed);
+        }
+    }
     lock(&shared.detector).set_list(&routers, now);
     if first {
         return;
--- a/crates/router/src/maintain.rs
+++ b/crates/router/src/maintain.rs
@@ -1,18 +1,18 @@
-//! Periodic upkeep: the view, the owner's table, waiting calls, isolation.
+//! Periodic upkeep: waiting calls, load reports, isolation, and when to refresh the view.
 
 use crate::shared::{Phase, Shared, Turn, lock};
-use crate::view::View;
-use crate::{admission, event, probes};
-use sequoiaridge_core::{EndpointId, Event, Member, MemberState};
+use crate::{admission, event, probes, refresh};
+use sequoiaridge_core::{EndpointId, Event, Role};
 use sequoiaridge_membership::{EndpointLoad, EndpointState as Reported};
-use sequoiaridge_policy::{EndpointInfo, EndpointState, RouterInfo};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 /// Time between two rounds.
 const TICK: Duration = Duration::from_millis(100);
+/// Rounds after which the picture of the fleet is refreshed even if nothing is known to have changed.
+const REFRESH_ROUNDS: u32 = 5;
 
 /// Runs until the router stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
@@ -20,114 +20,18 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let stopped = shared.stopped();
     tokio::pin!(stopped);
-    loop {
+    for number in 0_u32.. {
         tokio::select! {
             () = &mut stopped => return,
-            _ = ticks.tick() => round(&shared),
+            _ = ticks.tick() => {}
         }
-    }
-}
-
-/// One round of upkeep.
-pub(crate) fn round(shared: &Shared) {
-    refresh_view(shared);
-    refresh_owner(shared);
-    expire(shared);
-    report_loads(shared);
-    check_isolation(shared);
-}
-
-/// State in the terms of the owner's table.
-pub(crate) fn policy_state(state: Reported) -> EndpointState {
-    match state {
-        Reported::Up => EndpointState::Up,
-        Reported::Leaving => EndpointState::Leaving,
-        Reported::Unknown | Reported::Down | Reported::Released => EndpointState::Down,
-    }
-}
-
-/// Description of an endpoint for the owner's table.
-pub(crate) fn endpoint_info(
-    member: &Member,
-    own: bool,
-    state: Reported,
-    joined: Option<Duration>,
-) -> EndpointInfo {
-    EndpointInfo {
-        id: member.id.clone(),
-        capacity: member.capacity,
-        groups: member.serves.clone(),
-        state: policy_state(state),
-        own,
-        joined,
-    }
-}
-
-fn refresh_view(shared: &Shared) {
-    let members = lock(&shared.members).clone();
-    let (peers, loads) = {
-        let detector = lock(&shared.detector);
-        (detector.view(), detector.loads())
-    };
-    // A draining router gives its endpoints up, unless nobody else could take them.
-    let alone = !peers.iter().any(|peer| peer.state.owns());
-    let owns = shared.phase() == Phase::Serving || (shared.phase() == Phase::Draining && alone);
-    let me = owns.then(|| RouterInfo {
-        id: shared.id().clone(),
-        domain: shared.settings.domain.clone(),
-        region: shared.settings.region.clone(),
-    });
-    let view = View::build(me, &peers, &members, &loads);
-    {
-        let mut owner = lock(&shared.owner);
-        let now = shared.now();
-        for load in loads.iter().filter(|load| &load.owner != shared.id()) {
-            owner.report(&load.owner, &load.endpoint, load.outstanding, now);
+        if shared.stale.swap(false, Ordering::Relaxed) || number % REFRESH_ROUNDS == 0 {
+            refresh::refresh(&shared);
+            shared.metrics.skew.set(skew(&shared));
         }
-    }
-    *shared.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
-}
-
-/// Brings health and owner tables up to date with the view.
-fn refresh_owner(shared: &Shared) {
-    let now = shared.now();
-    let view = shared.view();
-    let mut health = lock(&shared.health);
-    let mut adopted = lock(&shared.adopted);
-    adopted.retain(|_, end| *end > now);
-    let own: BTreeSet<&EndpointId> = view
-        .endpoints
-        .iter()
-        .filter(|(id, endpoint)| &endpoint.owner == shared.id() || adopted.contains_key(*id))
-        .map(|(id, _)| id)
-        .collect();
-    let before = health.len();
-    health.retain(|id, _| own.contains(id));
-    let moved = health.len() < before;
-    let mut owner = lock(&shared.owner);
-    for (id, endpoint) in &view.endpoints {
-        let member = &endpoint.member;
-        let mut state = endpoint.state;
-        if own.contains(id) {
-            let entry = health
-                .entry(id.clone())
-                .or_insert_with(|| probes::new_health(shared));
-            entry.listed(member.state == MemberState::Leaving, now);
-            state = entry.state(now).into();
-        } else if state == Reported::Unknown {
-            // Before the owner's first report the endpoint may be tried; its owner decides.
-            state = Reported::Up;
-        }
-        let joined = shared.joined(id);
-        owner.set_endpoint(endpoint_info(member, own.contains(id), state, joined), now);
-    }
-    let known: Vec<EndpointId> = owner.counts().into_iter().map(|(id, _)| id).collect();
-    for id in known.iter().filter(|id| !view.endpoints.contains_key(*id)) {
-        owner.remove_endpoint(id);
-    }
-    drop((owner, adopted, health));
-    if moved {
-        shared.move_waiting();
+        expire(&shared);
+        report_loads(&shared);
+        check_isolation(&shared);
     }
 }
 
@@ -166,17 +70,22 @@
         })
         .collect();
     lock(&shared.detector).set_loads(&loads, shared.now());
-    shared.metrics.skew.set(skew(&shared.view()));
 }
 
-/// Largest load over the mean among the groups, or zero when nothing is outstanding.
-fn skew(view: &View) -> f64 {
+/// Largest load of an engine over the mean of its group, or zero when nothing is outstanding.
+fn skew(shared: &Shared) -> f64 {
+    let view = shared.view();
+    let outstanding = shared.outstanding();
     let mut groups: BTreeMap<&str, (u32, u32, u32)> = BTreeMap::new();
-    for endpoint in view.endpoints.values().filter(|e| e.state == Reported::Up) {
+    for (id, endpoint) in &view.endpoints {
+        if endpoint.state != Reported::Up || endpoint.member.role != Role::Engine {
+            continue;
+        }
+        let load = outstanding.get(id).copied().unwrap_or(0);
         for name in &endpoint.member.serves {
             let (sum, max, count) = groups.entry(name).or_default();
-            *sum += endpoint.outstanding;
-            *max = (*max).max(endpoint.outstanding);
+            *sum += load;
+            *max = (*max).max(load);
             *count += 1;
         }
     }
--- a/crates/router/src/operators/queries.rs
+++ b/crates/router/src/operators/queries.rs
@@ -106,13 +106,14 @@
 
 fn status(shared: &Shared, version: Version) -> Status {
     let view = shared.view();
+    let outstanding = shared.outstanding();
     let endpoints = view.endpoints.iter().map(|(id, endpoint)| EndpointStatus {
         id: id.clone(),
         domain: endpoint.member.domain.clone(),
         serves: endpoint.member.serves.clone(),
         owner: endpoint.owner.clone(),
         state: format!("{:?}", endpoint.state).to_lowercase(),
-        outstanding: endpoint.outstanding,
+        outstanding: outstanding.get(id).copied().unwrap_or(0),
         capacity: endpoint.member.capacity,
     });
     let peers = lock(&shared.detector).view();
--- a/crates/router/src/probes.rs
+++ b/crates/router/src/probes.rs
@@ -2,7 +2,7 @@
 
 use crate::metrics::Traffic;
 use crate::shared::{Shared, lock};
-use crate::{event, maintain};
+use crate::{event, refresh};
 use bytes::Bytes;
 use http::Method;
 use sequoiaridge_core::{EndpointId, Event, Member, MemberState, hash64};
@@ -138,7 +138,7 @@
     }
     let started = {
         let mut owner = lock(&shared.owner);
-        owner.set_state(id, maintain::policy_state(state.into()), now);
+        owner.set_state(id, refresh::policy_state(state.into()), now);
         if let (HealthState::Up, Some(report)) = (state, report) {
             owner.probed(id, report.running, now);
         }
@@ -216,7 +216,7 @@
             .entry(member.id.clone())
             .or_insert_with(|| new_health(shared));
         entry.listed(member.state == MemberState::Leaving, now);
-        let info = maintain::endpoint_info(member, true, entry.state(now).into(), None);
+        let info = refresh::endpoint_info(member, true, entry.state(now).into(), None);
         if !known {
             lock(&shared.owner).set_endpoint(info, now);
         }
--- /dev/null
+++ b/crates/router/src/refresh.rs
@@ -0,0 +1,197 @@
+//! Brings the view of the fleet and the owner's table up to date with list, gossip and probes.
+
+use crate::probes;
+use crate::shared::{Listed, Phase, Shared, lock};
+use crate::view::View;
+use sequoiaridge_core::{EndpointId, Member, MemberState, RouterId, hash64};
+use sequoiaridge_membership::{EndpointState as Reported, LoadReport, PeerView};
+use sequoiaridge_policy::{EndpointInfo, EndpointState, Owner, RouterInfo};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+/// What the last refresh saw. Most of the time only counts change; then the view, whose cost grows
+/// with the number of endpoints, stays as it is.
+#[derive(Debug, Default)]
+pub(crate) struct LastRefresh {
+    signature: u64,
+    counts: BTreeMap<(RouterId, EndpointId), u32>,
+}
+
+/// State in the terms of the owner's table.
+pub(crate) fn policy_state(state: Reported) -> EndpointState {
+    match state {
+        Reported::Up => EndpointState::Up,
+        Reported::Leaving => EndpointState::Leaving,
+        Reported::Unknown | Reported::Down | Reported::Released => EndpointState::Down,
+    }
+}
+
+/// Description of an endpoint for the owner's table.
+pub(crate) fn endpoint_info(
+    member: &Member,
+    own: bool,
+    state: Reported,
+    joined: Option<Duration>,
+) -> EndpointInfo {
+    EndpointInfo {
+        id: member.id.clone(),
+        capacity: member.capacity,
+        groups: member.serves.clone(),
+        state: policy_state(state),
+        own,
+        joined,
+    }
+}
+
+/// Refreshes view and owner's table.
+pub(crate) fn refresh(shared: &Shared) {
+    let mut last = lock(&shared.refreshed);
+    let members = lock(&shared.members).clone();
+    let (peers, loads) = {
+        let detector = lock(&shared.detector);
+        (detector.view(), detector.loads())
+    };
+    report_counts(shared, &mut last.counts, &loads);
+    // A draining router gives its endpoints up, unless nobody else could take them.
+    let alone = !peers.iter().any(|peer| peer.state.owns());
+    let owns = shared.phase() == Phase::Serving || (shared.phase() == Phase::Draining && alone);
+    let adopted = adopted(shared);
+    let signature = signature(&members, &peers, &loads, &adopted, owns);
+    if signature == last.signature {
+        refresh_own(shared);
+        return;
+    }
+    last.signature = signature;
+    let me = owns.then(|| RouterInfo {
+        id: shared.id().clone(),
+        domain: shared.settings.domain.clone(),
+        region: shared.settings.region.clone(),
+    });
+    let view = Arc::new(View::build(me, &peers, &members.endpoints, &loads));
+    *shared.view.write().unwrap_or_else(PoisonError::into_inner) = view.clone();
+    refresh_owner(shared, &view, &adopted);
+}
+
+/// Endpoints that this router admits to as a substitute.
+fn adopted(shared: &Shared) -> BTreeSet<EndpointId> {
+    let now = shared.now();
+    let mut adopted = lock(&shared.adopted);
+    adopted.retain(|_, end| *end > now);
+    adopted.keys().cloned().collect()
+}
+
+/// Hash of everything that shapes the view.
+fn signature(
+    members: &Listed,
+    peers: &[PeerView],
+    loads: &[LoadReport],
+    adopted: &BTreeSet<EndpointId>,
+    owns: bool,
+) -> u64 {
+    let mut bytes = members.generation.to_le_bytes().to_vec();
+    bytes.push(u8::from(owns));
+    let mut push = |text: &str, mark: u8| {
+        bytes.extend_from_slice(text.as_bytes());
+        bytes.push(0);
+        bytes.push(mark);
+    };
+    for peer in peers.iter().filter(|peer| peer.state.owns()) {
+        push(&peer.id, 1);
+        push(&peer.addr.to_string(), 1);
+    }
+    for load in loads {
+        push(&load.endpoint, 2);
+        push(&load.owner, load.state as u8);
+    }
+    adopted.iter().for_each(|id| push(id, 3));
+    hash64(&bytes)
+}
+
+/// Hands the counts of other routers to the owner's table; counts that are no longer reported end.
+fn report_counts(
+    shared: &Shared,
+    last: &mut BTreeMap<(RouterId, EndpointId), u32>,
+    loads: &[LoadReport],
+) {
+    let mut outstanding: BTreeMap<EndpointId, u32> = BTreeMap::new();
+    let mut counts = BTreeMap::new();
+    for load in loads {
+        *outstanding.entry(load.endpoint.clone()).or_default() += load.outstanding;
+        if &load.owner != shared.id() {
+            counts.insert(
+                (load.owner.clone(), load.endpoint.clone()),
+                load.outstanding,
+            );
+        }
+    }
+    let now = shared.now();
+    let mut owner = lock(&shared.owner);
+    for (key, count) in &counts {
+        if last.get(key) != Some(count) {
+            owner.report(&key.0, &key.1, *count, now);
+        }
+    }
+    for (router, endpoint) in last.keys().filter(|key| !counts.contains_key(*key)) {
+        owner.report(router, endpoint, 0, now);
+    }
+    drop(owner);
+    *last = counts;
+    *shared
+        .outstanding
+        .write()
+        .unwrap_or_else(PoisonError::into_inner) = Arc::new(outstanding);
+}
+
+/// Brings health and owner's table up to date with a new view.
+fn refresh_owner(shared: &Shared, view: &View, adopted: &BTreeSet<EndpointId>) {
+    let now = shared.now();
+    let mut health = lock(&shared.health);
+    let joined = lock(&shared.joined).clone();
+    let mut owner = lock(&shared.owner);
+    let is_own = |id: &EndpointId, of: &RouterId| of == shared.id() || adopted.contains(id);
+    let before = health.len();
+    health.retain(|id, _| view.endpoints.get(id).is_some_and(|e| is_own(id, &e.owner)));
+    let moved = health.len() < before;
+    for (id, endpoint) in &view.endpoints {
+        let member = &endpoint.member;
+        let own = is_own(id, &endpoint.owner);
+        let mut state = endpoint.state;
+        if own {
+            let entry = health.entry(id.clone());
+            let entry = entry.or_insert_with(|| probes::new_health(shared));
+            entry.listed(member.state == MemberState::Leaving, now);
+            state = entry.state(now).into();
+        } else if state == Reported::Unknown {
+            // Before the owner's first report the endpoint may be tried; its owner decides.
+            state = Reported::Up;
+        }
+        owner.set_endpoint(
+            endpoint_info(member, own, state, joined.get(id).copied()),
+            now,
+        );
+    }
+    remove_unlisted(&mut owner, view);
+    drop((owner, health));
+    if moved {
+        shared.move_waiting();
+    }
+}
+
+fn remove_unlisted(owner: &mut Owner, view: &View) {
+    let unlisted = owner
+        .endpoint_ids()
+        .into_iter()
+        .filter(|id| !view.endpoints.contains_key(id));
+    unlisted.for_each(|id| owner.remove_endpoint(&id));
+}
+
+/// Carries the health of the own endpoints over, which also changes by the passing of time.
+fn refresh_own(shared: &Shared) {
+    let now = shared.now();
+    let health = lock(&shared.health);
+    let mut owner = lock(&shared.owner);
+    for (id, health) in health.iter() {
+        owner.set_state(id, policy_state(health.state(now).into()), now);
+    }
+}
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,11 +1,12 @@
 //! State of one router that its workers share.
 //!
-//! Lock order: `members`, `detector`, `health`, `adopted`, `joined`, `owner`, `waiters`, `quarantine`, `budgets`,
+//! Lock order: `refreshed`, `members`, `detector`, `health`, `adopted`, `joined`, `owner`, `waiters`, `quarantine`, `budgets`,
 //! `opener`, `view`. A worker that holds one lock only takes later ones, and no lock is held across an
 //! `await`.
 
 use crate::metrics::Metrics;
 use crate::recent::RecentChanges;
+use crate::refresh::LastRefresh;
 use crate::view::View;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -49,6 +50,14 @@
     Moved,
 }
 
+/// The endpoints in the platform's list.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Listed {
+    /// Rises with each change of the list.
+    pub(crate) generation: u64,
+    pub(crate) endpoints: Arc<BTreeMap<EndpointId, Member>>,
+}
+
 /// State of one router; see the module for the lock order.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -71,7 +80,10 @@
     /// A draining router takes calls until this is set, because the balancer needs some time to send
     /// them elsewhere.
     pub(crate) closed: AtomicBool,
-    pub(crate) members: Mutex<BTreeMap<EndpointId, Member>>,
+    /// Set when the view is to be refreshed at once.
+    pub(crate) stale: AtomicBool,
+    pub(crate) refreshed: Mutex<LastRefresh>,
+    pub(crate) members: Mutex<Listed>,
     pub(crate) detector: Mutex<Detector>,
     pub(crate) health: Mutex<BTreeMap<EndpointId, EndpointHealth>>,
     /// Endpoints admitted to as a substitute, until the given time.
@@ -84,6 +96,8 @@
     pub(crate) budgets: Mutex<RetryBudget>,
     pub(crate) opener: Mutex<Opener>,
     pub(crate) view: RwLock<Arc<View>>,
+    /// Requests that routers report as outstanding, by endpoint.
+    pub(crate) outstanding: RwLock<Arc<BTreeMap<EndpointId, u32>>>,
     /// When the platform last answered.
     pub(crate) platform_heard: Mutex<Option<Duration>>,
     next_id: AtomicU64,
@@ -145,12 +159,15 @@
             phase: watch::Sender::new(Phase::Starting),
             isolated: AtomicBool::new(false),
             closed: AtomicBool::new(false),
+            stale: AtomicBool::new(true),
+            refreshed: Mutex::default(),
             members: Mutex::default(),
             health: Mutex::default(),
             adopted: Mutex::default(),
             joined: Mutex::default(),
             waiters: Mutex::default(),
             view: RwLock::default(),
+            outstanding: RwLock::default(),
             platform_heard: Mutex::default(),
             next_id: AtomicU64::new(1),
         }
@@ -179,6 +196,12 @@
             .clone()
     }
 
+    /// Requests that routers report as outstanding, by endpoint.
+    pub(crate) fn outstanding(&self) -> Arc<BTreeMap<EndpointId, u32>> {
+        let outstanding = self.outstanding.read();
+        outstanding.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Where the router is in its life.
     pub(crate) fn phase(&self) -> Phase {
         *self.phase.borrow()
@@ -189,6 +212,7 @@
         self.phase.send_if_modified(|current| {
             let later = phase > *current;
             if later {
+                self.stale.store(true, Ordering::Relaxed);
                 *current = phase;
             }
             later
@@ -201,11 +225,6 @@
         let _ = phase.wait_for(|phase| *phase == Phase::Stopped).await;
     }
 
-    /// When an endpoint joined or came back, if this router saw it.
-    pub(crate) fn joined(&self, id: &EndpointId) -> Option<Duration> {
-        lock(&self.joined).get(id).copied()
-    }
-
     /// Notes that chats of the endpoint may be cached elsewhere from now on.
     pub(crate) fn note_joined(&self, id: &EndpointId) {
         lock(&self.joined).insert(id.clone(), self.now());
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -14,8 +14,6 @@
     pub(crate) owner: RouterId,
     /// State that the owner reports; `Unknown` before its first report.
     pub(crate) state: EndpointState,
-    /// Requests that routers report as outstanding.
-    pub(crate) outstanding: u32,
 }
 
 /// A consistent picture of the fleet at one time.
@@ -70,7 +68,6 @@
             let state = own
                 .or(reports.last())
                 .map_or(EndpointState::Unknown, |report| report.state);
-            let outstanding = reports.iter().map(|report| report.outstanding).sum();
             let usable = matches!(state, EndpointState::Unknown | EndpointState::Up)
                 && member.state == sequoiaridge_core::MemberState::Live;
             if usable {
@@ -86,7 +83,6 @@
                 member: member.clone(),
                 owner,
                 state,
-                outstanding,
             };
             self.endpoints.insert(id.clone(), entry);
         }
--- a/tests/leaving_endpoint.rs
+++ b/tests/leaving_endpoint.rs
@@ -65,3 +65,41 @@
     tokio::time::sleep(BOUND).await;
     assert_eq!(runs_meanwhile(&fleet).await, 0);
 }
+
+/// Guards against engines that have gone and still count as idle capacity: the load bound of the
+/// engine that is left would be too low, and calls would wait although it has free slots.
+#[tokio::test(flavor = "multi_thread")]
+async fn removed_engines_do_not_lower_the_bound_of_the_others() {
+    let mut fleet = Fleet::start(2, 3, 0).await;
+    fleet.unlist("engine-1");
+    fleet.unlist("engine-2");
+    fleet.publish().await;
+    tokio::time::sleep(BOUND).await;
+    fleet
+        .engine(0)
+        .slow(Duration::from_millis(700))
+        .await
+        .unwrap();
+    let start = Instant::now();
+    let calls: Vec<_> = (0..8)
+        .map(|number| {
+            let (caller, address) = (fleet.caller.clone(), fleet.callers(number % 2));
+            let id = format!("chat-{number}");
+            tokio::spawn(async move { caller.chat(address, &id, &["Scale it."], false).await })
+        })
+        .collect();
+    for call in calls {
+        let reply = call.await.expect("the call ends");
+        assert_eq!(
+            (reply.status, reply.verdict()),
+            (200, "done"),
+            "{}",
+            reply.text()
+        );
+    }
+    assert!(
+        start.elapsed() < Duration::from_millis(1400),
+        "{:?}",
+        start.elapsed()
+    );
+}
