Transfer and parse the membership list only when it changes

Cause: each router fetched the whole list every second; with 2,000 entries most of an idle router's processor time went into parsing it. Requests now carry the platform's entity tag, and the stand-in answers 304.

--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -19,6 +19,7 @@
 use list::ListHistory;
 use order::{Faults, Mode, RateLimit, WriteFate};
 use rows::{Rows, TableFault};
+use sequoiaridge_core::hash64;
 use sequoiaridge_http::{BodyStream, Handler, Limits, Reply, Request, Server};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -179,7 +180,11 @@
             (&Method::POST, "/") => self.data().read(&operation, &request.body),
             (&Method::GET, "/v1/members") => {
                 let list = json!(self.data().list.served()).to_string();
-                Reply::json(StatusCode::OK, list)
+                let tag = format!("\"{:016x}\"", hash64(list.as_bytes()));
+                if request.header("if-none-match") == Some(&tag) {
+                    return Reply::new(StatusCode::NOT_MODIFIED, "");
+                }
+                Reply::json(StatusCode::OK, list).with_header("etag", &tag)
             }
             (&Method::GET, path) => self.data().get_object(path),
             (&Method::PUT, _) => self.write(request).await,
--- a/crates/router/src/list_sync.rs
+++ b/crates/router/src/list_sync.rs
@@ -13,8 +13,8 @@
 
 /// Mean time between two fetches of the list.
 const POLL: Duration = Duration::from_secs(1);
-/// Size of an entry of the list, for the count of control bytes.
-const ENTRY_BYTES: usize = 220;
+/// Size of a request and the head of its answer in bytes, for the count of control bytes.
+const EXCHANGE: usize = 400;
 
 /// Runs until the router stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
@@ -24,18 +24,22 @@
     let mut problems = 0;
     loop {
         match shared.list.fetch().await {
-            Ok(list) => {
+            Ok(fetched) => {
                 shared.platform_answered();
+                shared.metrics.sent(Traffic::List, EXCHANGE / 2);
                 shared
                     .metrics
-                    .received(Traffic::List, list.members.len() * ENTRY_BYTES);
+                    .received(Traffic::List, EXCHANGE / 2 + fetched.bytes);
+                let list = &fetched.list;
                 if list.problems.len() != problems {
                     list.problems
                         .iter()
                         .for_each(|problem| tracing::warn!("{problem}"));
                     problems = list.problems.len();
                 }
-                take_in(&shared, list.members, first);
+                if fetched.changed {
+                    take_in(&shared, list.members.clone(), first);
+                }
                 first = false;
             }
             Err(error) => shared.platform_failed(&error.to_string()),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -33,7 +33,7 @@
 pub use config_state::{Applied, ConfigState};
 pub use http_table::HttpTable;
 pub use ledger::{ClaimLedger, Removal};
-pub use member_list::{EntryError, ListError, MemberList, Members};
+pub use member_list::{EntryError, Fetched, ListError, MemberList, Members};
 pub use objects::{HttpObjects, ObjectError, Objects};
 pub use stats::LedgerStats;
 pub use table::{Attribute, Cond, Key, Op, Page, Row, StoreFuture, Table, TableError};
--- a/crates/store/src/member_list.rs
+++ b/crates/store/src/member_list.rs
@@ -3,13 +3,15 @@
 use crate::platform;
 use bytes::Bytes;
 use displaydoc::Display;
+use hyper::header::{ETAG, HeaderValue, IF_NONE_MATCH};
 use hyper::{HeaderMap, Method, StatusCode};
 use sequoiaridge_core::{Member, MemberState, Role};
-use sequoiaridge_http::Client;
+use sequoiaridge_http::{Client, ClientError};
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Largest list in bytes: 8,000 entries of 500 bytes with room to grow.
 const MAX_LIST: usize = 16 * 1024 * 1024;
@@ -68,17 +70,43 @@
     pub problems: Vec<EntryError>,
 }
 
+/// Result of [`MemberList::fetch`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fetched {
+    /// The list as it is now.
+    pub list: Arc<Members>,
+    /// Whether it differs from the list of the fetch before.
+    pub changed: bool,
+    /// Size of the answer's body in bytes.
+    pub bytes: usize,
+}
+
 /// Client of the membership list.
-#[derive(Clone, Debug)]
+///
+/// At the target size the list has almost 8,000 entries. The platform's entity tag is sent with each
+/// request, so that a list which has not changed is neither transferred nor parsed again.
+#[derive(Debug)]
 pub struct MemberList {
     server: SocketAddr,
     client: Client,
+    known: Mutex<Option<Known>>,
+}
+
+/// The list of the last fetch with its entity tag.
+#[derive(Clone, Debug)]
+struct Known {
+    tag: Option<HeaderValue>,
+    list: Arc<Members>,
 }
 
 impl MemberList {
     /// A client of the list at `server`.
     pub fn new(server: SocketAddr, client: Client) -> MemberList {
-        MemberList { server, client }
+        MemberList {
+            server,
+            client,
+            known: Mutex::default(),
+        }
     }
 
     /// Fetches the list.
@@ -86,15 +114,62 @@
     /// # Errors
     ///
     /// The list cannot be read as a whole. Invalid entries are reported in [`Members::problems`].
-    pub async fn fetch(&self) -> Result<Members, ListError> {
-        let (headers, body) = (HeaderMap::new(), Bytes::new());
-        let (client, server) = (&self.client, self.server);
-        let sent = platform::send(client, server, Method::GET, PATH, &headers, body, MAX_LIST);
-        match sent.await.map_err(|_| ListError::Unavailable)? {
-            (StatusCode::OK, list) => Members::parse(&list),
+    pub async fn fetch(&self) -> Result<Fetched, ListError> {
+        let known = self.known();
+        let mut headers = HeaderMap::new();
+        if let Some(tag) = known.as_ref().and_then(|known| known.tag.clone()) {
+            headers.insert(IF_NONE_MATCH, tag);
+        }
+        let (status, tag, body) = self.get(headers).await?;
+        match (status, known) {
+            (StatusCode::NOT_MODIFIED, Some(known)) => Ok(Fetched {
+                list: known.list,
+                changed: false,
+                bytes: 0,
+            }),
+            (StatusCode::OK, known) => {
+                let list = Arc::new(Members::parse(&body)?);
+                let changed = known.is_none_or(|known| known.list != list);
+                *self.lock() = Some(Known {
+                    tag,
+                    list: list.clone(),
+                });
+                Ok(Fetched {
+                    list,
+                    changed,
+                    bytes: body.len(),
+                })
+            }
             (status, _) => Err(ListError::Status(status.as_u16())),
         }
     }
+
+    async fn get(
+        &self,
+        headers: HeaderMap,
+    ) -> Result<(StatusCode, Option<HeaderValue>, Bytes), ListError> {
+        let exchange = async {
+            let (server, body) = (self.server, Bytes::new());
+            let answer = self
+                .client
+                .send(server, Method::GET, PATH, &headers, body)
+                .await?;
+            let (status, tag) = (answer.status, answer.headers.get(ETAG).cloned());
+            Ok::<_, ClientError>((status, tag, answer.whole(MAX_LIST).await?))
+        };
+        match tokio::time::timeout(platform::TIMEOUT, exchange).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(_)) | Err(_) => Err(ListError::Unavailable),
+        }
+    }
+
+    fn known(&self) -> Option<Known> {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Known>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 #[derive(Deserialize)]
--- a/crates/store/tests/platform.rs
+++ b/crates/store/tests/platform.rs
@@ -305,7 +305,7 @@
         ..PlatformConfig::default()
     });
     let list = MemberList::new(f.platform.address(), f.client.clone());
-    assert_eq!(list.fetch().await.unwrap().members, [member("a")]);
+    assert_eq!(list.fetch().await.unwrap().list.members, [member("a")]);
     let mut entries: Vec<_> = ["a", "b", "c", "b"]
         .map(|id| list_entry(&member(id)))
         .into();
@@ -315,9 +315,9 @@
     entries.push(entries[0].clone());
     f.platform.order(Order::ListLag { ms: 1_000 });
     f.platform.order(Order::Members { members: entries });
-    assert_eq!(list.fetch().await.unwrap().problems, []);
+    assert_eq!(list.fetch().await.unwrap().list.problems, []);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    let fetched = list.fetch().await.unwrap();
+    let fetched = list.fetch().await.unwrap().list;
     assert_eq!(fetched.members, [member("a"), member("b")]);
     let (index, label) = (1, "state");
     let expected = [
@@ -330,6 +330,16 @@
         },
     ];
     assert_eq!(fetched.problems, expected);
+    let again = list.fetch().await.unwrap();
+    assert!(
+        !again.changed,
+        "an unchanged list is not taken for a new one"
+    );
+    assert_eq!(
+        (again.bytes, &again.list),
+        (0, &fetched),
+        "nor transferred again"
+    );
     f.platform.order(Order::Outage);
     assert_eq!(list.fetch().await, Err(ListError::Status(503)));
 }
