Test that bookings run at most once, and give claims up in time

Cause: two faults at the owner of a call under an idempotency key. It answered "not run" while its claim was still being deleted, so that a retry of its own or the caller's next attempt found the row and was told "may have run". And a call that waited in the socket of a paused router was run when the router woke, although the sender had given it up, because a call under a key is not cancelled with its sender.

The release is now awaited for up to 2 s before "not run" is answered, and a claimed call whose sender has gone is released instead of dispatched.

Seen: with a service that refused, the first attempt was told may-have-run in place of not-run.

--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -22,11 +22,15 @@
 /// Shortest bounds on the wait for a head and on a pause, whatever the targets.
 const MIN_WAIT: Duration = Duration::from_secs(2);
 
+/// Longest wait for the release of a claim before "not run" is answered; as long as one request to
+/// the platform may take.
+const RELEASE_WAIT: Duration = Duration::from_secs(2);
+
 /// Bytes of a request that count as one more unit of work.
 const COST_BYTES: usize = 4096;
 
 /// Runs a call here. Dropping the receiver cancels a call that may be repeated; one that must not be
-/// repeated runs on, so that its answer can be stored.
+/// repeated runs on once it was sent to the endpoint, so that its answer can be stored.
 pub(crate) fn execute(shared: &Arc<Shared>, frame: CallFrame) -> PartReceiver {
     let (parts, receiver) = channel();
     let shared = shared.clone();
@@ -197,8 +201,10 @@
     /// it is stored whole.
     async fn serve_claimed(&self, claim: HeldClaim, target: &Target) -> Part {
         let ledger = &self.shared.ledger;
-        if !ledger.may_dispatch(&claim) {
-            ledger.release(claim);
+        // The router that sent the call may have given it up while this one was paused; its caller then
+        // repeats the key elsewhere.
+        if !ledger.may_dispatch(&claim) || self.parts.is_closed() {
+            self.release(claim).await;
             return Part::Fail(Refusal::not_run(RefusalReason::Deadline, SOON));
         }
         let (parts, receiver) = channel();
@@ -212,7 +218,7 @@
                 self.replay(answer).await
             }
             (Err(refusal), _) if refusal.verdict == Verdict::NotRun => {
-                ledger.release(claim);
+                self.release(claim).await;
                 Part::Fail(refusal)
             }
             (Err(refusal), _) => Part::Fail(refusal),
@@ -222,6 +228,14 @@
         }
     }
 
+    /// Gives the claim up before "not run" is answered: a retry, or the caller's next attempt, would
+    /// otherwise find the row and be told that the call may have run. If the platform does not answer
+    /// in time, the release goes on in the background.
+    async fn release(&self, claim: HeldClaim) {
+        let released = self.shared.ledger.release(claim);
+        let _ = tokio::time::timeout(RELEASE_WAIT, released).await;
+    }
+
     /// Stores the answer in the background; until then, repeated calls get "may have run".
     fn store(&self, claim: HeldClaim, answer: StoredAnswer) {
         let stored = self.shared.ledger.store(claim, answer);
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -6,7 +6,7 @@
     Change, Class, Customer, Member, MemberState, Repeat, Role, SystemClock, Targets, Team,
     token_digest,
 };
-use sequoiaridge::fakes::control::Control;
+use sequoiaridge::fakes::control::{Control, JournalEntry};
 use sequoiaridge::fakes::platform::{Order, list_entry};
 use sequoiaridge::http::{Client, ClientConfig};
 use sequoiaridge::store::{Accept, ConfigLog, HttpObjects, HttpTable};
@@ -68,22 +68,22 @@
     pub fn add_engine(&mut self) {
         let number = self.engines.len();
         let id = format!("engine-{number}");
-        let args = [
-            "fake",
-            "engine",
-            "--id",
-            &id,
-            "--model",
-            "small",
-            "--output-token",
-            "3000",
-        ];
-        let engine = Process::start(&args);
+        let engine = start_engine(&id);
         let address = engine.address("http");
         self.engines.push(engine);
         self.add_member(&id, Role::Engine, number, address, "small");
     }
 
+    /// Replaces an engine that ended by a new process of the same name; [`Fleet::publish`] makes its
+    /// address known.
+    pub fn restart_engine(&mut self, number: usize) {
+        let id = format!("engine-{number}");
+        self.engines[number] = start_engine(&id);
+        let address = self.engines[number].address("http");
+        let mut members = self.members.iter_mut();
+        members.find(|member| member.id == id).unwrap().address = address;
+    }
+
     /// Starts one more instance of the booking service.
     pub fn add_service(&mut self) {
         let number = self.services.len();
@@ -218,6 +218,38 @@
             .map(|reply| reply.json())
     }
 
+    /// Number of the router that owns an endpoint, as another router sees it.
+    pub async fn owner_of(&self, endpoint: &str, seen_by: usize) -> usize {
+        let status = self.status(seen_by).await.expect("the router answers");
+        let endpoints = status["endpoints"].as_array().expect("a list");
+        let entry = endpoints.iter().find(|entry| entry["id"] == endpoint);
+        let owner = entry.expect("the endpoint is known")["owner"].as_str();
+        let number = owner.and_then(|id| id.strip_prefix("router-"));
+        number.expect("a router").parse().expect("a number")
+    }
+
+    /// Sets targets of a class, with the team that all classes have, and waits until every router has
+    /// them in force.
+    pub async fn set_targets(&self, name: &str, targets: Targets) {
+        let class = serde_json::json!({ "team": "team", "targets": targets });
+        let status = self.status(0).await.expect("the router answers");
+        let base = status["version"].as_u64().expect("a version");
+        let reply = self.put_class(0, name, &class.to_string(), base).await;
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        let pending = reply.json()["pending"].clone();
+        assert_eq!(pending, serde_json::json!([]), "{}", reply.text());
+    }
+
+    /// What all services ran.
+    pub async fn journal(&self) -> Vec<JournalEntry> {
+        let mut journal = Vec::new();
+        for number in 0..self.services.len() {
+            let entries = self.service(number).journal().await;
+            journal.extend(entries.expect("the service answers"));
+        }
+        journal
+    }
+
     /// Address of a router for callers.
     pub fn callers(&self, number: usize) -> SocketAddr {
         self.routers[number].address("callers")
@@ -258,6 +290,12 @@
     }
 }
 
+/// Starts a process of an engine that takes 3 ms for each token.
+fn start_engine(id: &str) -> Process {
+    let args = ["fake", "engine", "--id", id, "--model", "small"];
+    Process::start(&[&args[..], &["--output-token", "3000"]].concat())
+}
+
 /// Writes the configuration that all tests use: a team, a customer and the classes `chat`, whose calls
 /// may be repeated, and `booking`, whose calls must not.
 async fn configure(platform: SocketAddr) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)] // each test file uses a part of these helpers
 
 pub mod fleet;
+pub mod history;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
@@ -209,6 +210,16 @@
     /// Sends a chat; `turns` are user messages, each but the last followed by an answer `ok`.
     pub async fn chat(&self, address: SocketAddr, id: &str, turns: &[&str], stream: bool) -> Reply {
         let body = chat_body(turns, stream);
+        self.send_chat(address, id, body).await.expect("an answer")
+    }
+
+    /// Sends a chat with this body.
+    pub async fn send_chat(
+        &self,
+        address: SocketAddr,
+        id: &str,
+        body: String,
+    ) -> Result<Reply, ClientError> {
         let headers = [("x-chat-id", id), ("x-work-class", "chat")];
         self.send(
             address,
@@ -218,7 +229,6 @@
             body,
         )
         .await
-        .expect("an answer")
     }
 
     /// Calls the booking service under an idempotency key.
@@ -242,6 +252,11 @@
 
 /// Body of a chat request for the model `small`.
 pub fn chat_body(turns: &[&str], stream: bool) -> String {
+    long_chat_body(turns, stream, 8)
+}
+
+/// Body of a chat request whose answer has this many tokens; the engines take 3 ms for each.
+pub fn long_chat_body(turns: &[&str], stream: bool, tokens: u32) -> String {
     let mut messages = vec![serde_json::json!({"role": "system", "content": "You scale recipes."})];
     for (at, turn) in turns.iter().enumerate() {
         messages.push(serde_json::json!({"role": "user", "content": turn}));
@@ -250,7 +265,7 @@
         }
     }
     serde_json::json!({
-        "model": "small", "messages": messages, "stream": stream, "max_tokens": 8,
+        "model": "small", "messages": messages, "stream": stream, "max_tokens": tokens,
     })
     .to_string()
 }
