Keep "may have run" of earlier attempts, and count every retry

Cause of the first fault: the refusal of the last attempt was passed on with its own verdict. A chat whose first attempt broke at one engine and whose retry was refused by another was told "not run", although it ran. A booking that was sent to an owner that then fell silent, and whose substitute could not write a claim, was told "not run", and the owner ran it when it woke. A call now remembers that an attempt is uncertain; only a key that was used for another request is conclusive.

Cause of the second fault: a call that was passed on to another owner, and was refused there by the endpoint, went on to a third owner within the same attempt, without the retry budget. Such a refusal now ends the attempt. A substitute for a lost owner that may have run the call also draws on the budget now.

Not seen: the draw of a substitute on the budget has no test of its own.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -79,6 +79,7 @@
         id,
         deadline,
         excluded: Vec::new(),
+        uncertain: false,
     };
     lock(&shared.budgets).deposit(&call.class, &call.customer);
     let mut attempts = 1;
@@ -87,20 +88,21 @@
             Ok(opened) => return Ok(opened),
             Err(failure) => failure,
         };
+        walk.uncertain |= failure.refusal.verdict == Verdict::MayHaveRun;
         let reason = retry_reason(&failure.refusal);
         let may_retry = policy.may_retry(failure.refusal.verdict, attempts);
         let (Some(reason), true) = (reason, may_retry) else {
-            return Err(failure.refusal);
+            return Err(walk.verdict(failure.refusal));
         };
-        if !lock(&shared.budgets).take(&call.class, &call.customer) {
-            return Err(Refusal {
+        if !walk.take_retry() {
+            return Err(walk.verdict(Refusal {
                 reason: RefusalReason::RetryBudget,
                 ..failure.refusal
-            });
+            }));
         }
         let pause = Backoff::default().delay(attempts - 1, &mut shared.rng());
         if shared.now() + pause >= deadline {
-            return Err(failure.refusal);
+            return Err(walk.verdict(failure.refusal));
         }
         shared.count_retry(reason, id);
         attempts += 1;
@@ -125,13 +127,15 @@
     }
 }
 
-/// One attempt: the walk over owners until one of them runs the call.
+/// The walks of a call over owners, one for each attempt, until one of them runs the call.
 struct Walk<'a> {
     shared: &'a Arc<Shared>,
     call: &'a Call,
     id: u64,
     deadline: Duration,
     excluded: Vec<EndpointId>,
+    /// Whether an earlier attempt may have run, or may still run at a router that was lost.
+    uncertain: bool,
 }
 
 /// The owner to ask next.
@@ -144,7 +148,23 @@
 }
 
 impl Walk<'_> {
-    async fn run(&self) -> Result<Opened, Failure> {
+    /// The refusal that the caller gets. "Not run" of the last attempt says nothing about those
+    /// before it, except that a key that was used for another request never ran for this one.
+    fn verdict(&self, refusal: Refusal) -> Refusal {
+        let conclusive = refusal.reason == RefusalReason::KeyReused;
+        let verdict = match refusal.verdict {
+            Verdict::NotRun if self.uncertain && !conclusive => Verdict::MayHaveRun,
+            verdict => verdict,
+        };
+        Refusal { verdict, ..refusal }
+    }
+
+    /// Takes one retry from the budget; `false` if it is used up.
+    fn take_retry(&self) -> bool {
+        lock(&self.shared.budgets).take(&self.call.class, &self.call.customer)
+    }
+
+    async fn run(&mut self) -> Result<Opened, Failure> {
         let view = self.shared.view();
         let ranked = self.rank(&view)?;
         let home = Step {
@@ -250,7 +270,7 @@
     }
 
     /// Asks the owner of the step's endpoint, or a substitute if the owner cannot be reached.
-    async fn ask(&self, step: &Step) -> Result<Reply, Failure> {
+    async fn ask(&mut self, step: &Step) -> Result<Reply, Failure> {
         let mut unreachable: Vec<RouterId> = Vec::new();
         let mut moves = 0;
         loop {
@@ -278,12 +298,17 @@
                     let safe = refusal.verdict == Verdict::NotRun
                         || self.call.idempotent()
                         || self.call.key.is_some();
-                    if !safe || unreachable.len() >= MAX_SUBSTITUTES {
+                    // A request that may have reached an endpoint is sent again from the budget.
+                    if !safe
+                        || unreachable.len() >= MAX_SUBSTITUTES
+                        || refusal.verdict != Verdict::NotRun && !self.take_retry()
+                    {
                         return Err(Failure {
                             refusal,
                             endpoint: None,
                         });
                     }
+                    self.uncertain |= refusal.verdict == Verdict::MayHaveRun;
                     let reason = retry_reason(&refusal).unwrap_or(RetryReason::PeerBroke);
                     self.shared.count_retry(reason, self.id);
                     unreachable.push(owner);
@@ -380,7 +405,8 @@
     }
 }
 
-/// Refusals that no other owner would decide differently.
+/// Refusals that end an attempt: no other owner would decide differently, or an endpoint has seen
+/// the request.
 fn is_final(reason: RefusalReason) -> bool {
     matches!(
         reason,
@@ -389,6 +415,8 @@
             | RefusalReason::UnknownClass
             | RefusalReason::KeyReused
             | RefusalReason::ClaimUnavailable
+            // The request reached an endpoint, so the next one is a retry and needs the budget.
+            | RefusalReason::EndpointRefused
     )
 }
 
--- /dev/null
+++ b/tests/retries.rs
@@ -0,0 +1,142 @@
+//! Retries stay within the budget of each class, customer and router, however the endpoints fail.
+
+mod support;
+
+use futures_util::future::join_all;
+use sequoiaridge::fakes::control::Stage;
+use std::time::Duration;
+use support::eventually;
+use support::fleet::Fleet;
+
+const CALLS: usize = 60;
+/// More requests than any run of these tests causes.
+const ALL: u32 = 10_000;
+
+/// Requests that reached the engines: those that ran and those that were refused. Resumed streams
+/// are continuations of a run and are not counted.
+async fn attempts(fleet: &Fleet) -> u64 {
+    let mut attempts = 0;
+    for number in 0..fleet.engines.len() {
+        let counters = fleet.engine(number).counters().await.unwrap();
+        attempts += counters.runs + counters.refused;
+    }
+    attempts
+}
+
+/// `1.1 * calls + 10`, with first attempts included.
+fn bound(calls: usize) -> u64 {
+    (calls + calls / 10 + 10) as u64
+}
+
+/// Sends calls through one router, a few at a time, and returns how many attempts they caused.
+async fn send(fleet: &Fleet, router: usize, name: &str, stream: bool, verdict: &str) -> u64 {
+    let before = attempts(fleet).await;
+    let address = fleet.callers(router);
+    for batch in 0..CALLS / 6 {
+        let calls = (0..6).map(|call| {
+            let id = format!("{name}-{router}-{batch}-{call}");
+            async move {
+                let reply = fleet.caller.chat(address, &id, &[&id], stream).await;
+                assert_eq!(reply.verdict(), verdict, "{}", reply.text());
+            }
+        });
+        join_all(calls).await;
+    }
+    attempts(fleet).await - before
+}
+
+/// Guards against retries that multiply the load of a full outage: all engines refuse, or cut every
+/// connection before the first token. The budgets of the two routers are separate.
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_of_a_full_outage_stay_within_the_budget() {
+    let outages = [
+        ("refused", None, "not-run"),
+        ("cut", Some(Stage::BeforeHead), "may-have-run"),
+    ];
+    for (name, cut, verdict) in outages {
+        let fleet = Fleet::start(2, 3, 0).await;
+        for number in 0..3 {
+            let engine = fleet.engine(number);
+            match cut {
+                None => engine.refuse(ALL).await.unwrap(),
+                Some(stage) => engine.cut(stage, ALL).await.unwrap(),
+            }
+        }
+        for router in [0, 1] {
+            let attempts = send(&fleet, router, name, router == 0, verdict).await;
+            let calls = CALLS as u64;
+            let expected = calls + 1..=bound(CALLS);
+            assert!(
+                expected.contains(&attempts),
+                "{name}, router {router}: {attempts} attempts of {calls} calls, not in {expected:?}"
+            );
+        }
+    }
+}
+
+/// Guards against attempts outside the budget when a call is passed on from an engine at its bound
+/// to engines that refuse it.
+#[tokio::test(flavor = "multi_thread")]
+async fn displaced_calls_stay_within_the_budget() {
+    let fleet = Fleet::start(2, 3, 0).await;
+    let address = fleet.callers(0);
+    let first = fleet
+        .caller
+        .chat(address, "shared", &["Hello."], false)
+        .await;
+    let home = first.header("x-engine-id").to_string();
+    let home: usize = home.strip_prefix("engine-").unwrap().parse().unwrap();
+    fleet
+        .engine(home)
+        .slow(Duration::from_secs(3))
+        .await
+        .unwrap();
+    for number in (0..3).filter(|number| *number != home) {
+        fleet.engine(number).refuse(ALL).await.unwrap();
+    }
+    let before = attempts(&fleet).await;
+    let calls = (0..CALLS).map(|call| {
+        let text = format!("Call {call}.");
+        let fleet = &fleet;
+        async move { fleet.caller.chat(address, "shared", &[&text], false).await }
+    });
+    join_all(calls).await;
+    let attempts = attempts(&fleet).await - before;
+    assert!(
+        attempts <= bound(CALLS),
+        "{attempts} attempts of {CALLS} calls, more than {}",
+        bound(CALLS)
+    );
+}
+
+/// Guards against a budget that stays empty: once the engines work again, calls are answered, and a
+/// single refusal is made good by a retry.
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_return_after_an_outage() {
+    let fleet = Fleet::start(2, 3, 0).await;
+    for number in 0..3 {
+        fleet.engine(number).refuse(ALL).await.unwrap();
+    }
+    send(&fleet, 0, "outage", false, "not-run").await;
+    for number in 0..3 {
+        fleet.engine(number).heal().await.unwrap();
+    }
+    let address = fleet.callers(0);
+    for call in 0..30 {
+        let id = format!("after-{call}");
+        let reply = fleet.caller.chat(address, &id, &[&id], false).await;
+        assert_eq!(reply.verdict(), "done", "{}", reply.text());
+    }
+    // Thirty calls deposited three tokens.
+    let reply = fleet.caller.chat(address, "last", &["One."], false).await;
+    let home = reply.header("x-engine-id").to_string();
+    let home: usize = home.strip_prefix("engine-").unwrap().parse().unwrap();
+    fleet.engine(home).refuse(1).await.unwrap();
+    eventually("a refused call is sent again", || async {
+        let refused = fleet.engine(home).counters().await.unwrap().refused;
+        let reply = fleet.caller.chat(address, "last", &["Two."], false).await;
+        assert_eq!(reply.verdict(), "done", "{}", reply.text());
+        fleet.engine(home).counters().await.unwrap().refused > refused
+    })
+    .await;
+}
--- /dev/null
+++ b/tests/verdicts.rs
@@ -0,0 +1,303 @@
+//! "Not run" is only said when nothing ran, and no answer ends as if it were whole.
+
+mod support;
+
+use sequoiaridge::core::Targets;
+use sequoiaridge::fakes::control::Stage;
+use sequoiaridge::fakes::engine::expected_events;
+use sequoiaridge::fakes::platform::Order;
+use support::fleet::Fleet;
+use support::history::{History, Told};
+use support::{Reply, chat_body, eventually, long_chat_body};
+
+const STAGES: [Stage; 4] = [
+    Stage::BeforeHead,
+    Stage::AfterHead,
+    Stage::MidBody,
+    Stage::BeforeEnd,
+];
+/// More requests than any call of these tests causes.
+const ALL: u32 = 1000;
+
+/// Checks a streamed answer: it is whole and right, or it shows that it is not whole.
+fn check_stream(reply: &Reply, body: &str) {
+    let expected = expected_events(body.as_bytes()).expect("a chat");
+    let text = reply.text();
+    if reply.status == 200 && reply.broken.is_none() {
+        assert_eq!(
+            reply.body, expected,
+            "an answer that ended is not the engine's"
+        );
+        return;
+    }
+    assert!(
+        !text.contains("[DONE]"),
+        "a broken answer looks whole: {text}"
+    );
+    if reply.status != 200 {
+        assert_ne!(reply.verdict(), "done", "{text}");
+        return;
+    }
+    let events = text.split_inclusive("\n\n");
+    let tokens: String = events
+        .filter(|event| !event.contains("\"error\""))
+        .collect();
+    let expected = String::from_utf8(expected).unwrap();
+    assert!(expected.starts_with(&tokens), "other tokens: {text}");
+}
+
+async fn engine_runs(fleet: &Fleet) -> u64 {
+    let mut runs = 0;
+    for number in 0..fleet.engines.len() {
+        runs += fleet.engine(number).counters().await.unwrap().runs;
+    }
+    runs
+}
+
+async fn resumed(fleet: &Fleet) -> u64 {
+    let mut resumed = 0;
+    for number in 0..fleet.engines.len() {
+        resumed += fleet.engine(number).counters().await.unwrap().resumed;
+    }
+    resumed
+}
+
+/// Guards against "not run" for a booking that ran, and against a broken answer that is passed on as
+/// whole: the service's connection is cut at every stage.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_booking_may_have_run() {
+    let fleet = Fleet::start(2, 0, 1).await;
+    let history = History::new();
+    for stage in STAGES {
+        for router in [0, 1] {
+            let key = format!("{stage:?}-{router}");
+            fleet.service(0).cut(stage, 1).await.unwrap();
+            let told = history.book(&fleet, router, &key).await;
+            assert_eq!(told, Told::MayHaveRun, "{key}");
+            assert_eq!(fleet.runs_of(&key).await, 1, "{key}");
+            let told = history.book(&fleet, 1 - router, &key).await;
+            assert_eq!(told, Told::MayHaveRun, "{key} again");
+        }
+    }
+    history.check(&fleet).await;
+}
+
+/// Guards against claims that outlive a refusal: a service that refuses before running, or whose
+/// address is dead, leaves the key free, and the caller learns that nothing ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_booking_was_not_run() {
+    let mut fleet = Fleet::start(2, 0, 1).await;
+    let history = History::new();
+    for router in [0, 1] {
+        let key = format!("refused-{router}");
+        fleet.service(0).refuse(ALL).await.unwrap();
+        let told = history.book(&fleet, router, &key).await;
+        assert_eq!(told, Told::NotRun, "{key}");
+        assert_eq!(fleet.runs_of(&key).await, 0, "{key}");
+        fleet.service(0).heal().await.unwrap();
+        // The key is free as soon as the caller has the answer.
+        let told = history.book(&fleet, 1 - router, &key).await;
+        assert!(matches!(told, Told::Done(_)), "{key} again: {told:?}");
+    }
+    history.check(&fleet).await;
+
+    fleet.services[0].signal("KILL");
+    fleet.services[0].wait();
+    for router in [0, 1] {
+        let told = history
+            .book(&fleet, router, &format!("dead-{router}"))
+            .await;
+        assert_eq!(told, Told::NotRun, "dead address");
+    }
+}
+
+/// Guards against "not run" after a peer was lost that still holds the call, and against its run long
+/// after everyone gave it up: the owner is paused, the platform is down for the others, and then both
+/// return.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_lost_at_a_paused_owner_may_have_run() {
+    // The pause outlasts the silence bound of links and the deadline, but not health.leave_bound
+    // (3 s): past that, the owner would not run the call when it wakes.
+    let settings = "links: {silence: 0.6, keepalive: 0.2}";
+    let fleet = Fleet::start_with(3, 0, 1, settings).await;
+    let targets = Targets {
+        first_token: 1.0,
+        deadline: 1.5,
+        repeat: sequoiaridge::core::Repeat::Never,
+        ..Targets::default()
+    };
+    fleet.set_targets("booking", targets).await;
+    let history = History::new();
+    let owner = fleet.owner_of("booking-0", 0).await;
+    let other = (owner + 1) % 3;
+    // The others have open connections to the owner.
+    assert!(
+        history
+            .book_until_done(&fleet, &[other], "before", 20)
+            .await
+    );
+    fleet.routers[owner].signal("STOP");
+    fleet.order(Order::Outage).await;
+    let told = history.book(&fleet, other, "lost").await;
+    assert_eq!(told, Told::MayHaveRun, "the owner may still run the call");
+    fleet.order(Order::Heal).await;
+    fleet.routers[owner].signal("CONT");
+    // The owner reads the lost call before it serves these.
+    for after in ["after-0", "after-1", "after-2"] {
+        let through = [owner];
+        let done = history.book_until_done(&fleet, &through, after, 100);
+        assert!(done.await, "{after} never became done");
+    }
+    assert_eq!(fleet.runs_of("lost").await, 0, "the lost call ran");
+    let through = [other];
+    let done = history.book_until_done(&fleet, &through, "lost", 100);
+    assert!(done.await, "the key never became free");
+    history.check(&fleet).await;
+}
+
+/// Guards against streams that end as if whole, or that lose or repeat events: the engines cut one
+/// connection at every stage, and the stream is resumed, or sent again before its first token.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_cut_once_becomes_whole() {
+    let fleet = Fleet::start(2, 2, 0).await;
+    for stage in STAGES {
+        for router in [0, 1] {
+            let id = format!("{stage:?}-{router}");
+            let body = chat_body(&[&id], true);
+            let (runs, resumes) = (engine_runs(&fleet).await, resumed(&fleet).await);
+            // Only one of the engines has the chat, so that the other keeps its order.
+            fleet.engine(0).cut(stage, 1).await.unwrap();
+            fleet.engine(1).cut(stage, 1).await.unwrap();
+            let address = fleet.callers(router);
+            let reply = fleet
+                .caller
+                .send_chat(address, &id, body.clone())
+                .await
+                .unwrap();
+            fleet.engine(0).heal().await.unwrap();
+            fleet.engine(1).heal().await.unwrap();
+            let text = reply.text();
+            assert_eq!(
+                (reply.status, reply.broken.clone()),
+                (200, None),
+                "{id}: {text}"
+            );
+            check_stream(&reply, &body);
+            let runs = engine_runs(&fleet).await - runs;
+            let resumes = resumed(&fleet).await - resumes;
+            if stage == Stage::BeforeHead {
+                assert!(runs > 1, "{id} was not sent again");
+            } else {
+                assert_eq!((runs, resumes), (1, 1), "{id} was not resumed");
+            }
+        }
+    }
+}
+
+/// Guards against retries after the first token, and against broken streams that look whole: the
+/// engines cut every connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_cannot_be_resumed_ends_as_broken() {
+    let fleet = Fleet::start(2, 2, 0).await;
+    for stage in STAGES {
+        for number in [0, 1] {
+            fleet.engine(number).cut(stage, ALL).await.unwrap();
+        }
+        for router in [0, 1] {
+            let id = format!("{stage:?}-{router}");
+            let body = chat_body(&[&id], true);
+            let runs = engine_runs(&fleet).await;
+            let address = fleet.callers(router);
+            let reply = fleet
+                .caller
+                .send_chat(address, &id, body.clone())
+                .await
+                .unwrap();
+            check_stream(&reply, &body);
+            let runs = engine_runs(&fleet).await - runs;
+            let text = reply.text();
+            if matches!(stage, Stage::BeforeHead | Stage::AfterHead) {
+                assert_eq!(reply.verdict(), "may-have-run", "{id}: {text}");
+                assert!((2..=4).contains(&runs), "{id}: {runs} runs");
+            } else {
+                assert!(reply.broken.is_some(), "{id} ended: {text}");
+                assert!(
+                    text.contains("may-have-run"),
+                    "{id}: no error event: {text}"
+                );
+                assert_eq!(runs, 1, "{id} ran again after its first token");
+            }
+        }
+    }
+}
+
+/// Guards against "not run" for a chat whose first attempt broke and whose second was refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_retry_does_not_hide_a_run() {
+    let fleet = Fleet::start(2, 2, 0).await;
+    // Two attempts: 1 + ceil(log10(1 / (1 - 0.9))).
+    let targets = Targets {
+        answered: 0.9,
+        first_token: 2.0,
+        deadline: 20.0,
+        ..Targets::default()
+    };
+    fleet.set_targets("chat", targets).await;
+    for (number, stream) in [(0, true), (1, false), (2, true), (3, false)] {
+        let id = format!("chat-{number}");
+        let address = fleet.callers(number % 2);
+        let first = fleet.caller.chat(address, &id, &["before"], stream).await;
+        assert_eq!(first.verdict(), "done", "{}", first.text());
+        let home = usize::from(first.header("x-engine-id") == "engine-1");
+        fleet.engine(home).cut(Stage::BeforeHead, 1).await.unwrap();
+        fleet.engine(1 - home).refuse(1).await.unwrap();
+        let before = engine_runs(&fleet).await;
+        let reply = fleet.caller.chat(address, &id, &["then"], stream).await;
+        assert_eq!(engine_runs(&fleet).await - before, 1, "{}", reply.text());
+        assert_eq!(reply.verdict(), "may-have-run", "{}", reply.text());
+        fleet.engine(0).heal().await.unwrap();
+        fleet.engine(1).heal().await.unwrap();
+    }
+}
+
+/// Guards against streams that end as if whole when a router on their way is killed: the one that
+/// the caller asked, or the owner of the engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_through_a_killed_router_ends_as_broken() {
+    for kill_owner in [true, false] {
+        let mut fleet = Fleet::start(3, 1, 0).await;
+        let owner = fleet.owner_of("engine-0", 0).await;
+        let asked = (owner + 1) % 3;
+        let body = long_chat_body(&["A long answer."], true, 1000);
+        let engine = fleet.engine(0);
+        let victim = if kill_owner { owner } else { asked };
+        let (call, ()) = tokio::join!(
+            fleet
+                .caller
+                .send_chat(fleet.callers(asked), "long", body.clone()),
+            async {
+                eventually("tokens are generated", || async {
+                    engine.counters().await.unwrap().output_tokens > 100
+                })
+                .await;
+                fleet.routers[victim].signal("KILL");
+            }
+        );
+        fleet.routers[victim].wait();
+        let reply = call.expect("a head");
+        check_stream(&reply, &body);
+        assert!(reply.broken.is_some(), "the stream ended: {}", reply.text());
+        if kill_owner {
+            assert!(reply.text().contains("may-have-run"), "{}", reply.text());
+        }
+        // The rest of the fleet serves the same chat.
+        let other = (0..3).find(|router| *router != victim).unwrap();
+        eventually("the chat is answered", || async {
+            let sent = fleet
+                .caller
+                .chat(fleet.callers(other), "long", &["Again."], true);
+            sent.await.status == 200
+        })
+        .await;
+    }
+}
