Refuse JSON answers of services that are not one document

Cause: an answer of a plain service was passed on as it came. An answer whose body was sent twice, with a valid length, reached the caller as done. An answer that says it is JSON must now be exactly one JSON document; chats were already checked so.

Seen before the fix: tests/answers.rs got {"answer":..}{"answer":..} with verdict done.

Answers of other formats that are sent twice are not noticed, because nothing marks their end.

--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use sequoiaridge_core::{EndpointId, Refusal, RefusalReason, Verdict};
 use sequoiaridge_http::{Answer, Client, ClientError};
+use serde::de::IgnoredAny;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -118,7 +119,14 @@
     }
     let head = head_of(&answer);
     let success = answer.status.is_success();
+    let json = answer
+        .header("content-type")
+        .is_some_and(|kind| kind.starts_with("application/json"));
     let body = answer.whole(MAX_ANSWER).await.map_err(refusal)?;
+    // A body that is sent twice has a valid length; only its syntax shows the fault.
+    if json && !body.is_empty() && serde_json::from_slice::<IgnoredAny>(&body).is_err() {
+        return Err(broken(RefusalReason::EndpointInvalid));
+    }
     let mut finish = Finish::default();
     if work.chat && success {
         let fields: AnswerFields =
