Complete the administration API and add the operators' commands

The API had no limits on entries and digests, showed no configuration, and checked an operator's rights against the configuration in force at the router that was asked. A router that is a few versions behind could thus accept a token that was just removed, or let a team take over a class that another team just created, because the write itself is only bound to the newest version. Rights are now checked against the configuration that the write is based on. Checking after the write was ruled out: it cannot be undone.

Digests must have 64 hexadecimal digits, a token belongs to one entry, entries are bounded, and the last administrator cannot be removed, because nobody could create another one.

The buckets of the latency histograms doubled, so that a pace of 20 ms between tokens was shown as 31 ms against a target of 30 ms in a run of dev. They now have three steps to a doubling.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -7,6 +7,16 @@
 
 /// Longest name of a class, customer or team, in bytes.
 const MAX_NAME: usize = 64;
+/// Most classes; each has histograms of its own at every router.
+pub const MAX_CLASSES: usize = 256;
+/// Most customers: eight times those of the target size.
+pub const MAX_CUSTOMERS: usize = 16_384;
+/// Most teams.
+pub const MAX_TEAMS: usize = 1024;
+/// Most tokens of a customer or team. A change travels in one frame and is one row of the table.
+pub const MAX_TOKENS: usize = 64;
+/// Length of a token's digest in hexadecimal digits.
+const DIGEST: usize = 64;
 
 /// A class of work.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -111,6 +121,34 @@
     UnknownTeam(ClassName),
     /// team {0:?} still owns classes
     TeamInUse(TeamId),
+    /// there may be at most {limit} {kind}; remove one that is not used
+    Full {
+        /// Kind of the entries.
+        kind: &'static str,
+        /// Largest number of entries.
+        limit: usize,
+    },
+    /// {given} tokens are given; there may be at most {limit}
+    TooManyTokens {
+        /// Number of tokens that were given.
+        given: usize,
+        /// Largest number of tokens.
+        limit: usize,
+    },
+    /// token digest {at} of the sorted list must have 64 hexadecimal digits 0-9, a-f
+    Digest {
+        /// Place in the sorted list, from 1. The text itself may be a token, so it is not shown.
+        at: usize,
+    },
+    /// a token is already in use by the {kind} {name:?}
+    TokenInUse {
+        /// Kind of the entry.
+        kind: &'static str,
+        /// Name of the entry.
+        name: String,
+    },
+    /// no team with 'admin' and a token would be left, so nobody could change teams any more
+    NoAdmin,
 }
 
 impl std::error::Error for ChangeError {}
@@ -128,16 +166,26 @@
         };
         match self {
             Change::SetClass { name, class } => {
-                problems.extend(
-                    class
-                        .targets
-                        .problems()
-                        .into_iter()
-                        .map(ChangeError::Target),
-                );
+                let targets = class.targets.problems().into_iter();
+                problems.extend(targets.map(ChangeError::Target));
                 if !base.teams.contains_key(&class.team) {
                     problems.push(ChangeError::UnknownTeam(name.clone()));
                 }
+                problems.extend(full("classes", &base.classes, name, MAX_CLASSES));
+            }
+            Change::SetCustomer { name, customer } => {
+                problems.extend(full("customers", &base.customers, name, MAX_CUSTOMERS));
+                problems.extend(token_problems(&customer.tokens));
+                let others = base.customers.iter().filter(|(other, _)| *other != name);
+                let others = others.map(|(other, entry)| (other, &entry.tokens));
+                problems.extend(token_in_use("customer", &customer.tokens, others));
+            }
+            Change::SetTeam { name, team } => {
+                problems.extend(full("teams", &base.teams, name, MAX_TEAMS));
+                problems.extend(token_problems(&team.tokens));
+                let others = base.teams.iter().filter(|(other, _)| *other != name);
+                let others = others.map(|(other, entry)| (other, &entry.tokens));
+                problems.extend(token_in_use("team", &team.tokens, others));
             }
             Change::RemoveClass { name } if !base.classes.contains_key(name) => {
                 problems.push(missing("class", name));
@@ -153,9 +201,25 @@
             }
             _ => {}
         }
+        if problems.is_empty() && self.leaves_no_admin(base) {
+            problems.push(ChangeError::NoAdmin);
+        }
         problems
     }
 
+    /// Whether the change takes the last administrator away. While no team exists at all, the
+    /// bootstrap token administers.
+    fn leaves_no_admin(&self, base: &FleetConfig) -> bool {
+        let (name, new) = match self {
+            Change::SetTeam { name, team } => (name, Some(team)),
+            Change::RemoveTeam { name } => (name, None),
+            _ => return false,
+        };
+        let others = base.teams.iter().filter(|(other, _)| *other != name);
+        let mut left = others.map(|(_, team)| team).chain(new).peekable();
+        left.peek().is_some() && !left.any(|team| team.admin && !team.tokens.is_empty())
+    }
+
     /// Name of the entry that the change is about.
     pub fn name(&self) -> &str {
         match self {
@@ -184,7 +248,48 @@
     }
 }
 
-fn valid_name(name: &str) -> bool {
+/// Whether a class, customer or team may have this name.
+pub fn valid_name(name: &str) -> bool {
     let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b"-_.".contains(&b);
     (1..=MAX_NAME).contains(&name.len()) && name.bytes().all(allowed)
 }
+
+/// A mistake if an entry is new and there is no room for it.
+fn full<T>(
+    kind: &'static str,
+    entries: &BTreeMap<String, T>,
+    name: &str,
+    limit: usize,
+) -> Option<ChangeError> {
+    let room = entries.len() < limit || entries.contains_key(name);
+    (!room).then_some(ChangeError::Full { kind, limit })
+}
+
+/// Mistakes in the digests themselves.
+fn token_problems(tokens: &BTreeSet<String>) -> Vec<ChangeError> {
+    let hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+    let valid = |digest: &str| digest.len() == DIGEST && digest.bytes().all(hex);
+    let digests = tokens.iter().take(MAX_TOKENS).enumerate();
+    let mut problems: Vec<ChangeError> = digests
+        .filter(|(_, digest)| !valid(digest))
+        .map(|(at, _)| ChangeError::Digest { at: at + 1 })
+        .collect();
+    if tokens.len() > MAX_TOKENS {
+        let (given, limit) = (tokens.len(), MAX_TOKENS);
+        problems.push(ChangeError::TooManyTokens { given, limit });
+    }
+    problems
+}
+
+/// A mistake if another entry has one of the tokens: a token must identify one entry.
+fn token_in_use<'a>(
+    kind: &'static str,
+    tokens: &BTreeSet<String>,
+    mut others: impl Iterator<Item = (&'a String, &'a BTreeSet<String>)>,
+) -> Option<ChangeError> {
+    let found = others.find(|(_, other)| !tokens.is_disjoint(other));
+    found.map(|(name, _)| ChangeError::TokenInUse {
+        kind,
+        name: name.clone(),
+    })
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,7 +25,10 @@
 mod verdict;
 
 pub use clock::{Clock, ManualClock, SystemClock};
-pub use config::{Change, ChangeError, Class, Customer, FleetConfig, Team};
+pub use config::{
+    Change, ChangeError, Class, Customer, FleetConfig, MAX_CLASSES, MAX_CUSTOMERS, MAX_TEAMS,
+    MAX_TOKENS, Team, valid_name,
+};
 pub use event::{Event, Severity};
 pub use hash::{hash_parts, hash64, token_digest};
 pub use id::{
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -41,4 +41,5 @@
 mod upstream;
 mod view;
 
+pub use metrics::example_metrics;
 pub use router::{Drained, Router, StartError};
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -3,6 +3,8 @@
 //! Label sets are bounded: classes and reasons are labels, customers are not, because there may be
 //! thousands.
 
+mod summary;
+
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -10,15 +12,13 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
-use sequoiaridge_core::{RefusalReason, RetryReason};
-use std::collections::BTreeSet;
+use sequoiaridge_core::{MAX_CLASSES, RefusalReason, RetryReason, Verdict};
+use sequoiaridge_store::LedgerStats;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::AtomicU64;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-/// Largest number of classes with a histogram of their own; further ones share the label `other`.
-const MAX_CLASSES: usize = 256;
-
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ReasonLabel {
     reason: &'static str,
@@ -41,6 +41,11 @@
     direction: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
 type Histograms = Family<ClassLabel, Histogram, fn() -> Histogram>;
 
 /// Kinds of control traffic.
@@ -82,6 +87,7 @@
     calls: Family<OutcomeLabel, Counter>,
     control: Family<TrafficLabel, Counter>,
     rejected: Family<ReasonLabel, Counter>,
+    claims: Family<KindLabel, Gauge>,
     first_token: Histograms,
     between_tokens: Histograms,
     pub(crate) attempts: Counter,
@@ -103,6 +109,7 @@
             calls: Family::default(),
             control: Family::default(),
             rejected: Family::default(),
+            claims: Family::default(),
             first_token: Family::new_with_constructor(latency as fn() -> Histogram),
             between_tokens: Family::new_with_constructor(latency as fn() -> Histogram),
             attempts: Counter::default(),
@@ -127,6 +134,7 @@
             metrics.sent(kind, 0);
             metrics.received(kind, 0);
         }
+        metrics.claims(LedgerStats::default());
         metrics
     }
 
@@ -163,6 +171,11 @@
             "Messages of peers that were dropped, by reason",
             self.rejected.clone(),
         );
+        registry.register(
+            "claims",
+            "Counts of the claim ledger since the start of the router, by kind",
+            self.claims.clone(),
+        );
         registry.register_with_unit(
             "first_token",
             "Time from arrival to the first token, by class",
@@ -221,7 +234,7 @@
     }
 
     /// Counts the end of a call.
-    pub(crate) fn ended(&self, class: &str, verdict: sequoiaridge_core::Verdict) {
+    pub(crate) fn ended(&self, class: &str, verdict: Verdict) {
         let class = self.class(class);
         self.calls
             .get_or_create(&OutcomeLabel {
@@ -300,6 +313,43 @@
             .collect()
     }
 
+    /// Takes over the counters of the claim ledger.
+    pub(crate) fn claims(&self, stats: LedgerStats) {
+        for (kind, count) in claim_counts(stats) {
+            let gauge = self.claims.get_or_create(&KindLabel { kind });
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
+    /// Calls of a class that ended so far, by verdict.
+    pub(crate) fn calls_of(&self, class: &str) -> BTreeMap<&'static str, u64> {
+        let verdicts = [Verdict::Done, Verdict::MayHaveRun, Verdict::NotRun];
+        let count = |verdict: Verdict| {
+            let verdict = verdict.as_str();
+            let class = class.to_string();
+            let counter = self.calls.get(&OutcomeLabel { class, verdict });
+            (verdict, counter.map_or(0, |counter| counter.get()))
+        };
+        verdicts.into_iter().map(count).collect()
+    }
+
+    /// Control bytes so far as kind, sent and received.
+    pub(crate) fn control_bytes(&self) -> Vec<(&'static str, u64, u64)> {
+        let count = |kind: &'static str, direction: &'static str| {
+            let label = TrafficLabel { kind, direction };
+            self.control.get_or_create(&label).get()
+        };
+        let kinds = Traffic::ALL.into_iter().map(Traffic::as_str);
+        kinds
+            .map(|kind| (kind, count(kind, "sent"), count(kind, "received")))
+            .collect()
+    }
+
+    /// The 95th percentiles of each class: first token and between tokens, in seconds.
+    pub(crate) fn percentiles(&self) -> BTreeMap<String, summary::Percentiles> {
+        summary::percentiles(&self.encode())
+    }
+
     /// All metrics in the OpenMetrics text format.
     pub(crate) fn encode(&self) -> String {
         let mut text = String::new();
@@ -318,7 +368,36 @@
     }
 }
 
-/// Buckets from 1 ms to about 130 s.
+/// Counters of the claim ledger by the names that `status` and the metrics use.
+pub(crate) fn claim_counts(stats: LedgerStats) -> [(&'static str, u64); 8] {
+    [
+        ("reads", stats.reads),
+        ("writes", stats.writes),
+        ("batches", stats.batches),
+        ("batch-rows", stats.batch_rows),
+        ("unknown", stats.unknown),
+        ("unresolved", stats.unresolved),
+        ("not-stored", stats.not_stored),
+        ("pending", stats.pending),
+    ]
+}
+
+/// The metrics of a router that has done one of everything, in the OpenMetrics text format: every
+/// name, type and label that `/metrics` can show. docs/metrics.md is checked against it.
+pub fn example_metrics() -> String {
+    let metrics = Metrics::new();
+    metrics.ended("class", Verdict::Done);
+    metrics.rejected("reason");
+    metrics.first_token("class", Duration::ZERO);
+    metrics.between_tokens("class", Duration::ZERO);
+    metrics.encode()
+}
+
+/// Buckets from 1 ms to about 131 s, three to a doubling: `status` compares percentiles from the
+/// buckets with targets, and with whole doublings 20 ms could not be told from a target of 30 ms.
 fn latency() -> Histogram {
-    Histogram::new(exponential_buckets(0.001, 2.0, 18))
+    const STEPS: u16 = 3;
+    const DOUBLINGS: u16 = 17;
+    let factor = f64::from(STEPS).recip().exp2();
+    Histogram::new(exponential_buckets(0.001, factor, STEPS * DOUBLINGS + 1))
 }
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -3,6 +3,7 @@
 pub(crate) mod auth;
 pub(crate) mod commands;
 pub(crate) mod queries;
+pub(crate) mod status;
 
 use crate::shared::{Phase, Shared};
 use http::{Method, StatusCode};
@@ -34,18 +35,23 @@
     match (&request.method, request.path.as_str()) {
         (&Method::GET, "/live") => Reply::new(StatusCode::OK, "live\n"),
         (&Method::GET, "/ready") => ready(shared),
-        (&Method::GET, "/metrics") => Reply::new(StatusCode::OK, shared.metrics.encode())
-            .with_header(
-                "content-type",
-                "application/openmetrics-text; version=1.0.0; charset=utf-8",
-            ),
+        (&Method::GET, "/metrics") => metrics(shared),
         (_, path) => match path.strip_prefix(PREFIX) {
             Some(rest) => admin(shared, &request, rest).await,
-            None => problem(StatusCode::NOT_FOUND, "not-found", &[]),
+            None => not_found("this path does not exist; see docs/admin-api.md"),
         },
     }
 }
 
+/// All metrics in the OpenMetrics text format.
+fn metrics(shared: &Shared) -> Reply {
+    shared.metrics.claims(shared.ledger.stats());
+    Reply::new(StatusCode::OK, shared.metrics.encode()).with_header(
+        "content-type",
+        "application/openmetrics-text; version=1.0.0; charset=utf-8",
+    )
+}
+
 /// Whether the platform's balancer should send callers here.
 fn ready(shared: &Shared) -> Reply {
     let isolated = shared.isolated.load(Ordering::Relaxed);
@@ -65,9 +71,14 @@
         Err(reply) => return *reply,
     };
     match request.method {
-        Method::GET => queries::answer(shared, &operator, rest),
-        Method::PUT | Method::DELETE => commands::answer(shared, &operator, request, rest).await,
-        _ => problem(StatusCode::METHOD_NOT_ALLOWED, "method-not-allowed", &[]),
+        Method::GET => queries::answer(shared, &operator, request, rest),
+        Method::PUT | Method::DELETE => commands::answer(shared, request, rest).await,
+        _ => problem(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "method-not-allowed",
+            &["use GET, PUT or DELETE".to_string()],
+        )
+        .with_header("allow", "GET, PUT, DELETE"),
     }
 }
 
@@ -86,3 +97,8 @@
 pub(crate) fn problem(status: StatusCode, result: &str, problems: &[String]) -> Reply {
     json(status, &ProblemBody { result, problems })
 }
+
+/// A reply for a path or entry that does not exist.
+pub(crate) fn not_found(detail: &str) -> Reply {
+    problem(StatusCode::NOT_FOUND, "not-found", &[detail.to_string()])
+}
--- a/crates/router/src/operators/auth.rs
+++ b/crates/router/src/operators/auth.rs
@@ -4,7 +4,7 @@
 use crate::event;
 use crate::shared::Shared;
 use http::StatusCode;
-use sequoiaridge_core::{Change, Event, FleetConfig, TeamId, token_digest};
+use sequoiaridge_core::{Change, Class, Event, FleetConfig, TeamId, token_digest};
 use sequoiaridge_http::{Reply, Request};
 
 /// An authenticated operator.
@@ -47,26 +47,18 @@
             Operator::Bootstrap | Operator::Team { admin: true, .. }
         )
     }
+
+    /// Whether the operator sees a class: administrators see all, teams their own.
+    pub(crate) fn sees(&self, class: &Class) -> bool {
+        match self {
+            Operator::Team { name, admin: false } => &class.team == name,
+            _ => true,
+        }
+    }
 }
 
 /// Finds the operator by the digest of the bearer token. The token itself is neither kept nor logged.
 pub(crate) fn authenticate(shared: &Shared, request: &Request) -> Result<Operator, Box<Reply>> {
-    let refused = |detail: &str| {
-        event::log(
-            Event::AdminRefused,
-            &format!("{} from {}: {detail}", request.path, request.peer),
-        );
-        Box::new(problem(
-            StatusCode::UNAUTHORIZED,
-            "unauthorized",
-            &[detail.to_string()],
-        ))
-    };
-    let Some(digest) = request.bearer().map(token_digest) else {
-        return Err(refused(
-            "the header 'authorization: Bearer TOKEN' is missing",
-        ));
-    };
     let Some(config) = shared.config.current() else {
         let detail = "the router has no configuration yet".to_string();
         return Err(Box::new(problem(
@@ -75,6 +67,21 @@
             &[detail],
         )));
     };
+    identify(shared, request, &config)
+}
+
+/// Finds the operator in the given configuration.
+pub(crate) fn identify(
+    shared: &Shared,
+    request: &Request,
+    config: &FleetConfig,
+) -> Result<Operator, Box<Reply>> {
+    let Some(digest) = request.bearer().map(token_digest) else {
+        return Err(unauthorized(
+            request,
+            "the header 'authorization: Bearer TOKEN' is missing",
+        ));
+    };
     let team = config
         .teams
         .iter()
@@ -89,5 +96,28 @@
     if config.teams.is_empty() && bootstrap == Some(&digest) {
         return Ok(Operator::Bootstrap);
     }
-    Err(refused("the token is not known"))
+    Err(unauthorized(request, "the token is not known"))
+}
+
+fn unauthorized(request: &Request, detail: &str) -> Box<Reply> {
+    log_refusal(request, detail);
+    let problems = [detail.to_string()];
+    Box::new(problem(StatusCode::UNAUTHORIZED, "unauthorized", &problems))
+}
+
+/// The reply to an operator who may not do or see something.
+pub(crate) fn forbidden(request: &Request, detail: &str) -> Reply {
+    log_refusal(request, detail);
+    problem(StatusCode::FORBIDDEN, "refused", &[detail.to_string()])
+}
+
+/// Logs a refusal without the token. The path is chosen by the client, so it is escaped and cut.
+fn log_refusal(request: &Request, detail: &str) {
+    const LONGEST_PATH: usize = 200;
+    let path: String = request.path.chars().take(LONGEST_PATH).collect();
+    let (method, peer) = (&request.method, request.peer);
+    event::log(
+        Event::AdminRefused,
+        &format!("{method} {path:?} from {peer}: {detail}"),
+    );
 }
--- a/crates/router/src/operators/commands.rs
+++ b/crates/router/src/operators/commands.rs
@@ -1,7 +1,6 @@
 //! Commands of the administration API: changes of the fleet configuration.
 
-use super::auth::Operator;
-use super::{json, problem};
+use super::{auth, json, problem};
 use crate::shared::{Shared, lock};
 use crate::{config_sync, event};
 use http::{Method, StatusCode};
@@ -32,30 +31,49 @@
 }
 
 /// Makes a change.
-pub(crate) async fn answer(
-    shared: &Arc<Shared>,
-    operator: &Operator,
-    request: &Request,
-    rest: &str,
-) -> Reply {
+///
+/// The operator is looked up in the newest configuration, not only in the one in force here: a router
+/// that is behind would otherwise accept a token that was just removed, or give a team a class that
+/// another team just created.
+pub(crate) async fn answer(shared: &Arc<Shared>, request: &Request, rest: &str) -> Reply {
     let (base, change) = match parse(request, rest) {
         Ok(parsed) => parsed,
         Err(reply) => return *reply,
     };
-    let Some(config) = shared.config.current() else {
-        return problem(StatusCode::SERVICE_UNAVAILABLE, "not-ready", &[]);
+    let newest = match shared.log.load().await {
+        Ok(newest) => newest,
+        Err(error) => return unavailable(shared, &error.to_string()),
     };
-    if !operator.may(&change, &config) {
-        let detail = "the token's team may not change this entry".to_string();
-        event::log(
-            Event::AdminRefused,
-            &format!("{} from {}", request.path, request.peer),
-        );
-        return problem(StatusCode::FORBIDDEN, "refused", &[detail]);
+    let operator = match auth::identify(shared, request, &newest) {
+        Ok(operator) => operator,
+        Err(reply) => return *reply,
+    };
+    if !operator.may(&change, &newest) {
+        return auth::forbidden(request, "the token's team may not change this entry");
+    }
+    if newest.version != base {
+        return conflict(base, newest.version);
     }
     accept(shared, base, &change).await
 }
 
+/// Answer to a change that was not made because the platform did not answer.
+fn unavailable(shared: &Shared, cause: &str) -> Reply {
+    shared.platform_failed(cause);
+    let detail = format!("the change was not made: {cause}");
+    problem(StatusCode::SERVICE_UNAVAILABLE, "refused", &[detail]).with_header("retry-after", "5")
+}
+
+/// Answer to a change that is not based on the newest version.
+fn conflict(base: Version, version: Version) -> Reply {
+    event::log(
+        Event::ConfigConflict,
+        &format!("based on {base}, now {version}"),
+    );
+    let result = "conflict";
+    json(StatusCode::CONFLICT, &Conflict { result, version })
+}
+
 async fn accept(shared: &Arc<Shared>, base: Version, change: &Change) -> Reply {
     match shared.log.append(base, change).await {
         Ok(Accept::Committed(version)) => {
@@ -79,19 +97,7 @@
                 },
             )
         }
-        Ok(Accept::Conflict(version)) => {
-            event::log(
-                Event::ConfigConflict,
-                &format!("based on {base}, now {version}"),
-            );
-            json(
-                StatusCode::CONFLICT,
-                &Conflict {
-                    result: "conflict",
-                    version,
-                },
-            )
-        }
+        Ok(Accept::Conflict(version)) => conflict(base, version),
         Ok(Accept::Refused(problems)) => {
             let problems: Vec<String> = problems.iter().map(ToString::to_string).collect();
             problem(StatusCode::UNPROCESSABLE_ENTITY, "refused", &problems)
@@ -104,12 +110,7 @@
             let detail = "the change may have been made; read the entry again".to_string();
             problem(StatusCode::GATEWAY_TIMEOUT, "unknown-read-again", &[detail])
         }
-        Err(error) => {
-            shared.platform_failed(&error.to_string());
-            let detail = format!("the change was not made: {error}");
-            problem(StatusCode::SERVICE_UNAVAILABLE, "refused", &[detail])
-                .with_header("retry-after", "5")
-        }
+        Err(error) => unavailable(shared, &error.to_string()),
     }
 }
 
--- a/crates/router/src/operators/queries.rs
+++ b/crates/router/src/operators/queries.rs
@@ -1,14 +1,16 @@
 //! Queries of the administration API.
 
-use super::auth::Operator;
-use super::{json, problem};
-use crate::shared::{Phase, Shared, lock};
+use super::auth::{self, Operator};
+use super::status::status;
+use super::{json, not_found, problem};
+use crate::shared::Shared;
 use http::StatusCode;
-use sequoiaridge_core::{Class, ClassName, CustomerId, EndpointId, RouterId, TeamId, Version};
-use sequoiaridge_http::Reply;
+use sequoiaridge_core::{
+    Class, ClassName, Customer, CustomerId, FleetConfig, Team, TeamId, Version,
+};
+use sequoiaridge_http::{Reply, Request};
 use serde::Serialize;
 use std::collections::BTreeMap;
-use std::sync::atomic::Ordering;
 
 #[derive(Serialize)]
 struct Classes<'a> {
@@ -23,134 +25,176 @@
     class: &'a Class,
 }
 
+/// A customer without its digests.
 #[derive(Serialize)]
-struct Names<'a, N> {
+struct CustomerView {
+    tokens: usize,
+}
+
+impl From<&Customer> for CustomerView {
+    fn from(customer: &Customer) -> CustomerView {
+        CustomerView {
+            tokens: customer.tokens.len(),
+        }
+    }
+}
+
+/// A team without its digests.
+#[derive(Serialize)]
+struct TeamView {
+    tokens: usize,
+    admin: bool,
+}
+
+impl From<&Team> for TeamView {
+    fn from(team: &Team) -> TeamView {
+        TeamView {
+            tokens: team.tokens.len(),
+            admin: team.admin,
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Customers<'a> {
     version: Version,
-    names: Vec<&'a N>,
+    customers: BTreeMap<&'a CustomerId, CustomerView>,
 }
 
-/// State of the fleet as this router sees it.
 #[derive(Serialize)]
-struct Status {
-    router: RouterId,
-    domain: String,
-    phase: &'static str,
-    isolated: bool,
+struct OneCustomer<'a> {
     version: Version,
-    platform: &'static str,
-    routers: Vec<RouterStatus>,
-    endpoints: Vec<EndpointStatus>,
-    refusals: BTreeMap<&'static str, u64>,
-    retries: BTreeMap<&'static str, u64>,
+    name: &'a str,
+    customer: CustomerView,
 }
 
 #[derive(Serialize)]
-struct RouterStatus {
-    id: RouterId,
-    domain: String,
-    state: String,
+struct Teams<'a> {
     version: Version,
+    teams: BTreeMap<&'a TeamId, TeamView>,
 }
 
 #[derive(Serialize)]
-struct EndpointStatus {
-    id: EndpointId,
-    domain: String,
-    serves: Vec<String>,
-    owner: RouterId,
-    state: String,
-    outstanding: u32,
-    capacity: u32,
+struct OneTeam<'a> {
+    version: Version,
+    name: &'a str,
+    team: TeamView,
+}
+
+/// The whole configuration in force, without digests.
+#[derive(Serialize)]
+struct Config<'a> {
+    version: Version,
+    classes: &'a BTreeMap<ClassName, Class>,
+    customers: BTreeMap<&'a CustomerId, CustomerView>,
+    teams: BTreeMap<&'a TeamId, TeamView>,
 }
 
 /// Answers a query.
-pub(crate) fn answer(shared: &Shared, operator: &Operator, rest: &str) -> Reply {
+pub(crate) fn answer(shared: &Shared, operator: &Operator, request: &Request, rest: &str) -> Reply {
     let Some(config) = shared.config.current() else {
-        return problem(StatusCode::SERVICE_UNAVAILABLE, "not-ready", &[]);
+        let detail = "the router has no configuration yet".to_string();
+        return problem(StatusCode::SERVICE_UNAVAILABLE, "not-ready", &[detail]);
     };
+    let admin_only = matches!(
+        rest.split('/').next(),
+        Some("customers" | "teams" | "config")
+    );
+    if admin_only && !operator.is_admin() {
+        return auth::forbidden(request, "only teams with 'admin' may see this");
+    }
     let version = config.version;
-    let not_found = || problem(StatusCode::NOT_FOUND, "not-found", &[]);
-    let admin_only = || {
-        let detail = "only teams with 'admin' may see this".to_string();
-        problem(StatusCode::FORBIDDEN, "refused", &[detail])
-    };
     match rest.split_once('/').unwrap_or((rest, "")) {
-        ("status", "") => json(StatusCode::OK, &status(shared, version)),
+        ("status", "") => json(StatusCode::OK, &status(shared, operator, &config)),
+        ("config", "") => json(StatusCode::OK, &whole(&config)),
         ("classes", "") => {
-            let classes = config.classes.iter().collect();
+            let seen = |(_, class): &(&ClassName, &Class)| operator.sees(class);
+            let classes = config.classes.iter().filter(seen).collect();
             json(StatusCode::OK, &Classes { version, classes })
         }
-        ("classes", name) => match config.classes.get(name) {
-            Some(class) => json(
-                StatusCode::OK,
-                &OneClass {
+        ("classes", name) => one_class(&config, operator, request, name),
+        ("customers", "") => {
+            let customers = views(&config.customers);
+            json(StatusCode::OK, &Customers { version, customers })
+        }
+        ("customers", name) => match config.customers.get(name) {
+            Some(customer) => {
+                let customer = customer.into();
+                let answer = OneCustomer {
                     version,
                     name,
-                    class,
-                },
-            ),
-            None => not_found(),
+                    customer,
+                };
+                json(StatusCode::OK, &answer)
+            }
+            None => missing(version, "customer", name),
         },
-        ("customers" | "teams", _) if !operator.is_admin() => admin_only(),
-        ("customers", "") => {
-            let names: Vec<&CustomerId> = config.customers.keys().collect();
-            json(StatusCode::OK, &Names { version, names })
-        }
         ("teams", "") => {
-            let names: Vec<&TeamId> = config.teams.keys().collect();
-            json(StatusCode::OK, &Names { version, names })
+            let teams = views(&config.teams);
+            json(StatusCode::OK, &Teams { version, teams })
         }
-        _ => not_found(),
+        ("teams", name) => match config.teams.get(name) {
+            Some(team) => {
+                let team = team.into();
+                let answer = OneTeam {
+                    version,
+                    name,
+                    team,
+                };
+                json(StatusCode::OK, &answer)
+            }
+            None => missing(version, "team", name),
+        },
+        _ => not_found("this path does not exist; see docs/admin-api.md"),
     }
 }
 
-fn status(shared: &Shared, version: Version) -> Status {
-    let view = shared.view();
-    let endpoints = view.endpoints.iter().map(|(id, endpoint)| EndpointStatus {
-        id: id.clone(),
-        domain: endpoint.member.domain.clone(),
-        serves: endpoint.member.serves.clone(),
-        owner: endpoint.owner.clone(),
-        state: format!("{:?}", endpoint.state).to_lowercase(),
-        outstanding: endpoint.outstanding,
-        capacity: endpoint.member.capacity,
-    });
-    let peers = lock(&shared.detector).view();
-    let routers = peers.into_iter().map(|peer| RouterStatus {
-        id: peer.id,
-        domain: peer.domain,
-        state: format!("{:?}", peer.state).to_lowercase(),
-        version: peer.version,
-    });
-    let refusals = shared.metrics.refusal_counts().into_iter();
-    let retries = shared.metrics.retry_counts().into_iter();
-    Status {
-        router: shared.id().clone(),
-        domain: shared.settings.domain.clone(),
-        phase: phase_name(shared.phase()),
-        isolated: shared.isolated.load(Ordering::Relaxed),
-        version,
-        platform: if lock(&shared.platform_heard).is_some() {
-            "up"
-        } else {
-            "down"
-        },
-        routers: routers.collect(),
-        endpoints: endpoints.collect(),
-        refusals: refusals
-            .map(|(reason, count)| (reason.as_str(), count))
-            .collect(),
-        retries: retries
-            .map(|(reason, count)| (reason.as_str(), count))
-            .collect(),
+fn one_class(config: &FleetConfig, operator: &Operator, request: &Request, name: &str) -> Reply {
+    let version = config.version;
+    match config.classes.get(name) {
+        Some(class) if !operator.sees(class) => {
+            auth::forbidden(request, "the class belongs to another team")
+        }
+        Some(class) => {
+            let answer = OneClass {
+                version,
+                name,
+                class,
+            };
+            json(StatusCode::OK, &answer)
+        }
+        None => missing(version, "class", name),
     }
 }
 
-fn phase_name(phase: Phase) -> &'static str {
-    match phase {
-        Phase::Starting => "starting",
-        Phase::Serving => "serving",
-        Phase::Draining => "draining",
-        Phase::Stopped => "stopped",
+#[derive(Serialize)]
+struct Missing<'a> {
+    result: &'a str,
+    version: Version,
+    problems: [String; 1],
+}
+
+/// Answer for an entry that does not exist, with the version on which its creation can be based.
+fn missing(version: Version, kind: &str, name: &str) -> Reply {
+    let problems = [format!("{kind} {name:?} does not exist")];
+    let answer = Missing {
+        result: "not-found",
+        version,
+        problems,
+    };
+    json(StatusCode::NOT_FOUND, &answer)
+}
+
+fn whole(config: &FleetConfig) -> Config<'_> {
+    Config {
+        version: config.version,
+        classes: &config.classes,
+        customers: views(&config.customers),
+        teams: views(&config.teams),
     }
 }
+
+fn views<'a, T, V: From<&'a T>>(entries: &'a BTreeMap<String, T>) -> BTreeMap<&'a String, V> {
+    let entries = entries.iter();
+    entries.map(|(name, entry)| (name, entry.into())).collect()
+}
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,5 +1,8 @@
 //! Arguments of the command line.
 
+use super::admin_args::{
+    AdminStatus, Customers, Targets, Teams, Token, admin_status, customers, targets, teams, token,
+};
 use bpaf::Bpaf;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -28,6 +31,32 @@
         #[bpaf(short, long, argument("FILE"))]
         config: PathBuf,
     },
+    /// Show and change the targets of classes of work
+    ///
+    /// Operators create classes and give each class targets; the fleet meets them. Each change is in
+    /// force on all routers within seconds.
+    #[bpaf(command)]
+    Targets(#[bpaf(external(targets))] Targets),
+    /// Show and change the customers on whose behalf callers send requests
+    ///
+    /// Needs the token of a team of administrators.
+    #[bpaf(command)]
+    Customers(#[bpaf(external(customers))] Customers),
+    /// Show and change the teams of operators
+    ///
+    /// Needs the token of a team of administrators.
+    #[bpaf(command)]
+    Teams(#[bpaf(external(teams))] Teams),
+    /// Show the state of the fleet as one router sees it
+    ///
+    /// Counts are those of the router that is asked, since its start.
+    #[bpaf(command)]
+    Status(#[bpaf(external(admin_status))] AdminStatus),
+    /// Print a new random token and its digest, or the digest of a token in a file
+    ///
+    /// The token goes to its holder and the digest into the configuration, which never holds tokens.
+    #[bpaf(command)]
+    Token(#[bpaf(external(token))] Token),
     /// Run a stand-in for an engine, a service or the platform, for tests
     #[bpaf(command)]
     Fake(#[bpaf(external(fake))] Fake),
@@ -37,7 +66,7 @@
     /// commands that work. Needs no settings and keeps nothing.
     #[bpaf(command)]
     Dev {
-        /// Port of the first router's callers; 0 takes a free port
+        /// Port of the first router's callers; its operators use the next one; 0 takes free ports
         #[bpaf(long, argument("PORT"), fallback(8080), display_fallback)]
         port: u16,
     },
--- a/src/cli/dev.rs
+++ b/src/cli/dev.rs
@@ -21,6 +21,7 @@
 /// Tokens of the development fleet; they are no secrets.
 const CALLER_TOKEN: &str = "dev-caller";
 const OPERATOR_TOKEN: &str = "dev-operator";
+const TEAM: &str = "dev";
 const MODEL: &str = "small";
 const SERVICE: &str = "booking";
 
@@ -151,10 +152,11 @@
             "  curl http://{callers}/services/{SERVICE}/orders -H 'authorization: Bearer {CALLER_TOKEN}' \\\n    \
              -H 'x-work-class: booking' -H 'idempotency-key: order-1' -d '{{\"item\":\"masa\"}}'"
         );
-        println!("\nSee the state of the fleet:");
-        println!(
-            "  curl http://{operators}/admin/v1/status -H 'authorization: Bearer {OPERATOR_TOKEN}'"
-        );
+        println!("\nCreate a class, set its targets and see the fleet:");
+        println!("  export SEQUOIARIDGE_OPERATORS={operators} SEQUOIARIDGE_TOKEN={OPERATOR_TOKEN}");
+        println!("  sequoiaridge targets set menu --team {TEAM} --first-token 1 --answered 0.95");
+        println!("  sequoiaridge targets list");
+        println!("  sequoiaridge status");
         println!("  curl http://{operators}/metrics");
         println!("\nPress Ctrl-C to stop.");
     }
@@ -182,9 +184,13 @@
 
 /// Settings of one router, in the same form as a file.
 fn settings(number: usize, port: u16, platform: SocketAddr) -> Result<Settings, Box<dyn Error>> {
+    let operators = match port {
+        0 => 0,
+        port => port.checked_add(1).ok_or("--port must be below 65535")?,
+    };
     let text = format!(
         "id: router-{number}\ndomain: domain-{number}\nregion: local\n\
-         listen: {{callers: '127.0.0.1:{port}', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}}\n\
+         listen: {{callers: '127.0.0.1:{port}', operators: '127.0.0.1:{operators}', peers: '127.0.0.1:0'}}\n\
          platform: {{table: '{platform}', objects: '{platform}', members: '{platform}'}}\n\
          drain: {{limit: 5}}\n"
     );
@@ -215,7 +221,7 @@
     let class = |name: &str, targets| Change::SetClass {
         name: name.to_string(),
         class: Class {
-            team: "dev".to_string(),
+            team: TEAM.to_string(),
             targets,
         },
     };
@@ -226,7 +232,7 @@
     };
     let changes = [
         Change::SetTeam {
-            name: "dev".to_string(),
+            name: TEAM.to_string(),
             team: Team {
                 tokens: [token_digest(OPERATOR_TOKEN)].into(),
                 admin: true,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,9 @@
 //! Commands and their exit codes.
 
+mod admin;
+mod admin_args;
+mod admin_client;
+mod admin_status;
 mod args;
 mod check;
 mod dev;
@@ -21,6 +25,14 @@
     pub(crate) const INVALID: u8 = 2;
     /// The drain limit passed with calls in flight.
     pub(crate) const DRAIN_LIMIT: u8 = 3;
+    /// A change was not made, because another operator changed the configuration first.
+    pub(crate) const CONFLICT: u8 = 4;
+    /// The router refused a request of an operator: token, rights or content.
+    pub(crate) const REFUSED: u8 = 5;
+    /// The router or the platform could not be reached; nothing was changed.
+    pub(crate) const UNREACHABLE: u8 = 6;
+    /// It is not known whether a change was made.
+    pub(crate) const UNKNOWN: u8 = 7;
 }
 
 /// Parses the arguments and runs the command.
@@ -40,6 +52,11 @@
     let code = match command {
         Command::Run { config } => run::run(&config),
         Command::Check { config } => check::check(&config),
+        Command::Targets(command) => admin::report(admin::targets(command)),
+        Command::Customers(command) => admin::report(admin::customers(command)),
+        Command::Teams(command) => admin::report(admin::teams(command)),
+        Command::Status(command) => admin::report(admin_status::status(command)),
+        Command::Token(command) => admin::report(admin::token(command)),
         Command::Fake(fake) => fake::fake(fake),
         Command::Dev { port } => dev::dev(port),
     };
