--- /dev/null
+++ b/tests/admin.rs
@@ -0,0 +1,248 @@
+//! The administration API over separate processes.
+
+mod support;
+
+use http::Method;
+use sequoiaridge::core::token_digest;
+use serde_json::{Value, json};
+use support::fleet::Fleet;
+use support::{Caller, Reply, eventually};
+
+const COOK: &str = "cook-token";
+
+/// Sends one request to a router's operators' port.
+async fn ask(fleet: &Fleet, who: &Caller, router: usize, line: &str, body: Value) -> Reply {
+    let mut words = line.split(' ');
+    let method: Method = words.next().unwrap().parse().unwrap();
+    let path = format!("/admin/v1/{}", words.next().unwrap());
+    let base = words.next();
+    let headers: Vec<(&str, &str)> = base.iter().map(|base| ("if-match", *base)).collect();
+    let address = fleet.routers[router].address("operators");
+    let sent = who.send(address, method, &path, &headers, body.to_string());
+    sent.await.expect("the operators' address answers")
+}
+
+fn class(team: &str, first_token: f64) -> Value {
+    let targets = json!({"first_token": first_token, "between_tokens": 0.05, "answered": 0.95,
+        "deadline": 30.0, "repeat": "allowed"});
+    json!({"team": team, "targets": targets})
+}
+
+/// Guards against teams that change or see what is not theirs, and against a change of rights that
+/// works at one router only.
+#[tokio::test(flavor = "multi_thread")]
+async fn teams_change_and_see_only_their_own_classes() {
+    let fleet = Fleet::start(2, 1, 0).await;
+    let cook = Caller::new(COOK);
+    let team = json!({"tokens": [token_digest(COOK)]});
+    let made = ask(&fleet, &fleet.operator, 0, "PUT teams/cooks 4", team).await;
+    assert_eq!(made.json()["result"], "committed", "{}", made.text());
+    assert_eq!(made.json()["in_force"], json!(["router-0", "router-1"]));
+
+    let own = ask(&fleet, &cook, 1, "PUT classes/menus 5", class("cooks", 1.0)).await;
+    assert_eq!((own.status, &own.json()["version"]), (200, &json!(6)));
+    for (line, body) in [
+        ("PUT classes/chat 6", class("cooks", 1.0)),
+        ("PUT classes/new 6", class("team", 1.0)),
+        ("PUT classes/menus 6", class("team", 1.0)),
+        ("DELETE classes/chat 6", json!({})),
+        ("PUT customers/c 6", json!({"tokens": []})),
+        ("PUT teams/cooks 6", json!({"tokens": [], "admin": true})),
+        ("GET classes/chat", json!({})),
+        ("GET customers", json!({})),
+        ("GET teams/team", json!({})),
+        ("GET config", json!({})),
+    ] {
+        let reply = ask(&fleet, &cook, 1, line, body).await;
+        assert_eq!(reply.status, 403, "{line}: {}", reply.text());
+    }
+    let seen = ask(&fleet, &cook, 1, "GET classes", json!({})).await.json();
+    assert_eq!(seen["classes"], json!({"menus": class("cooks", 1.0)}));
+    let status = ask(&fleet, &cook, 1, "GET status", json!({})).await.json();
+    let classes: Vec<&String> = status["classes"].as_object().unwrap().keys().collect();
+    assert_eq!(classes, ["menus"]);
+
+    // A token that is replaced at one router is refused by the other one for writes at once.
+    let team = json!({"tokens": [token_digest("new")]});
+    let changed = ask(&fleet, &fleet.operator, 0, "PUT teams/cooks 6", team).await;
+    assert_eq!(changed.status, 200);
+    let late = ask(&fleet, &cook, 1, "DELETE classes/menus 7", json!({})).await;
+    assert_eq!(late.status, 401, "{}", late.text());
+}
+
+/// Guards against requests that are carried out, or refused without a usable message, although the
+/// token, the version, the body or the path is wrong.
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_requests_are_refused_with_their_cause() {
+    let fleet = Fleet::start(1, 1, 0).await;
+    let (stranger, admin) = (Caller::new("guess"), &fleet.operator);
+    let mut wrong_field = class("team", 1.0);
+    wrong_field["weight"] = json!(3);
+    let mut wrong_type = class("team", 1.0);
+    wrong_type["targets"]["deadline"] = json!("soon");
+    let good = || class("team", 1.0);
+    for (who, line, body, status, cause) in [
+        (&stranger, "GET status", json!({}), 401, "token"),
+        (&stranger, "PUT classes/a 4", good(), 401, "token"),
+        (admin, "PUT classes/a", good(), 428, "if-match"),
+        (admin, "PUT classes/a new", good(), 428, "if-match"),
+        (admin, "PUT classes/a 4", wrong_field, 400, "weight"),
+        (admin, "PUT classes/a 4", wrong_type, 400, "soon"),
+        (admin, "PUT classes/a 4", json!([]), 400, "not valid"),
+        (
+            admin,
+            "DELETE classes/a 4",
+            json!({}),
+            422,
+            "does not exist",
+        ),
+        (admin, "GET classes/a", json!({}), 404, "does not exist"),
+        (admin, "GET weights", json!({}), 404, "admin-api.md"),
+        (admin, "POST classes/a 4", good(), 405, "PUT"),
+    ] {
+        let reply = ask(&fleet, who, 0, line, body).await;
+        assert_eq!(reply.status, status, "{line}: {}", reply.text());
+        let problems = reply.json()["problems"].to_string();
+        assert!(problems.contains(cause), "{line}: {}", reply.text());
+    }
+    let config = ask(&fleet, admin, 0, "GET config", json!({})).await;
+    assert_eq!(config.json()["version"], 4, "nothing was changed");
+    assert_eq!(
+        config.json()["customers"],
+        json!({"customer": {"tokens": 1}})
+    );
+    let digest = token_digest(support::fleet::CALLER);
+    assert!(!config.text().contains(&digest), "digests are not shown");
+}
+
+/// Guards against operators who have to repair a change one mistake at a time, and against tokens
+/// that were given in place of digests and then shown.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_mistakes_are_reported_at_once() {
+    let fleet = Fleet::start(1, 1, 0).await;
+    let targets = json!({"first_token": 0.0, "between_tokens": 61.0, "answered": 1.0,
+        "deadline": 4000.0, "repeat": "never"});
+    let bad = json!({"team": "nobody", "targets": targets});
+    let reply = ask(&fleet, &fleet.operator, 0, "PUT classes/Upper 4", bad).await;
+    assert_eq!(reply.status, 422);
+    let problems = reply.json()["problems"].to_string();
+    for field in [
+        "Upper",
+        "first_token",
+        "between_tokens",
+        "answered",
+        "deadline",
+        "team",
+    ] {
+        assert!(problems.contains(field), "{field}: {problems}");
+    }
+
+    let mut tokens: Vec<String> = (0..65).map(|i| format!("secret-{i}")).collect();
+    tokens.push(token_digest(support::fleet::CALLER));
+    let body = json!({"tokens": tokens});
+    let reply = ask(&fleet, &fleet.operator, 0, "PUT customers/c 4", body).await;
+    assert_eq!(reply.status, 422);
+    for cause in ["64 hexadecimal", "66 tokens", "in use by the customer"] {
+        assert!(reply.text().contains(cause), "{cause}: {}", reply.text());
+    }
+    assert!(!reply.text().contains("secret-"), "{}", reply.text());
+
+    let none = json!({"tokens": [token_digest("x")], "admin": false});
+    let reply = ask(&fleet, &fleet.operator, 0, "PUT teams/team 4", none).await;
+    assert!(
+        reply.text().contains("no team with 'admin'"),
+        "{}",
+        reply.text()
+    );
+}
+
+/// Guards against lost changes: of two operators who change the configuration at the same moment
+/// through different routers, one is told of the conflict and its change is not made.
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_one_wins() {
+    let fleet = Fleet::start(2, 1, 0).await;
+    for round in 0..5 {
+        let base = 4 + round;
+        let line = format!("PUT classes/chat {base}");
+        let (a, b) = tokio::join!(
+            ask(&fleet, &fleet.operator, 0, &line, class("team", 1.0)),
+            ask(&fleet, &fleet.operator, 1, &line, class("team", 2.0)),
+        );
+        let (winner, loser, target) = match a.status {
+            200 => (a, b, 1.0),
+            _ => (b, a, 2.0),
+        };
+        assert_eq!(
+            (winner.status, loser.status),
+            (200, 409),
+            "{}",
+            loser.text()
+        );
+        assert_eq!(winner.json()["version"], base + 1);
+        assert_eq!(
+            loser.json(),
+            json!({"result": "conflict", "version": base + 1})
+        );
+        for router in [0, 1] {
+            let now = ask(
+                &fleet,
+                &fleet.operator,
+                router,
+                "GET classes/chat",
+                json!({}),
+            )
+            .await;
+            assert_eq!(now.json()["version"], base + 1);
+            assert_eq!(now.json()["class"], class("team", target));
+        }
+    }
+}
+
+/// Guards against a status that does not show what happened: calls against targets, the reason of an
+/// endpoint's state, the bound, and the claims of calls that must not be repeated.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_shows_calls_endpoints_and_claims() {
+    let mut fleet = Fleet::start(1, 2, 1).await;
+    let address = fleet.callers(0);
+    fleet.caller.chat(address, "1", &["Hello."], true).await;
+    fleet.caller.book(address, "key", "{}").await.unwrap();
+    let refused = Caller::new("guess")
+        .chat(address, "1", &["Hello."], true)
+        .await;
+    assert_eq!(refused.status, 401);
+    let status = fleet.status(0).await.expect("a status");
+    let chat = &status["classes"]["chat"];
+    assert_eq!(
+        (&chat["calls"]["done"], &chat["answered"]),
+        (&json!(1), &json!(1.0))
+    );
+    assert!(
+        chat["first_token_p95"]
+            .as_f64()
+            .is_some_and(|p95| p95 > 0.0),
+        "{chat}"
+    );
+    assert_eq!(chat["targets"]["first_token"], 2.0);
+    assert_eq!(status["refusals"]["bad-token"], 1);
+    assert_eq!(status["routers"][0]["version"], 4);
+    assert!(
+        status["claims"]["writes"].as_u64() > Some(0),
+        "{}",
+        status["claims"]
+    );
+    assert!(status["control_bytes"]["list"]["received"].as_u64() > Some(0));
+    assert_eq!(status["endpoints"][1]["reason"], "probes succeed");
+    assert_eq!(
+        status["endpoints"][1]["bound"], 1,
+        "one more request of two idle engines"
+    );
+
+    fleet.engines.remove(0);
+    eventually("the status shows the engine down, and why", || async {
+        let status = fleet.status(0).await.expect("a status");
+        let engines = status["endpoints"].as_array().unwrap();
+        let lost = engines.iter().find(|e| e["id"] == "engine-0").unwrap();
+        lost["state"] == "down" && lost["reason"] == "probes fail" && lost["bound"] == 0
+    })
+    .await;
+}
