Test command line and logs, and show the long help texts

The help library divides short and long text by two empty lines; with one, the long text of run, check and dev was never shown. A server error on a change now carries the advice for an unknown end.

--- a/src/cli/admin_args.rs
+++ b/src/cli/admin_args.rs
@@ -122,6 +122,7 @@
     },
     /// Set targets of a class, or create the class
     ///
+    ///
     /// Reads the class and changes only the targets that are given. A new class needs --team; its
     /// other targets are first token 0.64 s, between tokens 0.03 s, answered 0.99, deadline 60 s
     /// and repeat allowed. If another operator changes the configuration in between, nothing is
--- a/src/cli/admin_client.rs
+++ b/src/cli/admin_client.rs
@@ -228,7 +228,10 @@
                 exit::UNKNOWN
             }
             status if status.is_client_error() => exit::REFUSED,
-            _ if write => exit::UNKNOWN,
+            _ if write => {
+                messages.push(UNKNOWN_ADVICE.to_string());
+                exit::UNKNOWN
+            }
             _ => exit::UNREACHABLE,
         };
         Failure { code, messages }
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,5 +1,7 @@
 //! Arguments of the command line.
 
+// Two empty lines in a comment divide the short help text from the long one.
+
 use super::admin_args::{
     AdminStatus, Customers, Targets, Teams, Token, admin_status, customers, targets, teams, token,
 };
@@ -13,6 +15,7 @@
 pub(crate) enum Command {
     /// Run one router until SIGTERM or SIGINT, then drain it
     ///
+    ///
     /// Prints the addresses it listens on as its first line of output. Exits with 0 after a drain
     /// that cut nothing, 1 on a failure, 2 on mistakes in the settings, and 3 if the drain limit
     /// passed with calls in flight.
@@ -24,6 +27,7 @@
     },
     /// Read a settings file and report every mistake
     ///
+    ///
     /// Exits with 0 if the settings are valid and with 2 if they are not.
     #[bpaf(command)]
     Check {
@@ -33,27 +37,32 @@
     },
     /// Show and change the targets of classes of work
     ///
+    ///
     /// Operators create classes and give each class targets; the fleet meets them. Each change is in
     /// force on all routers within seconds.
     #[bpaf(command)]
     Targets(#[bpaf(external(targets))] Targets),
     /// Show and change the customers on whose behalf callers send requests
     ///
+    ///
     /// Needs the token of a team of administrators.
     #[bpaf(command)]
     Customers(#[bpaf(external(customers))] Customers),
     /// Show and change the teams of operators
     ///
+    ///
     /// Needs the token of a team of administrators.
     #[bpaf(command)]
     Teams(#[bpaf(external(teams))] Teams),
     /// Show the state of the fleet as one router sees it
     ///
+    ///
     /// Counts are those of the router that is asked, since its start.
     #[bpaf(command)]
     Status(#[bpaf(external(admin_status))] AdminStatus),
     /// Print a new random token and its digest, or the digest of a token in a file
     ///
+    ///
     /// The token goes to its holder and the digest into the configuration, which never holds tokens.
     #[bpaf(command)]
     Token(#[bpaf(external(token))] Token),
@@ -62,6 +71,7 @@
     Fake(#[bpaf(external(fake))] Fake),
     /// Run a small fleet on loopback in one process, to try things out
     ///
+    ///
     /// Starts two routers, three engines, a service and a platform, and prints their addresses and
     /// commands that work. Needs no settings and keeps nothing.
     #[bpaf(command)]
--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,239 @@
+//! The command line as operators and start scripts use it: exit codes, messages and output.
+
+mod support;
+
+use sequoiaridge::core::token_digest;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::process::Command;
+use support::fleet::{Fleet, OPERATOR};
+use support::temp_file;
+
+/// What a command did.
+#[derive(Debug)]
+struct Ran {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+/// Runs the binary as the operator of the test fleet.
+fn run(operators: SocketAddr, line: &str) -> Ran {
+    let output = Command::new(env!("CARGO_BIN_EXE_sequoiaridge"))
+        .args(line.split(' '))
+        .env("SEQUOIARIDGE_OPERATORS", operators.to_string())
+        .env("SEQUOIARIDGE_TOKEN", OPERATOR)
+        .env_remove("SEQUOIARIDGE_PEER_KEY")
+        .output()
+        .expect("the binary runs");
+    Ran {
+        code: output.status.code().expect("an exit code"),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// Guards against a `set` that changes targets which were not given, or does not say what it did.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_are_set_one_by_one() {
+    let fleet = Fleet::start(2, 1, 0).await;
+    let at = fleet.routers[1].address("operators");
+    let new = run(at, "targets set menus --answered 0.9");
+    assert_eq!(new.code, 5, "{new:?}");
+    assert!(new.err.contains("give --team to create it"), "{new:?}");
+    let new = run(at, "targets set menus --answered 0.9 --team team");
+    assert_eq!(new.code, 0, "{new:?}");
+    let committed = "committed as version 5, in force on router-0, router-1\n";
+    assert_eq!(new.out, committed);
+
+    let set = run(at, "targets set --deadline 12.5 menus --repeat never");
+    assert_eq!(set.code, 0, "{set:?}");
+    let got = run(at, "targets get menus --output json");
+    let got: serde_json::Value = serde_json::from_str(&got.out).expect("one JSON value");
+    let targets = serde_json::json!({"first_token": 0.64, "between_tokens": 0.03, "answered": 0.9,
+        "deadline": 12.5, "repeat": "never"});
+    assert_eq!(got["class"]["targets"], targets);
+
+    let same = run(at, "targets set menus --answered 0.9");
+    assert_eq!(same.code, 0);
+    assert!(same.out.contains("nothing to change"), "{same:?}");
+    let bad = run(at, "targets set menus --answered 2 --deadline 0.1");
+    assert_eq!(bad.code, 5);
+    assert!(bad.err.contains("answered is 2"), "{bad:?}");
+    assert!(bad.err.contains("below the deadline"), "{bad:?}");
+    let status = run(at, "status");
+    for part in ["version 6", "menus", "engine-0", "by router-0", "router-1"] {
+        assert!(status.out.contains(part), "{part}: {status:?}");
+    }
+    assert_eq!(run(at, "targets remove menus").code, 0);
+    assert!(!run(at, "targets list").out.contains("menus"));
+}
+
+/// Guards against customers and teams that cannot be managed without hand-written requests, and
+/// against tokens that are not as long as their digest demands.
+#[tokio::test(flavor = "multi_thread")]
+async fn customers_and_teams_are_set_by_digest() {
+    let fleet = Fleet::start(1, 1, 0).await;
+    let at = fleet.routers[0].address("operators");
+    let new = run(at, "token");
+    let words: Vec<&str> = new.out.split_whitespace().collect();
+    assert_eq!((words[0], words[2]), ("token", "digest"), "{new:?}");
+    assert_eq!(words[3], token_digest(words[1]));
+    assert_ne!(run(at, "token").out, new.out);
+    let file = temp_file("token", &format!("{}\n", words[1]));
+    let file = file.to_str().unwrap();
+    let digest = run(at, &format!("token --digest-of {file}"));
+    assert_eq!(digest.out, format!("digest {}\n", words[3]));
+
+    let set = run(at, &format!("teams set cooks --token-digest {}", words[3]));
+    assert_eq!(set.code, 0, "{set:?}");
+    let set = run(
+        at,
+        &format!("customers set acme --token-digest {}", words[3]),
+    );
+    assert_eq!(set.code, 0, "{set:?}");
+    let refused = run(at, &format!("customers list --token-file {file}"));
+    assert_eq!(refused.code, 5, "{refused:?}");
+    assert!(refused.err.contains("admin"), "{refused:?}");
+    assert!(run(at, "customers list").out.contains("acme"));
+    assert_eq!(run(at, "customers remove acme").code, 0);
+    assert_eq!(run(at, "teams remove cooks").code, 0);
+    let gone = run(at, "teams remove cooks");
+    assert_eq!(gone.code, 5, "{gone:?}");
+    assert!(gone.err.contains("\"cooks\" does not exist"), "{gone:?}");
+}
+
+/// A router that answers a read with a class and a write with `answer`, or closes the connection.
+fn stand_in(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut buffer = [0; 4096];
+            let length = stream.read(&mut buffer).unwrap_or(0);
+            let read = r#"{"version":7,"class":{"team":"t","targets":{"first_token":1.0,"between_tokens":0.1,"answered":0.9,"deadline":9.0,"repeat":"allowed"}}}"#;
+            let (status, body) = match buffer[..length].starts_with(b"GET") {
+                true => ("200 OK", read),
+                false => answer.split_once('|').unwrap_or(("", "")),
+            };
+            if !status.is_empty() {
+                let head = format!(
+                    "HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n",
+                    body.len()
+                );
+                let _ = stream.write_all(format!("{head}{body}").as_bytes());
+            }
+        }
+    });
+    address
+}
+
+/// Guards against scripts that take a change for made, or for not made, when it is the other way
+/// round: each end of a change has an exit code and an advice of its own.
+#[test]
+fn each_end_of_a_change_has_its_exit_code() {
+    let conflict = r#"409 Conflict|{"result":"conflict","version":9}"#;
+    let unknown = r#"504 Gateway Timeout|{"result":"unknown-read-again","problems":["it may have been made"]}"#;
+    let down = r#"503 Service Unavailable|{"result":"refused","problems":["the change was not made: the platform is down"]}"#;
+    for (answer, code, words) in [
+        (conflict, 4, "nothing was changed"),
+        (unknown, 7, "look at the entry"),
+        (down, 6, "not made"),
+        ("500 Internal Server Error|", 7, "look at the entry"),
+        ("", 7, "look at the entry"),
+    ] {
+        let ran = run(stand_in(answer), "targets set menus --answered 0.95");
+        assert_eq!(ran.code, code, "{answer}: {ran:?}");
+        assert!(ran.err.contains(words), "{answer}: {ran:?}");
+    }
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+    let ran = run(nobody, "targets set menus --answered 0.95");
+    assert_eq!(ran.code, 6, "{ran:?}");
+    assert!(
+        ran.err.contains("could not connect to 127.0.0.1:1"),
+        "{ran:?}"
+    );
+}
+
+/// Guards against mistakes in arguments that end with a success or without a hint.
+#[test]
+fn mistakes_in_arguments_are_explained() {
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+    for (line, words) in [
+        ("targets set menus --repeat maybe", "'allowed' or 'never'"),
+        ("targets set Menus! --answered 0.9", "a-z"),
+        ("customers set acme", "--token-digest"),
+        ("status --output xml", "'text' or 'json'"),
+        ("status --token-file /does/not/exist", "/does/not/exist"),
+        ("status --weight 3", "--weight"),
+        ("check --config /does/not/exist", "/does/not/exist"),
+    ] {
+        let ran = run(nobody, line);
+        assert_eq!(ran.code, 2, "{line}: {ran:?}");
+        assert!(ran.err.contains(words), "{line}: {ran:?}");
+    }
+    for (line, words) in [
+        ("targets set --help", "the exit code is 4"),
+        ("run --help", "Exits with 0 after a drain"),
+    ] {
+        let help = run(nobody, line);
+        assert_eq!(help.code, 0);
+        // Help texts are wrapped to the width of the terminal.
+        let text: Vec<&str> = help.out.split_whitespace().collect();
+        assert!(text.join(" ").contains(words), "{line}: {help:?}");
+    }
+}
+
+const SETTINGS: &str = "id: r1\ndomain: d1\nregion: g1\n\
+    listen: {callers: '127.0.0.1:1', operators: '127.0.0.1:2', peers: '127.0.0.1:3'}\n\
+    platform: {table: '127.0.0.1:4', objects: '127.0.0.1:4', members: '127.0.0.1:4'}\n\
+    peers: {key: '5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a'}\n";
+
+/// Guards against settings that are taken in spite of a mistake, and against messages that name
+/// neither the field nor the remedy.
+#[test]
+fn check_reports_every_mistake_in_settings() {
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+    let check = |name: &str, text: &str| {
+        let file = temp_file(name, text);
+        run(
+            nobody,
+            &format!("check --config {}", file.to_str().unwrap()),
+        )
+    };
+    let good = check("good.yaml", SETTINGS);
+    assert_eq!(good.code, 0, "{good:?}");
+    for (name, added, words) in [
+        ("unknown.yaml", "weight: 3\n", &["weight", "remove it"][..]),
+        (
+            "type.yaml",
+            "load: {multiple: much}\n",
+            &["load.multiple", "number"],
+        ),
+        (
+            "range.yaml",
+            "load: {multiple: 99}\n",
+            &["load.multiple", "99", "1.01 to 10"],
+        ),
+        ("twice.yaml", "id: r2\n", &["id", "remove the other"]),
+        (
+            "unit.yaml",
+            "drain: {limit: 5s}\n",
+            &["drain.limit", "seconds"],
+        ),
+        ("broken.yaml", "load: {multiple: 2\n", &["broken.yaml"]),
+        (
+            "two.yaml",
+            "weight: 3\nload: {multiple: 99}\n",
+            &["weight", "load.multiple"],
+        ),
+    ] {
+        let ran = check(name, &format!("{SETTINGS}{added}"));
+        assert_eq!(ran.code, 2, "{name}: {ran:?}");
+        for word in words {
+            assert!(ran.err.contains(word), "{name}: {word}: {ran:?}");
+        }
+        assert!(!ran.err.contains("5a5a5a"), "{name} shows the key: {ran:?}");
+    }
+}
--- /dev/null
+++ b/tests/logs.rs
@@ -0,0 +1,149 @@
+//! The log of a router process.
+
+mod support;
+
+use http::Method;
+use sequoiaridge::core::Event;
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use support::fleet::{CALLER, Fleet, OPERATOR};
+use support::{Caller, eventually, temp_file};
+
+const KEY: &str = "5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a";
+
+/// Starts a router of the fleet whose log can be read; returns its callers' and operators' addresses.
+fn start(fleet: &Fleet, format: &str) -> (Child, SocketAddr, SocketAddr) {
+    let platform = fleet.platform.address("http");
+    let text = format!(
+        "id: logged\ndomain: domain-0\nregion: local\n\
+         listen: {{callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}}\n\
+         platform: {{table: '{platform}', objects: '{platform}', members: '{platform}'}}\n\
+         peers: {{key: '{KEY}'}}\nlog: {{level: trace, format: {format}}}\n"
+    );
+    let file = temp_file(&format!("logged-{format}.yaml"), &text);
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sequoiaridge"))
+        .args(["run", "--config", file.to_str().unwrap()])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the binary starts");
+    let mut line = String::new();
+    let mut out = BufReader::new(child.stdout.take().unwrap());
+    out.read_line(&mut line).expect("the addresses");
+    let address = |name: &str| {
+        let word = line.split_whitespace().find_map(|w| w.strip_prefix(name));
+        word.expect("an address").parse().expect("an address")
+    };
+    let (callers, operators) = (address("callers="), address("operators="));
+    (child, callers, operators)
+}
+
+/// Sends chats and requests that hold secrets, and returns all that the router logged.
+async fn log_of(format: &str) -> String {
+    let fleet = Fleet::start(1, 1, 1).await;
+    let (mut child, callers, operators) = start(&fleet, format);
+    eventually("the router serves a chat", || async {
+        let text = "CHAT-TEXT for forty covers";
+        let reply = fleet.caller.chat(callers, "1", &[text], true).await;
+        reply.status == 200
+    })
+    .await;
+    let booked = fleet
+        .caller
+        .book(callers, "KEY-SECRET", r#"{"item":"BODY-TEXT"}"#)
+        .await;
+    assert_eq!(booked.unwrap().status, 200);
+    let stranger = Caller::new("GUESSED-TOKEN");
+    assert_eq!(
+        stranger
+            .chat(callers, "1", &["CHAT-TEXT"], false)
+            .await
+            .status,
+        401
+    );
+    for path in ["/admin/v1/status", "/admin/v1/a%0aFORGED-LINE", "/metrics"] {
+        let sent = stranger.send(operators, Method::GET, path, &[], "");
+        sent.await.expect("an answer");
+    }
+    let body = r#"{"tokens":["NOT-A-DIGEST"]}"#;
+    let headers = [("if-match", "4")];
+    let put = fleet.operator.send(
+        operators,
+        Method::PUT,
+        "/admin/v1/customers/c",
+        &headers,
+        body,
+    );
+    assert_eq!(put.await.unwrap().status, 422);
+    let id = child.id().to_string();
+    assert!(
+        Command::new("kill")
+            .args(["-TERM", &id])
+            .status()
+            .unwrap()
+            .success()
+    );
+    let mut log = String::new();
+    child
+        .stderr
+        .take()
+        .unwrap()
+        .read_to_string(&mut log)
+        .unwrap();
+    assert!(child.wait().unwrap().success());
+    log
+}
+
+/// Guards against chat text, tokens, digests, idempotency keys and peer keys in the log at its most
+/// verbose level, and against lines that a client forges.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_holds_no_content_and_no_secrets() {
+    let log = log_of("text").await;
+    assert!(log.contains("router-started"), "{log}");
+    assert!(
+        log.contains("bad-token") && log.contains("admin-refused"),
+        "{log}"
+    );
+    let digest = sequoiaridge::core::token_digest(CALLER);
+    let hidden = [
+        "CHAT-TEXT",
+        "BODY-TEXT",
+        "KEY-SECRET",
+        "GUESSED-TOKEN",
+        "NOT-A-DIGEST",
+        CALLER,
+        OPERATOR,
+        KEY,
+        &digest,
+    ];
+    for secret in hidden {
+        assert!(!log.contains(secret), "{secret} in the log:\n{log}");
+    }
+    assert!(!log.lines().any(|line| line.starts_with("FORGED")), "{log}");
+}
+
+/// Guards against JSON lines that a collector cannot read, and against events without the number and
+/// name of the catalogue.
+#[tokio::test(flavor = "multi_thread")]
+async fn json_lines_carry_number_and_name_of_their_event() {
+    let log = log_of("json").await;
+    let known: BTreeSet<(u64, &str)> = Event::ALL
+        .iter()
+        .map(|event| (u64::from(event.code()), event.name()))
+        .collect();
+    let mut seen = BTreeSet::new();
+    for line in log.lines() {
+        let line: serde_json::Value =
+            serde_json::from_str(line).unwrap_or_else(|error| panic!("{error}: {line}"));
+        let fields = &line["fields"];
+        if let (Some(code), Some(name)) = (fields["code"].as_u64(), fields["name"].as_str()) {
+            assert!(known.contains(&(code, name)), "{line}");
+            seen.insert(code);
+        }
+    }
+    for code in [100, 101, 110, 111, 400, 700] {
+        assert!(seen.contains(&code), "event {code} is missing: {seen:?}");
+    }
+}
