--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -10,16 +10,42 @@
 
 const COOK: &str = "cook-token";
 
-/// Sends one request to a router's operators' port.
-async fn ask(fleet: &Fleet, who: &Caller, router: usize, line: &str, body: Value) -> Reply {
-    let mut words = line.split(' ');
-    let method: Method = words.next().unwrap().parse().unwrap();
-    let path = format!("/admin/v1/{}", words.next().unwrap());
-    let base = words.next();
-    let headers: Vec<(&str, &str)> = base.iter().map(|base| ("if-match", *base)).collect();
-    let address = fleet.routers[router].address("operators");
-    let sent = who.send(address, method, &path, &headers, body.to_string());
-    sent.await.expect("the operators' address answers")
+/// A fleet with the version that its configuration starts with.
+struct Desk {
+    fleet: Fleet,
+    start: u64,
+}
+
+impl Desk {
+    async fn open(routers: usize, engines: usize, services: usize) -> Desk {
+        let fleet = Fleet::start(routers, engines, services).await;
+        let status = fleet.status(0).await.expect("a status");
+        let start = status["version"].as_u64().expect("a version");
+        Desk { fleet, start }
+    }
+
+    /// Sends one request to a router's operators' port. The line has method, path and, for changes,
+    /// the number of changes that were made before.
+    async fn ask(&self, who: &Caller, router: usize, line: &str, body: Value) -> Reply {
+        let mut words = line.split(' ');
+        let method: Method = words.next().unwrap().parse().unwrap();
+        let path = format!("/admin/v1/{}", words.next().unwrap());
+        let base = words.next().map(|word| match word.parse::<u64>() {
+            Ok(made) => (self.start + made).to_string(),
+            Err(_) => word.to_string(),
+        });
+        let headers: Vec<(&str, &str)> = base
+            .iter()
+            .map(|base| ("if-match", base.as_str()))
+            .collect();
+        let address = self.fleet.routers[router].address("operators");
+        let sent = who.send(address, method, &path, &headers, body.to_string());
+        sent.await.expect("the operators' address answers")
+    }
+
+    async fn admin(&self, router: usize, line: &str, body: Value) -> Reply {
+        self.ask(&self.fleet.operator, router, line, body).await
+    }
 }
 
 fn class(team: &str, first_token: f64) -> Value {
@@ -32,41 +58,48 @@
 /// works at one router only.
 #[tokio::test(flavor = "multi_thread")]
 async fn teams_change_and_see_only_their_own_classes() {
-    let fleet = Fleet::start(2, 1, 0).await;
+    let desk = Desk::open(2, 1, 0).await;
     let cook = Caller::new(COOK);
     let team = json!({"tokens": [token_digest(COOK)]});
-    let made = ask(&fleet, &fleet.operator, 0, "PUT teams/cooks 4", team).await;
+    let made = desk.admin(0, "PUT teams/cooks 0", team).await;
     assert_eq!(made.json()["result"], "committed", "{}", made.text());
     assert_eq!(made.json()["in_force"], json!(["router-0", "router-1"]));
 
-    let own = ask(&fleet, &cook, 1, "PUT classes/menus 5", class("cooks", 1.0)).await;
-    assert_eq!((own.status, &own.json()["version"]), (200, &json!(6)));
+    let own = desk
+        .ask(&cook, 1, "PUT classes/menus 1", class("cooks", 1.0))
+        .await;
+    assert_eq!(
+        (own.status, &own.json()["version"]),
+        (200, &json!(desk.start + 2))
+    );
     for (line, body) in [
-        ("PUT classes/chat 6", class("cooks", 1.0)),
-        ("PUT classes/new 6", class("team", 1.0)),
-        ("PUT classes/menus 6", class("team", 1.0)),
-        ("DELETE classes/chat 6", json!({})),
-        ("PUT customers/c 6", json!({"tokens": []})),
-        ("PUT teams/cooks 6", json!({"tokens": [], "admin": true})),
+        ("PUT classes/chat 2", class("cooks", 1.0)),
+        ("PUT classes/new 2", class("team", 1.0)),
+        ("PUT classes/menus 2", class("team", 1.0)),
+        ("DELETE classes/chat 2", json!({})),
+        ("PUT customers/c 2", json!({"tokens": []})),
+        ("PUT teams/cooks 2", json!({"tokens": [], "admin": true})),
         ("GET classes/chat", json!({})),
         ("GET customers", json!({})),
         ("GET teams/team", json!({})),
         ("GET config", json!({})),
     ] {
-        let reply = ask(&fleet, &cook, 1, line, body).await;
+        let reply = desk.ask(&cook, 1, line, body).await;
         assert_eq!(reply.status, 403, "{line}: {}", reply.text());
     }
-    let seen = ask(&fleet, &cook, 1, "GET classes", json!({})).await.json();
+    let seen = desk.ask(&cook, 1, "GET classes", json!({})).await.json();
     assert_eq!(seen["classes"], json!({"menus": class("cooks", 1.0)}));
-    let status = ask(&fleet, &cook, 1, "GET status", json!({})).await.json();
+    let status = desk.ask(&cook, 1, "GET status", json!({})).await.json();
     let classes: Vec<&String> = status["classes"].as_object().unwrap().keys().collect();
     assert_eq!(classes, ["menus"]);
 
     // A token that is replaced at one router is refused by the other one for writes at once.
     let team = json!({"tokens": [token_digest("new")]});
-    let changed = ask(&fleet, &fleet.operator, 0, "PUT teams/cooks 6", team).await;
+    let changed = desk.admin(0, "PUT teams/cooks 2", team).await;
     assert_eq!(changed.status, 200);
-    let late = ask(&fleet, &cook, 1, "DELETE classes/menus 7", json!({})).await;
+    let late = desk
+        .ask(&cook, 1, "DELETE classes/menus 3", json!({}))
+        .await;
     assert_eq!(late.status, 401, "{}", late.text());
 }
 
@@ -74,8 +107,8 @@
 /// token, the version, the body or the path is wrong.
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_requests_are_refused_with_their_cause() {
-    let fleet = Fleet::start(1, 1, 0).await;
-    let (stranger, admin) = (Caller::new("guess"), &fleet.operator);
+    let desk = Desk::open(1, 1, 0).await;
+    let (stranger, admin) = (Caller::new("guess"), &desk.fleet.operator);
     let mut wrong_field = class("team", 1.0);
     wrong_field["weight"] = json!(3);
     let mut wrong_type = class("team", 1.0);
@@ -83,34 +116,31 @@
     let good = || class("team", 1.0);
     for (who, line, body, status, cause) in [
         (&stranger, "GET status", json!({}), 401, "token"),
-        (&stranger, "PUT classes/a 4", good(), 401, "token"),
+        (&stranger, "PUT classes/a 0", good(), 401, "token"),
         (admin, "PUT classes/a", good(), 428, "if-match"),
         (admin, "PUT classes/a new", good(), 428, "if-match"),
-        (admin, "PUT classes/a 4", wrong_field, 400, "weight"),
-        (admin, "PUT classes/a 4", wrong_type, 400, "soon"),
-        (admin, "PUT classes/a 4", json!([]), 400, "not valid"),
+        (admin, "PUT classes/a 0", wrong_field, 400, "weight"),
+        (admin, "PUT classes/a 0", wrong_type, 400, "soon"),
+        (admin, "PUT classes/a 0", json!([]), 400, "not valid"),
         (
             admin,
-            "DELETE classes/a 4",
+            "DELETE classes/a 0",
             json!({}),
             422,
             "does not exist",
         ),
         (admin, "GET classes/a", json!({}), 404, "does not exist"),
         (admin, "GET weights", json!({}), 404, "admin-api.md"),
-        (admin, "POST classes/a 4", good(), 405, "PUT"),
+        (admin, "POST classes/a 0", good(), 405, "PUT"),
     ] {
-        let reply = ask(&fleet, who, 0, line, body).await;
+        let reply = desk.ask(who, 0, line, body).await;
         assert_eq!(reply.status, status, "{line}: {}", reply.text());
         let problems = reply.json()["problems"].to_string();
         assert!(problems.contains(cause), "{line}: {}", reply.text());
     }
-    let config = ask(&fleet, admin, 0, "GET config", json!({})).await;
-    assert_eq!(config.json()["version"], 4, "nothing was changed");
-    assert_eq!(
-        config.json()["customers"],
-        json!({"customer": {"tokens": 1}})
-    );
+    let config = desk.admin(0, "GET config", json!({})).await;
+    assert_eq!(config.json()["version"], desk.start, "nothing was changed");
+    assert_eq!(config.json()["customers"]["customer"], json!({"tokens": 1}));
     let digest = token_digest(support::fleet::CALLER);
     assert!(!config.text().contains(&digest), "digests are not shown");
 }
@@ -119,11 +149,11 @@
 /// that were given in place of digests and then shown.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_mistakes_are_reported_at_once() {
-    let fleet = Fleet::start(1, 1, 0).await;
+    let desk = Desk::open(1, 1, 0).await;
     let targets = json!({"first_token": 0.0, "between_tokens": 61.0, "answered": 1.0,
         "deadline": 4000.0, "repeat": "never"});
     let bad = json!({"team": "nobody", "targets": targets});
-    let reply = ask(&fleet, &fleet.operator, 0, "PUT classes/Upper 4", bad).await;
+    let reply = desk.admin(0, "PUT classes/Upper 0", bad).await;
     assert_eq!(reply.status, 422);
     let problems = reply.json()["problems"].to_string();
     for field in [
@@ -140,7 +170,7 @@
     let mut tokens: Vec<String> = (0..65).map(|i| format!("secret-{i}")).collect();
     tokens.push(token_digest(support::fleet::CALLER));
     let body = json!({"tokens": tokens});
-    let reply = ask(&fleet, &fleet.operator, 0, "PUT customers/c 4", body).await;
+    let reply = desk.admin(0, "PUT customers/c 0", body).await;
     assert_eq!(reply.status, 422);
     for cause in ["64 hexadecimal", "66 tokens", "in use by the customer"] {
         assert!(reply.text().contains(cause), "{cause}: {}", reply.text());
@@ -148,7 +178,7 @@
     assert!(!reply.text().contains("secret-"), "{}", reply.text());
 
     let none = json!({"tokens": [token_digest("x")], "admin": false});
-    let reply = ask(&fleet, &fleet.operator, 0, "PUT teams/team 4", none).await;
+    let reply = desk.admin(0, "PUT teams/team 0", none).await;
     assert!(
         reply.text().contains("no team with 'admin'"),
         "{}",
@@ -160,13 +190,13 @@
 /// through different routers, one is told of the conflict and its change is not made.
 #[tokio::test(flavor = "multi_thread")]
 async fn of_two_operators_one_wins() {
-    let fleet = Fleet::start(2, 1, 0).await;
+    let desk = Desk::open(2, 1, 0).await;
     for round in 0..5 {
-        let base = 4 + round;
-        let line = format!("PUT classes/chat {base}");
+        let line = format!("PUT classes/chat {round}");
+        let next = desk.start + round + 1;
         let (a, b) = tokio::join!(
-            ask(&fleet, &fleet.operator, 0, &line, class("team", 1.0)),
-            ask(&fleet, &fleet.operator, 1, &line, class("team", 2.0)),
+            desk.admin(0, &line, class("team", 1.0)),
+            desk.admin(1, &line, class("team", 2.0)),
         );
         let (winner, loser, target) = match a.status {
             200 => (a, b, 1.0),
@@ -178,21 +208,11 @@
             "{}",
             loser.text()
         );
-        assert_eq!(winner.json()["version"], base + 1);
-        assert_eq!(
-            loser.json(),
-            json!({"result": "conflict", "version": base + 1})
-        );
+        assert_eq!(winner.json()["version"], next);
+        assert_eq!(loser.json(), json!({"result": "conflict", "version": next}));
         for router in [0, 1] {
-            let now = ask(
-                &fleet,
-                &fleet.operator,
-                router,
-                "GET classes/chat",
-                json!({}),
-            )
-            .await;
-            assert_eq!(now.json()["version"], base + 1);
+            let now = desk.admin(router, "GET classes/chat", json!({})).await;
+            assert_eq!(now.json()["version"], next);
             assert_eq!(now.json()["class"], class("team", target));
         }
     }
@@ -202,7 +222,8 @@
 /// endpoint's state, the bound, and the claims of calls that must not be repeated.
 #[tokio::test(flavor = "multi_thread")]
 async fn status_shows_calls_endpoints_and_claims() {
-    let mut fleet = Fleet::start(1, 2, 1).await;
+    let mut desk = Desk::open(1, 2, 1).await;
+    let fleet = &mut desk.fleet;
     let address = fleet.callers(0);
     fleet.caller.chat(address, "1", &["Hello."], true).await;
     fleet.caller.book(address, "key", "{}").await.unwrap();
@@ -224,7 +245,7 @@
     );
     assert_eq!(chat["targets"]["first_token"], 2.0);
     assert_eq!(status["refusals"]["bad-token"], 1);
-    assert_eq!(status["routers"][0]["version"], 4);
+    assert_eq!(status["routers"][0]["version"], desk.start);
     assert!(
         status["claims"]["writes"].as_u64() > Some(0),
         "{}",
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -43,7 +43,8 @@
     assert!(new.err.contains("give --team to create it"), "{new:?}");
     let new = run(at, "targets set menus --answered 0.9 --team team");
     assert_eq!(new.code, 0, "{new:?}");
-    let committed = "committed as version 5, in force on router-0, router-1\n";
+    let version = fleet.status(0).await.expect("a status")["version"].clone();
+    let committed = format!("committed as version {version}, in force on router-0, router-1\n");
     assert_eq!(new.out, committed);
 
     let set = run(at, "targets set --deadline 12.5 menus --repeat never");
@@ -62,7 +63,13 @@
     assert!(bad.err.contains("answered is 2"), "{bad:?}");
     assert!(bad.err.contains("below the deadline"), "{bad:?}");
     let status = run(at, "status");
-    for part in ["version 6", "menus", "engine-0", "by router-0", "router-1"] {
+    for part in [
+        "configuration version",
+        "menus",
+        "engine-0",
+        "by router-0",
+        "router-1",
+    ] {
         assert!(status.out.contains(part), "{part}: {status:?}");
     }
     assert_eq!(run(at, "targets remove menus").code, 0);
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -6,15 +6,38 @@
 use sequoiaridge::core::Event;
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
 use support::fleet::{CALLER, Fleet, OPERATOR};
 use support::{Caller, eventually, temp_file};
 
 const KEY: &str = "5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a";
 
-/// Starts a router of the fleet whose log can be read; returns its callers' and operators' addresses.
-fn start(fleet: &Fleet, format: &str) -> (Child, SocketAddr, SocketAddr) {
+/// A router whose log can be read.
+struct Logged {
+    child: Child,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    peers: SocketAddr,
+}
+
+impl Logged {
+    /// Stops the router as planned and returns its log.
+    fn stop(mut self) -> String {
+        let id = self.child.id().to_string();
+        let killed = Command::new("kill").args(["-TERM", &id]).status();
+        assert!(killed.unwrap().success());
+        let mut log = String::new();
+        let mut out = self.child.stderr.take().unwrap();
+        out.read_to_string(&mut log).unwrap();
+        assert!(self.child.wait().unwrap().success());
+        log
+    }
+}
+
+/// Starts a router on the fleet's platform whose log can be read.
+fn start(fleet: &Fleet, format: &str) -> Logged {
     let platform = fleet.platform.address("http");
     let text = format!(
         "id: logged\ndomain: domain-0\nregion: local\n\
@@ -37,13 +60,20 @@
         word.expect("an address").parse().expect("an address")
     };
     let (callers, operators) = (address("callers="), address("operators="));
-    (child, callers, operators)
+    let peers = address("peers=");
+    Logged {
+        child,
+        callers,
+        operators,
+        peers,
+    }
 }
 
 /// Sends chats and requests that hold secrets, and returns all that the router logged.
 async fn log_of(format: &str) -> String {
     let fleet = Fleet::start(1, 1, 1).await;
-    let (mut child, callers, operators) = start(&fleet, format);
+    let logged = start(&fleet, format);
+    let (callers, operators) = (logged.callers, logged.operators);
     eventually("the router serves a chat", || async {
         let text = "CHAT-TEXT for forty covers";
         let reply = fleet.caller.chat(callers, "1", &[text], true).await;
@@ -68,7 +98,8 @@
         sent.await.expect("an answer");
     }
     let body = r#"{"tokens":["NOT-A-DIGEST"]}"#;
-    let headers = [("if-match", "4")];
+    let version = fleet.status(0).await.expect("a status")["version"].to_string();
+    let headers = [("if-match", version.as_str())];
     let put = fleet.operator.send(
         operators,
         Method::PUT,
@@ -77,23 +108,7 @@
         body,
     );
     assert_eq!(put.await.unwrap().status, 422);
-    let id = child.id().to_string();
-    assert!(
-        Command::new("kill")
-            .args(["-TERM", &id])
-            .status()
-            .unwrap()
-            .success()
-    );
-    let mut log = String::new();
-    child
-        .stderr
-        .take()
-        .unwrap()
-        .read_to_string(&mut log)
-        .unwrap();
-    assert!(child.wait().unwrap().success());
-    log
+    logged.stop()
 }
 
 /// Guards against chat text, tokens, digests, idempotency keys and peer keys in the log at its most
@@ -147,3 +162,40 @@
         assert!(seen.contains(&code), "event {code} is missing: {seen:?}");
     }
 }
+
+/// Guards against strangers who fill the disk that collects the logs: lines of one event are limited
+/// per second, while the metrics count each datagram.
+#[tokio::test(flavor = "multi_thread")]
+async fn strangers_cannot_flood_the_log() {
+    const DATAGRAMS: usize = 3000;
+    let fleet = Fleet::start(1, 1, 0).await;
+    let logged = start(&fleet, "text");
+    let begin = Instant::now();
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for number in 0..DATAGRAMS {
+        socket.send_to(b"junk", logged.peers).unwrap();
+        // Leaves the router time to read, so that the socket's buffer loses few of them.
+        if number % 100 == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    let stranger = Caller::new("guess");
+    let sent = stranger.send(logged.operators, Method::GET, "/metrics", &[], "");
+    let metrics = sent.await.unwrap().text();
+    let counted = metrics
+        .lines()
+        .filter_map(|line| line.strip_prefix("sequoiaridge_peer_messages_rejected_total"))
+        .filter_map(|line| line.rsplit_once(' ')?.1.parse::<usize>().ok())
+        .sum::<usize>();
+    let windows = begin.elapsed().as_secs() as usize + 2;
+    let log = logged.stop();
+    let lines = log
+        .lines()
+        .filter(|line| line.contains("peer-message-rejected"))
+        .count();
+    assert!(counted > DATAGRAMS / 2, "{counted} datagrams were counted");
+    assert!(
+        lines <= 201 * windows && lines < counted,
+        "{lines} lines, {counted} datagrams"
+    );
+}
