Report a router ready only once it knows endpoints

Replacing three routers one after another under a small load of calls that followed /ready, one of 439 calls in nine replacements was refused with 404 unknown-model: the new router had its configuration, but not yet the membership list. Waiting a fixed time was ruled out, because a list may be late for long. A caller that does not follow /ready still sees the 404; the call path is to refuse as not ready instead.

Also: a reader that closes the pipe early no longer makes the command line panic, and the answer to a change in a platform outage no longer says both that it was not made and that it may take effect.

--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -56,8 +56,13 @@
 fn ready(shared: &Shared) -> Reply {
     let isolated = shared.isolated.load(Ordering::Relaxed);
     match shared.phase() {
-        Phase::Serving if !isolated => Reply::new(StatusCode::OK, "ready\n"),
-        Phase::Serving => Reply::new(StatusCode::SERVICE_UNAVAILABLE, "isolated\n"),
+        Phase::Serving if isolated => Reply::new(StatusCode::SERVICE_UNAVAILABLE, "isolated\n"),
+        // A router that has the configuration but not yet the membership list would refuse every
+        // call as one for an unknown model, which callers do not repeat.
+        Phase::Serving if shared.view().endpoints.is_empty() => {
+            Reply::new(StatusCode::SERVICE_UNAVAILABLE, "no endpoints yet\n")
+        }
+        Phase::Serving => Reply::new(StatusCode::OK, "ready\n"),
         Phase::Starting => Reply::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n"),
         Phase::Draining | Phase::Stopped => {
             Reply::new(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
--- a/crates/router/src/operators/commands.rs
+++ b/crates/router/src/operators/commands.rs
@@ -59,10 +59,11 @@
     accept(shared, base, &change).await
 }
 
-/// Answer to a change that was not made because the platform did not answer.
+/// Answer to a change that was not made because the configuration could not be read. The cause goes
+/// to the log: it speaks of requests to the platform and would read as if the change were in doubt.
 fn unavailable(shared: &Shared, cause: &str) -> Reply {
     shared.platform_failed(cause);
-    let detail = format!("the change was not made: {cause}");
+    let detail = "the change was not made, because the platform does not answer".to_string();
     problem(StatusCode::SERVICE_UNAVAILABLE, "refused", &[detail]).with_header("retry-after", "5")
 }
 
--- a/src/cli/admin.rs
+++ b/src/cli/admin.rs
@@ -4,7 +4,7 @@
     Connection, Customers, Name, Output, TargetChanges, Targets, Teams, Token,
 };
 use super::admin_client::{Admin, Answer, Committed, Failure, read_token};
-use super::{block_on, exit};
+use super::{block_on, exit, failed};
 use http::Method;
 use sequoiaridge::core::{
     Class, Customer, Repeat, Targets as CoreTargets, Team, Version, token_digest,
@@ -12,15 +12,13 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::io::{ErrorKind, Write};
 
 /// Runs a command; its text goes to standard output and a failure to standard error.
 pub(crate) fn report<F: Future<Output = Result<String, Failure>>>(command: F) -> u8 {
     block_on(async {
         match command.await {
-            Ok(text) => {
-                println!("{text}");
-                exit::OK
-            }
+            Ok(text) => print(&text),
             Err(failure) => {
                 failure
                     .messages
@@ -32,6 +30,16 @@
     })
 }
 
+/// Writes to standard output. A reader that has gone, such as `head`, has read what it wanted.
+fn print(text: &str) -> u8 {
+    match writeln!(std::io::stdout(), "{text}") {
+        Err(error) if error.kind() != ErrorKind::BrokenPipe => {
+            failed(&format!("cannot write the output: {error}"))
+        }
+        _ => exit::OK,
+    }
+}
+
 /// Version of an answer whose entry does not matter.
 #[derive(Deserialize)]
 struct Read {
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -267,3 +267,22 @@
     })
     .await;
 }
+
+/// Guards against a router that takes calls before it knows any endpoint: it would refuse them as
+/// calls for an unknown model, which callers do not repeat.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_without_endpoints_is_not_ready() {
+    let mut fleet = Fleet::start(1, 0, 0).await;
+    let operators = fleet.routers[0].address("operators");
+    let admin = fleet.operator.clone();
+    let ready = async || {
+        let sent = admin.send(operators, Method::GET, "/ready", &[], "").await;
+        sent.map(|reply| (reply.status, reply.text())).unwrap()
+    };
+    assert_eq!(ready().await, (503, "no endpoints yet\n".to_string()));
+    fleet.add_engine();
+    fleet.publish().await;
+    eventually("the router is ready", || async { ready().await.0 == 200 }).await;
+    let chat = fleet.caller.chat(fleet.callers(0), "1", &["Hello."], true);
+    assert_eq!(chat.await.status, 200);
+}
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -72,6 +72,15 @@
     ] {
         assert!(status.out.contains(part), "{part}: {status:?}");
     }
+    // A reader that closes the pipe early, such as `head`, is no failure.
+    let mut early = Command::new(env!("CARGO_BIN_EXE_sequoiaridge"))
+        .args(["status", "--operators", &at.to_string()])
+        .env("SEQUOIARIDGE_TOKEN", OPERATOR)
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(early.stdout.take());
+    assert_eq!(early.wait().unwrap().code(), Some(0));
     assert_eq!(run(at, "targets remove menus").code, 0);
     assert!(!run(at, "targets list").out.contains("menus"));
 }
