--- a/src/cli/admin.rs
+++ b/src/cli/admin.rs
@@ -268,9 +268,14 @@
     committed(&admin, &answer.await?)
 }
 
+/// Shows a change that was made; an answer that is not understood leaves its end unknown.
 fn committed(admin: &Admin<'_>, answer: &Answer) -> Result<String, Failure> {
-    show(admin, answer, |answer| {
+    let shown = show(admin, answer, |answer| {
         Ok(answer.read::<Committed>()?.describe())
+    });
+    shown.map_err(|failure| Failure {
+        code: exit::UNKNOWN,
+        ..failure
     })
 }
 
--- a/src/cli/dev.rs
+++ b/src/cli/dev.rs
@@ -152,11 +152,14 @@
             "  curl http://{callers}/services/{SERVICE}/orders -H 'authorization: Bearer {CALLER_TOKEN}' \\\n    \
              -H 'x-work-class: booking' -H 'idempotency-key: order-1' -d '{{\"item\":\"masa\"}}'"
         );
+        // The program may not be on the path, for instance under `cargo run`.
+        let program = std::env::current_exe()
+            .map_or("sequoiaridge".into(), |path| path.display().to_string());
         println!("\nCreate a class, set its targets and see the fleet:");
         println!("  export SEQUOIARIDGE_OPERATORS={operators} SEQUOIARIDGE_TOKEN={OPERATOR_TOKEN}");
-        println!("  sequoiaridge targets set menu --team {TEAM} --first-token 1 --answered 0.95");
-        println!("  sequoiaridge targets list");
-        println!("  sequoiaridge status");
+        println!("  {program} targets set menu --team {TEAM} --first-token 1 --answered 0.95");
+        println!("  {program} targets list");
+        println!("  {program} status");
         println!("  curl http://{operators}/metrics");
         println!("\nPress Ctrl-C to stop.");
     }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -157,6 +157,7 @@
         (unknown, 7, "look at the entry"),
         (down, 6, "not made"),
         ("500 Internal Server Error|", 7, "look at the entry"),
+        ("200 OK|{}", 7, "not understood"),
         ("", 7, "look at the entry"),
     ] {
         let ran = run(stand_in(answer), "targets set menus --answered 0.95");
