--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -279,6 +279,11 @@
         let sent = admin.send(operators, Method::GET, "/ready", &[], "").await;
         sent.map(|reply| (reply.status, reply.text())).unwrap()
     };
+    // Without endpoints the fleet is not waited for, so the configuration may come a moment later.
+    eventually("the router has a configuration", || async {
+        fleet.status(0).await.is_some()
+    })
+    .await;
     assert_eq!(ready().await, (503, "no endpoints yet\n".to_string()));
     fleet.add_engine();
     fleet.publish().await;
