--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -1,5 +1,6 @@
 //! Calls as callers send them: who asks, for what, under which class.
 
+use crate::tokens::TokenIndex;
 use bytes::Bytes;
 use sequoiaridge_core::{
     ChatKey, ClassName, CustomerId, Fingerprint, FleetConfig, ModelName, Refusal, RefusalReason,
@@ -70,8 +71,12 @@
     /// # Errors
     ///
     /// The refusal that the caller gets; nothing was sent to an endpoint.
-    pub(crate) fn parse(request: &Request, config: &FleetConfig) -> Result<Call, Refusal> {
-        let customer = authenticate(request, config)?;
+    pub(crate) fn parse(
+        request: &Request,
+        config: &FleetConfig,
+        tokens: &TokenIndex,
+    ) -> Result<Call, Refusal> {
+        let customer = authenticate(request, config, tokens)?;
         let class = request
             .header("x-work-class")
             .unwrap_or(DEFAULT_CLASS)
@@ -175,17 +180,14 @@
     hash_parts(&parts)
 }
 
-fn authenticate(request: &Request, config: &FleetConfig) -> Result<CustomerId, Refusal> {
+fn authenticate(
+    request: &Request,
+    config: &FleetConfig,
+    tokens: &TokenIndex,
+) -> Result<CustomerId, Refusal> {
     let digest = request.bearer().map(token_digest);
-    let known = digest.and_then(|digest| {
-        config
-            .customers
-            .iter()
-            .find(|(_, customer)| customer.tokens.contains(&digest))
-    });
-    known
-        .map(|(id, _)| id.clone())
-        .ok_or_else(|| mistake(RefusalReason::BadToken))
+    let customer = digest.and_then(|digest| tokens.customer(config, &digest));
+    customer.ok_or_else(|| mistake(RefusalReason::BadToken))
 }
 
 fn idempotency_key(request: &Request, targets: &Targets) -> Result<Option<String>, Refusal> {
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -108,7 +108,7 @@
     }
     let config = shared.config.current();
     let config = config.ok_or_else(|| Refusal::not_run(RefusalReason::NotReady, SOON))?;
-    Call::parse(request, &config)
+    Call::parse(request, &config, &shared.tokens)
 }
 
 /// A call under an idempotency key that was refused before its claim was looked at may have run in
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! | module | job |
 //! |---|---|
-//! | `callers`, `call`, `reply` | callers' HTTP: understanding requests, answering them |
+//! | `callers`, `call`, `tokens`, `reply` | callers' HTTP: understanding requests, answering them |
 //! | `dispatch` | the receiving router: ranking, the walk over owners, retries |
 //! | `execute`, `admission`, `upstream`, `sse`, `crash` | the owning router: admission, claim, one run |
 //! | `remote`, `peer_server`, `gossip` | other routers |
@@ -39,6 +39,7 @@
 mod router;
 mod shared;
 mod sse;
+mod tokens;
 mod upstream;
 mod view;
 
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -7,6 +7,7 @@
 use crate::metrics::Metrics;
 use crate::recent::RecentChanges;
 use crate::refresh::LastRefresh;
+use crate::tokens::TokenIndex;
 use crate::view::View;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -67,6 +68,7 @@
     pub(crate) client: Client,
     pub(crate) config: ConfigState,
     pub(crate) recent: RecentChanges,
+    pub(crate) tokens: TokenIndex,
     pub(crate) log: ConfigLog,
     pub(crate) ledger: ClaimLedger,
     pub(crate) list: MemberList,
@@ -155,6 +157,7 @@
             settings,
             config: ConfigState::new(),
             recent: RecentChanges::default(),
+            tokens: TokenIndex::default(),
             metrics: Metrics::new(),
             phase: watch::Sender::new(Phase::Starting),
             isolated: AtomicBool::new(false),
