Run copies of a suspect one after the other at an owner

Cause: a request that crashes engines was sent four times at once. After the first crash each copy was a suspect, and the rule of one suspect per engine sent each of them to an engine of its own, which crashed more engines than quarantine.strikes before the first crash counted. And a copy that waited in the queue was not checked again when its turn came.

A suspect now waits at the owner that runs a copy of it, and the standing of a request is checked again after its wait.

Conclusion: copies at two owners can still run at the same time; one owner for each suspect would be a change of the design.

--- a/crates/policy/src/owner/place.rs
+++ b/crates/policy/src/owner/place.rs
@@ -63,6 +63,14 @@
         asked: u32,
         now: Duration,
     ) -> Placement {
+        // Copies of one suspect run one after the other: if each went to an engine of its own, they
+        // would crash several engines before the first crash counts.
+        if call.suspect && self.is_running(call) {
+            return match asked {
+                0 => self.wait(call, candidates, now),
+                _ => self.refuse(call, RefusalReason::Overload),
+            };
+        }
         let plan = self.plan(call, candidates, asked, now);
         let within_share = self.within_share(call, now);
         let mut any_open = false;
--- a/crates/policy/src/owner/run.rs
+++ b/crates/policy/src/owner/run.rs
@@ -118,7 +118,14 @@
 
     /// Whether the own endpoint admits one more call of this kind.
     pub(super) fn has_room(&self, call: &Call, id: &str, now: Duration) -> bool {
-        (!call.suspect || self.suspects.is_free(id)) && self.has_slot(&call.group, id, now)
+        let alone = !call.suspect || self.suspects.is_free(id) && !self.is_running(call);
+        alone && self.has_slot(&call.group, id, now)
+    }
+
+    /// Whether a call with the same fingerprint runs on an own endpoint.
+    pub(super) fn is_running(&self, call: &Call) -> bool {
+        let mut running = self.running.values();
+        running.any(|running| running.fingerprint == call.fingerprint)
     }
 
     /// Whether the own endpoint is below its capacity and its bound in the group.
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -118,7 +118,8 @@
     }
 
     fn check_quarantine(&self) -> Result<bool, Ending> {
-        let state = lock(&self.shared.quarantine).state(self.frame.fingerprint, self.arrival);
+        let now = self.shared.now();
+        let state = lock(&self.shared.quarantine).state(self.frame.fingerprint, now);
         match state {
             Standing::Clear => Ok(false),
             Standing::Suspect => Ok(true),
@@ -170,6 +171,10 @@
 
     /// Runs the admitted call and returns the last part of its answer.
     async fn serve(&self, slot: Slot) -> Part {
+        // The request may have crashed endpoints elsewhere while this call waited.
+        if let Err(Ending::Refused(refusal)) = self.check_quarantine() {
+            return Part::Fail(refusal);
+        }
         let Some(endpoint) = self.shared.view().endpoints.get(slot.endpoint()).cloned() else {
             return Part::Fail(Refusal::not_run(RefusalReason::NoEndpoint, SOON));
         };
--- a/tests/verdicts.rs
+++ b/tests/verdicts.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use sequoiaridge::core::Targets;
-use sequoiaridge::fakes::control::Stage;
+use sequoiaridge::fakes::control::{Scope, Stage};
 use sequoiaridge::fakes::engine::expected_events;
 use sequoiaridge::fakes::platform::Order;
 use support::fleet::Fleet;
@@ -194,6 +194,44 @@
     }
 }
 
+/// Guards against streams that wait for good on a connection that fell silent, while new connections
+/// to the engine work.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_on_a_silent_connection_is_resumed() {
+    let fleet = Fleet::start(2, 1, 0).await;
+    // An engine that has sent everything closes an idle connection after 5 s; a call that waits for
+    // that misses its deadline.
+    let targets = Targets {
+        first_token: 2.0,
+        deadline: 5.5,
+        ..Targets::default()
+    };
+    fleet.set_targets("chat", targets).await;
+    let engine = fleet.engine(0);
+    for router in [0, 1] {
+        let id = format!("silent-{router}");
+        let body = long_chat_body(&[&id], true, 300);
+        let tokens = engine.counters().await.unwrap().output_tokens;
+        let (call, ()) = tokio::join!(
+            fleet
+                .caller
+                .send_chat(fleet.callers(router), &id, body.clone()),
+            async {
+                eventually("tokens are generated", || async {
+                    engine.counters().await.unwrap().output_tokens > tokens + 50
+                })
+                .await;
+                engine.silent(Scope::Open).await.unwrap();
+            }
+        );
+        let reply = call.expect("a head");
+        check_stream(&reply, &body);
+        assert_eq!(reply.broken, None, "{}", reply.text());
+        engine.heal().await.unwrap();
+    }
+    assert_eq!((engine_runs(&fleet).await, resumed(&fleet).await), (2, 2));
+}
+
 /// Guards against retries after the first token, and against broken streams that look whole: the
 /// engines cut every connection.
 #[tokio::test(flavor = "multi_thread")]
