--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -37,7 +37,8 @@
         .map(|key| history.book_until_done(fleet, routers, key, times));
     let done = join_all(done).await;
     let open = keys.iter().zip(done).filter(|(_, done)| !done);
-    open.map(|(key, _)| key.clone()).collect()
+    open.map(|(key, _)| format!("{key}: {}", history.told(key)))
+        .collect()
 }
 
 /// Seconds-long targets, so that a test can outlast the deadline of the class.
@@ -187,7 +188,8 @@
     let awake = history
         .book_until_done(&fleet, &[owner], "awake", 100)
         .await;
-    assert!(awake, "the router that woke never served");
+    let told = history.told("awake");
+    assert!(awake, "the router that woke never served: {told}");
     book_all(&history, &fleet, &[0, 1, 2], &keys).await;
     history.check(&fleet).await;
 }
--- a/tests/support/history.rs
+++ b/tests/support/history.rs
@@ -96,6 +96,14 @@
         false
     }
 
+    /// What the attempts on a key were told, for messages.
+    pub fn told(&self, key: &str) -> String {
+        let attempts = self.attempts.lock().unwrap();
+        let attempts = attempts.get(key).into_iter().flatten();
+        let told = attempts.map(|a| format!("{:.1?} at {}: {}", a.answered, a.router, a.reason));
+        told.collect::<Vec<_>>().join(", ")
+    }
+
     /// Checks that no attempt got this answer.
     pub fn none_was(&self, told: Told) {
         let attempts = self.attempts.lock().unwrap();
