--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -13,6 +13,7 @@
 use sequoiaridge_membership::EndpointState;
 use sequoiaridge_policy::{Backoff, ClassPolicy, Standing, rank_top};
 use sequoiaridge_wire::{CallFrame, Header};
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -79,6 +80,7 @@
         id,
         deadline,
         excluded: Vec::new(),
+        uncertain: false,
     };
     lock(&shared.budgets).deposit(&call.class, &call.customer);
     let mut attempts = 1;
@@ -87,20 +89,21 @@
             Ok(opened) => return Ok(opened),
             Err(failure) => failure,
         };
+        walk.uncertain |= failure.refusal.verdict == Verdict::MayHaveRun;
         let reason = retry_reason(&failure.refusal);
         let may_retry = policy.may_retry(failure.refusal.verdict, attempts);
         let (Some(reason), true) = (reason, may_retry) else {
-            return Err(failure.refusal);
+            return Err(walk.verdict(failure.refusal));
         };
-        if !lock(&shared.budgets).take(&call.class, &call.customer) {
-            return Err(Refusal {
+        if !walk.take_retry() {
+            return Err(walk.verdict(Refusal {
                 reason: RefusalReason::RetryBudget,
                 ..failure.refusal
-            });
+            }));
         }
         let pause = Backoff::default().delay(attempts - 1, &mut shared.rng());
         if shared.now() + pause >= deadline {
-            return Err(failure.refusal);
+            return Err(walk.verdict(failure.refusal));
         }
         shared.count_retry(reason, id);
         attempts += 1;
@@ -125,13 +128,15 @@
     }
 }
 
-/// One attempt: the walk over owners until one of them runs the call.
+/// The walks of a call over owners, one for each attempt, until one of them runs the call.
 struct Walk<'a> {
     shared: &'a Arc<Shared>,
     call: &'a Call,
     id: u64,
     deadline: Duration,
     excluded: Vec<EndpointId>,
+    /// Whether an earlier attempt may have run, or may still run at a router that was lost.
+    uncertain: bool,
 }
 
 /// The owner to ask next.
@@ -144,7 +149,23 @@
 }
 
 impl Walk<'_> {
-    async fn run(&self) -> Result<Opened, Failure> {
+    /// The refusal that the caller gets. "Not run" of the last attempt says nothing about those
+    /// before it, except that a key that was used for another request never ran for this one.
+    fn verdict(&self, refusal: Refusal) -> Refusal {
+        let conclusive = refusal.reason == RefusalReason::KeyReused;
+        let verdict = match refusal.verdict {
+            Verdict::NotRun if self.uncertain && !conclusive => Verdict::MayHaveRun,
+            verdict => verdict,
+        };
+        Refusal { verdict, ..refusal }
+    }
+
+    /// Takes one retry from the budget; `false` if it is used up.
+    fn take_retry(&self) -> bool {
+        lock(&self.shared.budgets).take(&self.call.class, &self.call.customer)
+    }
+
+    async fn run(&mut self) -> Result<Opened, Failure> {
         let view = self.shared.view();
         let ranked = self.rank(&view)?;
         let home = Step {
@@ -205,16 +226,17 @@
     fn rank(&self, view: &View) -> Result<Vec<EndpointId>, Failure> {
         let call = self.call;
         let candidates = view.candidates(&call.group);
-        let usable: Vec<_> = candidates
-            .iter()
-            .filter(|candidate| !self.excluded.contains(candidate.id()))
-            .cloned()
-            .collect();
-        let usable = if usable.is_empty() {
-            candidates
-        } else {
-            &usable
-        };
+        // Copying thousands of candidates costs more than ranking them, so it is only done for retries.
+        let mut usable = Cow::Borrowed(candidates);
+        if !self.excluded.is_empty() {
+            let others = candidates
+                .iter()
+                .filter(|c| !self.excluded.contains(c.id()));
+            let others: Vec<_> = others.cloned().collect();
+            if !others.is_empty() {
+                usable = Cow::Owned(others);
+            }
+        }
         if usable.is_empty() {
             let known = view.knows_group(&call.group);
             let reason = if known {
@@ -231,7 +253,7 @@
         };
         let mut ranked = rank_top(
             key,
-            usable,
+            &usable,
             if call.chat.is_some() {
                 RANKED
             } else {
@@ -240,9 +262,13 @@
         );
         if call.chat.is_none() {
             // Services have no cache to return to, so the least used instance goes first.
+            let outstanding = self.shared.outstanding();
             ranked.sort_by_key(|id| {
                 let endpoint = &view.endpoints[id];
-                (endpoint.state != EndpointState::Up, endpoint.outstanding)
+                (
+                    endpoint.state != EndpointState::Up,
+                    outstanding.get(id).copied(),
+                )
             });
             ranked.truncate(RANKED);
         }
@@ -250,7 +276,7 @@
     }
 
     /// Asks the owner of the step's endpoint, or a substitute if the owner cannot be reached.
-    async fn ask(&self, step: &Step) -> Result<Reply, Failure> {
+    async fn ask(&mut self, step: &Step) -> Result<Reply, Failure> {
         let mut unreachable: Vec<RouterId> = Vec::new();
         let mut moves = 0;
         loop {
@@ -278,12 +304,17 @@
                     let safe = refusal.verdict == Verdict::NotRun
                         || self.call.idempotent()
                         || self.call.key.is_some();
-                    if !safe || unreachable.len() >= MAX_SUBSTITUTES {
+                    // A request that may have reached an endpoint is sent again from the budget.
+                    if !safe
+                        || unreachable.len() >= MAX_SUBSTITUTES
+                        || refusal.verdict != Verdict::NotRun && !self.take_retry()
+                    {
                         return Err(Failure {
                             refusal,
                             endpoint: None,
                         });
                     }
+                    self.uncertain |= refusal.verdict == Verdict::MayHaveRun;
                     let reason = retry_reason(&refusal).unwrap_or(RetryReason::PeerBroke);
                     self.shared.count_retry(reason, self.id);
                     unreachable.push(owner);
@@ -380,7 +411,8 @@
     }
 }
 
-/// Refusals that no other owner would decide differently.
+/// Refusals that end an attempt: no other owner would decide differently, or an endpoint has seen
+/// the request.
 fn is_final(reason: RefusalReason) -> bool {
     matches!(
         reason,
@@ -389,6 +421,8 @@
             | RefusalReason::UnknownClass
             | RefusalReason::KeyReused
             | RefusalReason::ClaimUnavailable
+            // The request reached an endpoint, so the next one is a retry and needs the budget.
+            | RefusalReason::EndpointRefused
     )
 }
 
--- a/crates/router/src/operators/status.rs
+++ b/crates/router/src/operators/status.rs
@@ -143,7 +143,8 @@
             })
             .collect()
     };
-    let groups = groups(&view);
+    let outstanding = shared.outstanding();
+    let groups = groups(&view, &outstanding);
     let multiple = shared.settings.load.multiple;
     let entry = |(id, endpoint): (&EndpointId, &EndpointView)| {
         let own = health.get(id).copied();
@@ -154,7 +155,7 @@
             owner: endpoint.owner.clone(),
             state: format!("{:?}", endpoint.state).to_lowercase(),
             reason: reason(endpoint, own, now),
-            outstanding: endpoint.outstanding,
+            outstanding: outstanding.get(id).copied().unwrap_or(0),
             bound: bound(endpoint, &groups, multiple),
             capacity: endpoint.member.capacity,
         }
@@ -193,13 +194,15 @@
     capacity: u64,
 }
 
-fn groups(view: &View) -> BTreeMap<&str, Group> {
+fn groups<'a>(view: &'a View, outstanding: &BTreeMap<EndpointId, u32>) -> BTreeMap<&'a str, Group> {
     let mut groups: BTreeMap<&str, Group> = BTreeMap::new();
-    let up = |endpoint: &&EndpointView| endpoint.state == EndpointState::Up;
-    for endpoint in view.endpoints.values().filter(up) {
+    for (id, endpoint) in &view.endpoints {
+        if endpoint.state != EndpointState::Up {
+            continue;
+        }
         for name in &endpoint.member.serves {
             let group = groups.entry(name).or_default();
-            group.work += u64::from(endpoint.outstanding);
+            group.work += u64::from(outstanding.get(id).copied().unwrap_or(0));
             group.capacity += u64::from(endpoint.member.capacity);
         }
     }
