--- a/crates/router/src/operators/status.rs
+++ b/crates/router/src/operators/status.rs
@@ -196,13 +196,12 @@
 
 fn groups<'a>(view: &'a View, outstanding: &BTreeMap<EndpointId, u32>) -> BTreeMap<&'a str, Group> {
     let mut groups: BTreeMap<&str, Group> = BTreeMap::new();
-    for (id, endpoint) in &view.endpoints {
-        if endpoint.state != EndpointState::Up {
-            continue;
-        }
+    let up = |endpoint: &EndpointView| endpoint.state == EndpointState::Up;
+    for (id, endpoint) in view.endpoints.iter().filter(|(_, endpoint)| up(endpoint)) {
+        let load = outstanding.get(id).copied().unwrap_or(0);
         for name in &endpoint.member.serves {
             let group = groups.entry(name).or_default();
-            group.work += u64::from(outstanding.get(id).copied().unwrap_or(0));
+            group.work += u64::from(load);
             group.capacity += u64::from(endpoint.member.capacity);
         }
     }
