--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -36,6 +36,13 @@
     }
 }
 
+impl Drop for Logged {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 /// Starts a router on the fleet's platform whose log can be read.
 fn start(fleet: &Fleet, format: &str) -> Logged {
     let platform = fleet.platform.address("http");
