--- /dev/null
+++ b/crates/measure/src/placement/fleet.rs
@@ -0,0 +1,399 @@
+//! The owners of several routers, asked one after the other as the router does it.
+
+use super::router::{Count, REGION, Router};
+use super::run::domain;
+use super::{Change, Decision, Placer, Request, Wakeups, World};
+use rand::RngExt;
+use sequoiaridge_core::{EndpointId, RefusalReason, RouterId};
+use sequoiaridge_policy::{ChatEntry, Placement, RouterInfo, Started, rank_top};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Endpoints that are ranked, and owners that are asked.
+const RANKED: usize = 3;
+/// Pause before a moved owner is looked for again.
+const MOVE_PAUSE: Duration = Duration::from_millis(100);
+
+/// What reaches a router after a delay.
+#[derive(Debug)]
+enum News {
+    Counts(RouterId, Vec<Count>),
+    Up(RouterInfo),
+    Gone { id: RouterId, dead: bool },
+    Listed(EndpointId),
+}
+
+/// Several routers, each with its own view and its own counts.
+#[derive(Debug)]
+pub struct Fleet {
+    lag: Duration,
+    routers: BTreeMap<RouterId, Router>,
+    // Router at which a ticket runs or waits.
+    holders: BTreeMap<u64, RouterId>,
+    news: BTreeMap<(Duration, u64), (RouterId, News)>,
+    count: u64,
+    violations: u64,
+}
+
+/// The owner to ask next.
+#[derive(Clone, Debug)]
+struct Step {
+    engine: EndpointId,
+    next: Vec<EndpointId>,
+    asked: u32,
+    lookup: bool,
+}
+
+/// What an owner said.
+enum Answer {
+    Decision(Decision),
+    Forward(Step),
+    Refused(RefusalReason, Duration),
+}
+
+impl Fleet {
+    /// Creates a fleet of `routers` routers whose counts arrive `lag` later on average.
+    pub fn new(routers: usize, lag: Duration) -> Fleet {
+        let infos = (0..routers).map(|n| router_info(&format!("router-{n}"), n));
+        let world = World {
+            now: Duration::ZERO,
+            engines: BTreeMap::new(),
+            rng: rand::SeedableRng::seed_from_u64(0),
+        };
+        let infos: Vec<RouterInfo> = infos.collect();
+        let start = |info: &RouterInfo| {
+            let peers = infos.iter().filter(|other| other.id != info.id);
+            let router = Router::start(info.clone(), peers.cloned().collect(), &world);
+            (info.id.clone(), router)
+        };
+        Fleet {
+            lag,
+            routers: infos.iter().map(start).collect(),
+            holders: BTreeMap::new(),
+            news: BTreeMap::new(),
+            count: 0,
+            violations: 0,
+        }
+    }
+
+    fn send(&mut self, at: Duration, to: &RouterId, news: News) {
+        self.count += 1;
+        self.news.insert((at, self.count), (to.clone(), news));
+    }
+
+    /// Sends news to all routers but `except`, each after its own delay.
+    fn tell(
+        &mut self,
+        world: &mut World,
+        except: &RouterId,
+        delay: (f64, f64),
+        news: impl Fn() -> News,
+    ) {
+        let ids: Vec<RouterId> = self.routers.keys().cloned().collect();
+        for id in ids.iter().filter(|id| *id != except) {
+            let delay = world.rng.random_range(delay.0..delay.1);
+            self.send(world.now + Duration::from_secs_f64(delay), id, news());
+        }
+    }
+
+    fn deliver(&mut self, world: &World) {
+        while let Some(entry) = self.news.first_entry().filter(|e| e.key().0 <= world.now) {
+            let (to, news) = entry.remove();
+            let Some(router) = self.routers.get_mut(&to) else {
+                continue;
+            };
+            match news {
+                News::Counts(from, counts) => {
+                    if router.counts_for(&from) {
+                        router.receive(&from, counts, world.now);
+                    }
+                }
+                News::Up(info) => drop(router.peers.insert(info.id.clone(), info)),
+                News::Gone { id, dead } => router.forget(&id, dead, world.now),
+                News::Listed(id) => router.listed(world, &id),
+            }
+        }
+    }
+
+    fn walk(&mut self, world: &mut World, request: &Request) -> Decision {
+        let serving = self.routers.values().filter(|r| !r.draining);
+        let ids: Vec<RouterId> = serving.map(|r| r.info.id.clone()).collect();
+        let at = ids[world.rng.random_range(0..ids.len())].clone();
+        let accepting = &self.routers[&at];
+        let usable = |id: &EndpointId| !request.excluded.contains(id);
+        let mut usable: Vec<_> = (accepting.candidates.iter())
+            .filter(|c| usable(c.id()))
+            .cloned()
+            .collect();
+        if usable.is_empty() {
+            usable = accepting.candidates.clone();
+        }
+        let ranked = rank_top(request.key, &usable, RANKED);
+        let Some((first, next)) = ranked.split_first() else {
+            return Decision::Refused(Duration::from_secs(1));
+        };
+        let home = Step {
+            engine: first.clone(),
+            next: next.to_vec(),
+            asked: 0,
+            lookup: false,
+        };
+        let mut step = home.clone();
+        loop {
+            match self.ask(world, &at, &step, request) {
+                Answer::Decision(decision) => return decision,
+                Answer::Forward(next) => step = next,
+                Answer::Refused(reason, pause) => match after_refusal(&home, &step, reason) {
+                    Some(next) => step = next,
+                    None => return Decision::Refused(pause),
+                },
+            }
+        }
+    }
+
+    /// Asks the owner of the step's engine, or a substitute if the owner does not answer.
+    fn ask(&mut self, world: &World, at: &RouterId, step: &Step, request: &Request) -> Answer {
+        let mut unreachable = Vec::new();
+        loop {
+            let accepting = &self.routers[at];
+            let Some(owner) = accepting.owner_without(&step.engine, &unreachable) else {
+                return Answer::Decision(Decision::Refused(MOVE_PAUSE));
+            };
+            let Some(router) = self.routers.get_mut(&owner) else {
+                if unreachable.len() >= 2 {
+                    return Answer::Decision(Decision::Refused(MOVE_PAUSE));
+                }
+                unreachable.push(owner);
+                continue;
+            };
+            if router.owners.get(&step.engine) != Some(&owner) {
+                if unreachable.is_empty() {
+                    return Answer::Decision(Decision::Refused(MOVE_PAUSE));
+                }
+                router.adopt(world, &step.engine);
+            }
+            return self.decide(world, &owner, step, request);
+        }
+    }
+
+    fn decide(
+        &mut self,
+        world: &World,
+        owner: &RouterId,
+        step: &Step,
+        request: &Request,
+    ) -> Answer {
+        let now = world.now;
+        let router = self.routers.get_mut(owner).expect("owner runs");
+        let call = Router::call(request, step.lookup, now);
+        let mut candidates = vec![step.engine.clone()];
+        candidates.extend(step.next.iter().cloned());
+        candidates.retain(|id| !request.excluded.contains(id));
+        match router.owner.place(&call, &candidates, step.asked, now) {
+            Placement::Admit { endpoint } => {
+                self.violations += u64::from(!router.keeps_bound(&endpoint, now));
+                self.holders.insert(request.ticket, owner.clone());
+                Answer::Decision(Decision::Run(endpoint))
+            }
+            Placement::Forward {
+                endpoint,
+                next,
+                only_if_known,
+            } => {
+                if !only_if_known {
+                    router.owner.record_chat(request.key, &endpoint, now);
+                }
+                Answer::Forward(Step {
+                    engine: endpoint,
+                    next,
+                    asked: step.asked + 1,
+                    lookup: only_if_known,
+                })
+            }
+            Placement::Queued { .. } => {
+                self.holders.insert(request.ticket, owner.clone());
+                Answer::Decision(Decision::Waits)
+            }
+            Placement::Refused(refusal) => Answer::Refused(refusal.reason, refusal.retry_after),
+        }
+    }
+
+    fn started(&mut self, owner: &RouterId, started: Vec<Started>, now: Duration) -> Wakeups {
+        let router = &self.routers[owner];
+        let mut wakeups = Wakeups::default();
+        for Started { ticket, endpoint } in started {
+            self.violations += u64::from(!router.keeps_bound(&endpoint, now));
+            wakeups.started.push((ticket, endpoint));
+        }
+        wakeups
+    }
+
+    /// Ends the routers that have drained.
+    fn stop_drained(&mut self, world: &mut World) {
+        let done = |router: &Router| router.draining && router.owner.running() == 0;
+        let done = self.routers.values().filter(|router| done(router));
+        for id in done.map(|r| r.info.id.clone()).collect::<Vec<_>>() {
+            self.routers.remove(&id);
+            self.tell(world, &id, (2.5, 4.0), || News::Gone {
+                id: id.clone(),
+                dead: true,
+            });
+        }
+    }
+
+    /// Hands the chat index of a router over to the owners of the chats' first-ranked engines.
+    fn hand_over(&mut self, world: &World, id: &RouterId) {
+        let leaving = self.routers.get_mut(id).expect("router runs");
+        leaving.draining = true;
+        leaving.refresh(world);
+        let mut entries: BTreeMap<RouterId, Vec<ChatEntry>> = BTreeMap::new();
+        for entry in leaving.owner.chat_entries(world.now) {
+            let home = rank_top(entry.chat, &leaving.candidates, 1).pop();
+            let owner = home.and_then(|home| leaving.owners.get(&home).cloned());
+            if let Some(owner) = owner {
+                entries.entry(owner).or_default().push(entry);
+            }
+        }
+        for (owner, entries) in entries {
+            if let Some(router) = self.routers.get_mut(&owner) {
+                router.owner.merge_chats(&entries, world.now);
+            }
+        }
+    }
+}
+
+fn router_info(id: &str, number: usize) -> RouterInfo {
+    RouterInfo {
+        id: id.to_string(),
+        domain: domain(number),
+        region: REGION.to_string(),
+    }
+}
+
+/// Where to go after an owner refused, as in the router's dispatch.
+fn after_refusal(home: &Step, step: &Step, reason: RefusalReason) -> Option<Step> {
+    let elsewhere = step.asked > 0 && step.asked < RANKED as u32;
+    if !elsewhere || reason == RefusalReason::Deadline {
+        return None;
+    }
+    let asked = |asked| Step {
+        asked,
+        ..home.clone()
+    };
+    if step.lookup {
+        return Some(asked(1));
+    }
+    match step.next.split_first() {
+        Some((first, rest)) if step.asked + 1 < RANKED as u32 => Some(Step {
+            engine: first.clone(),
+            next: rest.to_vec(),
+            asked: step.asked + 1,
+            lookup: false,
+        }),
+        _ => Some(asked(RANKED as u32)),
+    }
+}
+
+impl Placer for Fleet {
+    fn place(&mut self, world: &mut World, request: &Request) -> Decision {
+        self.deliver(world);
+        self.walk(world, request)
+    }
+
+    fn finish(&mut self, world: &World, ticket: u64) -> Wakeups {
+        let Some(id) = self.holders.remove(&ticket) else {
+            return Wakeups::default();
+        };
+        let Some(router) = self.routers.get_mut(&id) else {
+            return Wakeups::default();
+        };
+        let started = router.owner.finish(ticket, world.now);
+        self.started(&id, started, world.now)
+    }
+
+    fn tick(&mut self, world: &mut World) -> Wakeups {
+        self.deliver(world);
+        self.stop_drained(world);
+        if world.now.is_zero() {
+            let routers = self.routers.values_mut();
+            routers.for_each(|router| router.take_list(world));
+        }
+        let now = world.now;
+        let mut wakeups = Wakeups::default();
+        let ids: Vec<RouterId> = self.routers.keys().cloned().collect();
+        for id in &ids {
+            let router = self.routers.get_mut(id).expect("router runs");
+            router.refresh(world);
+            router.probe_due(world);
+            let ended = router.owner.expire(now);
+            let started = router.owner.start_waiting(now);
+            let counts = router.report(now);
+            let more = self.started(id, started, now);
+            wakeups.started.extend(more.started);
+            wakeups.ended.extend(ended.into_iter().map(|e| e.ticket));
+            let lag = self.lag.as_secs_f64();
+            self.tell(world, id, (0.5 * lag, 1.5 * lag + 1e-6), || {
+                News::Counts(id.clone(), counts.clone())
+            });
+        }
+        wakeups
+    }
+
+    fn change(&mut self, world: &mut World, change: &Change) -> Vec<u64> {
+        let none = RouterId::new();
+        match change {
+            Change::Join(id) | Change::Leave(id) => {
+                self.tell(world, &none, (1.0, 4.0), || News::Listed(id.clone()));
+            }
+            Change::Drain(id) => {
+                self.tell(world, id, (0.0, 0.2), || News::Gone {
+                    id: id.clone(),
+                    dead: false,
+                });
+                self.hand_over(world, id);
+                // What waits at the router is sent again through others.
+                let router = self.routers.get_mut(id).expect("router runs");
+                let waiting = router.owner.take_waiting();
+                return waiting.into_iter().map(|w| w.call.ticket).collect();
+            }
+            Change::Kill(id) => {
+                self.routers.remove(id);
+                self.tell(world, id, (2.5, 4.0), || News::Gone {
+                    id: id.clone(),
+                    dead: true,
+                });
+                let held = self.holders.iter().filter(|(_, holder)| *holder == id);
+                return held.map(|(ticket, _)| *ticket).collect();
+            }
+            Change::Start(id, number) => {
+                let info = router_info(id, *number);
+                self.tell(world, id, (0.2, 2.0), || News::Up(info.clone()));
+                let serving = self.routers.values().filter(|r| !r.draining);
+                let peers = serving.map(|r| r.info.clone()).collect();
+                let router = Router::start(info.clone(), peers, world);
+                self.routers.insert(id.clone(), router);
+            }
+            Change::Accuse(by, id) => {
+                let (id, dead) = (id.clone(), true);
+                self.send(world.now, by, News::Gone { id, dead });
+            }
+            Change::Acquit(by, id) => {
+                if let Some(info) = self.routers.get(id).map(|r| r.info.clone()) {
+                    self.send(world.now, by, News::Up(info));
+                }
+            }
+            _ => {}
+        }
+        Vec::new()
+    }
+
+    fn unreachable(&mut self, world: &World, engine: &EndpointId, ticket: u64) {
+        self.finish(world, ticket);
+        let owners = self.routers.values_mut();
+        owners.for_each(|router| router.probe(world, engine));
+    }
+
+    fn own_violations(&self) -> u64 {
+        self.violations
+    }
+}
--- /dev/null
+++ b/crates/measure/src/placement/router.rs
@@ -0,0 +1,306 @@
+//! One router: its owner, and what it knows of engines and other routers.
+
+use super::{CAPACITY, MODEL, Request, World};
+use sequoiaridge_core::{DomainId, EndpointId, RouterId, Targets};
+use sequoiaridge_membership::{EndpointHealth, EndpointReport, HealthConfig, HealthEvent};
+use sequoiaridge_membership::{EndpointState as Reported, HealthState};
+use sequoiaridge_policy::{
+    Call, Candidate, ClassPolicy, EndpointInfo, EndpointState, Owner, OwnerConfig, RouterInfo,
+    owner_of,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Region of all routers and engines.
+pub(super) const REGION: &str = "region";
+/// Time for which a router stays a substitute after it took a call as one.
+const ADOPTION: Duration = Duration::from_secs(5);
+
+/// Count and state of one engine as one owner reports it.
+#[derive(Clone, Debug)]
+pub(super) struct Count {
+    pub(super) engine: EndpointId,
+    pub(super) outstanding: u32,
+    pub(super) state: Reported,
+}
+
+#[derive(Clone, Debug)]
+struct Listed {
+    domain: DomainId,
+    leaving: bool,
+}
+
+/// One router.
+#[derive(Debug)]
+pub(super) struct Router {
+    pub(super) info: RouterInfo,
+    pub(super) owner: Owner,
+    pub(super) draining: bool,
+    /// Live routers but this one.
+    pub(super) peers: BTreeMap<RouterId, RouterInfo>,
+    /// Routers that drain.
+    leaving: BTreeSet<RouterId>,
+    /// Owner of each engine; made from the list and the live routers.
+    pub(super) owners: BTreeMap<EndpointId, RouterId>,
+    /// Engines that may take work.
+    pub(super) candidates: Vec<Candidate>,
+    list: BTreeMap<EndpointId, Listed>,
+    counts: BTreeMap<RouterId, BTreeMap<EndpointId, Count>>,
+    health: BTreeMap<EndpointId, EndpointHealth>,
+    adopted: BTreeMap<EndpointId, Duration>,
+    joined: BTreeMap<EndpointId, Duration>,
+}
+
+impl Router {
+    /// Starts a router that knows the engines of the list.
+    pub(super) fn start(info: RouterInfo, peers: Vec<RouterInfo>, world: &World) -> Router {
+        let mut router = Router {
+            info,
+            owner: Owner::new(OwnerConfig::default()),
+            draining: false,
+            peers: peers.into_iter().map(|p| (p.id.clone(), p)).collect(),
+            leaving: BTreeSet::new(),
+            owners: BTreeMap::new(),
+            candidates: Vec::new(),
+            list: BTreeMap::new(),
+            counts: BTreeMap::new(),
+            health: BTreeMap::new(),
+            adopted: BTreeMap::new(),
+            joined: BTreeMap::new(),
+        };
+        router.take_list(world);
+        router
+    }
+
+    /// Takes over the first list; its engines were there before this router.
+    pub(super) fn take_list(&mut self, world: &World) {
+        for id in world.engines.keys() {
+            self.listed(world, id);
+        }
+        self.joined.clear();
+    }
+
+    /// Takes over the list's entry for an engine.
+    pub(super) fn listed(&mut self, world: &World, id: &EndpointId) {
+        let engine = &world.engines[id];
+        let entry = Listed {
+            domain: engine.domain.clone(),
+            leaving: engine.leaving,
+        };
+        if self.list.insert(id.clone(), entry).is_none() {
+            self.joined.insert(id.clone(), world.now);
+        }
+    }
+
+    /// Takes a router for dead or for leaving.
+    pub(super) fn forget(&mut self, id: &RouterId, dead: bool, now: Duration) {
+        self.peers.remove(id);
+        if !dead {
+            self.leaving.insert(id.clone());
+        } else {
+            self.leaving.remove(id);
+            self.counts.remove(id);
+            self.owner.forget_router(id, now);
+        }
+    }
+
+    /// Whether the counts of a router are of use: it is not taken for dead.
+    pub(super) fn counts_for(&self, id: &RouterId) -> bool {
+        self.peers.contains_key(id) || self.leaving.contains(id)
+    }
+
+    /// Takes in the counts of another router.
+    pub(super) fn receive(&mut self, from: &RouterId, counts: Vec<Count>, now: Duration) {
+        let of_router = self.counts.entry(from.clone()).or_default();
+        *of_router = (counts.iter().cloned())
+            .map(|c| (c.engine.clone(), c))
+            .collect();
+        for count in counts {
+            self.owner
+                .report(from, &count.engine, count.outstanding, now);
+        }
+    }
+
+    /// The counts that this router sends.
+    pub(super) fn report(&self, now: Duration) -> Vec<Count> {
+        let counts: BTreeMap<EndpointId, u32> = self.owner.counts().into_iter().collect();
+        let ids: BTreeSet<&EndpointId> = self.health.keys().chain(counts.keys()).collect();
+        let state = |id: &EndpointId| {
+            let health = self.health.get(id);
+            health.map_or(Reported::Unknown, |health| health.state(now).into())
+        };
+        let ids = ids.into_iter();
+        ids.map(|id| Count {
+            engine: id.clone(),
+            outstanding: counts.get(id).copied().unwrap_or(0),
+            state: state(id),
+        })
+        .collect()
+    }
+
+    /// Owner of an engine if the routers of `without` cannot be reached.
+    pub(super) fn owner_without(&self, id: &EndpointId, without: &[RouterId]) -> Option<RouterId> {
+        let mut live: Vec<RouterInfo> = self.peers.values().cloned().collect();
+        live.extend((!self.draining).then(|| self.info.clone()));
+        live.retain(|router| !without.contains(&router.id));
+        owner_of(id, &self.list.get(id)?.domain, REGION, &live)
+    }
+
+    /// Brings view, owner and health up to date, as the router does several times a second.
+    pub(super) fn refresh(&mut self, world: &World) {
+        let now = world.now;
+        self.owners.clear();
+        self.candidates.clear();
+        self.adopted.retain(|_, end| *end > now);
+        let mut live: Vec<RouterInfo> = self.peers.values().cloned().collect();
+        live.extend((!self.draining).then(|| self.info.clone()));
+        let ids: Vec<EndpointId> = self.list.keys().cloned().collect();
+        for id in &ids {
+            let listed = &self.list[id];
+            let Some(owner) = owner_of(id, &listed.domain, REGION, &live) else {
+                continue;
+            };
+            let own = owner == self.info.id || self.adopted.contains_key(id);
+            let mut state = self.reported(id, &owner);
+            if own {
+                let health = (self.health.entry(id.clone()))
+                    .or_insert_with(|| EndpointHealth::new(HealthConfig::default()));
+                health.listed(listed.leaving, now);
+                state = health.state(now).into();
+            } else {
+                self.health.remove(id);
+            }
+            let usable = matches!(state, Reported::Unknown | Reported::Up);
+            if usable && !listed.leaving {
+                self.candidates.push(Candidate::new(id.clone(), CAPACITY));
+            }
+            let known = if !own && state == Reported::Unknown {
+                Reported::Up
+            } else {
+                state
+            };
+            self.set_endpoint(id, own, known, now);
+            self.owners.insert(id.clone(), owner);
+        }
+    }
+
+    /// State of an engine by the report of its owner, or of any other router.
+    fn reported(&self, id: &EndpointId, owner: &RouterId) -> Reported {
+        let of = |router: &RouterId| self.counts.get(router).and_then(|c| c.get(id));
+        let other = || {
+            let live = self.counts.iter();
+            let live = live.filter(|(router, _)| self.peers.contains_key(*router));
+            live.filter_map(|(_, c)| c.get(id)).next_back()
+        };
+        of(owner)
+            .or_else(other)
+            .map_or(Reported::Unknown, |c| c.state)
+    }
+
+    fn set_endpoint(&mut self, id: &EndpointId, own: bool, state: Reported, now: Duration) {
+        let state = match state {
+            Reported::Up => EndpointState::Up,
+            Reported::Leaving => EndpointState::Leaving,
+            _ => EndpointState::Down,
+        };
+        let info = EndpointInfo {
+            id: id.clone(),
+            capacity: CAPACITY,
+            groups: World::groups(),
+            state,
+            own,
+            joined: self.joined.get(id).copied(),
+        };
+        self.owner.set_endpoint(info, now);
+    }
+
+    /// Probes the engines that are due.
+    pub(super) fn probe_due(&mut self, world: &World) {
+        let now = world.now;
+        let due = self.health.iter_mut();
+        let due: Vec<EndpointId> = due
+            .filter_map(|(id, health)| health.probe_due(now).then(|| id.clone()))
+            .collect();
+        due.iter().for_each(|id| self.probe(world, id));
+    }
+
+    /// Probes one engine now.
+    pub(super) fn probe(&mut self, world: &World, id: &EndpointId) {
+        let Some(health) = self.health.get_mut(id) else {
+            return;
+        };
+        let (now, engine) = (world.now, &world.engines[id]);
+        if engine.reachable {
+            let report = EndpointReport {
+                boot: engine.boot,
+                leaving: engine.leaving,
+                running: engine.running,
+                capacity: CAPACITY,
+            };
+            health.probe_ok(report, now);
+        } else {
+            health.probe_failed(now, true);
+        }
+        let state = health.state(now);
+        for event in health.events() {
+            if matches!(event, HealthEvent::Down | HealthEvent::Restarted { .. }) {
+                self.joined.insert(id.clone(), now);
+            }
+        }
+        let policy = match state {
+            HealthState::Up => EndpointState::Up,
+            HealthState::Leaving => EndpointState::Leaving,
+            _ => EndpointState::Down,
+        };
+        self.owner.set_state(id, policy, now);
+        if state == HealthState::Up {
+            self.owner.probed(id, engine.running, now);
+        }
+    }
+
+    /// Becomes a substitute for the owner of an engine.
+    pub(super) fn adopt(&mut self, world: &World, id: &EndpointId) {
+        let end = world.now + ADOPTION;
+        let old = self.adopted.insert(id.clone(), end);
+        if old.is_some_and(|old| old > world.now) || !self.list.contains_key(id) {
+            return;
+        }
+        self.health
+            .entry(id.clone())
+            .or_insert_with(|| EndpointHealth::new(HealthConfig::default()));
+        self.set_endpoint(id, true, Reported::Up, world.now);
+        self.probe(world, id);
+    }
+
+    /// Whether every own endpoint keeps the bound by the counts that this router has, after it
+    /// admitted a request to `engine`.
+    pub(super) fn keeps_bound(&self, engine: &EndpointId, now: Duration) -> bool {
+        let open = self.list.keys().filter(|id| self.owner.is_open(id, now));
+        let (mut work, mut total) = (0, 0);
+        for id in open {
+            work += u64::from(self.owner.load(id, now));
+            total += u64::from(CAPACITY);
+        }
+        let bound = sequoiaridge_policy::LoadBound::default();
+        u64::from(self.owner.load(engine, now)) <= bound.limit(work, CAPACITY.into(), total)
+    }
+
+    /// The request as this router's owner sees it.
+    pub(super) fn call(request: &Request, only_if_known: bool, now: Duration) -> Call {
+        let policy = ClassPolicy::from_targets(&Targets::default());
+        Call {
+            ticket: request.ticket,
+            customer: request.customer.clone(),
+            class: "chat".to_string(),
+            group: MODEL.to_string(),
+            chat: Some(request.key),
+            fingerprint: request.ticket,
+            suspect: false,
+            only_if_known,
+            cost: (1 + request.prompt / 1024) as u32,
+            arrival: now,
+            deadline: now + policy.deadline,
+            policy,
+        }
+    }
+}
