policy: return a chat to the place in the chat index first

Cause: a displaced chat was tried at its first-ranked engine first, where its context is not cached, so every turn after the displacement that found room there recomputed the whole prompt.

Now the place in the index comes first, whatever the rank.

--- a/crates/policy/src/owner/place.rs
+++ b/crates/policy/src/owner/place.rs
@@ -94,9 +94,8 @@
         }
     }
 
-    /// Order in which endpoints are tried: by rank, with the place in the chat index second, or first
-    /// if the first-ranked endpoint joined recently and cannot have the chat. Services are ordered by
-    /// outstanding work.
+    /// Order in which endpoints are tried: the place in the chat index, which caches the chat's newest
+    /// context, then by rank. Services are ordered by outstanding work.
     fn plan(
         &self,
         call: &Call,
@@ -121,15 +120,8 @@
         if asked > 0 && !own {
             return plan;
         }
-        let is_recent = |id: &EndpointId| {
-            let endpoint = self.endpoints.get(id);
-            endpoint.is_some_and(|e| e.is_recent(now, &self.config))
-        };
-        let stays_first = candidates
-            .first()
-            .is_some_and(|id| id != place && !is_recent(id));
         plan.retain(|id| id != place);
-        plan.insert(usize::from(stays_first), place.clone());
+        plan.insert(0, place.clone());
         plan
     }
 
