--- a/crates/policy/src/owner/place.rs
+++ b/crates/policy/src/owner/place.rs
@@ -63,7 +63,7 @@
         asked: u32,
         now: Duration,
     ) -> Placement {
-        let plan = self.plan(call, candidates, now);
+        let plan = self.plan(call, candidates, asked, now);
         let within_share = self.within_share(call, now);
         let mut any_open = false;
         for (at, id) in plan.iter().enumerate() {
@@ -96,7 +96,13 @@
 
     /// Order in which endpoints are tried: the place in the chat index, which caches the chat's newest
     /// context, then by rank. Services are ordered by outstanding work.
-    fn plan(&self, call: &Call, candidates: &[EndpointId], now: Duration) -> Vec<EndpointId> {
+    fn plan(
+        &self,
+        call: &Call,
+        candidates: &[EndpointId],
+        asked: u32,
+        now: Duration,
+    ) -> Vec<EndpointId> {
         let mut plan = candidates.to_vec();
         if call.suspect {
             return plan;
@@ -108,6 +114,12 @@
         let Some(place) = self.chats.get(chat) else {
             return plan;
         };
+        // An owner that is asked by another one does not pass the call on to a third place that the
+        // first owner may have tried.
+        let own = self.endpoints.get(place).is_some_and(|e| e.info.own);
+        if asked > 0 && !own {
+            return plan;
+        }
         plan.retain(|id| id != place);
         plan.insert(0, place.clone());
         plan
