policy: start chats without context on the least used of four endpoints

Cause: new chats and displaced ones went by rank alone, so an engine that many chats returned to at the same time got new ones as well, and turned away the chats whose context it caches.

The owner now orders the endpoints that do not cache the chat by use. The router ranks four of them.

--- a/crates/policy/src/owner/place.rs
+++ b/crates/policy/src/owner/place.rs
@@ -95,7 +95,7 @@
     }
 
     /// Order in which endpoints are tried: the place in the chat index, which caches the chat's newest
-    /// context, then by rank. Services are ordered by outstanding work.
+    /// context, then the least used of the best-ranked. Services are ordered by outstanding work.
     fn plan(
         &self,
         call: &Call,
@@ -112,6 +112,7 @@
             return plan;
         };
         let Some(place) = self.chats.get(chat) else {
+            self.spread(&mut plan, now);
             return plan;
         };
         // An owner that is asked by another one does not pass the call on to a third place that the
@@ -121,10 +122,17 @@
             return plan;
         }
         plan.retain(|id| id != place);
+        self.spread(&mut plan, now);
         plan.insert(0, place.clone());
         plan
     }
 
+    /// Orders endpoints by use, equal ones by rank. None of them caches the chat's context, and a chat
+    /// that starts on a less used endpoint more often finds room there when it returns.
+    fn spread(&self, plan: &mut [EndpointId], now: Duration) {
+        plan.sort_by_cached_key(|id| self.use_of(id, now));
+    }
+
     /// Second-ranked endpoint, if its owner may know the chat and this one does not: the first-ranked
     /// endpoint joined recently, or this router owns it only since recently.
     fn lookback(
--- a/crates/policy/src/owner/run.rs
+++ b/crates/policy/src/owner/run.rs
@@ -218,7 +218,7 @@
     }
 
     /// Used part of the endpoint's capacity, in thousandths.
-    fn use_of(&self, id: &str, now: Duration) -> u64 {
+    pub(super) fn use_of(&self, id: &str, now: Duration) -> u64 {
         self.endpoints.get(id).map_or(u64::MAX, |e| {
             let part = e.current_part(now, &self.config);
             part.work * 1000 / part.capacity.max(1)
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -16,8 +16,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Endpoints that are ranked for a call; no more owners are asked.
-const RANKED: usize = 3;
+/// Endpoints that are ranked for a call. Of these the owner prefers the least used for a chat without
+/// cached context.
+const RANKED: usize = 4;
 /// Asked this many owners, the first one is asked again and lets the call wait.
 const MAX_ASKED: u8 = 3;
 /// Substitutes that are tried when owners cannot be reached.
