membership: pass no load report back to where it came from

Cause: relayed reports are sent newest first, so the answer to a probe carried the reports that the probe had just brought, and the owner's own reports returned to it.

Each entry now remembers which router passed it on.

--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -74,7 +74,7 @@
         self.add_random(&mut digest, &mut room, to, random);
         let sends = (members as f64 + 1.0).log2().ceil() as u32 + 1;
         let room = load_room.min(room.0 + reserved);
-        digest.loads = self.loads.select(room, sends);
+        digest.loads = self.loads.select(room, sends, to);
         digest
     }
 
--- a/crates/membership/src/load.rs
+++ b/crates/membership/src/load.rs
@@ -106,6 +106,8 @@
     at: Duration,
     /// Place in the order of sending; `None` once it was sent often enough.
     rank: Option<Rank>,
+    /// Router that passed the report on; `None` for own reports.
+    from: Option<RouterId>,
 }
 
 /// The newest report of each owner about each endpoint.
@@ -165,7 +167,7 @@
             return;
         }
         self.seq += 1;
-        self.put(key, count, state, self.seq, now);
+        self.put(key, count, state, self.seq, None, now);
     }
 
     /// Reports unchanged own loads again, and drops reports that their owners did not refresh.
@@ -178,7 +180,7 @@
             .collect();
         for (key, count, state) in due {
             self.seq += 1;
-            self.put(key, count, state, self.seq, now);
+            self.put(key, count, state, self.seq, None, now);
         }
         let queue = &mut self.queue;
         self.entries.retain(|_, entry| {
@@ -191,7 +193,7 @@
     }
 
     /// Takes over reports of another router, except those about the own counts.
-    pub(crate) fn receive(&mut self, groups: &[OwnerLoads], now: Duration) {
+    pub(crate) fn receive(&mut self, from: &RouterId, groups: &[OwnerLoads], now: Duration) {
         for group in groups {
             if group.owner == self.me {
                 continue;
@@ -201,13 +203,22 @@
                 let seq = group.base.saturating_add(load.above);
                 let known = self.entries.get(&key);
                 if known.is_none_or(|entry| entry.seq < seq) {
-                    self.put(key, load.outstanding, load.state, seq, now);
+                    let from = Some(from.clone());
+                    self.put(key, load.outstanding, load.state, seq, from, now);
                 }
             }
         }
     }
 
-    fn put(&mut self, key: ReportKey, count: u32, state: EndpointState, seq: u64, now: Duration) {
+    fn put(
+        &mut self,
+        key: ReportKey,
+        count: u32,
+        state: EndpointState,
+        seq: u64,
+        from: Option<RouterId>,
+        now: Duration,
+    ) {
         if self.entries.len() >= MAX_REPORTS && !self.entries.contains_key(&key) {
             return;
         }
@@ -219,6 +230,7 @@
             seq,
             at: now,
             rank: Some(rank),
+            from,
         };
         let replaced = self.entries.insert(key.clone(), entry);
         if let Some(old) = replaced.and_then(|entry| entry.rank) {
@@ -232,9 +244,15 @@
         self.queue.is_empty()
     }
 
-    /// Chooses reports of at most `room` bytes to send. Each report is sent `sends` times after a
+    /// Chooses reports of at most `room` bytes to send to `to`, without those that it has already: its
+    /// own and those that it passed on. Each report is sent `sends` times after a
     /// change; by then it has reached most of the fleet, and the next refresh reaches the rest.
-    pub(crate) fn select(&mut self, room: usize, sends: u32) -> Vec<OwnerLoads> {
+    pub(crate) fn select(
+        &mut self,
+        room: usize,
+        sends: u32,
+        to: Option<&RouterId>,
+    ) -> Vec<OwnerLoads> {
         let mut groups: BTreeMap<RouterId, Vec<(EndpointId, u64)>> = BTreeMap::new();
         let mut left = room;
         let mut taken = Vec::new();
@@ -245,6 +263,9 @@
             };
             let key = (owner.clone(), endpoint.clone());
             let entry = &self.entries[&key];
+            if to.is_some() && (to == Some(owner) || to == entry.from.as_ref()) {
+                continue;
+            }
             let size = endpoint.len() + REPORT_BYTES + varint(entry.outstanding) + group;
             if size > left {
                 break;
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -123,7 +123,7 @@
                 self.rumors.tell_crash(notice.clone());
             }
         }
-        self.loads.receive(&digest.loads, now);
+        self.loads.receive(from, &digest.loads, now);
     }
 
     /// Notes that a member was heard directly.
