membership: send each load report half as often

Cause: each report was sent log2(n) + 2 times by each router that heard it, although the receivers send it on as well and it is replaced or refreshed soon.

--- a/crates/measure/src/placement/figures.rs
+++ b/crates/measure/src/placement/figures.rs
@@ -2,6 +2,7 @@
 
 use super::World;
 use sequoiaridge_core::EndpointId;
+use sequoiaridge_policy::LoadBound;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
@@ -36,6 +37,7 @@
     /// one request per side.
     pub excess_time: Duration,
     skews: Vec<f64>,
+    allowed: f64,
     since: BTreeMap<EndpointId, Duration>,
 }
 
@@ -50,6 +52,11 @@
         self.skews.iter().sum::<f64>() / self.skews.len().max(1) as f64
     }
 
+    /// What the multiple and one request of rounding allow: mean over the samples.
+    pub fn allowed_skew(&self) -> f64 {
+        self.allowed / self.skews.len().max(1) as f64
+    }
+
     /// The skew that one in a hundred samples exceeds.
     pub fn high_skew(&self) -> f64 {
         let mut sorted = self.skews.clone();
@@ -64,6 +71,7 @@
         if mean >= LEAST_MEAN {
             let most = loads.iter().max().copied().unwrap_or(0);
             self.skews.push(f64::from(most) / mean);
+            self.allowed += LoadBound::default().multiple + 1.0 / mean;
         }
     }
 
--- /dev/null
+++ b/crates/measure/tests/control.rs
@@ -0,0 +1,51 @@
+//! Bounds on control traffic and on configuration bytes, from the sizes of `docs/design.md`.
+
+use sequoiaridge_measure::config_bytes;
+use sequoiaridge_measure::control::{Size, measure};
+use std::time::Duration;
+
+const SEED: u64 = 7;
+
+/// Guards against control traffic beyond 4 KB/s at today's size, counts that arrive later than the
+/// placement is tested with, and cross-domain traffic above that of a full mesh.
+#[test]
+fn control_traffic_of_8_routers() {
+    let size = Size {
+        routers: 8,
+        domains: 4,
+        engines: 20,
+    };
+    let traffic = measure(size, Duration::from_secs(60), SEED);
+    println!("{traffic}");
+    assert!(traffic.most <= 4_000.0);
+    assert!(traffic.age <= Duration::from_millis(300));
+    let across: f64 = traffic.kinds.values().map(|(_, far)| far).sum();
+    assert!(across < traffic.mesh * 6.0 / 7.0);
+}
+
+/// Guards against control traffic beyond 23 KB/s at the target size, and against traffic that grows
+/// with the fleet: from 128 to 370 routers it must not rise by more than a tenth.
+#[test]
+fn control_traffic_of_370_routers() {
+    let rate = |routers, engines| {
+        let size = Size {
+            routers,
+            domains: 12,
+            engines,
+        };
+        let traffic = measure(size, Duration::from_secs(4), SEED);
+        println!("{routers} routers: {traffic}");
+        assert!(traffic.most <= 23_000.0);
+        traffic.mean()
+    };
+    assert!(rate(370, 7500) <= 1.1 * rate(128, 2000));
+}
+
+/// Guards against changes that cost as much as the document: 23 KB/s must hold beside the gossip.
+#[test]
+fn changes_are_small() {
+    let bytes = config_bytes::measure(2100);
+    println!("{bytes:?}");
+    assert!(bytes.change_rate() < 100.0 && bytes.full_rate() > 10_000.0);
+    assert!(bytes.break_even() as u64 > config_bytes::SNAPSHOT_EVERY);
+}
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -72,9 +72,11 @@
             }
         });
         self.add_random(&mut digest, &mut room, to, random);
-        let sends = (members as f64 + 1.0).log2().ceil() as u32 + 1;
+        // Each receiver sends the report on as well, so half of log2 is enough; the next refresh makes
+        // up for lost datagrams.
+        let sends = (members as f64 + 1.0).log2().ceil() as u32;
         let room = load_room.min(room.0 + reserved);
-        digest.loads = self.loads.select(room, sends, to);
+        digest.loads = self.loads.select(room, sends.div_ceil(2), to);
         digest
     }
 
--- a/crates/membership/src/load.rs
+++ b/crates/membership/src/load.rs
@@ -245,8 +245,8 @@
     }
 
     /// Chooses reports of at most `room` bytes to send to `to`, without those that it has already: its
-    /// own and those that it passed on. Each report is sent `sends` times after a
-    /// change; by then it has reached most of the fleet, and the next refresh reaches the rest.
+    /// own and those that it passed on. Each report is sent `sends` times after a change; by then it
+    /// has reached most of the fleet, and the next refresh reaches the rest.
     pub(crate) fn select(
         &mut self,
         room: usize,
