policy: drop counts that other routers no longer report

Cause: a router that no longer owns an endpoint and has finished its calls there leaves the endpoint out of its reports. The last count before that stayed in the other owners' tables until the router died, raised the mean and with it the bound of every endpoint of the group.

Owner::set_reports replaces all counts at once; the router and the measurement use it.

--- a/crates/measure/src/placement/router.rs
+++ b/crates/measure/src/placement/router.rs
@@ -112,13 +112,12 @@
     /// Takes in the counts of another router.
     pub(super) fn receive(&mut self, from: &RouterId, counts: Vec<Count>, now: Duration) {
         let of_router = self.counts.entry(from.clone()).or_default();
-        *of_router = (counts.iter().cloned())
-            .map(|c| (c.engine.clone(), c))
-            .collect();
-        for count in counts {
-            self.owner
-                .report(from, &count.engine, count.outstanding, now);
-        }
+        let counts = counts.into_iter().map(|c| (c.engine.clone(), c));
+        *of_router = counts.collect();
+        let all = self.counts.iter();
+        let all = all.flat_map(|(from, of)| of.values().map(move |c| (from, c)));
+        let reports = all.map(|(from, c)| (from, &c.engine, c.outstanding));
+        self.owner.set_reports(reports, now);
     }
 
     /// The counts that this router sends.
--- a/crates/policy/src/endpoint.rs
+++ b/crates/policy/src/endpoint.rs
@@ -56,7 +56,7 @@
     // Running requests at the last probe beyond the counts known at that time.
     foreign: u32,
     // Counts of other routers that admit to the endpoint.
-    reports: BTreeMap<RouterId, u32>,
+    pub(crate) reports: BTreeMap<RouterId, u32>,
 }
 
 impl Endpoint {
--- a/crates/policy/src/owner.rs
+++ b/crates/policy/src/owner.rs
@@ -9,7 +9,7 @@
 use crate::{ChatEntry, ChatIndex, EndpointInfo, EndpointState, OwnerConfig};
 use crate::{SuspectSlots, TicketId};
 use group::Group;
-use sequoiaridge_core::{ChatKey, CustomerId, EndpointId, Fingerprint, ModelName};
+use sequoiaridge_core::{ChatKey, CustomerId, EndpointId, Fingerprint, ModelName, RouterId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -122,6 +122,29 @@
         }
     }
 
+    /// Replaces all counts of other routers: what is not in `reports` counts as zero. A router that
+    /// no longer owns an endpoint and has finished its calls there reports nothing any more.
+    pub fn set_reports<'a>(
+        &mut self,
+        reports: impl Iterator<Item = (&'a RouterId, &'a EndpointId, u32)>,
+        now: Duration,
+    ) {
+        let mut new: BTreeMap<&EndpointId, BTreeMap<RouterId, u32>> = BTreeMap::new();
+        for (router, id, count) in reports.filter(|(_, _, count)| *count > 0) {
+            new.entry(id).or_default().insert(router.clone(), count);
+        }
+        let ids: Vec<EndpointId> = self.endpoints.keys().cloned().collect();
+        for id in ids {
+            let counts = new.remove(&id).unwrap_or_default();
+            if let Some(endpoint) = self.endpoints.get_mut(&id)
+                && endpoint.reports != counts
+            {
+                endpoint.reports = counts;
+                self.refresh(&id, now);
+            }
+        }
+    }
+
     /// Drops the counts of a router that is dead.
     pub fn forget_router(&mut self, router: &str, now: Duration) {
         let ids: Vec<EndpointId> = self.endpoints.keys().cloned().collect();
--- a/crates/policy/tests/owner.rs
+++ b/crates/policy/tests/owner.rs
@@ -189,6 +189,20 @@
     assert_eq!(owner.load("b", now + ms(3_000)), 0);
 }
 
+/// Guards against the count of a former owner that stays for ever and raises the mean: a router that
+/// has nothing outstanding at an endpoint it no longer owns does not report it any more.
+#[test]
+fn counts_that_are_no_longer_reported_are_dropped() {
+    let (mut owner, now) = owner(OwnerConfig::default(), &["a"], &["b"], 8);
+    let (r2, r3) = ("r2".to_string(), "r3".to_string());
+    let list = ids(&["a", "b"]);
+    let reports = [(&r2, &list[0], 3), (&r3, &list[0], 2), (&r2, &list[1], 1)];
+    owner.set_reports(reports.into_iter(), now);
+    assert_eq!((owner.load("a", now), owner.load("b", now)), (5, 1));
+    owner.set_reports(reports[1..2].iter().copied(), now);
+    assert_eq!((owner.load("a", now), owner.load("b", now)), (2, 0));
+}
+
 /// Guards against an endpoint with old probes whose load still raises the bound of the others. The
 /// random test found this with sums that were only renewed by news of an endpoint.
 #[test]
--- a/crates/router/src/maintain.rs
+++ b/crates/router/src/maintain.rs
@@ -76,11 +76,9 @@
     };
     let view = View::build(me, &peers, &members, &loads);
     {
-        let mut owner = lock(&shared.owner);
-        let now = shared.now();
-        for load in loads.iter().filter(|load| &load.owner != shared.id()) {
-            owner.report(&load.owner, &load.endpoint, load.outstanding, now);
-        }
+        let others = loads.iter().filter(|load| &load.owner != shared.id());
+        let reports = others.map(|load| (&load.owner, &load.endpoint, load.outstanding));
+        lock(&shared.owner).set_reports(reports, shared.now());
     }
     *shared.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
 }
