--- a/crates/policy/src/owner/place.rs
+++ b/crates/policy/src/owner/place.rs
@@ -102,9 +102,8 @@
         }
     }
 
-    /// Order in which endpoints are tried: by rank, with the place in the chat index second, or first
-    /// if the first-ranked endpoint joined recently and cannot have the chat. Services are ordered by
-    /// outstanding work.
+    /// Order in which endpoints are tried: the place in the chat index, which caches the chat's newest
+    /// context, then the least used of the best-ranked. Services are ordered by outstanding work.
     fn plan(
         &self,
         call: &Call,
@@ -121,6 +120,7 @@
             return plan;
         };
         let Some(place) = self.chats.get(chat) else {
+            self.spread(&mut plan, now);
             return plan;
         };
         // An owner that is asked by another one does not pass the call on to a third place that the
@@ -129,18 +129,18 @@
         if asked > 0 && !own {
             return plan;
         }
-        let is_recent = |id: &EndpointId| {
-            let endpoint = self.endpoints.get(id);
-            endpoint.is_some_and(|e| e.is_recent(now, &self.config))
-        };
-        let stays_first = candidates
-            .first()
-            .is_some_and(|id| id != place && !is_recent(id));
         plan.retain(|id| id != place);
-        plan.insert(usize::from(stays_first), place.clone());
+        self.spread(&mut plan, now);
+        plan.insert(0, place.clone());
         plan
     }
 
+    /// Orders endpoints by use, equal ones by rank. None of them caches the chat's context, and a chat
+    /// that starts on a less used endpoint more often finds room there when it returns.
+    fn spread(&self, plan: &mut [EndpointId], now: Duration) {
+        plan.sort_by_cached_key(|id| self.use_of(id, now));
+    }
+
     /// Second-ranked endpoint, if its owner may know the chat and this one does not: the first-ranked
     /// endpoint joined recently, or this router owns it only since recently.
     fn lookback(
--- a/crates/router/src/refresh.rs
+++ b/crates/router/src/refresh.rs
@@ -10,14 +10,6 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
-/// What the last refresh saw. Most of the time only counts change; then the view, whose cost grows
-/// with the number of endpoints, stays as it is.
-#[derive(Debug, Default)]
-pub(crate) struct LastRefresh {
-    signature: u64,
-    counts: BTreeMap<(RouterId, EndpointId), u32>,
-}
-
 /// State in the terms of the owner's table.
 pub(crate) fn policy_state(state: Reported) -> EndpointState {
     match state {
@@ -44,7 +36,8 @@
     }
 }
 
-/// Refreshes view and owner's table.
+/// Refreshes view and owner's table. Most of the time only counts change; then the view, whose cost
+/// grows with the number of endpoints, stays as it is.
 pub(crate) fn refresh(shared: &Shared) {
     let mut last = lock(&shared.refreshed);
     let members = lock(&shared.members).clone();
@@ -52,17 +45,17 @@
         let detector = lock(&shared.detector);
         (detector.view(), detector.loads())
     };
-    report_counts(shared, &mut last.counts, &loads);
+    report_counts(shared, &loads);
     // A draining router gives its endpoints up, unless nobody else could take them.
     let alone = !peers.iter().any(|peer| peer.state.owns());
     let owns = shared.phase() == Phase::Serving || (shared.phase() == Phase::Draining && alone);
     let adopted = adopted(shared);
     let signature = signature(&members, &peers, &loads, &adopted, owns);
-    if signature == last.signature {
+    if signature == *last {
         refresh_own(shared);
         return;
     }
-    last.signature = signature;
+    *last = signature;
     let me = owns.then(|| RouterInfo {
         id: shared.id().clone(),
         domain: shared.settings.domain.clone(),
@@ -108,35 +101,15 @@
     hash64(&bytes)
 }
 
-/// Hands the counts of other routers to the owner's table; counts that are no longer reported end.
-fn report_counts(
-    shared: &Shared,
-    last: &mut BTreeMap<(RouterId, EndpointId), u32>,
-    loads: &[LoadReport],
-) {
+/// Hands the counts of other routers to the owner's table.
+fn report_counts(shared: &Shared, loads: &[LoadReport]) {
     let mut outstanding: BTreeMap<EndpointId, u32> = BTreeMap::new();
-    let mut counts = BTreeMap::new();
     for load in loads {
         *outstanding.entry(load.endpoint.clone()).or_default() += load.outstanding;
-        if &load.owner != shared.id() {
-            counts.insert(
-                (load.owner.clone(), load.endpoint.clone()),
-                load.outstanding,
-            );
-        }
-    }
-    let now = shared.now();
-    let mut owner = lock(&shared.owner);
-    for (key, count) in &counts {
-        if last.get(key) != Some(count) {
-            owner.report(&key.0, &key.1, *count, now);
-        }
-    }
-    for (router, endpoint) in last.keys().filter(|key| !counts.contains_key(*key)) {
-        owner.report(router, endpoint, 0, now);
     }
-    drop(owner);
-    *last = counts;
+    let others = loads.iter().filter(|load| &load.owner != shared.id());
+    let reports = others.map(|load| (&load.owner, &load.endpoint, load.outstanding));
+    lock(&shared.owner).set_reports(reports, shared.now());
     *shared
         .outstanding
         .write()
