Give each fleet of the tests its own peer key

Cause, suspected: all fleets shared one peer key and the same router names. Tests run side by side, so a router could take a router of another fleet, on a port that a killed one had used, for its peer.

Seen: with four runs of all files at once, two tests of a paused holder waited in vain for a key in 3 of 8 runs, at the same moment in three fleets that share nothing else. Not reproduced in later runs with the shared key (more than 24), so the cause is not shown.

--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -2,6 +2,7 @@
 
 use super::{Caller, Process, Reply, eventually, temp_file};
 use http::Method;
+use rand::random;
 use sequoiaridge::core::{
     Change, Class, Customer, Member, MemberState, Repeat, Role, SystemClock, Targets, Team,
     token_digest,
@@ -16,7 +17,6 @@
 
 pub const CALLER: &str = "caller-token";
 pub const OPERATOR: &str = "operator-token";
-const KEY: &str = "5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a";
 
 /// A fleet whose processes end with it.
 pub struct Fleet {
@@ -29,6 +29,9 @@
     /// Lines that are added to the settings of each router.
     pub settings: String,
     members: Vec<Member>,
+    /// Peer key in hexadecimal. Each fleet has its own: tests run side by side, and the port of a
+    /// router that ended may be taken by a router of another fleet.
+    key: String,
 }
 
 impl Fleet {
@@ -55,6 +58,7 @@
             operator: Caller::new(OPERATOR),
             settings: settings.to_string(),
             members: Vec::new(),
+            key: format!("{:032x}{:032x}", random::<u128>(), random::<u128>()),
         };
         (0..engines).for_each(|_| fleet.add_engine());
         (0..services).for_each(|_| fleet.add_service());
@@ -125,11 +129,12 @@
             .iter()
             .map(|router| format!("'{}'", router.address("peers")))
             .collect();
+        let key = &self.key;
         let text = format!(
             "id: {id}\ndomain: domain-{}\nregion: local\n\
              listen: {{callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}}\n\
              platform: {{table: '{platform}', objects: '{platform}', members: '{platform}'}}\n\
-             peers: {{key: '{KEY}', seeds: [{}]}}\n{}",
+             peers: {{key: '{key}', seeds: [{}]}}\n{}",
             number % 2,
             seeds.join(", "),
             self.settings,
