Give each router of the log tests a settings file of its own

Two tests of one process wrote the same file, so that a router could start on the platform of the other test, which has no service: two of about 60 runs failed with 404 unknown-model. The router itself was not at fault. After the change 45 runs, three at a time, passed.

--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -52,7 +52,7 @@
          platform: {{table: '{platform}', objects: '{platform}', members: '{platform}'}}\n\
          peers: {{key: '{KEY}'}}\nlog: {{level: trace, format: {format}}}\n"
     );
-    let file = temp_file(&format!("logged-{format}.yaml"), &text);
+    let file = temp_file(&format!("logged-{}.yaml", platform.port()), &text);
     let mut child = Command::new(env!("CARGO_BIN_EXE_sequoiaridge"))
         .args(["run", "--config", file.to_str().unwrap()])
         .stdout(Stdio::piped())
@@ -90,8 +90,9 @@
     let booked = fleet
         .caller
         .book(callers, "KEY-SECRET", r#"{"item":"BODY-TEXT"}"#)
-        .await;
-    assert_eq!(booked.unwrap().status, 200);
+        .await
+        .expect("an answer");
+    assert_eq!(booked.status, 200, "{}", booked.text());
     let stranger = Caller::new("GUESSED-TOKEN");
     assert_eq!(
         stranger
