--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -56,7 +56,10 @@
     let engine = Process::start(&["fake", "engine", "--id", "engine", "--model", "small"]);
     let mut members = Vec::new();
     let key = "5a".repeat(32);
-    let extras = RouterExtras { key: &key, settings: "" };
+    let extras = RouterExtras {
+        key: &key,
+        settings: "",
+    };
     let processes: Vec<Process> = (0..routers)
         .map(|number| {
             let router = Fleet::router(platform.address("http"), &[], number, DOMAINS, &extras);
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -134,11 +134,20 @@
 
     fn start_router(&self, number: usize) -> Process {
         let seeds: Vec<_> = self.routers.iter().map(|r| r.address("peers")).collect();
-        Fleet::router(self.platform.address("http"), &seeds, number, 2, &self.own_settings())
+        Fleet::router(
+            self.platform.address("http"),
+            &seeds,
+            number,
+            2,
+            &self.own_settings(),
+        )
     }
 
     fn own_settings(&self) -> RouterExtras<'_> {
-        RouterExtras { key: &self.key, settings: &self.settings }
+        RouterExtras {
+            key: &self.key,
+            settings: &self.settings,
+        }
     }
 
     /// Starts a router as a process.
@@ -159,8 +168,6 @@
             extras.key,
             seeds.join(", "),
             extras.settings,
-        );
-            seeds.join(", "),
         );
         let file = temp_file(&format!("router-{number}-{}.yaml", platform.port()), &text);
         Process::start(&["run", "--config", file.to_str().unwrap()])
