Rank three endpoints again

Cause: with four ranked endpoints, four copies of a request that were sent at once ran on four engines, one more than the crashes after which a request is held back. Seen: a_crashing_request_sent_at_once_is_held_back failed in 6 of 6 runs with '4 engines crashed'. The rule that at most three owners are asked bounds this only if no more than three endpoints are ranked.

--- a/crates/measure/src/placement/fleet.rs
+++ b/crates/measure/src/placement/fleet.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Endpoints that are ranked.
-const RANKED: usize = 4;
+const RANKED: usize = 3;
 /// Owners that are asked.
 const MAX_ASKED: u32 = 3;
 /// Pause before a moved owner is looked for again.
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -19,7 +19,7 @@
 
 /// Endpoints that are ranked for a call. Of these the owner prefers the least used for a chat without
 /// cached context.
-const RANKED: usize = 4;
+const RANKED: usize = 3;
 /// Asked this many owners, the first one is asked again and lets the call wait.
 const MAX_ASKED: u8 = 3;
 /// Substitutes that are tried when owners cannot be reached.
