--- a/crates/policy/tests/owner.rs
+++ b/crates/policy/tests/owner.rs
@@ -53,12 +53,12 @@
     let next = call(2, "c", now);
     assert_eq!(
         owner.place(&next, &list, 0, now),
-        forward("b", &["c"], false)
+        forward("b", &["c", "a"], false)
     );
     owner.record_chat(2, "x", now);
     assert_eq!(
         owner.place(&next, &list, 0, now),
-        forward("x", &["b", "c"], false)
+        forward("x", &["b", "c", "a"], false)
     );
     // The third owner does not ask a fourth one.
     let placed = owner.place(&next, &ids(&["a", "b"]), 2, now);
@@ -68,12 +68,20 @@
     assert_eq!(owner.place(&call(3, "c", now), &list, 3, now), QUEUED);
     let started = owner.finish(1, now + ms(10));
     assert_eq!(started[0].ticket, 3);
-    // The first-ranked endpoint comes before the place in the index.
+    // The place in the index is asked although the first-ranked endpoint has room, because the
+    // chat's context is not cached there.
     owner.finish(3, now + ms(20));
+    owner.record_chat(2, "x", now + ms(20));
+    let back = Call { ticket: 4, ..next };
     assert_eq!(
-        owner.place(&Call { ticket: 4, ..next }, &list, 0, now),
-        admit("a")
+        owner.place(&back, &list, 0, now + ms(20)),
+        forward("x", &["a", "b", "c"], false)
     );
+    // When the others have refused, the chat moves to the first-ranked endpoint and stays there.
+    assert_eq!(owner.place(&back, &list, 3, now + ms(20)), admit("a"));
+    owner.finish(4, now + ms(30));
+    let next = Call { ticket: 5, ..back };
+    assert_eq!(owner.place(&next, &list, 0, now + ms(30)), admit("a"));
 }
 
 /// Guards against a join that makes a chat lose its context: the owner of the endpoint that was first
@@ -111,9 +119,33 @@
         new.place(&call(2, "c", now), &list, 0, now),
         forward("b", &["a"], false)
     );
+    // After the lookback time an unknown chat is not looked for any more; a known one still stays.
     let later = now + Duration::from_secs(1_800);
     new.probed("a", 0, later);
-    assert_eq!(new.place(&call(2, "c", later), &list, 0, later), admit("a"));
+    new.finish(1, later);
+    assert_eq!(new.place(&call(3, "c", later), &list, 0, later), admit("a"));
+    assert_eq!(
+        new.place(&call(2, "c", later), &list, 0, later),
+        forward("b", &["a"], false)
+    );
+}
+
+/// Guards against a new chat that starts on a busy endpoint, where it would not find room when it
+/// returns, although another of its endpoints is idle.
+#[test]
+fn new_chats_start_on_the_least_used() {
+    let (mut owner, now) = owner(loose(), &["a"], &["b", "c"], 9);
+    owner.probed("a", 0, now);
+    owner.report("r2", "a", 2, now);
+    owner.report("r2", "b", 1, now);
+    let list = ids(&["a", "b", "c"]);
+    assert_eq!(
+        owner.place(&call(1, "c", now), &list, 0, now),
+        forward("c", &["b", "a"], false)
+    );
+    // A chat that is known stays where it is cached.
+    owner.record_chat(2, "a", now);
+    assert_eq!(owner.place(&call(2, "c", now), &list, 0, now), admit("a"));
 }
 
 /// Guards against a service instance that is chosen although another one has less work, also when
@@ -147,7 +179,7 @@
     assert_eq!(owner.load("a", now), 5);
     // Seven requests in the group make a mean of 3.5 and a bound of 4.
     let placed = owner.place(&call(1, "c", now), &ids(&["a", "b"]), 0, now);
-    assert_eq!(placed, forward("b", &[], false));
+    assert_eq!(placed, forward("b", &["a"], false));
     owner.forget_router("r2", now);
     assert_eq!(owner.load("a", now), 2);
 
@@ -157,6 +189,20 @@
     assert_eq!(owner.load("b", now + ms(3_000)), 0);
 }
 
+/// Guards against the count of a former owner that stays for ever and raises the mean: a router that
+/// has nothing outstanding at an endpoint it no longer owns does not report it any more.
+#[test]
+fn counts_that_are_no_longer_reported_are_dropped() {
+    let (mut owner, now) = owner(OwnerConfig::default(), &["a"], &["b"], 8);
+    let (r2, r3) = ("r2".to_string(), "r3".to_string());
+    let list = ids(&["a", "b"]);
+    let reports = [(&r2, &list[0], 3), (&r3, &list[0], 2), (&r2, &list[1], 1)];
+    owner.set_reports(reports.into_iter(), now);
+    assert_eq!((owner.load("a", now), owner.load("b", now)), (5, 1));
+    owner.set_reports(reports[1..2].iter().copied(), now);
+    assert_eq!((owner.load("a", now), owner.load("b", now)), (2, 0));
+}
+
 /// Guards against an endpoint with old probes whose load still raises the bound of the others. The
 /// random test found this with sums that were only renewed by news of an endpoint.
 #[test]
@@ -169,7 +215,7 @@
     assert_eq!(owner.place(&call(1, "c", late), &list, 0, late), admit("b"));
     assert_eq!(
         owner.place(&call(2, "c", late), &list, 0, late),
-        forward("x", &[], false)
+        forward("x", &["b"], false)
     );
 }
 
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -1,20 +1,26 @@
 //! Datagrams between routers.
 
 use crate::metrics::Traffic;
-use crate::shared::{Shared, lock};
+use crate::shared::{Phase, Shared, lock};
 use crate::{crash, event};
 use sequoiaridge_core::Event;
 use sequoiaridge_membership::{MemberEvent, Message, Outgoing};
 use sequoiaridge_wire::MAX_DATAGRAM;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Time between two calls of the detector.
 const TICK: Duration = Duration::from_millis(50);
 
 /// Receives datagrams and runs the detector until the router stops.
+///
+/// A router without a configuration cannot serve calls, so it stays silent until it has one: peers
+/// would otherwise give it endpoints to own.
 pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut phase = shared.phase.subscribe();
+    let _ = phase.wait_for(|phase| *phase >= Phase::Serving).await;
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_DATAGRAM + 1];
@@ -94,6 +100,9 @@
     for notice in &crashes {
         crash::receive(shared, notice);
     }
+    if !events.is_empty() {
+        shared.stale.store(true, Ordering::Relaxed);
+    }
     for change in events {
         match change {
             MemberEvent::Up { id }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,11 +6,11 @@
 //!
 //! | module | job |
 //! |---|---|
-//! | `callers`, `call`, `reply` | callers' HTTP: understanding requests, answering them |
+//! | `callers`, `call`, `tokens`, `reply` | callers' HTTP: understanding requests, answering them |
 //! | `dispatch` | the receiving router: ranking, the walk over owners, retries |
 //! | `execute`, `admission`, `upstream`, `sse`, `crash` | the owning router: admission, claim, one run |
 //! | `remote`, `peer_server`, `gossip` | other routers |
-//! | `probes`, `maintain`, `view` | endpoints and the picture of the fleet |
+//! | `probes`, `maintain`, `refresh`, `view` | endpoints and the picture of the fleet |
 //! | `config_sync`, `recent`, `list_sync` | the platform: configuration and membership list |
 //! | `operators` | operators' HTTP: commands and queries |
 //! | `drain` | planned stop |
@@ -33,12 +33,15 @@
 mod peer_server;
 mod probes;
 mod recent;
+mod refresh;
 mod remote;
 mod reply;
 mod router;
 mod shared;
 mod sse;
+mod tokens;
 mod upstream;
 mod view;
 
+pub use metrics::example_metrics;
 pub use router::{Drained, Router, StartError};
--- a/crates/router/src/list_sync.rs
+++ b/crates/router/src/list_sync.rs
@@ -8,12 +8,13 @@
 use sequoiaridge_membership::MemberInfo;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Mean time between two fetches of the list.
 const POLL: Duration = Duration::from_secs(1);
-/// Size of an entry of the list, for the count of control bytes.
-const ENTRY_BYTES: usize = 220;
+/// Size of a request and the head of its answer in bytes, for the count of control bytes.
+const EXCHANGE: usize = 400;
 
 /// Runs until the router stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
@@ -23,18 +24,22 @@
     let mut problems = 0;
     loop {
         match shared.list.fetch().await {
-            Ok(list) => {
+            Ok(fetched) => {
                 shared.platform_answered();
+                shared.metrics.sent(Traffic::List, EXCHANGE / 2);
                 shared
                     .metrics
-                    .received(Traffic::List, list.members.len() * ENTRY_BYTES);
+                    .received(Traffic::List, EXCHANGE / 2 + fetched.bytes);
+                let list = &fetched.list;
                 if list.problems.len() != problems {
                     list.problems
                         .iter()
                         .for_each(|problem| tracing::warn!("{problem}"));
                     problems = list.problems.len();
                 }
-                take_in(&shared, list.members, first);
+                if fetched.changed {
+                    take_in(&shared, list.members.clone(), first);
+                }
                 first = false;
             }
             Err(error) => shared.platform_failed(&error.to_string()),
@@ -67,16 +72,19 @@
         .into_iter()
         .map(|member| (member.id.clone(), member))
         .collect();
-    let new: Vec<EndpointId> = {
+    let mut new = Vec::new();
+    {
         let mut members = lock(&shared.members);
-        let new = endpoints
-            .keys()
-            .filter(|id| !members.contains_key(*id))
-            .cloned()
-            .collect();
-        *members = endpoints;
-        new
-    };
+        if *members.endpoints != endpoints {
+            let joined = endpoints
+                .keys()
+                .filter(|id| !members.endpoints.contains_key(*id));
+            new.extend(joined.cloned());
+            members.generation += 1;
+            members.endpoints = Arc::new(endpoints);
+            shared.stale.store(true, Ordering::Relaxed);
+        }
+    }
     lock(&shared.detector).set_list(&routers, now);
     if first {
         return;
--- a/crates/router/src/operators/commands.rs
+++ b/crates/router/src/operators/commands.rs
@@ -1,15 +1,16 @@
 //! Commands of the administration API: changes of the fleet configuration.
 
-use super::auth::Operator;
-use super::{json, problem};
+use super::{auth, json, problem};
 use crate::shared::{Shared, lock};
 use crate::{config_sync, event};
 use http::{Method, StatusCode};
 use sequoiaridge_core::{Change, Class, Customer, Event, RouterId, Team, Version};
 use sequoiaridge_http::{Reply, Request};
+use sequoiaridge_membership::PeerView;
 use sequoiaridge_store::Accept;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,30 +33,50 @@
 }
 
 /// Makes a change.
-pub(crate) async fn answer(
-    shared: &Arc<Shared>,
-    operator: &Operator,
-    request: &Request,
-    rest: &str,
-) -> Reply {
+///
+/// The operator is looked up in the newest configuration, not only in the one in force here: a router
+/// that is behind would otherwise accept a token that was just removed, or give a team a class that
+/// another team just created.
+pub(crate) async fn answer(shared: &Arc<Shared>, request: &Request, rest: &str) -> Reply {
     let (base, change) = match parse(request, rest) {
         Ok(parsed) => parsed,
         Err(reply) => return *reply,
     };
-    let Some(config) = shared.config.current() else {
-        return problem(StatusCode::SERVICE_UNAVAILABLE, "not-ready", &[]);
+    let newest = match shared.log.load().await {
+        Ok(newest) => newest,
+        Err(error) => return unavailable(shared, &error.to_string()),
     };
-    if !operator.may(&change, &config) {
-        let detail = "the token's team may not change this entry".to_string();
-        event::log(
-            Event::AdminRefused,
-            &format!("{} from {}", request.path, request.peer),
-        );
-        return problem(StatusCode::FORBIDDEN, "refused", &[detail]);
+    let operator = match auth::identify(shared, request, &newest) {
+        Ok(operator) => operator,
+        Err(reply) => return *reply,
+    };
+    if !operator.may(&change, &newest) {
+        return auth::forbidden(request, "the token's team may not change this entry");
+    }
+    if newest.version != base {
+        return conflict(base, newest.version);
     }
     accept(shared, base, &change).await
 }
 
+/// Answer to a change that was not made because the configuration could not be read. The cause goes
+/// to the log: it speaks of requests to the platform and would read as if the change were in doubt.
+fn unavailable(shared: &Shared, cause: &str) -> Reply {
+    shared.platform_failed(cause);
+    let detail = "the change was not made, because the platform does not answer".to_string();
+    problem(StatusCode::SERVICE_UNAVAILABLE, "refused", &[detail]).with_header("retry-after", "5")
+}
+
+/// Answer to a change that is not based on the newest version.
+fn conflict(base: Version, version: Version) -> Reply {
+    event::log(
+        Event::ConfigConflict,
+        &format!("based on {base}, now {version}"),
+    );
+    let result = "conflict";
+    json(StatusCode::CONFLICT, &Conflict { result, version })
+}
+
 async fn accept(shared: &Arc<Shared>, base: Version, change: &Change) -> Reply {
     match shared.log.append(base, change).await {
         Ok(Accept::Committed(version)) => {
@@ -79,19 +100,7 @@
                 },
             )
         }
-        Ok(Accept::Conflict(version)) => {
-            event::log(
-                Event::ConfigConflict,
-                &format!("based on {base}, now {version}"),
-            );
-            json(
-                StatusCode::CONFLICT,
-                &Conflict {
-                    result: "conflict",
-                    version,
-                },
-            )
-        }
+        Ok(Accept::Conflict(version)) => conflict(base, version),
         Ok(Accept::Refused(problems)) => {
             let problems: Vec<String> = problems.iter().map(ToString::to_string).collect();
             problem(StatusCode::UNPROCESSABLE_ENTITY, "refused", &problems)
@@ -104,33 +113,36 @@
             let detail = "the change may have been made; read the entry again".to_string();
             problem(StatusCode::GATEWAY_TIMEOUT, "unknown-read-again", &[detail])
         }
-        Err(error) => {
-            shared.platform_failed(&error.to_string());
-            let detail = format!("the change was not made: {error}");
-            problem(StatusCode::SERVICE_UNAVAILABLE, "refused", &[detail])
-                .with_header("retry-after", "5")
-        }
+        Err(error) => unavailable(shared, &error.to_string()),
     }
 }
 
-/// Waits until all routers have the version in force, at most for the time in which they must.
+/// Waits until all routers have the version in force, at most for the time in which they must. A
+/// router that was live at the start and dies meanwhile is not waited for, but named as pending.
 async fn wait_in_force(shared: &Shared, version: Version) -> (Vec<RouterId>, Vec<RouterId>) {
     let end = shared.now() + shared.settings.config.in_force;
+    let live = |peer: &PeerView| peer.state.owns();
+    let asked: BTreeSet<RouterId> = peers(shared).filter(live).map(|peer| peer.id).collect();
     loop {
-        let peers = lock(&shared.detector).view();
-        let live = peers.into_iter().filter(|peer| peer.state.owns());
-        let (mut in_force, pending): (Vec<_>, Vec<_>) = live.partition(|p| p.version >= version);
-        if pending.is_empty() || shared.now() >= end {
-            let id = |peer: sequoiaridge_membership::PeerView| peer.id;
-            let mut names: Vec<RouterId> = in_force.drain(..).map(id).collect();
-            names.push(shared.id().clone());
-            names.sort();
-            return (names, pending.into_iter().map(id).collect());
+        let known: Vec<PeerView> = peers(shared)
+            .filter(|peer| asked.contains(&peer.id))
+            .collect();
+        let (done, pending): (Vec<_>, Vec<_>) = known.iter().partition(|p| p.version >= version);
+        if !pending.iter().any(|peer| live(peer)) || shared.now() >= end {
+            let names = |peers: Vec<&PeerView>| peers.into_iter().map(|p| p.id.clone()).collect();
+            let mut in_force: Vec<RouterId> = names(done);
+            in_force.push(shared.id().clone());
+            in_force.sort();
+            return (in_force, names(pending));
         }
         tokio::time::sleep(LOOK).await;
     }
 }
 
+fn peers(shared: &Shared) -> impl Iterator<Item = PeerView> {
+    lock(&shared.detector).view().into_iter()
+}
+
 /// Reads the version that the change is based on, and the change.
 fn parse(request: &Request, rest: &str) -> Result<(Version, Change), Box<Reply>> {
     let bad = |detail: String| Box::new(problem(StatusCode::BAD_REQUEST, "bad-request", &[detail]));
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,15 +1,18 @@
 //! State of one router that its workers share.
 //!
-//! Lock order: `members`, `detector`, `health`, `adopted`, `joined`, `owner`, `waiters`, `quarantine`, `budgets`,
+//! Lock order: `refreshed`, `members`, `detector`, `health`, `adopted`, `joined`, `owner`, `waiters`, `quarantine`, `budgets`,
 //! `opener`, `view`. A worker that holds one lock only takes later ones, and no lock is held across an
 //! `await`.
 
 use crate::metrics::Metrics;
 use crate::recent::RecentChanges;
+use crate::tokens::TokenIndex;
 use crate::view::View;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use sequoiaridge_core::{Clock, EndpointId, Event, Member, RefusalReason, RetryReason, RouterId};
+use sequoiaridge_core::{
+    Clock, EndpointId, Event, Member, Refusal, RefusalReason, RetryReason, RouterId,
+};
 use sequoiaridge_http::Client;
 use sequoiaridge_membership::{Detector, EndpointHealth};
 use sequoiaridge_policy::{Owner, Quarantine, RetryBudget, Started, TicketId};
@@ -37,7 +40,23 @@
 }
 
 /// What a waiting call is told.
-pub(crate) type Turn = Result<EndpointId, sequoiaridge_core::Refusal>;
+#[derive(Debug)]
+pub(crate) enum Turn {
+    /// It runs on this endpoint.
+    Run(EndpointId),
+    /// It waited too long or made room for others.
+    Refused(Refusal),
+    /// Another router owns the endpoints now; the call is to be sent there.
+    Moved,
+}
+
+/// The endpoints in the platform's list.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Listed {
+    /// Rises with each change of the list.
+    pub(crate) generation: u64,
+    pub(crate) endpoints: Arc<BTreeMap<EndpointId, Member>>,
+}
 
 /// State of one router; see the module for the lock order.
 pub(crate) struct Shared {
@@ -48,6 +67,7 @@
     pub(crate) client: Client,
     pub(crate) config: ConfigState,
     pub(crate) recent: RecentChanges,
+    pub(crate) tokens: TokenIndex,
     pub(crate) log: ConfigLog,
     pub(crate) ledger: ClaimLedger,
     pub(crate) list: MemberList,
@@ -58,7 +78,14 @@
     pub(crate) metrics: Metrics,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) isolated: AtomicBool,
-    pub(crate) members: Mutex<BTreeMap<EndpointId, Member>>,
+    /// A draining router takes calls until this is set, because the balancer needs some time to send
+    /// them elsewhere.
+    pub(crate) closed: AtomicBool,
+    /// Set when the view is to be refreshed at once.
+    pub(crate) stale: AtomicBool,
+    /// Hash of what the view was built from; see [`refresh`](crate::refresh::refresh).
+    pub(crate) refreshed: Mutex<u64>,
+    pub(crate) members: Mutex<Listed>,
     pub(crate) detector: Mutex<Detector>,
     pub(crate) health: Mutex<BTreeMap<EndpointId, EndpointHealth>>,
     /// Endpoints admitted to as a substitute, until the given time.
@@ -71,6 +98,8 @@
     pub(crate) budgets: Mutex<RetryBudget>,
     pub(crate) opener: Mutex<Opener>,
     pub(crate) view: RwLock<Arc<View>>,
+    /// Requests that routers report as outstanding, by endpoint.
+    pub(crate) outstanding: RwLock<Arc<BTreeMap<EndpointId, u32>>>,
     /// When the platform last answered.
     pub(crate) platform_heard: Mutex<Option<Duration>>,
     next_id: AtomicU64,
@@ -128,15 +157,20 @@
             settings,
             config: ConfigState::new(),
             recent: RecentChanges::default(),
+            tokens: TokenIndex::default(),
             metrics: Metrics::new(),
             phase: watch::Sender::new(Phase::Starting),
             isolated: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+            stale: AtomicBool::new(true),
+            refreshed: Mutex::default(),
             members: Mutex::default(),
             health: Mutex::default(),
             adopted: Mutex::default(),
             joined: Mutex::default(),
             waiters: Mutex::default(),
             view: RwLock::default(),
+            outstanding: RwLock::default(),
             platform_heard: Mutex::default(),
             next_id: AtomicU64::new(1),
         }
@@ -165,6 +199,12 @@
             .clone()
     }
 
+    /// Requests that routers report as outstanding, by endpoint.
+    pub(crate) fn outstanding(&self) -> Arc<BTreeMap<EndpointId, u32>> {
+        let outstanding = self.outstanding.read();
+        outstanding.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Where the router is in its life.
     pub(crate) fn phase(&self) -> Phase {
         *self.phase.borrow()
@@ -175,6 +215,7 @@
         self.phase.send_if_modified(|current| {
             let later = phase > *current;
             if later {
+                self.stale.store(true, Ordering::Relaxed);
                 *current = phase;
             }
             later
@@ -187,11 +228,6 @@
         let _ = phase.wait_for(|phase| *phase == Phase::Stopped).await;
     }
 
-    /// When an endpoint joined or came back, if this router saw it.
-    pub(crate) fn joined(&self, id: &EndpointId) -> Option<Duration> {
-        lock(&self.joined).get(id).copied()
-    }
-
     /// Notes that chats of the endpoint may be cached elsewhere from now on.
     pub(crate) fn note_joined(&self, id: &EndpointId) {
         lock(&self.joined).insert(id.clone(), self.now());
@@ -213,13 +249,22 @@
     pub(crate) fn start(&self, started: Vec<Started>) {
         for Started { ticket, endpoint } in started {
             let waiter = lock(&self.waiters).remove(&ticket);
-            let told = waiter.is_some_and(|waiter| waiter.send(Ok(endpoint)).is_ok());
+            let told = waiter.is_some_and(|waiter| waiter.send(Turn::Run(endpoint)).is_ok());
             if !told {
                 self.finish(ticket);
             }
         }
     }
 
+    /// Sends every waiting call away, because endpoints of this router have a new owner.
+    pub(crate) fn move_waiting(&self) {
+        let waiting = lock(&self.owner).take_waiting();
+        for waiting in waiting {
+            let waiter = lock(&self.waiters).remove(&waiting.call.ticket);
+            let _ = waiter.map(|waiter| waiter.send(Turn::Moved));
+        }
+    }
+
     /// Notes that the platform answered.
     pub(crate) fn platform_answered(&self) {
         let now = self.now();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -16,8 +16,18 @@
 use std::time::Duration;
 
 pub const CALLER: &str = "caller-token";
+/// Token of a second customer.
+pub const OTHER_CALLER: &str = "other-caller-token";
 pub const OPERATOR: &str = "operator-token";
 
+/// Settings of a router beyond its identity and addresses.
+pub struct RouterExtras<'a> {
+    /// Peer key in hexadecimal.
+    pub key: &'a str,
+    /// Further lines, in YAML.
+    pub settings: &'a str,
+}
+
 /// A fleet whose processes end with it.
 pub struct Fleet {
     pub platform: Process,
@@ -31,7 +41,7 @@
     members: Vec<Member>,
     /// Peer key in hexadecimal. Each fleet has its own: tests run side by side, and the port of a
     /// router that ended may be taken by a router of another fleet.
-    key: String,
+    pub key: String,
 }
 
 impl Fleet {
@@ -103,7 +113,7 @@
     pub fn add_router(&mut self) {
         let number = self.routers.len();
         let id = format!("router-{number}");
-        let router = self.start_router(&id, number);
+        let router = self.start_router(number);
         let address = router.address("peers");
         self.routers.push(router);
         self.add_member(&id, Role::Router, number, address, "");
@@ -112,7 +122,7 @@
     /// Replaces a router that ended by a new process of the same name.
     pub fn restart_router(&mut self, number: usize) {
         let id = format!("router-{number}");
-        self.routers[number] = self.start_router(&id, number);
+        self.routers[number] = self.start_router(number);
         let address = self.routers[number].address("peers");
         let entry = self
             .members
@@ -122,24 +132,44 @@
         entry.address = address;
     }
 
-    fn start_router(&self, id: &str, number: usize) -> Process {
-        let platform = self.platform.address("http");
-        let seeds: Vec<String> = self
-            .routers
-            .iter()
-            .map(|router| format!("'{}'", router.address("peers")))
-            .collect();
-        let key = &self.key;
+    fn start_router(&self, number: usize) -> Process {
+        let seeds: Vec<_> = self.routers.iter().map(|r| r.address("peers")).collect();
+        Fleet::router(
+            self.platform.address("http"),
+            &seeds,
+            number,
+            2,
+            &self.own_settings(),
+        )
+    }
+
+    fn own_settings(&self) -> RouterExtras<'_> {
+        RouterExtras {
+            key: &self.key,
+            settings: &self.settings,
+        }
+    }
+
+    /// Starts a router as a process.
+    pub fn router(
+        platform: SocketAddr,
+        seeds: &[SocketAddr],
+        number: usize,
+        domains: usize,
+        extras: &RouterExtras<'_>,
+    ) -> Process {
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("'{seed}'")).collect();
         let text = format!(
-            "id: {id}\ndomain: domain-{}\nregion: local\n\
+            "id: router-{number}\ndomain: domain-{}\nregion: local\n\
              listen: {{callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}}\n\
              platform: {{table: '{platform}', objects: '{platform}', members: '{platform}'}}\n\
-             peers: {{key: '{key}', seeds: [{}]}}\n{}",
-            number % 2,
+             peers: {{key: '{}', seeds: [{}]}}\n{}",
+            number % domains,
+            extras.key,
             seeds.join(", "),
-            self.settings,
+            extras.settings,
         );
-        let file = temp_file(&format!("{id}-{}.yaml", platform.port()), &text);
+        let file = temp_file(&format!("router-{number}-{}.yaml", platform.port()), &text);
         Process::start(&["run", "--config", file.to_str().unwrap()])
     }
 
@@ -301,9 +331,9 @@
     Process::start(&[&args[..], &["--output-token", "3000"]].concat())
 }
 
-/// Writes the configuration that all tests use: a team, a customer and the classes `chat`, whose calls
+/// Writes the configuration that all tests use: a team, two customers and the classes `chat`, whose calls
 /// may be repeated, and `booking`, whose calls must not.
-async fn configure(platform: SocketAddr) {
+pub async fn configure(platform: SocketAddr) {
     let client = Client::new(ClientConfig::default());
     let table = Arc::new(HttpTable::new(platform, "sequoiaridge", client.clone()));
     let objects = Arc::new(HttpObjects::new(platform, "sequoiaridge", client));
@@ -340,6 +370,12 @@
         },
         class("chat", chat),
         class("booking", booking),
+        Change::SetCustomer {
+            name: "other".to_string(),
+            customer: Customer {
+                tokens: [token_digest(OTHER_CALLER)].into(),
+            },
+        },
     ];
     for (base, change) in changes.iter().enumerate() {
         let accept = log
