Spread sums of work and capacity by gossip

Each owner publishes a sum per group. Spreading the sums of all owners to all was tried and ruled out: with 370 routers the worst informed router knew 70 % of the owners at 10 KB/s, and 96 % at 17 KB/s with additional messages. Above 64 routers, sums of owners therefore stay in their failure domain, and each router also publishes the sum of its domain. Above 256 endpoints, counts of single endpoints are only spread for services and for endpoints with a new or second owner.

--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -27,10 +27,17 @@
     /// Time after which a dead member that was never listed is forgotten. It is longer than a usual
     /// split between regions, so that both sides find each other without the list. Default: 10 min.
     pub forget_unlisted: Duration,
-    /// Time after which an unchanged own load is reported again. Default: 5 s.
+    /// Time after which an unchanged own load is reported again. Default: 7 s, which is
+    /// no multiple of the time between two probes of another domain (2 s); with a multiple, reports
+    /// are always sent to the same routers.
     pub load_refresh: Duration,
     /// Time after which a load report that was not refreshed is dropped. Default: 30 s.
     pub load_expiry: Duration,
+    /// Time after which unchanged own sums are published again. Default: 9 s.
+    pub sum_refresh: Duration,
+    /// Time for which the capacity of a dead owner stays in the groups. Default: 5 s, in which the
+    /// sums of the next owners reach the fleet.
+    pub sum_hold: Duration,
 }
 
 impl DetectorConfig {
@@ -47,8 +54,10 @@
             helpers: 2,
             forget_removed: Duration::from_secs(30),
             forget_unlisted: Duration::from_secs(600),
-            load_refresh: Duration::from_secs(5),
+            load_refresh: Duration::from_secs(7),
             load_expiry: Duration::from_secs(30),
+            sum_refresh: Duration::from_secs(9),
+            sum_hold: Duration::from_secs(5),
         }
     }
 }
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -6,6 +6,7 @@
 use crate::probe::{Announced, Pending, Relay};
 use crate::roster::{Listing, Peer, Roster, event};
 use crate::rumor::RumorQueue;
+use crate::sum::SumTable;
 use crate::{
     CrashNotice, EndpointLoad, LoadReport, MemberInfo, Message, Outgoing, PeerPlan, PeerState,
     Update,
@@ -95,6 +96,11 @@
     pub(crate) rumors: RumorQueue,
     pub(crate) crashes: CrashBook,
     pub(crate) loads: LoadTable,
+    pub(crate) sums: SumTable,
+    /// Sums of whole domains.
+    pub(crate) domains: SumTable,
+    /// Short ids of the owners of the own domain, if the fleet is large.
+    pub(crate) near_owners: Option<BTreeSet<u32>>,
     pub(crate) plan: PeerPlan,
     pub(crate) events: Vec<MemberEvent>,
     pub(crate) pending: BTreeMap<u64, Pending>,
@@ -126,6 +132,9 @@
             rumors: RumorQueue::default(),
             crashes: CrashBook::default(),
             loads: LoadTable::new(config.me.id.clone(), config.incarnation),
+            sums: SumTable::new(&config.me.id, config.incarnation),
+            domains: SumTable::new(&config.me.domain, config.incarnation),
+            near_owners: None,
             plan: PeerPlan::new(config.far_every, offset),
             events: Vec::new(),
             pending: BTreeMap::new(),
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -10,14 +10,17 @@
 const DIGEST_BYTES: usize = 1_000;
 
 /// Bytes of the version, the flag and the lengths of the lists.
-const FIXED_BYTES: usize = 18;
+const FIXED_BYTES: usize = 24;
 
-/// Least room for load reports, in bytes. In a fleet of 8 routers it keeps the control traffic of a
+/// Least room for load reports and sums, in bytes. In a fleet of 8 routers it keeps the control traffic of a
 /// router below 4 KB/s even while all counts change all the time.
-const MIN_LOAD_BYTES: usize = 240;
+const MIN_LOAD_BYTES: usize = 170;
 
-/// Room for load reports per router of the fleet, in bytes.
-const LOAD_BYTES_PER_ROUTER: usize = 30;
+/// Room for load reports and sums per router of the fleet, in bytes.
+const LOAD_BYTES_PER_ROUTER: usize = 27;
+
+/// Part of the room for loads that sums leave to reports of single endpoints, as a divisor.
+const REPORT_SHARE: usize = 4;
 
 /// Members that are told to a router that joins, in each answer.
 const WELCOME_MEMBERS: usize = 12;
@@ -52,9 +55,9 @@
         let load_room = (LOAD_BYTES_PER_ROUTER * members).max(MIN_LOAD_BYTES);
         // Hundreds of routers that start together have rumors for more than a minute. Loads must
         // not wait for that long.
-        let reserved = match self.loads.is_quiet() {
+        let reserved = match self.loads.is_quiet() && self.sums_are_quiet() {
             true => 0,
-            false => load_room.min(DIGEST_BYTES / 2),
+            false => load_room.min(DIGEST_BYTES * 2 / 3),
         };
         room.0 = room.0.saturating_sub(reserved);
         let (updates, crashes) = (&mut digest.updates, &mut digest.crashes);
@@ -74,7 +77,13 @@
         self.add_random(&mut digest, &mut room, to, random);
         let sends = (members as f64 + 1.0).log2().ceil() as u32 + 1;
         let room = load_room.min(room.0 + reserved);
-        digest.loads = self.loads.select(room, sends);
+        // Both are spread even while either would fill the room alone.
+        let kept = match self.loads.is_quiet() {
+            true => 0,
+            false => room / REPORT_SHARE,
+        };
+        let left = self.add_sums(&mut digest, room - kept, sends, to);
+        digest.loads = self.loads.select(left + kept, sends);
         digest
     }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -33,13 +33,17 @@
 mod receive;
 mod roster;
 mod rumor;
+mod sum;
+mod totals;
 
 pub use config::DetectorConfig;
 pub use detector::{Detector, MemberEvent, PeerView};
 pub use health::{EndpointHealth, EndpointReport, HealthConfig, HealthEvent, HealthState};
 pub use load::{EndpointLoad, EndpointState, LoadReport};
 pub use message::{
-    CrashKind, CrashNotice, Digest, MemberInfo, Message, Outgoing, OwnerLoads, SentLoad, Update,
+    CrashKind, CrashNotice, Digest, MemberInfo, Message, Outgoing, OwnerLoads, OwnerSums, SentLoad,
+    SentSum, SumDigest, Update,
 };
 pub use plan::PeerPlan;
 pub use roster::PeerState;
+pub use sum::{COUNTED_ENDPOINTS, CountSpread, DomainSum, FleetSums, GroupSum, OwnerSum};
--- a/crates/membership/src/load.rs
+++ b/crates/membership/src/load.rs
@@ -1,9 +1,9 @@
 //! Load reports of all owners.
 
-use crate::{HealthState, OwnerLoads, SentLoad};
+use crate::{CountSpread, HealthState, OwnerLoads, SentLoad};
 use sequoiaridge_core::{EndpointId, RouterId};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Reports that are kept at the same time: twice the number of endpoints at the target size.
@@ -16,6 +16,11 @@
 /// Bytes of a group as sent beyond the owner's name: base, lengths.
 const GROUP_BYTES: usize = 9;
 
+/// Time after which an own endpoint no longer counts as new. Until then its counts are spread: the
+/// earlier owner may still admit to it, and each of the two has to add the other's count. It is
+/// longer than the settling time (3 s), in which the new owner counts what the engine reports.
+const NEW_OWNER: Duration = Duration::from_secs(5);
+
 /// State of an endpoint in load reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum EndpointState {
@@ -104,6 +109,8 @@
     seq: u64,
     /// When the report changed or was refreshed.
     at: Duration,
+    /// When the reporting router began to own the endpoint; used for own reports.
+    since: Duration,
     /// Place in the order of sending; `None` once it was sent often enough.
     rank: Option<Rank>,
 }
@@ -116,6 +123,9 @@
     entries: BTreeMap<ReportKey, Entry>,
     queue: BTreeMap<Rank, ReportKey>,
     arrivals: u64,
+    spread: CountSpread,
+    /// Own endpoints about which other routers report as well.
+    disputed: BTreeSet<EndpointId>,
 }
 
 impl LoadTable {
@@ -128,9 +138,40 @@
             entries: BTreeMap::new(),
             queue: BTreeMap::new(),
             arrivals: 0,
+            spread: CountSpread::All,
+            disputed: BTreeSet::new(),
         }
     }
 
+    /// Sets for which endpoints counts are spread one by one.
+    pub(crate) fn set_spread(&mut self, spread: CountSpread) {
+        self.spread = spread;
+    }
+
+    /// Whether the count of an own endpoint is spread. An endpoint that is up needs no report
+    /// otherwise, because it counts as up where no report is known.
+    fn is_spread(&self, endpoint: &EndpointId, entry: &Entry, now: Duration) -> bool {
+        let CountSpread::Only(chosen) = &self.spread else {
+            return true;
+        };
+        entry.state != EndpointState::Up
+            || chosen.contains(endpoint)
+            || self.disputed.contains(endpoint)
+            || now < entry.since + NEW_OWNER
+    }
+
+    fn find_disputed(&mut self) {
+        let reported = self.entries.iter().filter(|((owner, _), entry)| {
+            *owner != self.me && entry.state != EndpointState::Released
+        });
+        let mut key = (self.me.clone(), EndpointId::new());
+        let disputed = reported.filter_map(|((_, endpoint), _)| {
+            key.1.clone_from(endpoint);
+            self.entries.contains_key(&key).then(|| endpoint.clone())
+        });
+        self.disputed = disputed.collect();
+    }
+
     /// Replaces the own reports.
     pub(crate) fn set(&mut self, loads: &[EndpointLoad], now: Duration) {
         let me = self.me.clone();
@@ -164,25 +205,37 @@
         if known.is_some_and(|entry| (entry.outstanding, entry.state) == (count, state)) {
             return;
         }
+        if let Some(entry) = self.entries.get(&key)
+            && entry.state == state
+            && !self.is_spread(endpoint, entry, now)
+        {
+            if let Some(entry) = self.entries.get_mut(&key) {
+                entry.outstanding = count;
+            }
+            return;
+        }
         self.seq += 1;
         self.put(key, count, state, self.seq, now);
     }
 
     /// Reports unchanged own loads again, and drops reports that their owners did not refresh.
     pub(crate) fn refresh(&mut self, now: Duration, refresh: Duration, expiry: Duration) {
+        self.find_disputed();
         let due: Vec<_> = self
             .own()
             .filter(|(_, entry)| entry.state != EndpointState::Released)
             .filter(|(_, entry)| now.saturating_sub(entry.at) >= refresh)
+            .filter(|((_, endpoint), entry)| self.is_spread(endpoint, entry, now))
             .map(|(key, entry)| (key.clone(), entry.outstanding, entry.state))
             .collect();
         for (key, count, state) in due {
             self.seq += 1;
             self.put(key, count, state, self.seq, now);
         }
-        let queue = &mut self.queue;
-        self.entries.retain(|_, entry| {
-            let keep = now.saturating_sub(entry.at) < expiry;
+        let (queue, me) = (&mut self.queue, &self.me);
+        self.entries.retain(|(owner, _), entry| {
+            let held = owner == me && entry.state != EndpointState::Released;
+            let keep = held || now.saturating_sub(entry.at) < expiry;
             if let (false, Some(rank)) = (keep, entry.rank) {
                 queue.remove(&rank);
             }
@@ -213,11 +266,14 @@
         }
         self.arrivals += 1;
         let rank = Rank::new(key.0 != self.me, 0, self.arrivals);
+        let known = self.entries.get(&key);
+        let held = known.filter(|entry| entry.state != EndpointState::Released);
         let entry = Entry {
             outstanding: count,
             state,
             seq,
             at: now,
+            since: held.map_or(now, |entry| entry.since),
             rank: Some(rank),
         };
         let replaced = self.entries.insert(key.clone(), entry);
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -1,7 +1,9 @@
 //! Messages between detectors; see section 5 of `docs/design.md`.
 
 use crate::EndpointState;
-use sequoiaridge_core::{DomainId, EndpointId, Fingerprint, RegionId, RouterId, Version};
+use sequoiaridge_core::{
+    DomainId, EndpointId, Fingerprint, ModelName, RegionId, RouterId, Version,
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -116,6 +118,40 @@
     pub loads: Vec<SentLoad>,
 }
 
+/// Sum of one group as sent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SentSum {
+    /// Number of the group in the digest's list of names.
+    pub group: u8,
+    /// Requests that the owner has outstanding on open endpoints.
+    pub outstanding: u32,
+    /// Slots of the open endpoints that the owner admits to.
+    pub capacity: u32,
+}
+
+/// All sums of one owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerSums {
+    /// Short id of the router that made the sums, a hash of its name.
+    pub owner: u32,
+    /// Sequence number of the owner below the digest's newest one; sums with a lower sequence number
+    /// never replace these.
+    pub below: u64,
+    /// The sums.
+    pub sums: Vec<SentSum>,
+}
+
+/// Sums of several owners.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SumDigest {
+    /// Names of the groups that the sums number.
+    pub groups: Vec<ModelName>,
+    /// Highest sequence number.
+    pub newest: u64,
+    /// The sums.
+    pub sums: Vec<OwnerSums>,
+}
+
 /// What travels on every message besides its own content.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
@@ -129,6 +165,10 @@
     pub crashes: Vec<CrashNotice>,
     /// Load reports.
     pub loads: Vec<OwnerLoads>,
+    /// Sums of work and capacity of owners.
+    pub sums: Option<SumDigest>,
+    /// Sums of whole domains, with the hash of the domain's name as owner.
+    pub domains: Option<SumDigest>,
 }
 
 /// A message between detectors.
--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -129,6 +129,7 @@
             peers.iter().map(|peer| peer.info.id.clone()).collect()
         };
         let (near, far) = (ids(near), ids(far));
+        self.refresh_sums(&near, now);
         for target in self.plan.next(&near, &far, &mut self.rng) {
             let message = self.probe(&target, sent);
             let indirect = false;
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -124,6 +124,12 @@
             }
         }
         self.loads.receive(&digest.loads, now);
+        if let Some(sums) = &digest.sums {
+            self.sums.receive(from, sums, now);
+        }
+        if let Some(sums) = &digest.domains {
+            self.domains.receive(from, sums, now);
+        }
     }
 
     /// Notes that a member was heard directly.
--- a/crates/membership/tests/traffic.rs
+++ b/crates/membership/tests/traffic.rs
@@ -4,7 +4,9 @@
 
 use net::{Net, info};
 use rand::RngExt;
-use sequoiaridge_membership::{CrashKind, CrashNotice, EndpointLoad, EndpointState, Message};
+use sequoiaridge_membership::{
+    CountSpread, CrashKind, CrashNotice, EndpointLoad, EndpointState, GroupSum, Message,
+};
 use std::time::Duration;
 
 /// Bound on the time in which a configuration version is in force everywhere.
@@ -67,6 +69,12 @@
             })
             .collect();
         node.detector.set_loads(&loads, now);
+        let sum = GroupSum {
+            group: "model".to_string(),
+            outstanding: loads.iter().map(|load| load.outstanding).sum(),
+            capacity: 64 * endpoints as u32,
+        };
+        node.detector.set_sums(&[sum], CountSpread::All);
     }
 }
 
@@ -161,6 +169,14 @@
             })
             .collect();
         node.detector.set_loads(&loads, Duration::ZERO);
+        let sums: Vec<_> = (0..index)
+            .map(|n| GroupSum {
+                group: long("model", n),
+                outstanding: u32::MAX - n as u32,
+                capacity: u32::MAX - n as u32,
+            })
+            .collect();
+        node.detector.set_sums(&sums, CountSpread::All);
     }
     for round in 0..10 {
         net.run(Duration::from_secs(1));
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -38,6 +38,7 @@
 mod router;
 mod shared;
 mod sse;
+mod sums;
 mod upstream;
 mod view;
 
--- a/crates/router/src/maintain.rs
+++ b/crates/router/src/maintain.rs
@@ -2,7 +2,7 @@
 
 use crate::shared::{Phase, Shared, Turn, lock};
 use crate::view::View;
-use crate::{admission, event, probes};
+use crate::{admission, event, probes, sums};
 use sequoiaridge_core::{EndpointId, Event, Member, MemberState};
 use sequoiaridge_membership::{EndpointLoad, EndpointState as Reported};
 use sequoiaridge_policy::{EndpointInfo, EndpointState, RouterInfo};
@@ -32,6 +32,7 @@
 pub(crate) fn round(shared: &Shared) {
     refresh_view(shared);
     refresh_owner(shared);
+    sums::exchange(shared);
     expire(shared);
     report_loads(shared);
     check_isolation(shared);
--- /dev/null
+++ b/crates/router/src/sums.rs
@@ -0,0 +1,74 @@
+//! Sums of work and capacity per group: publishes the own ones, and gives those of the others to the
+//! owner's table. See section 4.1 of `docs/design.md`.
+
+use crate::shared::{Shared, lock};
+use crate::view::View;
+use sequoiaridge_core::{EndpointId, MemberState, Role, RouterId};
+use sequoiaridge_membership::{COUNTED_ENDPOINTS, CountSpread, EndpointState, FleetSums, GroupSum};
+use sequoiaridge_policy::OtherTotals;
+use std::collections::BTreeSet;
+
+/// Publishes the own sums and takes over those of the others.
+pub(crate) fn exchange(shared: &Shared) {
+    let now = shared.now();
+    let view = shared.view();
+    let own = lock(&shared.owner).sums(now);
+    let own: Vec<GroupSum> = own
+        .into_iter()
+        .map(|(group, total)| GroupSum {
+            group,
+            outstanding: saturated(total.work),
+            capacity: saturated(total.capacity),
+        })
+        .collect();
+    let spread = CountSpread::for_fleet(view.endpoints.len(), services(&view));
+    let sums = {
+        let mut detector = lock(&shared.detector);
+        detector.set_sums(&own, spread);
+        detector.sums(now)
+    };
+    // With few endpoints every count is known, which says more than sums do: an endpoint that has
+    // just changed its owner is never missing.
+    let others =
+        (view.endpoints.len() > COUNTED_ENDPOINTS).then(|| totals(&view, &sums, shared.id()));
+    lock(&shared.owner).set_others(others);
+}
+
+fn saturated(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+/// Instances of services, of which routers choose the least used one.
+fn services(view: &View) -> impl Iterator<Item = EndpointId> {
+    let endpoints = view.endpoints.iter();
+    let services = endpoints.filter(|(_, endpoint)| endpoint.member.role == Role::Service);
+    services.map(|(id, _)| id.clone())
+}
+
+/// Work and capacity of all other owners. The endpoints of owners that are in no sum count as idle.
+fn totals(view: &View, sums: &FleetSums, me: &RouterId) -> OtherTotals {
+    let mut others = OtherTotals::default();
+    let owners = sums.owners.iter().flat_map(|sum| &sum.groups);
+    let domains = sums.domains.iter().flat_map(|sum| &sum.groups);
+    for sum in owners.chain(domains) {
+        others.add(&sum.group, sum.outstanding, sum.capacity);
+    }
+    let mut known: BTreeSet<&RouterId> = sums.owners.iter().map(|sum| &sum.owner).collect();
+    known.insert(me);
+    let domains: BTreeSet<_> = sums.domains.iter().map(|sum| &sum.domain).collect();
+    let of_domains = view.domains();
+    let of_domains = of_domains
+        .into_iter()
+        .filter(|(_, domain)| domains.contains(domain));
+    known.extend(of_domains.map(|(router, _)| router));
+    for endpoint in view.endpoints.values() {
+        let open = matches!(endpoint.state, EndpointState::Unknown | EndpointState::Up)
+            && endpoint.member.state == MemberState::Live;
+        if open && !known.contains(&endpoint.owner) {
+            for group in &endpoint.member.serves {
+                others.add_idle(group, endpoint.member.capacity);
+            }
+        }
+    }
+    others
+}
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -1,6 +1,6 @@
 //! The routers and endpoints that a router currently knows, made from list, gossip and probes.
 
-use sequoiaridge_core::{EndpointId, Member, ModelName, RouterId};
+use sequoiaridge_core::{DomainId, EndpointId, Member, ModelName, RouterId};
 use sequoiaridge_membership::{EndpointState, LoadReport, PeerView};
 use sequoiaridge_policy::{Candidate, RouterInfo, owner_of};
 use std::collections::BTreeMap;
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Failure domains of the routers that take part.
+    pub(crate) fn domains(&self) -> BTreeMap<&RouterId, &DomainId> {
+        let infos = self.infos.iter();
+        infos.map(|info| (&info.id, &info.domain)).collect()
+    }
+
     /// Endpoints of a group that may take work.
     pub(crate) fn candidates(&self, group: &str) -> &[Candidate] {
         self.groups.get(group).map_or(&[], Vec::as_slice)
