Compute the skew of own endpoints from sums in a large fleet

Where counts of other owners' endpoints are not spread, the maximum over the mean of the known counts says nothing: missing counts lowered the mean. Each router now compares its own endpoints with the mean of their group.

--- a/crates/router/src/maintain.rs
+++ b/crates/router/src/maintain.rs
@@ -4,7 +4,7 @@
 use crate::view::View;
 use crate::{admission, event, probes, sums};
 use sequoiaridge_core::{EndpointId, Event, Member, MemberState};
-use sequoiaridge_membership::{EndpointLoad, EndpointState as Reported};
+use sequoiaridge_membership::{COUNTED_ENDPOINTS, EndpointLoad, EndpointState as Reported};
 use sequoiaridge_policy::{EndpointInfo, EndpointState, RouterInfo};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::Ordering;
@@ -167,7 +167,12 @@
         })
         .collect();
     lock(&shared.detector).set_loads(&loads, shared.now());
-    shared.metrics.skew.set(skew(&shared.view()));
+    let view = shared.view();
+    let skew = match view.endpoints.len() > COUNTED_ENDPOINTS {
+        true => sums::own_skew(shared, &view),
+        false => skew(&view),
+    };
+    shared.metrics.skew.set(skew);
 }
 
 /// Largest load over the mean among the groups, or zero when nothing is outstanding.
--- a/crates/router/src/sums.rs
+++ b/crates/router/src/sums.rs
@@ -34,6 +34,31 @@
     lock(&shared.owner).set_others(others);
 }
 
+/// Largest load of an own endpoint over the mean of its group, by capacity. In a large fleet the
+/// counts of other owners' endpoints are not known; the largest value of all routers is the fleet's.
+pub(crate) fn own_skew(shared: &Shared, view: &View) -> f64 {
+    let owner = lock(&shared.owner);
+    let own = view
+        .endpoints
+        .iter()
+        .filter(|(_, e)| &e.owner == shared.id());
+    let up = own.filter(|(_, endpoint)| endpoint.state == EndpointState::Up);
+    let skews = up.flat_map(|(id, endpoint)| {
+        let (load, slots) = (owner.outstanding(id), endpoint.member.capacity);
+        let totals = endpoint
+            .member
+            .serves
+            .iter()
+            .map(|name| owner.group_total(name));
+        let busy = totals.filter(|total| total.work > 0);
+        busy.map(move |total| {
+            let mean = total.work as f64 * f64::from(slots) / total.capacity.max(1) as f64;
+            f64::from(load) / mean.max(f64::MIN_POSITIVE)
+        })
+    });
+    skews.fold(0.0, f64::max)
+}
+
 fn saturated(number: u64) -> u32 {
     u32::try_from(number).unwrap_or(u32::MAX)
 }
