--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -39,6 +39,7 @@
 mod router;
 mod shared;
 mod sse;
+mod sums;
 mod tokens;
 mod upstream;
 mod view;
--- a/crates/router/src/maintain.rs
+++ b/crates/router/src/maintain.rs
@@ -1,9 +1,9 @@
 //! Periodic upkeep: waiting calls, load reports, isolation, and when to refresh the view.
 
 use crate::shared::{Phase, Shared, Turn, lock};
-use crate::{admission, event, probes, refresh};
+use crate::{admission, event, probes, refresh, sums};
 use sequoiaridge_core::{EndpointId, Event, Role};
-use sequoiaridge_membership::{EndpointLoad, EndpointState as Reported};
+use sequoiaridge_membership::{COUNTED_ENDPOINTS, EndpointLoad, EndpointState as Reported};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -27,6 +27,7 @@
         }
         if shared.stale.swap(false, Ordering::Relaxed) || number % REFRESH_ROUNDS == 0 {
             refresh::refresh(&shared);
+            sums::exchange(&shared);
             shared.metrics.skew.set(skew(&shared));
         }
         expire(&shared);
@@ -75,6 +76,9 @@
 /// Largest load of an engine over the mean of its group, or zero when nothing is outstanding.
 fn skew(shared: &Shared) -> f64 {
     let view = shared.view();
+    if view.endpoints.len() > COUNTED_ENDPOINTS {
+        return sums::own_skew(shared, &view);
+    }
     let outstanding = shared.outstanding();
     let mut groups: BTreeMap<&str, (u32, u32, u32)> = BTreeMap::new();
     for (id, endpoint) in &view.endpoints {
