policy: count load of unheard owners beyond the settling time

Cause: an owner that takes another one for dead drops its counts. The engine's own report makes up for them only during the settling time, and views can disagree for longer than that.

Load that only the engine reports now counts as long as it is more than a quarter of the known counts; a smaller part is taken for lag of the report. This only lowers what is admitted to the endpoint.

--- a/crates/policy/src/endpoint.rs
+++ b/crates/policy/src/endpoint.rs
@@ -6,6 +6,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Load that only the engine reports counts beyond the settling time if it is more than one in this
+/// many of the known requests.
+const FOREIGN_PARTS: u32 = 4;
+
 /// State of an endpoint after flap damping.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -106,7 +110,10 @@
     /// Requests that count against the bound.
     pub(crate) fn count(&self, now: Duration, config: &OwnerConfig) -> u32 {
         let settling = self.info.own && now < self.owned_since + config.settle;
-        let foreign = if settling { self.foreign } else { 0 };
+        // Load that only the engine knows of, and that is too much for a lagging report, means that
+        // another router admits here unheard; it counts for as long as that lasts.
+        let unheard = self.info.own && self.foreign.saturating_mul(FOREIGN_PARTS) > self.known();
+        let foreign = if settling || unheard { self.foreign } else { 0 };
         self.known().saturating_add(foreign)
     }
 
