--- a/crates/measure/src/placement.rs
+++ b/crates/measure/src/placement.rs
@@ -75,7 +75,7 @@
     fn place(&mut self, world: &mut World, request: &Request) -> Decision;
     /// Notes the end of a run.
     fn finish(&mut self, world: &World, ticket: u64) -> Wakeups;
-    /// Does what is due; called every [`run::TICK`].
+    /// Does what is due; called four times a second.
     fn tick(&mut self, world: &mut World) -> Wakeups;
     /// Takes part in a change; returns the tickets that broke.
     fn change(&mut self, world: &mut World, change: &Change) -> Vec<u64>;
