Send load reports that are not refreshed in full, and measure with group sums

Each load report is sent half as often, because refreshes make up for the rest; in a large fleet unchanged reports are no longer refreshed. Seen: a_large_fleet_spreads_the_counts_that_are_needed failed, a router had never heard of an endpoint.

The measurement of control traffic publishes sums as the router does.

--- a/crates/measure/src/control.rs
+++ b/crates/measure/src/control.rs
@@ -3,8 +3,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sequoiaridge_membership::{
-    Detector, DetectorConfig, Digest, EndpointLoad, EndpointState, MemberInfo, Message, Outgoing,
-    OwnerLoads, PeerState, SentLoad,
+    CountSpread, Detector, DetectorConfig, Digest, EndpointLoad, EndpointState, GroupSum,
+    MemberInfo, Message, Outgoing, OwnerLoads, PeerState, SentLoad,
 };
 use sequoiaridge_wire::{Opener, PeerKeys, Sealer};
 use std::collections::BTreeMap;
@@ -12,6 +12,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Models in steady use; engines serve one each.
+const MODELS: usize = 4;
+/// Slots of an engine.
+const SLOTS: u32 = 32;
 /// Time between two ticks of a detector, and of the clock.
 const TICK: Duration = Duration::from_millis(50);
 const STEP: Duration = Duration::from_millis(5);
@@ -117,6 +121,23 @@
     format!("engine-{number:04}")
 }
 
+/// What the owner of every `step`-th engine publishes for each model.
+fn sums(first: usize, step: usize, loads: &[(u32, Duration)]) -> Vec<GroupSum> {
+    let mut sums: Vec<GroupSum> = (0..MODELS)
+        .map(|model| GroupSum {
+            group: format!("model-{model}"),
+            outstanding: 0,
+            capacity: 0,
+        })
+        .collect();
+    for number in (first..loads.len()).step_by(step) {
+        let sum = &mut sums[number % MODELS];
+        sum.outstanding += loads[number].0;
+        sum.capacity += SLOTS;
+    }
+    sums
+}
+
 impl Net {
     fn new(size: Size, seed: u64) -> Net {
         let mut rng = StdRng::seed_from_u64(seed);
@@ -177,6 +198,9 @@
                 })
                 .collect();
             node.detector.set_loads(&loads, self.now);
+            let spread = CountSpread::for_fleet(self.loads.len(), []);
+            node.detector
+                .set_sums(&sums(index, routers, &self.loads), spread);
         }
     }
 
--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -75,9 +75,13 @@
             }
         });
         self.add_random(&mut digest, &mut room, to, random);
-        // Each receiver sends the report on as well, so half of log2 is enough; the next refresh makes
-        // up for lost datagrams.
         let sends = (members as f64 + 1.0).log2().ceil() as u32;
+        // Each receiver sends a report on as well, so half of log2 is enough where the next refresh
+        // makes up for those that it did not reach. Reports that are not refreshed are sent in full.
+        let load_sends = match self.loads.refreshes_all() {
+            true => sends.div_ceil(2),
+            false => sends,
+        };
         let room = load_room.min(room.0 + reserved);
         // Both are spread even while either would fill the room alone.
         let kept = match self.loads.is_quiet() {
@@ -85,7 +89,7 @@
             false => room / REPORT_SHARE,
         };
         let left = self.add_sums(&mut digest, room - kept, sends, to);
-        digest.loads = self.loads.select(left + kept, sends.div_ceil(2), to);
+        digest.loads = self.loads.select(left + kept, load_sends, to);
         digest
     }
 
--- a/crates/membership/src/load.rs
+++ b/crates/membership/src/load.rs
@@ -150,6 +150,11 @@
         self.spread = spread;
     }
 
+    /// Whether the reports of all own endpoints are repeated, also those that have not changed.
+    pub(crate) fn refreshes_all(&self) -> bool {
+        matches!(self.spread, CountSpread::All)
+    }
+
     /// Whether the count of an own endpoint is spread. An endpoint that is up needs no report
     /// otherwise, because it counts as up where no report is known.
     fn is_spread(&self, endpoint: &EndpointId, entry: &Entry, now: Duration) -> bool {
