Take confirmations that endpoints are up in every 5 s in large fleets

Cause: in a large fleet reports come and go all the time, and each one led to a new picture of the fleet. Lists, peers, ownership and endpoints that take no work still act at once.

--- a/crates/router/src/refresh.rs
+++ b/crates/router/src/refresh.rs
@@ -4,12 +4,15 @@
 use crate::shared::{Listed, Phase, Shared, lock};
 use crate::view::View;
 use sequoiaridge_core::{EndpointId, Member, MemberState, RouterId, hash64};
-use sequoiaridge_membership::{EndpointState as Reported, LoadReport, PeerView};
+use sequoiaridge_membership::{COUNTED_ENDPOINTS, EndpointState as Reported, LoadReport, PeerView};
 use sequoiaridge_policy::{EndpointInfo, EndpointState, Owner, RouterInfo};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
+/// Time between two looks, in a large fleet, at reports that endpoints are up.
+const CONFIRM_EVERY: Duration = Duration::from_secs(5);
+
 /// State in the terms of the owner's table.
 pub(crate) fn policy_state(state: Reported) -> EndpointState {
     match state {
@@ -50,12 +53,15 @@
     let alone = !peers.iter().any(|peer| peer.state.owns());
     let owns = shared.phase() == Phase::Serving || (shared.phase() == Phase::Draining && alone);
     let adopted = adopted(shared);
-    let signature = signature(&members, &peers, &loads, &adopted, owns);
-    if signature == *last {
+    let signature = Signature::new(&members, &peers, &loads, &adopted, owns);
+    if last.covers(&signature, members.endpoints.len(), shared.now()) {
         refresh_own(shared);
         return;
     }
-    *last = signature;
+    *last = LastRefresh {
+        signature,
+        at: shared.now(),
+    };
     let me = owns.then(|| RouterInfo {
         id: shared.id().clone(),
         domain: shared.settings.domain.clone(),
@@ -74,31 +80,69 @@
     adopted.keys().cloned().collect()
 }
 
-/// Hash of everything that shapes the view.
-fn signature(
-    members: &Listed,
-    peers: &[PeerView],
-    loads: &[LoadReport],
-    adopted: &BTreeSet<EndpointId>,
-    owns: bool,
-) -> u64 {
-    let mut bytes = members.generation.to_le_bytes().to_vec();
-    bytes.push(u8::from(owns));
-    let mut push = |text: &str, mark: u8| {
-        bytes.extend_from_slice(text.as_bytes());
-        bytes.push(0);
-        bytes.push(mark);
-    };
-    for peer in peers.iter().filter(|peer| peer.state.owns()) {
-        push(&peer.id, 1);
-        push(&peer.addr.to_string(), 1);
+/// What the view was built from, and when.
+#[derive(Debug, Default)]
+pub(crate) struct LastRefresh {
+    signature: Signature,
+    at: Duration,
+}
+
+impl LastRefresh {
+    /// Whether the view may stay as it is. In a large fleet, in which reports come and go all the
+    /// time, reports that only confirm that an endpoint is up are taken in every few seconds.
+    fn covers(&self, now: &Signature, endpoints: usize, time: Duration) -> bool {
+        let patient = endpoints > COUNTED_ENDPOINTS && time < self.at + CONFIRM_EVERY;
+        self.signature.urgent == now.urgent && (patient || self.signature.whole == now.whole)
     }
-    for load in loads {
-        push(&load.endpoint, 2);
-        push(&load.owner, load.state as u8);
+}
+
+/// Hashes of what shapes the view.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Signature {
+    /// List, peers, ownership, and the endpoints that take no work.
+    urgent: u64,
+    /// All of that, and the endpoints that are reported up.
+    whole: u64,
+}
+
+impl Signature {
+    fn new(
+        members: &Listed,
+        peers: &[PeerView],
+        loads: &[LoadReport],
+        adopted: &BTreeSet<EndpointId>,
+        owns: bool,
+    ) -> Signature {
+        let mut bytes = members.generation.to_le_bytes().to_vec();
+        bytes.push(u8::from(owns));
+        for peer in peers.iter().filter(|peer| peer.state.owns()) {
+            push(&mut bytes, &peer.id, 1);
+            push(&mut bytes, &peer.addr.to_string(), 1);
+        }
+        adopted.iter().for_each(|id| push(&mut bytes, id, 2));
+        let works = |load: &&LoadReport| matches!(load.state, Reported::Up | Reported::Unknown);
+        let report = |bytes: &mut Vec<u8>, load: &LoadReport| {
+            push(bytes, &load.endpoint, 3);
+            push(bytes, &load.owner, load.state as u8);
+        };
+        let idle = loads.iter().filter(|load| !works(load));
+        idle.for_each(|load| report(&mut bytes, load));
+        let urgent = hash64(&bytes);
+        loads
+            .iter()
+            .filter(works)
+            .for_each(|load| report(&mut bytes, load));
+        Signature {
+            urgent,
+            whole: hash64(&bytes),
+        }
     }
-    adopted.iter().for_each(|id| push(id, 3));
-    hash64(&bytes)
+}
+
+/// Adds a text and a mark to bytes that are hashed; the zero keeps neighbours apart.
+fn push(bytes: &mut Vec<u8>, text: &str, mark: u8) {
+    bytes.extend_from_slice(text.as_bytes());
+    bytes.extend_from_slice(&[0, mark]);
 }
 
 /// Hands the counts of other routers to the owner's table.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -6,6 +6,7 @@
 
 use crate::metrics::Metrics;
 use crate::recent::RecentChanges;
+use crate::refresh::LastRefresh;
 use crate::tokens::TokenIndex;
 use crate::view::View;
 use rand::SeedableRng;
@@ -83,8 +84,7 @@
     pub(crate) closed: AtomicBool,
     /// Set when the view is to be refreshed at once.
     pub(crate) stale: AtomicBool,
-    /// Hash of what the view was built from; see [`refresh`](crate::refresh::refresh).
-    pub(crate) refreshed: Mutex<u64>,
+    pub(crate) refreshed: Mutex<LastRefresh>,
     pub(crate) members: Mutex<Listed>,
     pub(crate) detector: Mutex<Detector>,
     pub(crate) health: Mutex<BTreeMap<EndpointId, EndpointHealth>>,
