--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -142,11 +142,6 @@
             .caller
             .chat(fleet.callers(number % 2), &id, &["Scale it."], true)
             .await;
-        assert_eq!(
-            (reply.status, reply.verdict()),
-            (200, "done"),
-            "{}",
-            reply.text()
-        );
+        reply.assert_done();
     }
 }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -162,13 +162,7 @@
         .caller
         .chat(fleet.callers(0), "chat", &["Scale it."], false)
         .await;
-    assert_eq!(
-        (reply.status, reply.header("x-refusal")),
-        (503, "not-ready"),
-        "{}",
-        reply.text()
-    );
-    assert_eq!(reply.verdict(), "not-run");
+    reply.assert_refused(503, "not-ready");
     let operators = fleet.routers[0].address("operators");
     let ready = fleet
         .operator
--- a/tests/leaving_endpoint.rs
+++ b/tests/leaving_endpoint.rs
@@ -20,12 +20,7 @@
             .caller
             .chat(fleet.callers(number % 2), &id, &["Scale it."], false)
             .await;
-        assert_eq!(
-            (reply.status, reply.verdict()),
-            (200, "done"),
-            "{}",
-            reply.text()
-        );
+        reply.assert_done();
         number += 1;
     }
     fleet.engine(0).counters().await.unwrap().runs - before
@@ -82,20 +77,11 @@
         .unwrap();
     let start = Instant::now();
     let calls: Vec<_> = (0..8)
-        .map(|number| {
-            let (caller, address) = (fleet.caller.clone(), fleet.callers(number % 2));
-            let id = format!("chat-{number}");
-            tokio::spawn(async move { caller.chat(address, &id, &["Scale it."], false).await })
-        })
+        .map(|number| fleet.spawn_chat(number % 2, &format!("chat-{number}"), false))
         .collect();
     for call in calls {
         let reply = call.await.expect("the call ends");
-        assert_eq!(
-            (reply.status, reply.verdict()),
-            (200, "done"),
-            "{}",
-            reply.text()
-        );
+        reply.assert_done();
     }
     assert!(
         start.elapsed() < Duration::from_millis(1400),
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -30,12 +30,7 @@
     );
     for call in calls {
         let reply = call.await.expect("the call ends");
-        assert_eq!(
-            (reply.status, reply.verdict()),
-            (200, "done"),
-            "{}",
-            reply.text()
-        );
+        reply.assert_done();
         assert_eq!(Some(reply.body.to_vec()), expected);
     }
     for number in [0, 1] {
@@ -63,12 +58,7 @@
         .caller
         .chat(fleet.callers(0), "late", &["Scale it."], true)
         .await;
-    assert_eq!(
-        (late.status, late.verdict()),
-        (200, "done"),
-        "{}",
-        late.text()
-    );
+    late.assert_done();
     for number in 0..10 {
         let start = Instant::now();
         let id = format!("chat-{number}");
@@ -76,12 +66,7 @@
             .caller
             .chat(fleet.callers(1), &id, &["Scale it."], true)
             .await;
-        assert_eq!(
-            (reply.status, reply.verdict()),
-            (200, "done"),
-            "{}",
-            reply.text()
-        );
+        reply.assert_done();
         assert!(
             start.elapsed() < Duration::from_secs(2),
             "{:?}",
@@ -96,10 +81,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn the_drain_limit_ends_a_stop_with_a_distinct_code() {
     let mut fleet = Fleet::start_with(1, 1, 0, "drain: {limit: 1}\n").await;
-    let (caller, address) = (fleet.caller.clone(), fleet.callers(0));
     fleet.engine(0).slow(Duration::from_secs(10)).await.unwrap();
-    let call =
-        tokio::spawn(async move { caller.chat(address, "slow", &["Scale it."], true).await });
+    let call = fleet.spawn_chat(0, "slow", true);
     support::eventually("the call is in flight", || async {
         fleet
             .engine(0)
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -23,11 +23,7 @@
             .unwrap();
     }
     let calls: Vec<_> = (0..4)
-        .map(|number| {
-            let (caller, address) = (fleet.caller.clone(), fleet.callers(number % 2));
-            let id = format!("chat-{number}");
-            tokio::spawn(async move { caller.chat(address, &id, &["Scale it."], true).await })
-        })
+        .map(|number| fleet.spawn_chat(number % 2, &format!("chat-{number}"), true))
         .collect();
     tokio::time::sleep(Duration::from_millis(200)).await;
     for engine in 0..2 {
@@ -45,12 +41,7 @@
         .caller
         .chat(fleet.callers(0), "new", &["Scale it."], true)
         .await;
-    assert_eq!(
-        (reply.status, reply.verdict()),
-        (200, "done"),
-        "{}",
-        reply.text()
-    );
+    reply.assert_done();
 }
 
 /// Guards against calls that wait for a peer that froze: another router stands in for it, and a
@@ -73,12 +64,7 @@
             .caller
             .chat(fleet.callers(0), &id, &["Scale it."], true)
             .await;
-        assert_eq!(
-            (reply.status, reply.verdict()),
-            (200, "done"),
-            "{}",
-            reply.text()
-        );
+        reply.assert_done();
         assert!(start.elapsed() < BOUND, "{:?}", start.elapsed());
     }
     fleet.routers[1].signal("CONT");
@@ -93,36 +79,19 @@
         .book(fleet.callers(0), "before", "{}")
         .await
         .unwrap();
-    assert_eq!(
-        (before.status, before.verdict()),
-        (200, "done"),
-        "{}",
-        before.text()
-    );
+    before.assert_done();
     fleet.order(Order::Silent).await;
     let during = fleet
         .caller
         .book(fleet.callers(0), "during", "{}")
         .await
         .unwrap();
-    assert_eq!(
-        (during.status, during.verdict()),
-        (503, "not-run"),
-        "{}",
-        during.text()
-    );
-    assert_eq!(during.header("x-refusal"), "claim-unavailable");
-    assert!(!during.header("retry-after").is_empty());
+    during.assert_refused(503, "claim-unavailable");
     let chat = fleet
         .caller
         .chat(fleet.callers(0), "chat", &["Scale it."], true)
         .await;
-    assert_eq!(
-        (chat.status, chat.verdict()),
-        (200, "done"),
-        "{}",
-        chat.text()
-    );
+    chat.assert_done();
     fleet.order(Order::Heal).await;
     support::eventually("bookings run again", || async {
         let reply = fleet
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinHandle;
 
 pub const CALLER: &str = "caller-token";
 /// Token of a second customer.
@@ -285,6 +286,12 @@
         journal
     }
 
+    /// Sends a chat of one turn in a task of its own.
+    pub fn spawn_chat(&self, router: usize, id: &str, stream: bool) -> JoinHandle<Reply> {
+        let (caller, address, id) = (self.caller.clone(), self.callers(router), id.to_string());
+        tokio::spawn(async move { caller.chat(address, &id, &["Scale it."], stream).await })
+    }
+
     /// Address of a router for callers.
     pub fn callers(&self, number: usize) -> SocketAddr {
         self.routers[number].address("callers")
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -137,6 +137,25 @@
         self.header("x-verdict")
     }
 
+    /// Checks that the call was answered.
+    #[track_caller]
+    pub fn assert_done(&self) {
+        let seen = (self.status, self.verdict(), self.broken.clone());
+        assert_eq!(seen, (200, "done", None), "{}", self.text());
+    }
+
+    /// Checks that the call was refused as not run, with this status and reason, and that the caller
+    /// is told when to come back.
+    #[track_caller]
+    pub fn assert_refused(&self, status: u16, reason: &str) {
+        let seen = (self.status, self.verdict(), self.header("x-refusal"));
+        assert_eq!(seen, (status, "not-run", reason), "{}", self.text());
+        assert!(
+            !self.header("retry-after").is_empty(),
+            "no time to come back"
+        );
+    }
+
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).to_string()
     }
--- a/tests/surge.rs
+++ b/tests/surge.rs
@@ -44,12 +44,7 @@
         let reply = other
             .chat(fleet.callers(number % 2), &id, &["Scale it."], true)
             .await;
-        assert_eq!(
-            (reply.status, reply.verdict()),
-            (200, "done"),
-            "{}",
-            reply.text()
-        );
+        reply.assert_done();
         assert!(
             start.elapsed() < TARGET,
             "call {number} took {:?}",
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -16,12 +16,7 @@
         .caller
         .chat(fleet.callers(0), "chat-1", &["Scale to 40 covers."], true)
         .await;
-    assert_eq!(
-        (first.status, first.verdict()),
-        (200, "done"),
-        "{}",
-        first.text()
-    );
+    first.assert_done();
     assert_eq!(first.broken, None);
     let body = chat_body(&["Scale to 40 covers."], true);
     assert_eq!(
@@ -34,12 +29,7 @@
         .caller
         .chat(fleet.callers(1), "chat-1", &turns, false)
         .await;
-    assert_eq!(
-        (second.status, second.verdict()),
-        (200, "done"),
-        "{}",
-        second.text()
-    );
+    second.assert_done();
     let answer = second.json();
     let body = chat_body(&turns, false);
     let text = expected_text(body.as_bytes()).expect("a chat");
@@ -61,12 +51,7 @@
             .book(fleet.callers(router), "order-1", order)
             .await
             .unwrap();
-        assert_eq!(
-            (reply.status, reply.verdict()),
-            (200, "done"),
-            "{}",
-            reply.text()
-        );
+        reply.assert_done();
         assert_eq!(reply.body, expected);
     }
     assert_eq!(fleet.runs_of("order-1").await, 1);
