Publish sums in large fleets only, and bring the measurements up to date

Cause: sums per group were spread at every size, although up to 256 endpoints every count is known and the sums are not used.

--- a/crates/measure/src/control.rs
+++ b/crates/measure/src/control.rs
@@ -199,8 +199,12 @@
                 .collect();
             node.detector.set_loads(&loads, self.now);
             let spread = CountSpread::for_fleet(self.loads.len(), []);
-            node.detector
-                .set_sums(&sums(index, routers, &self.loads), spread);
+            // As in the router, a small fleet publishes no sums.
+            let sums = match spread {
+                CountSpread::All => Vec::new(),
+                CountSpread::Only(_) => sums(index, routers, &self.loads),
+            };
+            node.detector.set_sums(&sums, spread);
         }
     }
 
--- a/crates/router/src/sums.rs
+++ b/crates/router/src/sums.rs
@@ -12,9 +12,13 @@
 pub(crate) fn exchange(shared: &Shared) {
     let now = shared.now();
     let view = shared.view();
-    let own = lock(&shared.owner).sums(now);
+    // With few endpoints every count is known, which says more than sums do: an endpoint that has
+    // just changed its owner is never missing. Sums would then only cost bytes.
+    let large = view.endpoints.len() > COUNTED_ENDPOINTS;
+    let own = large.then(|| lock(&shared.owner).sums(now));
     let own: Vec<GroupSum> = own
         .into_iter()
+        .flatten()
         .map(|(group, total)| GroupSum {
             group,
             outstanding: saturated(total.work),
@@ -27,10 +31,7 @@
         detector.set_sums(&own, spread);
         detector.sums(now)
     };
-    // With few endpoints every count is known, which says more than sums do: an endpoint that has
-    // just changed its owner is never missing.
-    let others =
-        (view.endpoints.len() > COUNTED_ENDPOINTS).then(|| totals(&view, &sums, shared.id()));
+    let others = large.then(|| totals(&view, &sums, shared.id()));
     lock(&shared.owner).set_others(others);
 }
 
