Log invalid answers, unreleased claims and a platform that never answered

Events 305 and 404 were in the catalogue and never logged, and event 600 was only logged if the platform had answered before. A router that has not read the membership list now refuses calls as not-ready; it said that the model does not exist. The new test of the last point passes; the events have no test of their own.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -239,8 +239,10 @@
             }
         }
         if usable.is_empty() {
-            let known = view.knows_group(&call.group);
-            let reason = if known {
+            let reason = if view.endpoints.is_empty() {
+                // The membership list was not read yet, so nothing is known about the model.
+                RefusalReason::NotReady
+            } else if view.knows_group(&call.group) {
                 RefusalReason::NoEndpoint
             } else {
                 RefusalReason::UnknownModel
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -5,8 +5,8 @@
 use crate::part::{Part, PartReceiver, PartSender, channel};
 use crate::shared::{Shared, lock};
 use crate::upstream::{self, Finish, Target, Work};
-use crate::{crash, probes};
-use sequoiaridge_core::{EndpointId, Refusal, RefusalReason, Targets, Verdict};
+use crate::{crash, event, probes};
+use sequoiaridge_core::{EndpointId, Event, Refusal, RefusalReason, Targets, Verdict};
 use sequoiaridge_policy::{Call, ClassPolicy, Standing};
 use sequoiaridge_store::{Claim, HeldClaim, StoredAnswer};
 use sequoiaridge_wire::CallFrame;
@@ -248,8 +248,14 @@
     /// otherwise find the row and be told that the call may have run. If the platform does not answer
     /// in time, the release goes on in the background.
     async fn release(&self, claim: HeldClaim) {
-        let released = self.shared.ledger.release(claim);
-        let _ = tokio::time::timeout(RELEASE_WAIT, released).await;
+        let id = self.frame.id;
+        let mut released = self.shared.ledger.release(claim);
+        if tokio::time::timeout(RELEASE_WAIT, &mut released)
+            .await
+            .is_err()
+        {
+            tokio::spawn(async move { note_release(id, released.await.unwrap_or(false)) });
+        }
     }
 
     /// Stores the answer in the background; until then, repeated calls get "may have run".
@@ -258,10 +264,7 @@
         let id = self.frame.id;
         tokio::spawn(async move {
             if !stored.await.unwrap_or(false) {
-                crate::event::log(
-                    sequoiaridge_core::Event::AnswerNotStored,
-                    &format!("call {id}"),
-                );
+                event::log(Event::AnswerNotStored, &format!("call {id}"));
             }
         });
     }
@@ -293,6 +296,9 @@
         match &result {
             Ok(finish) => self.finished(finish),
             Err(refusal) => {
+                if refusal.reason == RefusalReason::EndpointInvalid {
+                    event::log(Event::EndpointInvalid, &target.id);
+                }
                 crash::after_failure(&self.shared, &self.frame, target, boot, refusal).await
             }
         }
@@ -363,6 +369,13 @@
     NotOwner,
 }
 
+/// Logs a claim that could not be released in the background either.
+fn note_release(call: u64, released: bool) {
+    if !released {
+        event::log(Event::ClaimUnresolved, &format!("call {call}"));
+    }
+}
+
 /// Work of a call for the fair queue: longer requests take an engine longer.
 fn cost(body: usize) -> u32 {
     u32::try_from(1 + body / COST_BYTES).unwrap_or(u32::MAX)
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -102,6 +102,9 @@
     pub(crate) outstanding: RwLock<Arc<BTreeMap<EndpointId, u32>>>,
     /// When the platform last answered.
     pub(crate) platform_heard: Mutex<Option<Duration>>,
+    /// Whether it was logged that the platform does not answer.
+    platform_down: AtomicBool,
+    started: Duration,
     next_id: AtomicU64,
 }
 
@@ -132,6 +135,7 @@
 
 impl Shared {
     pub(crate) fn new(settings: Settings, incarnation: u64, services: Services) -> Shared {
+        let started = services.clock.now();
         let retry = &settings.retry;
         let quarantine = &settings.quarantine;
         Shared {
@@ -172,6 +176,8 @@
             view: RwLock::default(),
             outstanding: RwLock::default(),
             platform_heard: Mutex::default(),
+            platform_down: AtomicBool::new(false),
+            started,
             next_id: AtomicU64::new(1),
         }
     }
@@ -269,6 +275,7 @@
     pub(crate) fn platform_answered(&self) {
         let now = self.now();
         let silent = lock(&self.platform_heard).replace(now).is_none();
+        self.platform_down.store(false, Ordering::Relaxed);
         if silent {
             crate::event::log(Event::PlatformUp, "");
         }
@@ -278,7 +285,9 @@
     pub(crate) fn platform_failed(&self, cause: &str) {
         let limit = self.settings.config.isolation;
         let mut heard = lock(&self.platform_heard);
-        if heard.is_some_and(|at| self.now().saturating_sub(at) > limit) {
+        let since = heard.unwrap_or(self.started);
+        let long = self.now().saturating_sub(since) > limit;
+        if long && !self.platform_down.swap(true, Ordering::Relaxed) {
             *heard = None;
             crate::event::log(Event::PlatformDown, cause);
         }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -177,6 +177,19 @@
     .await;
 }
 
+/// Guards against callers that are told that a model does not exist by a router that has not read the
+/// membership list.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_without_endpoints_is_not_ready() {
+    let fleet = Fleet::start(1, 0, 0).await;
+    let address = fleet.callers(0);
+    let reply = fleet
+        .caller
+        .chat(address, "chat", &["Scale it."], false)
+        .await;
+    reply.assert_refused(503, "not-ready");
+}
+
 /// Guards against a router that goes on under an old configuration while it is cut off from
 /// everything: it refuses new calls as not run, and serves again when it hears a peer.
 #[tokio::test(flavor = "multi_thread")]
