Count the age of a probe from when it was sent, and only if it was answered

Cause: after each probe, also a failed one, the owner's table was told that the endpoint had just been probed as long as its state was still up, which it is until the second failure. An endpoint that fell silent could so get new work for longer than health.leave_bound. Seen: in a fresh clone, an_engine_that_cannot_be_probed_gets_no_new_work found one run after 3 s. Ruled out: the time of the test itself, since the bound runs from the order.

--- a/crates/router/src/probes.rs
+++ b/crates/router/src/probes.rs
@@ -76,8 +76,10 @@
 
 /// Probes an endpoint now and returns its boot id, or `None` if it does not answer.
 pub(crate) async fn probe(shared: &Shared, id: &EndpointId, address: SocketAddr) -> Option<u64> {
+    let sent = shared.now();
     let result = fetch(shared, address).await;
     let now = shared.now();
+    let answered = result.is_ok().then_some(sent);
     let boot = result.as_ref().ok().map(|report| report.boot);
     {
         let mut health = lock(&shared.health);
@@ -89,7 +91,7 @@
             Err(connect) => health.probe_failed(now, connect),
         }
     }
-    apply(shared, id);
+    apply(shared, id, answered);
     boot
 }
 
@@ -123,8 +125,9 @@
     })
 }
 
-/// Carries the health of an endpoint over to the owner's table, and logs changes.
-fn apply(shared: &Shared, id: &EndpointId) {
+/// Carries the health of an endpoint over to the owner's table, and logs changes. `answered` is the
+/// time at which a probe was sent that was answered; its answer says nothing about the time after.
+fn apply(shared: &Shared, id: &EndpointId, answered: Option<Duration>) {
     let now = shared.now();
     let (state, report, events) = {
         let mut health = lock(&shared.health);
@@ -139,8 +142,8 @@
     let started = {
         let mut owner = lock(&shared.owner);
         owner.set_state(id, refresh::policy_state(state.into()), now);
-        if let (HealthState::Up, Some(report)) = (state, report) {
-            owner.probed(id, report.running, now);
+        if let (HealthState::Up, Some(report), Some(sent)) = (state, report, answered) {
+            owner.probed(id, report.running, sent);
         }
         owner.start_waiting(now)
     };
