--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -9,6 +9,7 @@
 //! as separate processes in four failure domains. All endpoints in the membership list have the
 //! address of one stand-in, which answers the probes for all of them.
 
+mod memory;
 #[path = "../tests/support/mod.rs"]
 mod support;
 
@@ -133,7 +134,7 @@
         let id = process.id();
         all.push(Usage {
             cpu: cpu_seconds(id),
-            memory: memory_bytes(id),
+            memory: memory::resident(&id.to_string()),
             sent: bytes("sent"),
             received: bytes("received"),
         });
@@ -159,19 +160,6 @@
     (ticks(11) + ticks(12)) / TICKS
 }
 
-fn memory_bytes(id: u32) -> f64 {
-    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-    let line = status
-        .lines()
-        .find(|line| line.starts_with("VmRSS:"))
-        .unwrap_or("");
-    let kib = line
-        .split_whitespace()
-        .nth(1)
-        .and_then(|text| text.parse::<f64>().ok());
-    kib.unwrap_or(0.0) * 1024.0
-}
-
 fn report(routers: usize, endpoints: usize, time: Duration, before: &[Usage], after: &[Usage]) {
     let seconds = time.as_secs_f64();
     let rates: Vec<Usage> = before
--- a/benches/state.rs
+++ b/benches/state.rs
@@ -5,6 +5,8 @@
 //! $ cargo bench --bench state
 //! ```
 
+mod memory;
+
 use bytes::Bytes;
 use sequoiaridge::core::{
     Change, Class, Customer, FleetConfig, SystemClock, Targets, Team, token_digest,
@@ -35,22 +37,8 @@
     }
 }
 
-/// Resident memory of this process in bytes.
-fn memory() -> f64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status
-        .lines()
-        .find(|line| line.starts_with("VmRSS:"))
-        .unwrap_or("");
-    let kib = line
-        .split_whitespace()
-        .nth(1)
-        .and_then(|text| text.parse::<f64>().ok());
-    kib.unwrap_or(0.0) * 1024.0
-}
-
 fn chat_index() {
-    let before = memory();
+    let before = memory::resident("self");
     let mut index = ChatIndex::new(MANY as usize);
     for chat in 0..MANY {
         let endpoint = format!("engine-{}", chat % 7_500);
@@ -63,7 +51,7 @@
     }
     println!(
         "chat index: {:.0} bytes per chat",
-        (memory() - before) / MANY as f64
+        (memory::resident("self") - before) / MANY as f64
     );
     assert_eq!(index.len(), MANY as usize);
 }
