--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -50,6 +50,10 @@
     DrainFinished = 111, Info, "drain-finished";
     /// The drain limit passed with calls in flight.
     DrainLimit = 112, Error, "drain-limit-passed";
+    /// A connection of a caller could not be accepted.
+    AcceptFailed = 113, Warn, "accept-failed";
+    /// The settings file was read again.
+    SettingsRead = 114, Info, "settings-read";
     /// A peer joined the view.
     PeerUp = 200, Info, "peer-up";
     /// A peer is suspected.
@@ -78,10 +82,20 @@
     EndpointRestarted = 304, Warn, "endpoint-restarted";
     /// An endpoint sent an answer that was not valid for its request.
     EndpointInvalid = 305, Error, "endpoint-answer-invalid";
+    /// The row of an endpoint vanished while the platform was away.
+    EndpointLapsed = 307, Info, "endpoint-lapsed";
+    /// The row of an endpoint cannot be read.
+    EndpointMalformed = 308, Warn, "endpoint-row-malformed";
     /// A call was refused or ended without its whole answer.
     CallRefused = 400, Info, "call-refused";
     /// A call was sent again.
     CallRetried = 401, Info, "call-retried";
+    /// A call was sent to an endpoint.
+    CallPlaced = 406, Info, "call-placed";
+    /// The head of an endpoint's answer was passed on.
+    CallAnswered = 407, Info, "call-answered";
+    /// The body of an answer ended.
+    CallEnded = 408, Info, "call-ended";
     /// A request crashed an endpoint.
     CrashStrike = 402, Warn, "crash-strike";
     /// A request is held back because it crashed several endpoints.
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -35,6 +35,8 @@
         TooSlow => "too-slow",
         /// the class of work does not exist
         UnknownClass => "unknown-class",
+        /// no route matches the host and path
+        UnknownRoute => "unknown-route",
         /// no endpoint serves this model or service
         UnknownModel => "unknown-model",
         /// a call that must not be repeated carries no idempotency key
--- /dev/null
+++ b/crates/edge/src/ingress.rs
@@ -0,0 +1,260 @@
+//! Requests of callers, from the first byte to the head of the answer.
+
+use crate::call::Call;
+use crate::manifest::{CallerLimits, Route};
+use crate::relay::{AnswerBody, Exchange, Opened};
+use crate::routes::RouteTable;
+use crate::shared::{InFlight, Shared};
+use crate::stream_body::StreamBody;
+use bytes::{Bytes, BytesMut};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use sequoiaridge_core::{
+    CustomerId, Event, Fingerprint, Refusal, RefusalReason, Verdict, hash_parts,
+};
+use sequoiaridge_log::log_request;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after which a caller comes back to another router.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
+/// Answers one request of a caller.
+pub(crate) async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Response<StreamBody> {
+    let started = shared.now();
+    let in_flight = InFlight::new(&shared);
+    shared.metrics.requests.inc();
+    let (parts, body) = request.into_parts();
+    let call = match shared.dialect.call(&parts) {
+        Ok(call) => call,
+        Err(error) => {
+            log_request(
+                Event::CallRefused,
+                "",
+                format_args!("reason=bad-request {error}"),
+            );
+            let refusal = Refusal::not_run(RefusalReason::BadRequest, Duration::ZERO);
+            return refuse(&shared, None, &refusal, started);
+        }
+    };
+    let admitted = admit(&shared, &call);
+    let (route, customer, priority, limits) = match admitted {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refuse(&shared, Some(&call), &refusal, started),
+    };
+    let body = match collect(body, limits.body, route.timeout).await {
+        Ok(body) => body,
+        Err(reason) => {
+            let refusal = Refusal::not_run(reason, Duration::ZERO);
+            return refuse(&shared, Some(&call), &refusal, started);
+        }
+    };
+    let draw = hash_parts(&[call.attempt.as_bytes()]);
+    let Some(service) = route.service(draw).cloned() else {
+        let refusal = Refusal::not_run(RefusalReason::NoEndpoint, ELSEWHERE);
+        return refuse(&shared, Some(&call), &refusal, started);
+    };
+    shared.board().repeats.request(&service, started);
+    let fingerprint = fingerprint(&call, customer.as_ref(), &body);
+    let mut exchange = Box::new(Exchange {
+        shared: shared.clone(),
+        call,
+        route,
+        service,
+        customer,
+        priority,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        started,
+        sent: 0,
+        tried: Vec::new(),
+        may_have_run: false,
+        fingerprint,
+        in_flight,
+    });
+    match exchange.open().await {
+        Ok(opened) => pass_on(&shared, exchange, opened),
+        Err(refusal) => refuse(&shared, Some(&exchange.call), &refusal, started),
+    }
+}
+
+type Admitted = (Arc<Route>, Option<CustomerId>, u8, CallerLimits);
+
+/// Chooses the route and checks the key.
+fn admit(shared: &Shared, call: &Call) -> Result<Admitted, Refusal> {
+    let routes = shared.board().routes.clone();
+    let Some(routes) = routes else {
+        return Err(Refusal::not_run(RefusalReason::NotReady, ELSEWHERE));
+    };
+    let Some(route) = routes.select(&call.host, &call.path) else {
+        return Err(Refusal::not_run(
+            RefusalReason::UnknownRoute,
+            Duration::ZERO,
+        ));
+    };
+    let (customer, priority) = customer(&routes, route, call)?;
+    Ok((
+        route.clone(),
+        customer,
+        priority,
+        routes.manifest().limits.clone(),
+    ))
+}
+
+fn customer(
+    routes: &RouteTable,
+    route: &Route,
+    call: &Call,
+) -> Result<(Option<CustomerId>, u8), Refusal> {
+    let known = call.key.as_ref().and_then(|key| routes.customer(key));
+    match known {
+        Some(customer) => {
+            let priority = customer.priority.unwrap_or(route.priority);
+            Ok((Some(customer.name.clone()), priority))
+        }
+        None if routes.needs_key(route) => {
+            Err(Refusal::not_run(RefusalReason::BadToken, Duration::ZERO))
+        }
+        None => Ok((None, route.priority)),
+    }
+}
+
+/// Identifies a request that comes again under another attempt id. A request without a body has
+/// nothing that could tell it from others of its route.
+fn fingerprint(call: &Call, customer: Option<&CustomerId>, body: &Bytes) -> Option<Fingerprint> {
+    let customer = customer.map_or("", String::as_str);
+    let parts = [customer.as_bytes(), call.path.as_bytes(), body];
+    (!body.is_empty()).then(|| hash_parts(&parts))
+}
+
+/// Reads a whole body.
+async fn collect(mut body: Incoming, limit: usize, time: Duration) -> Result<Bytes, RefusalReason> {
+    if body.size_hint().lower() > limit as u64 {
+        return Err(RefusalReason::TooLarge);
+    }
+    let read = async {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| RefusalReason::BadRequest)?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if whole.len() + data.len() > limit {
+                return Err(RefusalReason::TooLarge);
+            }
+            if whole.is_empty() && body.is_end_stream() {
+                return Ok(data);
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    };
+    let whole = tokio::time::timeout(time, read).await;
+    whole.unwrap_or(Err(RefusalReason::TooSlow))
+}
+
+/// The endpoint's answer for the caller.
+fn pass_on(shared: &Shared, exchange: Box<Exchange>, mut opened: Opened) -> Response<StreamBody> {
+    let status = opened.status;
+    let elapsed = shared.now().saturating_sub(exchange.started);
+    shared.metrics.answered(status.as_u16(), elapsed);
+    log_request(
+        Event::CallAnswered,
+        &exchange.call.attempt,
+        format_args!(
+            "status={} endpoint={} sent={} elapsed_ms={}",
+            status.as_u16(),
+            opened.endpoint,
+            exchange.sent,
+            elapsed.as_millis()
+        ),
+    );
+    let mut headers = std::mem::take(&mut opened.headers);
+    for name in [
+        header::CONNECTION,
+        header::TRANSFER_ENCODING,
+        header::CONTENT_LENGTH,
+        HeaderName::from_static("keep-alive"),
+    ] {
+        headers.remove(name);
+    }
+    let body = match opened.body {
+        AnswerBody::Whole(body) => StreamBody::whole(body),
+        AnswerBody::Arriving(_) => StreamBody::new(exchange, opened),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    close_if_draining(shared, &mut response);
+    response
+}
+
+/// A refusal of the router's own.
+fn refuse(
+    shared: &Shared,
+    call: Option<&Call>,
+    refusal: &Refusal,
+    started: Duration,
+) -> Response<StreamBody> {
+    let status = status(refusal);
+    let elapsed = shared.now().saturating_sub(started);
+    shared.metrics.refused(refusal.reason);
+    shared.metrics.answered(status.as_u16(), elapsed);
+    log_request(
+        Event::CallRefused,
+        call.map_or("", |call| call.attempt.as_str()),
+        format_args!(
+            "status={} reason={} verdict={} elapsed_ms={}",
+            status.as_u16(),
+            refusal.reason.as_str(),
+            refusal.verdict,
+            elapsed.as_millis()
+        ),
+    );
+    let mut response = Response::new(StreamBody::whole(Bytes::new()));
+    *response.status_mut() = status;
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let seconds = format!("{:.3}", refusal.retry_after.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    let unread = matches!(
+        refusal.reason,
+        RefusalReason::TooLarge | RefusalReason::TooSlow
+    ) || refusal.reason == RefusalReason::BadRequest;
+    if unread {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    close_if_draining(shared, &mut response);
+    response
+}
+
+/// Status of a refusal. Only a request that has not run gets one that promises so.
+fn status(refusal: &Refusal) -> StatusCode {
+    match (refusal.reason, refusal.verdict) {
+        (RefusalReason::BadRequest, Verdict::NotRun) => StatusCode::BAD_REQUEST,
+        (RefusalReason::BadToken, _) => StatusCode::UNAUTHORIZED,
+        (RefusalReason::UnknownRoute, _) => StatusCode::NOT_FOUND,
+        (RefusalReason::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
+        (RefusalReason::TooSlow, _) => StatusCode::REQUEST_TIMEOUT,
+        (_, Verdict::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
+        (RefusalReason::Deadline | RefusalReason::EndpointSilent, _) => StatusCode::GATEWAY_TIMEOUT,
+        (_, Verdict::MayHaveRun | Verdict::Done) => StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// Asks the caller to open its next connection elsewhere.
+fn close_if_draining(shared: &Shared, response: &mut Response<StreamBody>) {
+    if shared.is_draining() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,55 @@
+//! The data path on a platform that keeps configuration and endpoints in its store.
+//!
+//! A router takes a request from a caller, chooses an endpoint and speaks to it itself. Nothing that
+//! must last is kept here: configuration and endpoints are read from a [`Registry`], and routers tell
+//! each other their load, what endpoints have cached and which requests crash endpoints. Names and
+//! formats of the platform are hidden behind [`Registry`] and [`Dialect`]. See docs/platform.md.
+//!
+//! Decisions are pure: [`RouteTable`], [`Roster`], [`Loads`], [`Placement`] and [`RetryWindow`] take
+//! the time and typed input and return typed decisions.
+//!
+//! ```
+//! use sequoiaridge_edge::RetryWindow;
+//! use std::time::Duration;
+//!
+//! let mut repeats = RetryWindow::new(0.2, Duration::from_secs(10), 8.0);
+//! let now = Duration::from_secs(1);
+//! repeats.request("orders", now);
+//! assert!(repeats.take("orders", 4, now));
+//! ```
+
+mod call;
+mod health;
+mod ingress;
+mod load;
+mod manifest;
+mod metrics;
+mod placement;
+mod registry;
+mod relay;
+mod retry_window;
+mod roster;
+mod router;
+mod routes;
+mod settings;
+mod shared;
+mod stream_body;
+mod sync;
+mod upstream;
+
+pub use call::{AnswerHead, Attempt, AttemptId, Call, EndpointLoad, Part, PartId, Prompt};
+pub use health::Health;
+pub use load::{Loads, Work};
+pub use manifest::{
+    CallerLimits, Customer, EndpointEntry, Engine, Kind, Manifest, Route, RouterEntry, Service,
+    ServiceName,
+};
+pub use placement::{Candidate, Choice, Placement};
+pub use registry::{
+    CallError, Dialect, Entry, Position, Registry, RegistryError, RegistryFuture, Row, Rows, Table,
+};
+pub use retry_window::RetryWindow;
+pub use roster::{Change, Roster};
+pub use router::EdgeRouter;
+pub use routes::RouteTable;
+pub use settings::EdgeSettings;
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,163 @@
+//! Metrics of one router on the platform, described in docs/metrics.md.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use sequoiaridge_core::{RefusalReason, RetryReason};
+use std::time::Duration;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct TableLabel {
+    table: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct StatusLabel {
+    status: u16,
+}
+
+/// Counters, gauges and histograms.
+pub(crate) struct Metrics {
+    registry: Registry,
+    refusals: Family<ReasonLabel, Counter>,
+    retries: Family<ReasonLabel, Counter>,
+    answers: Family<StatusLabel, Counter>,
+    registry_calls: Family<TableLabel, Counter>,
+    answer_time: Histogram,
+    pub(crate) connections: Counter,
+    pub(crate) requests: Counter,
+    pub(crate) prompt_tokens: Counter,
+    pub(crate) cached_tokens: Counter,
+    pub(crate) in_flight: Gauge,
+    pub(crate) version: Gauge,
+    pub(crate) routers: Gauge,
+    pub(crate) lines_lost: Gauge,
+}
+
+impl Metrics {
+    /// Creates all metrics; each reason's counter exists from the start.
+    pub(crate) fn new() -> Metrics {
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("sequoiaridge_edge"),
+            refusals: Family::default(),
+            retries: Family::default(),
+            answers: Family::default(),
+            registry_calls: Family::default(),
+            answer_time: Histogram::new(exponential_buckets(0.001, 2.0, 15)),
+            connections: Counter::default(),
+            requests: Counter::default(),
+            prompt_tokens: Counter::default(),
+            cached_tokens: Counter::default(),
+            in_flight: Gauge::default(),
+            version: Gauge::default(),
+            routers: Gauge::default(),
+            lines_lost: Gauge::default(),
+        };
+        metrics.register();
+        for reason in RefusalReason::ALL {
+            let _ = metrics.refusals.get_or_create(&label(reason.as_str()));
+        }
+        for reason in RetryReason::ALL {
+            let _ = metrics.retries.get_or_create(&label(reason.as_str()));
+        }
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "refusals",
+            "Requests refused, by reason",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "retries",
+            "Requests sent again, by reason",
+            self.retries.clone(),
+        );
+        registry.register(
+            "answers",
+            "Answers to callers, by status",
+            self.answers.clone(),
+        );
+        registry.register(
+            "registry_calls",
+            "Calls to the registry, by table and outcome",
+            self.registry_calls.clone(),
+        );
+        registry.register(
+            "answer_seconds",
+            "Time from a request to the head of its answer",
+            self.answer_time.clone(),
+        );
+        registry.register(
+            "connections",
+            "Connections to endpoints",
+            self.connections.clone(),
+        );
+        registry.register("requests", "Requests of callers", self.requests.clone());
+        registry.register(
+            "prompt_tokens",
+            "Tokens of prompts sent",
+            self.prompt_tokens.clone(),
+        );
+        registry.register(
+            "cached_tokens",
+            "Tokens of prompts that the endpoint was expected to have cached",
+            self.cached_tokens.clone(),
+        );
+        registry.register("in_flight", "Requests in flight", self.in_flight.clone());
+        registry.register("version", "Configuration in force", self.version.clone());
+        registry.register(
+            "routers",
+            "Routers heard, with this one",
+            self.routers.clone(),
+        );
+        registry.register("lines_lost", "Log lines dropped", self.lines_lost.clone());
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn refused(&self, reason: RefusalReason) {
+        self.refusals.get_or_create(&label(reason.as_str())).inc();
+    }
+
+    /// Counts a request that is sent again.
+    pub(crate) fn retried(&self, reason: RetryReason) {
+        self.retries.get_or_create(&label(reason.as_str())).inc();
+    }
+
+    /// Counts the head of an answer to a caller.
+    pub(crate) fn answered(&self, status: u16, time: Duration) {
+        self.answers.get_or_create(&StatusLabel { status }).inc();
+        self.answer_time.observe(time.as_secs_f64());
+    }
+
+    /// Counts a call to the registry.
+    pub(crate) fn registry_call(&self, table: &'static str, outcome: &'static str) {
+        let label = TableLabel { table, outcome };
+        self.registry_calls.get_or_create(&label).inc();
+    }
+
+    /// All metrics in the OpenMetrics text format.
+    pub(crate) fn encode(&self) -> String {
+        let lost = sequoiaridge_log::lines_lost();
+        self.lines_lost.set(i64::try_from(lost).unwrap_or(i64::MAX));
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string does not fail");
+        text
+    }
+}
+
+fn label(reason: &'static str) -> ReasonLabel {
+    ReasonLabel { reason }
+}
--- /dev/null
+++ b/crates/edge/src/placement.rs
@@ -0,0 +1,125 @@
+//! Choice of an endpoint for a request.
+
+use sequoiaridge_core::{EndpointId, hash_parts};
+use std::time::Duration;
+
+/// What is known of an endpoint that could run a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Requests outstanding there, of all routers.
+    pub requests: u32,
+    /// Prompt tokens outstanding there that are yet to be read.
+    pub unread: u32,
+    /// Leading tokens of the prompt that it has cached.
+    pub cached: u64,
+    /// Whether it is in the router's own failure domain.
+    pub near: bool,
+    /// Whether it is left out while another one can run the request.
+    pub avoid: bool,
+}
+
+/// A chosen endpoint, with what decided.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Requests outstanding there before this one.
+    pub requests: u32,
+    /// Mean of the requests outstanding at all candidates.
+    pub mean: f64,
+    /// Leading tokens of the prompt that it has cached.
+    pub cached: u64,
+}
+
+/// Rules for the choice.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// Multiple of the mean load above which an endpoint gets no more requests.
+    pub multiple: f64,
+    /// Requests beyond that multiple, so that small means do not scatter prompts.
+    pub slack: f64,
+}
+
+impl Default for Placement {
+    fn default() -> Placement {
+        Placement {
+            multiple: 1.4,
+            slack: 2.0,
+        }
+    }
+}
+
+/// Time that one waiting request is worth when plain services are compared.
+const REMOTE_COST: Duration = Duration::from_millis(7);
+
+impl Placement {
+    /// Chooses an endpoint for a prompt: the one ranked first for `subject` that is within the bound
+    /// on load.
+    pub fn for_prompt(&self, subject: u64, candidates: &[Candidate]) -> Option<Choice> {
+        let usable = usable(candidates);
+        let mean = mean(&usable);
+        let bound = mean * self.multiple + self.slack;
+        let within = |candidate: &&&Candidate| {
+            f64::from(candidate.requests) < bound && candidate.requests < candidate.slots
+        };
+        let best = usable
+            .iter()
+            .filter(within)
+            .max_by_key(|candidate| rank(subject, &candidate.id))?;
+        Some(choice(best, mean))
+    }
+
+    /// Chooses an endpoint for a request of a plain service: the one with the shortest expected wait.
+    pub fn for_service(
+        &self,
+        draw: u64,
+        work: Duration,
+        candidates: &[Candidate],
+    ) -> Option<Choice> {
+        let usable = usable(candidates);
+        let mean = mean(&usable);
+        let cost = |candidate: &Candidate| {
+            let turns = f64::from(candidate.requests) / f64::from(candidate.slots.max(1));
+            let far = if candidate.near {
+                Duration::ZERO
+            } else {
+                REMOTE_COST
+            };
+            let cost = work.mul_f64(turns) + far;
+            (cost, rank(draw, &candidate.id))
+        };
+        let best = usable.iter().min_by_key(|candidate| cost(candidate))?;
+        Some(choice(best, mean))
+    }
+}
+
+/// The candidates that are not avoided, or all if every one is.
+fn usable(candidates: &[Candidate]) -> Vec<&Candidate> {
+    let preferred: Vec<&Candidate> = candidates.iter().filter(|c| !c.avoid).collect();
+    if preferred.is_empty() {
+        return candidates.iter().collect();
+    }
+    preferred
+}
+
+fn mean(candidates: &[&Candidate]) -> f64 {
+    let sum: u32 = candidates.iter().map(|candidate| candidate.requests).sum();
+    f64::from(sum) / candidates.len().max(1) as f64
+}
+
+fn rank(key: u64, id: &str) -> u64 {
+    hash_parts(&[&key.to_le_bytes(), id.as_bytes()])
+}
+
+fn choice(candidate: &Candidate, mean: f64) -> Choice {
+    Choice {
+        id: candidate.id.clone(),
+        requests: candidate.requests,
+        mean,
+        cached: candidate.cached,
+    }
+}
--- /dev/null
+++ b/crates/edge/src/registry.rs
@@ -0,0 +1,149 @@
+//! The platform's registry as the routers use it, and the dialect of its callers and endpoints.
+//!
+//! Both are trait objects, so that nothing here knows how the platform names things.
+
+use crate::call::{AnswerHead, Attempt, Call};
+use crate::manifest::{EndpointEntry, Manifest, RouterEntry};
+use displaydoc::Display;
+use http::HeaderMap;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Future of a call to the registry.
+pub type RegistryFuture<'a, T> =
+    Pin<Box<dyn Future<Output = Result<T, RegistryError>> + Send + 'a>>;
+
+/// Position in a table's history.
+pub type Position = u64;
+
+/// Tables of the registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Table {
+    /// The operators' configuration.
+    Configuration,
+    /// Endpoints that announce themselves.
+    Endpoints,
+    /// Routers of the fleet.
+    Routers,
+}
+
+impl Table {
+    /// Name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Table::Configuration => "configuration",
+            Table::Endpoints => "endpoints",
+            Table::Routers => "routers",
+        }
+    }
+}
+
+/// Content of a row.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Entry {
+    /// A version of the configuration.
+    Configuration(Arc<Manifest>),
+    /// An endpoint.
+    Endpoint(EndpointEntry),
+    /// A router.
+    Router(RouterEntry),
+    /// A row that cannot be read, with the reason. It stands for nothing.
+    Malformed(String),
+    /// The row was removed.
+    Removed,
+}
+
+/// A row with its place in the history.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    /// Key within the table.
+    pub key: String,
+    /// Position of the last change of the row.
+    pub position: Position,
+    /// Content.
+    pub entry: Entry,
+}
+
+/// Rows read at one moment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rows {
+    /// The rows: all of them, or those that changed.
+    pub rows: Vec<Row>,
+    /// Position up to which the rows are complete.
+    pub position: Position,
+}
+
+/// A call to the registry that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum RegistryError {
+    /// the history from the given position is gone
+    HistoryLost,
+    /// the registry refused the call with status {0}
+    Refused(u16),
+    /// the registry did not answer
+    Unreachable,
+    /// the registry's answer cannot be read
+    Invalid,
+}
+
+impl std::error::Error for RegistryError {}
+
+/// The platform's registry.
+pub trait Registry: Send + Sync {
+    /// Reads a whole table.
+    ///
+    /// # Errors
+    ///
+    /// The registry gave no usable answer.
+    fn read(&self, table: Table) -> RegistryFuture<'_, Rows>;
+
+    /// Reads the rows of a table that changed after `position`, waiting up to `wait` for the first.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Registry::read`], or the history is gone.
+    fn changes(&self, table: Table, position: Position, wait: Duration)
+    -> RegistryFuture<'_, Rows>;
+
+    /// Announces a router.
+    ///
+    /// # Errors
+    ///
+    /// The registry gave no usable answer; the row may have been written.
+    fn announce(&self, router: RouterEntry) -> RegistryFuture<'_, ()>;
+}
+
+/// A request that cannot be understood.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum CallError {
+    /// header {0} is missing
+    Missing(&'static str),
+    /// header {0} is malformed
+    Malformed(&'static str),
+}
+
+impl std::error::Error for CallError {}
+
+/// How callers and endpoints speak.
+pub trait Dialect: Send + Sync {
+    /// Reads the head of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// A header that is needed is missing or malformed.
+    fn call(&self, head: &http::request::Parts) -> Result<Call, CallError>;
+
+    /// The headers of a request to an endpoint: those of the caller that concern more than one
+    /// connection, and those that routers set.
+    fn attempt(&self, caller: &HeaderMap, attempt: &Attempt) -> HeaderMap;
+
+    /// Reads the head of an endpoint's answer.
+    fn answer(&self, head: &http::response::Parts) -> AnswerHead;
+
+    /// The id of the last whole event in `events`, if one of them has an id.
+    fn last_event(&self, events: &[u8]) -> Option<u64>;
+
+    /// Path of the readiness check.
+    fn readiness_path(&self) -> &'static str;
+}
--- /dev/null
+++ b/crates/edge/src/relay.rs
@@ -0,0 +1,491 @@
+//! One request: choice of endpoints, sending, repeats, and the answer's head.
+
+use crate::call::{AnswerHead, Attempt, Call};
+use crate::load::Work;
+use crate::manifest::{EndpointEntry, Kind, Route, ServiceName};
+use crate::placement::{Candidate, Choice, Placement};
+use crate::shared::{InFlight, Shared};
+use crate::upstream::{Link, SendError};
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use sequoiaridge_core::{
+    CustomerId, EndpointId, Event, Fingerprint, Refusal, RefusalReason, RetryReason, Verdict,
+    hash_parts,
+};
+use sequoiaridge_log::log_request;
+use sequoiaridge_policy::{Crash, Standing};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after which a caller comes back when no endpoint could take its request.
+const RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Work of a request to a plain service that is assumed when waits are compared.
+const SERVICE_WORK: Duration = Duration::from_millis(50);
+/// Largest answer of a plain service that is held until it is whole.
+const WHOLE_ANSWER: usize = 256 * 1024;
+
+/// A request of a caller with everything that its repeats need.
+pub(crate) struct Exchange {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) call: Call,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceName,
+    pub(crate) customer: Option<CustomerId>,
+    pub(crate) priority: u8,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) started: Duration,
+    pub(crate) sent: u32,
+    pub(crate) tried: Vec<EndpointId>,
+    /// Whether an endpoint may have run the request.
+    pub(crate) may_have_run: bool,
+    pub(crate) fingerprint: Option<Fingerprint>,
+    pub(crate) in_flight: InFlight,
+}
+
+/// The head of an answer, and where its body comes from.
+pub(crate) struct Opened {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) head: AnswerHead,
+    pub(crate) body: AnswerBody,
+    pub(crate) endpoint: EndpointId,
+}
+
+/// Body of an answer.
+pub(crate) enum AnswerBody {
+    /// The whole body.
+    Whole(Bytes),
+    /// A body that is still arriving.
+    Arriving(Box<Arriving>),
+}
+
+/// A body that is still arriving, with the connection that it arrives on.
+pub(crate) struct Arriving {
+    pub(crate) body: Incoming,
+    pub(crate) link: Link,
+    pub(crate) ticket: Ticket,
+}
+
+/// Counts the work of one attempt at an endpoint until it is dropped.
+pub(crate) struct Ticket {
+    shared: Arc<Shared>,
+    endpoint: EndpointId,
+    unread: u32,
+}
+
+impl Ticket {
+    /// Counts the first event of the answer: the prompt was read.
+    pub(crate) fn prompt_read(&mut self) {
+        if self.unread > 0 {
+            self.shared.board().loads.read(&self.endpoint, self.unread);
+            self.unread = 0;
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.shared.board().loads.end(&self.endpoint, self.unread);
+    }
+}
+
+/// What became of one attempt.
+enum Outcome {
+    Answer(Opened),
+    NotRun(RefusalReason, RetryReason),
+    MayHaveRun(RefusalReason, RetryReason),
+}
+
+impl Exchange {
+    /// Time at which the request must have its final answer.
+    pub(crate) fn deadline(&self) -> Duration {
+        let wait = self
+            .call
+            .deadline
+            .map_or(self.route.timeout, |wait| wait.min(self.route.timeout));
+        self.started + wait
+    }
+
+    /// Time left until the deadline.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline().saturating_sub(self.shared.now())
+    }
+
+    /// Sends the request until an endpoint answers or nothing more can be done.
+    pub(crate) async fn open(&mut self) -> Result<Opened, Refusal> {
+        let mut fallback: Option<Opened> = None;
+        let mut last: Option<RefusalReason> = None;
+        loop {
+            if self.left().is_zero() {
+                return self.give_up(fallback, RefusalReason::Deadline);
+            }
+            let (entry, choice, ticket) = match self.place() {
+                Ok(placed) => placed,
+                Err(reason) => return self.give_up(fallback, last.unwrap_or(reason)),
+            };
+            let outcome = self.attempt(&entry, choice, ticket).await;
+            let (reason, retry) = match outcome {
+                Outcome::Answer(opened) => {
+                    if !self.is_worth_repeating(&opened) {
+                        return Ok(opened);
+                    }
+                    fallback = Some(opened);
+                    (RefusalReason::EndpointBroke, RetryReason::EndpointBroke)
+                }
+                Outcome::NotRun(reason, retry) => (reason, retry),
+                Outcome::MayHaveRun(reason, retry) => {
+                    self.may_have_run = true;
+                    if !self.route.kind.repeatable() {
+                        return self.give_up(fallback, reason);
+                    }
+                    (reason, retry)
+                }
+            };
+            last = Some(reason);
+            self.tried.push(entry.id.clone());
+            if !self.may_repeat() {
+                return self.give_up(fallback, reason);
+            }
+            self.shared.metrics.retried(retry);
+            log_request(
+                Event::CallRetried,
+                &self.call.attempt,
+                format_args!(
+                    "reason={} from={} sent={}",
+                    retry.as_str(),
+                    entry.id,
+                    self.sent
+                ),
+            );
+        }
+    }
+
+    /// Whether the number of endpoints and the budget allow another attempt.
+    pub(crate) fn may_repeat(&self) -> bool {
+        if self.sent == 0 {
+            return true;
+        }
+        if self.sent >= self.route.attempts {
+            return false;
+        }
+        let now = self.shared.now();
+        let mut board = self.shared.board();
+        let routers = board.loads.routers();
+        board.repeats.take(&self.service, routers, now)
+    }
+
+    /// Whether an answer is a failure that another endpoint may not repeat.
+    fn is_worth_repeating(&self, opened: &Opened) -> bool {
+        self.route.kind == Kind::Idempotent
+            && opened.status.is_server_error()
+            && matches!(opened.body, AnswerBody::Whole(_))
+    }
+
+    /// The answer when nothing more can be done: an endpoint's own failure if there is one.
+    fn give_up(&self, fallback: Option<Opened>, reason: RefusalReason) -> Result<Opened, Refusal> {
+        if let Some(opened) = fallback {
+            return Ok(opened);
+        }
+        let verdict = if self.may_have_run {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        };
+        Err(Refusal {
+            reason,
+            verdict,
+            retry_after: RETRY_AFTER,
+        })
+    }
+
+    /// Chooses an endpoint and counts the request there.
+    fn place(&self) -> Result<(EndpointEntry, Choice, Ticket), RefusalReason> {
+        let now = self.shared.now();
+        let mut board = self.shared.board();
+        if let Some(fingerprint) = self.fingerprint
+            && let Standing::Held { .. } = board.quarantine.state(fingerprint, now)
+        {
+            return Err(RefusalReason::Quarantined);
+        }
+        let mut errors = 0.0;
+        let mut count = 0.0;
+        for entry in board.roster.open(&self.service, now) {
+            errors += board.health.errors(&entry.id);
+            count += 1.0;
+        }
+        let errors = errors / f64::max(count, 1.0);
+        let mut candidates: Vec<Candidate> = Vec::new();
+        for entry in board.roster.open(&self.service, now) {
+            if self.tried.contains(&entry.id) {
+                continue;
+            }
+            let Work { requests, unread } = board.loads.at(&entry.id);
+            candidates.push(Candidate {
+                id: entry.id.clone(),
+                slots: entry.slots,
+                requests,
+                unread,
+                cached: 0,
+                near: entry.domain == self.shared.settings.domain,
+                avoid: board.health.is_paused(&entry.id, now)
+                    || board.health.is_failing(&entry.id, errors),
+            });
+        }
+        if candidates.is_empty() {
+            return Err(RefusalReason::NoEndpoint);
+        }
+        let placement = Placement::default();
+        let choice = match &self.call.prompt {
+            Some(prompt) => placement.for_prompt(prompt.subject_key(), &candidates),
+            None => {
+                let draw = hash_parts(&[self.call.attempt.as_bytes()]);
+                placement.for_service(draw, SERVICE_WORK, &candidates)
+            }
+        };
+        let choice = choice.ok_or(RefusalReason::Overload)?;
+        let entry = board.roster.get(&choice.id).cloned();
+        let entry = entry.ok_or(RefusalReason::NoEndpoint)?;
+        let prompt = self.call.prompt.as_ref();
+        let unread = prompt.map_or(0, |prompt| prompt.input.saturating_sub(choice.cached));
+        let unread = u32::try_from(unread).unwrap_or(u32::MAX);
+        board.loads.begin(&entry.id, unread);
+        let ticket = Ticket {
+            shared: self.shared.clone(),
+            endpoint: entry.id.clone(),
+            unread,
+        };
+        Ok((entry, choice, ticket))
+    }
+
+    /// Sends the request to one endpoint.
+    async fn attempt(&mut self, entry: &EndpointEntry, choice: Choice, ticket: Ticket) -> Outcome {
+        let once = !self.route.kind.repeatable();
+        let shared = self.shared.clone();
+        let link = shared
+            .upstream
+            .link(&entry.id, entry.address, once, shared.now());
+        let mut link = match link.await {
+            Ok(link) => link,
+            Err(_) => {
+                self.endpoint_failed(&entry.id);
+                return Outcome::NotRun(RefusalReason::NoEndpoint, RetryReason::ConnectFailed);
+            }
+        };
+        if !link.used {
+            shared.metrics.connections.inc();
+        }
+        let left = self.left();
+        if left.is_zero() {
+            return Outcome::NotRun(RefusalReason::Deadline, RetryReason::ConnectFailed);
+        }
+        let request = match self.request(entry, left) {
+            Some(request) => request,
+            None => return Outcome::NotRun(RefusalReason::BadRequest, RetryReason::ConnectFailed),
+        };
+        log_request(
+            Event::CallPlaced,
+            &self.call.attempt,
+            format_args!(
+                "endpoint={} requests={} mean={:.1} cached={} route={} left_ms={}",
+                entry.id,
+                choice.requests,
+                choice.mean,
+                choice.cached,
+                self.route.name,
+                left.as_millis()
+            ),
+        );
+        self.sent += 1;
+        let answer = tokio::time::timeout(left, link.send(request)).await;
+        let response = match answer {
+            Ok(Ok(response)) => response,
+            Ok(Err(SendError::Broke)) => {
+                self.crashed(entry);
+                return Outcome::MayHaveRun(
+                    RefusalReason::EndpointBroke,
+                    RetryReason::EndpointBroke,
+                );
+            }
+            Ok(Err(SendError::Unsent | SendError::Connect)) => {
+                self.sent -= 1;
+                return Outcome::NotRun(RefusalReason::NoEndpoint, RetryReason::ConnectFailed);
+            }
+            Err(_) => {
+                self.endpoint_failed(&entry.id);
+                return Outcome::MayHaveRun(
+                    RefusalReason::EndpointSilent,
+                    RetryReason::EndpointSilent,
+                );
+            }
+        };
+        self.read_answer(entry, response, link, ticket).await
+    }
+
+    /// Checks the head of an answer and, for plain services, waits for the whole body.
+    async fn read_answer(
+        &mut self,
+        entry: &EndpointEntry,
+        response: Response<Incoming>,
+        link: Link,
+        ticket: Ticket,
+    ) -> Outcome {
+        let (parts, body) = response.into_parts();
+        let head = self.shared.dialect.answer(&parts);
+        if head
+            .attempt
+            .as_deref()
+            .is_some_and(|id| id != self.call.attempt)
+        {
+            self.invalid(&entry.id, "the answer belongs to another request");
+            return Outcome::MayHaveRun(RefusalReason::EndpointInvalid, RetryReason::EndpointBroke);
+        }
+        if head.not_run {
+            return self.refused(entry, &head, body, link).await;
+        }
+        let (status, headers) = (parts.status, parts.headers);
+        if head.encoded || !head.sealed {
+            self.invalid(&entry.id, "the endpoint does not vouch for the answer");
+            return Outcome::MayHaveRun(RefusalReason::EndpointInvalid, RetryReason::EndpointBroke);
+        }
+        // These statuses promise that a request has not run, which the endpoint does not say.
+        if matches!(status.as_u16(), 408 | 421 | 429 | 503) {
+            self.shared.board().health.answered(&entry.id, true);
+            return Outcome::MayHaveRun(RefusalReason::EndpointBroke, RetryReason::EndpointBroke);
+        }
+        let error = status.is_server_error();
+        self.shared.board().health.answered(&entry.id, error);
+        let streams = self.route.kind.streams() && status.is_success();
+        let arriving = Arriving { body, link, ticket };
+        let opened = |body| Opened {
+            status,
+            headers,
+            head: head.clone(),
+            body,
+            endpoint: entry.id.clone(),
+        };
+        if streams {
+            return Outcome::Answer(opened(AnswerBody::Arriving(Box::new(arriving))));
+        }
+        match self.collect(&head, arriving).await {
+            Some(body) => {
+                if let Some(fingerprint) = self.fingerprint {
+                    self.shared.board().quarantine.clear(fingerprint);
+                }
+                Outcome::Answer(opened(body))
+            }
+            None => {
+                self.endpoint_failed(&entry.id);
+                Outcome::MayHaveRun(RefusalReason::EndpointBroke, RetryReason::EndpointBroke)
+            }
+        }
+    }
+
+    /// Reads a body up to the bound on whole answers; `None` if it breaks off.
+    async fn collect(&self, head: &AnswerHead, mut arriving: Arriving) -> Option<AnswerBody> {
+        let mut whole = BytesMut::new();
+        let read = async {
+            while let Some(frame) = arriving.body.frame().await {
+                let data = frame.ok()?.into_data().unwrap_or_default();
+                if whole.len() + data.len() > WHOLE_ANSWER {
+                    return None;
+                }
+                whole.extend_from_slice(&data);
+            }
+            Some(())
+        };
+        tokio::time::timeout(self.left(), read).await.ok()??;
+        if !head.close {
+            let now = self.shared.now();
+            self.shared.upstream.park(arriving.link, head.idle, now);
+        }
+        Some(AnswerBody::Whole(whole.freeze()))
+    }
+
+    /// An endpoint that says it did not run the request.
+    async fn refused(
+        &mut self,
+        entry: &EndpointEntry,
+        head: &AnswerHead,
+        body: Incoming,
+        link: Link,
+    ) -> Outcome {
+        let now = self.shared.now();
+        let drained = body.collect().await;
+        if drained.is_ok() && !head.close {
+            self.shared.upstream.park(link, head.idle, now);
+        }
+        if head.misdirected {
+            self.sent -= 1;
+            self.endpoint_failed(&entry.id);
+            self.shared.upstream.forget(&entry.id);
+        }
+        Outcome::NotRun(RefusalReason::EndpointRefused, RetryReason::EndpointRefused)
+    }
+
+    /// The request as one endpoint gets it.
+    fn request(&self, entry: &EndpointEntry, left: Duration) -> Option<Request<Full<Bytes>>> {
+        let attempt = Attempt {
+            endpoint: entry.id.clone(),
+            customer: self.customer.clone(),
+            deadline: left,
+            resume: self.call.resume,
+            fetch: None,
+            priority: None,
+        };
+        let headers = self.shared.dialect.attempt(&self.headers, &attempt);
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(path)
+            .body(Full::new(self.body.clone()))
+            .ok()?;
+        *request.headers_mut() = headers;
+        Some(request)
+    }
+
+    fn endpoint_failed(&self, id: &str) {
+        let now = self.shared.now();
+        let until = self.shared.board().health.failed(id, now);
+        log_request(
+            Event::EndpointDown,
+            &self.call.attempt,
+            format_args!(
+                "endpoint={id} paused_ms={}",
+                until.saturating_sub(now).as_millis()
+            ),
+        );
+    }
+
+    /// A connection broke during a run: the request may be what crashed the endpoint.
+    pub(crate) fn crashed(&self, entry: &EndpointEntry) {
+        self.endpoint_failed(&entry.id);
+        let Some(fingerprint) = self.fingerprint else {
+            return;
+        };
+        let crash = Crash {
+            fingerprint,
+            endpoint: entry.id.clone(),
+            boot: entry.born.map(|born| born.to_string()).unwrap_or_default(),
+        };
+        let now = self.shared.now();
+        let standing = self.shared.board().quarantine.strike(&crash, now);
+        log_request(
+            Event::CrashStrike,
+            &self.call.attempt,
+            format_args!("endpoint={} standing={standing:?}", entry.id),
+        );
+    }
+
+    fn invalid(&self, id: &str, what: &str) {
+        log_request(
+            Event::EndpointInvalid,
+            &self.call.attempt,
+            format_args!("endpoint={id} {what}"),
+        );
+    }
+}
--- /dev/null
+++ b/crates/edge/src/router.rs
@@ -0,0 +1,197 @@
+//! The process: listeners, readers of the registry, and the planned stop.
+
+use crate::ingress;
+use crate::registry::{Dialect, Registry, Table};
+use crate::settings::EdgeSettings;
+use crate::shared::Shared;
+use crate::stream_body::StreamBody;
+use crate::sync;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use sequoiaridge_core::{Clock, Event};
+use sequoiaridge_log::log;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Head of a request that is read before the first configuration is known.
+const MAX_HEAD: usize = 16 * 1024;
+/// Time for which an idle connection of a caller is kept, and in which a head must arrive, before the
+/// first configuration is known.
+const IDLE: Duration = Duration::from_secs(15);
+/// Time after SIGTERM in which the balancer may still send connections: it asks for readiness once a
+/// second and needs two misses.
+const BALANCER: Duration = Duration::from_millis(3500);
+/// Time without a request after which a drained router ends.
+const QUIET: Duration = Duration::from_millis(500);
+/// Time between the end of a planned stop and the end of the grace period.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Pause between checks of a drain, and between cleanings of idle connections.
+const CHECK: Duration = Duration::from_millis(100);
+const CLEAN: Duration = Duration::from_millis(500);
+/// Pause after an accept that failed, for instance because all descriptors are in use.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// One router on the platform.
+pub struct EdgeRouter {
+    shared: Arc<Shared>,
+}
+
+impl EdgeRouter {
+    /// Starts a router: it listens, follows the registry, and is ready once it knows a configuration
+    /// and the endpoints.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be bound.
+    pub async fn start(
+        settings: EdgeSettings,
+        clock: Arc<dyn Clock>,
+        dialect: Arc<dyn Dialect>,
+        registry: Arc<dyn Registry>,
+    ) -> io::Result<EdgeRouter> {
+        let shared = Arc::new(Shared::new(settings, clock, dialect));
+        let callers = TcpListener::bind(shared.settings.callers).await?;
+        let readiness = TcpListener::bind(shared.settings.readiness).await?;
+        tokio::spawn(accept(callers, shared.clone(), Port::Callers));
+        if shared.settings.readiness != shared.settings.callers {
+            tokio::spawn(accept(readiness, shared.clone(), Port::Readiness));
+        }
+        for table in [Table::Configuration, Table::Endpoints] {
+            tokio::spawn(sync::follow(shared.clone(), registry.clone(), table));
+        }
+        tokio::spawn(clean(shared.clone()));
+        log(
+            Event::RouterStarted,
+            &format!(
+                "router={} callers={}",
+                shared.settings.id, shared.settings.callers
+            ),
+        );
+        Ok(EdgeRouter { shared })
+    }
+
+    /// Stops the router: it is no longer ready, serves what still arrives, asks callers to go
+    /// elsewhere, and returns once nothing is in flight or the grace period is nearly over. Returns
+    /// the number of requests that are cut.
+    pub async fn drain(&self) -> usize {
+        let shared = &self.shared;
+        shared.drain();
+        log(
+            Event::DrainStarted,
+            &format!("in_flight={}", shared.in_flight()),
+        );
+        let start = shared.now();
+        let end = start + shared.settings.grace.saturating_sub(STOP_MARGIN);
+        let mut busy = start;
+        loop {
+            let now = shared.now();
+            let left = shared.in_flight();
+            if left > 0 {
+                busy = now;
+            }
+            let quiet = now >= start + BALANCER && now >= busy + QUIET;
+            if quiet || now >= end {
+                let event = if left == 0 {
+                    Event::DrainFinished
+                } else {
+                    Event::DrainLimit
+                };
+                log(event, &format!("cut={left}"));
+                return left;
+            }
+            tokio::time::sleep(CHECK).await;
+        }
+    }
+}
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Port {
+    Callers,
+    Readiness,
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>, port: Port) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                tokio::spawn(serve(stream, peer, shared.clone(), port));
+            }
+            Err(error) => {
+                log(Event::AcceptFailed, &error.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection. Its error only says that the caller has gone.
+async fn serve(stream: TcpStream, _peer: SocketAddr, shared: Arc<Shared>, port: Port) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let routes = shared.board().routes.clone();
+    let limits = routes.map(|routes| routes.manifest().limits.clone());
+    let (head, idle) = limits.map_or((MAX_HEAD, IDLE), |limits| {
+        (limits.head, limits.idle.max(limits.arrival))
+    });
+    let service = service_fn(move |request| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(answer(shared, request, port).await) }
+    });
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(head.max(MAX_HEAD))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    port: Port,
+) -> Response<StreamBody> {
+    let path = request.uri().path();
+    if path == shared.dialect.readiness_path() {
+        return plain(readiness(&shared), Bytes::new());
+    }
+    match port {
+        Port::Callers => ingress::answer(shared, request).await,
+        Port::Readiness if path == "/metrics" => {
+            plain(StatusCode::OK, shared.metrics.encode().into())
+        }
+        Port::Readiness => plain(StatusCode::NOT_FOUND, Bytes::new()),
+    }
+}
+
+fn readiness(shared: &Shared) -> StatusCode {
+    if shared.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+fn plain(status: StatusCode, body: Bytes) -> Response<StreamBody> {
+    let mut response = Response::new(StreamBody::whole(body));
+    *response.status_mut() = status;
+    response
+}
+
+async fn clean(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(CLEAN).await;
+        let now = shared.now();
+        shared.upstream.expire(now);
+        shared.board().loads.expire(now);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/stream_body.rs
@@ -0,0 +1,297 @@
+//! Body of an answer to a caller.
+
+use crate::relay::{AnswerBody, Arriving, Exchange, Opened};
+use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
+use http_body::{Body, Frame, SizeHint};
+use sequoiaridge_core::{EndpointId, Event, Refusal, RetryReason};
+use sequoiaridge_log::log_request;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::time::Sleep;
+
+/// Why an answer breaks off. The connection to the caller is closed, so that the answer does not look
+/// complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub(crate) enum BodyError {
+    /// the endpoint broke off
+    Broke,
+    /// the request's time has passed
+    Deadline,
+}
+
+impl std::error::Error for BodyError {}
+
+/// A resumed stream: the exchange comes back with the new answer.
+type Resumed = Pin<Box<dyn Future<Output = (Box<Exchange>, Result<Opened, Refusal>)> + Send>>;
+
+enum Source {
+    Whole(Option<Bytes>),
+    Arriving(Box<Arriving>),
+    Resuming(Resumed),
+    Ended,
+}
+
+/// Body of an answer: whole, or a stream that may go on at another endpoint when one breaks off.
+pub(crate) struct StreamBody {
+    source: Source,
+    exchange: Option<Box<Exchange>>,
+    endpoint: EndpointId,
+    idle: Option<Duration>,
+    close: bool,
+    /// Bytes of an event that is not whole yet.
+    partial: BytesMut,
+    limit: Option<Pin<Box<Sleep>>>,
+    events: u64,
+}
+
+impl StreamBody {
+    /// A whole body.
+    pub(crate) fn whole(body: Bytes) -> StreamBody {
+        StreamBody {
+            source: Source::Whole(Some(body)),
+            exchange: None,
+            endpoint: EndpointId::new(),
+            idle: None,
+            close: false,
+            partial: BytesMut::new(),
+            limit: None,
+            events: 0,
+        }
+    }
+
+    /// The body of an answer that an endpoint has begun.
+    pub(crate) fn new(exchange: Box<Exchange>, opened: Opened) -> StreamBody {
+        let arriving = match opened.body {
+            AnswerBody::Whole(body) => return StreamBody::whole(body),
+            AnswerBody::Arriving(arriving) => arriving,
+        };
+        let limit = Box::pin(tokio::time::sleep(exchange.left()));
+        StreamBody {
+            source: Source::Arriving(arriving),
+            exchange: Some(exchange),
+            endpoint: opened.endpoint,
+            idle: opened.head.idle,
+            close: opened.head.close,
+            partial: BytesMut::new(),
+            limit: Some(limit),
+            events: 0,
+        }
+    }
+
+    fn resumable(&self) -> bool {
+        let exchange = self.exchange.as_ref();
+        exchange.is_some_and(|exchange| exchange.route.kind.repeatable())
+    }
+
+    /// The bytes to pass on now. Of a resumable stream only whole events are passed on, so that it
+    /// can go on after the last one.
+    fn pass_on(&mut self, data: Bytes) -> Bytes {
+        if !self.resumable() {
+            return data;
+        }
+        let data = if self.partial.is_empty() && data.ends_with(b"\n\n") {
+            data
+        } else {
+            self.partial.extend_from_slice(&data);
+            let end = self.partial.windows(2).rposition(|pair| pair == b"\n\n");
+            self.partial.split_to(end.map_or(0, |end| end + 2)).freeze()
+        };
+        if let Some(exchange) = &mut self.exchange
+            && let Some(event) = exchange.shared.dialect.last_event(&data)
+        {
+            exchange.call.resume = Some(event);
+        }
+        data
+    }
+
+    /// Ends a body that is whole.
+    fn finish(&mut self) {
+        let source = std::mem::replace(&mut self.source, Source::Ended);
+        let Some(exchange) = self.exchange.take() else {
+            return;
+        };
+        let now = exchange.shared.now();
+        if let Source::Arriving(arriving) = source
+            && !self.close
+        {
+            exchange.shared.upstream.park(arriving.link, self.idle, now);
+        }
+        if let Some(fingerprint) = exchange.fingerprint {
+            exchange.shared.board().quarantine.clear(fingerprint);
+        }
+        log_request(
+            Event::CallEnded,
+            &exchange.call.attempt,
+            format_args!(
+                "outcome=whole endpoint={} chunks={} elapsed_ms={}",
+                self.endpoint,
+                self.events,
+                now.saturating_sub(exchange.started).as_millis()
+            ),
+        );
+    }
+
+    /// Ends a body that is not whole.
+    fn break_off(&mut self, error: BodyError) {
+        self.source = Source::Ended;
+        let Some(exchange) = self.exchange.take() else {
+            return;
+        };
+        let elapsed = exchange.shared.now().saturating_sub(exchange.started);
+        log_request(
+            Event::CallEnded,
+            &exchange.call.attempt,
+            format_args!(
+                "outcome=broken cause={error} endpoint={} chunks={} elapsed_ms={}",
+                self.endpoint,
+                self.events,
+                elapsed.as_millis()
+            ),
+        );
+    }
+
+    /// Starts to resume the stream at another endpoint, if that is allowed.
+    fn resume(&mut self) -> bool {
+        let entry = self.exchange.as_ref().and_then(|exchange| {
+            let entry = exchange.shared.board().roster.get(&self.endpoint).cloned();
+            if let Some(entry) = &entry {
+                exchange.crashed(entry);
+            }
+            entry
+        });
+        let mut exchange = match self.exchange.take() {
+            Some(exchange) if exchange.route.kind.repeatable() => exchange,
+            other => {
+                self.exchange = other;
+                return false;
+            }
+        };
+        exchange.may_have_run = true;
+        exchange.tried.extend(entry.map(|entry| entry.id));
+        if !exchange.may_repeat() {
+            self.exchange = Some(exchange);
+            return false;
+        }
+        self.partial.clear();
+        exchange.shared.metrics.retried(RetryReason::StreamResumed);
+        log_request(
+            Event::CallRetried,
+            &exchange.call.attempt,
+            format_args!(
+                "reason={} from={} after_event={:?}",
+                RetryReason::StreamResumed.as_str(),
+                self.endpoint,
+                exchange.call.resume
+            ),
+        );
+        self.source = Source::Resuming(Box::pin(async move {
+            let opened = exchange.open().await;
+            (exchange, opened)
+        }));
+        true
+    }
+
+    /// Takes over the answer of the endpoint at which the stream goes on.
+    fn resumed(&mut self, exchange: Box<Exchange>, opened: Result<Opened, Refusal>) -> bool {
+        self.exchange = Some(exchange);
+        match opened {
+            Ok(opened) if opened.status.is_success() => {
+                let AnswerBody::Arriving(arriving) = opened.body else {
+                    return false;
+                };
+                self.endpoint = opened.endpoint;
+                self.idle = opened.head.idle;
+                self.close = opened.head.close;
+                self.source = Source::Arriving(arriving);
+                true
+            }
+            Ok(_) | Err(_) => false,
+        }
+    }
+}
+
+impl Body for StreamBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = self.get_mut();
+        if let Some(limit) = &mut this.limit
+            && limit.as_mut().poll(cx).is_ready()
+        {
+            this.limit = None;
+            this.break_off(BodyError::Deadline);
+            return Poll::Ready(Some(Err(BodyError::Deadline)));
+        }
+        loop {
+            match &mut this.source {
+                Source::Ended => return Poll::Ready(None),
+                Source::Whole(body) => {
+                    let body = body.take();
+                    this.source = Source::Ended;
+                    return match body {
+                        Some(body) if !body.is_empty() => Poll::Ready(Some(Ok(Frame::data(body)))),
+                        _ => Poll::Ready(None),
+                    };
+                }
+                Source::Resuming(resumed) => {
+                    let (exchange, opened) = ready!(resumed.as_mut().poll(cx));
+                    if !this.resumed(exchange, opened) {
+                        this.break_off(BodyError::Broke);
+                        return Poll::Ready(Some(Err(BodyError::Broke)));
+                    }
+                }
+                Source::Arriving(arriving) => {
+                    match ready!(Pin::new(&mut arriving.body).poll_frame(cx)) {
+                        None => {
+                            let rest = this.partial.split().freeze();
+                            this.finish();
+                            if !rest.is_empty() {
+                                return Poll::Ready(Some(Ok(Frame::data(rest))));
+                            }
+                            return Poll::Ready(None);
+                        }
+                        Some(Ok(frame)) => {
+                            let Ok(data) = frame.into_data() else {
+                                continue;
+                            };
+                            arriving.ticket.prompt_read();
+                            let data = this.pass_on(data);
+                            if !data.is_empty() {
+                                this.events += 1;
+                                return Poll::Ready(Some(Ok(Frame::data(data))));
+                            }
+                        }
+                        Some(Err(_)) => {
+                            if !this.resume() {
+                                this.break_off(BodyError::Broke);
+                                return Poll::Ready(Some(Err(BodyError::Broke)));
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.source {
+            Source::Ended => true,
+            Source::Whole(body) => body.as_ref().is_none_or(Bytes::is_empty),
+            Source::Arriving(_) | Source::Resuming(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Source::Whole(Some(body)) => SizeHint::with_exact(body.len() as u64),
+            Source::Whole(None) | Source::Ended => SizeHint::with_exact(0),
+            Source::Arriving(_) | Source::Resuming(_) => SizeHint::default(),
+        }
+    }
+}
--- a/crates/router/src/event.rs
+++ b/crates/log/src/lib.rs
@@ -1,10 +1,16 @@
-//! Writes numbered events to the log; docs/events.md lists them.
+//! Numbered log events, limited per second, and a writer that never blocks; docs/events.md lists the
+//! events.
 //!
 //! Anyone who reaches a port can cause refusals, so the lines of each event are limited per second.
 //! The counters of the metrics are not.
 
+mod writer;
+
+pub use writer::{LineWriter, lines_lost};
+
 use sequoiaridge_core::{Event, Severity};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -23,7 +29,7 @@
 static WINDOWS: Mutex<BTreeMap<Event, Window>> = Mutex::new(BTreeMap::new());
 
 /// Logs an event. `detail` never holds request content or secrets.
-pub(crate) fn log(event: Event, detail: &str) {
+pub fn log(event: Event, detail: &str) {
     let (written, left_out) = count(event, Instant::now());
     if left_out > 0 {
         write(
@@ -36,6 +42,27 @@
     }
 }
 
+/// Logs an event about one request. `detail` is a list of `name=value` pairs with the inputs of the
+/// decision and its outcome; it never holds request content or secrets.
+pub fn log_request(event: Event, request: &str, detail: fmt::Arguments<'_>) {
+    let (written, left_out) = count(event, Instant::now());
+    if left_out > 0 {
+        write(
+            event,
+            &format!("{left_out} lines of this event were left out"),
+        );
+    }
+    if !written {
+        return;
+    }
+    let (code, name) = (event.code(), event.name());
+    match event.severity() {
+        Severity::Info => tracing::info!(code, name, request, "{detail}"),
+        Severity::Warn => tracing::warn!(code, name, request, "{detail}"),
+        Severity::Error => tracing::error!(code, name, request, "{detail}"),
+    }
+}
+
 /// Whether to write a line, and how many were left out in the window that just ended.
 fn count(event: Event, now: Instant) -> (bool, u32) {
     let mut windows = WINDOWS.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/router/src/config_sync.rs
+++ b/crates/router/src/config_sync.rs
@@ -1,11 +1,12 @@
 //! Keeps the configuration in force up to date. See section 4.4 of `docs/design.md`.
 
+use crate::gossip;
 use crate::metrics::Traffic;
 use crate::shared::{Phase, Shared, lock};
-use crate::{event, gossip};
 use bytes::Bytes;
 use rand::RngExt;
 use sequoiaridge_core::{Change, Event, FleetConfig, Version};
+use sequoiaridge_log as event;
 use sequoiaridge_membership::Message;
 use sequoiaridge_store::{Applied, Since};
 use sequoiaridge_wire::Frame;
--- a/crates/router/src/crash.rs
+++ b/crates/router/src/crash.rs
@@ -4,6 +4,7 @@
 use crate::shared::{Shared, lock};
 use crate::upstream::Target;
 use sequoiaridge_core::{Event, Fingerprint, Refusal, RefusalReason, Verdict};
+use sequoiaridge_log as event;
 use sequoiaridge_membership::{CrashKind, CrashNotice, Message};
 use sequoiaridge_policy::{Crash, Standing};
 use sequoiaridge_wire::CallFrame;
@@ -48,9 +49,9 @@
     };
     let standing = lock(&shared.quarantine).strike(&crash, shared.now());
     let detail = format!("request {:016x} at {}", notice.fingerprint, notice.endpoint);
-    crate::event::log(Event::CrashStrike, &detail);
+    event::log(Event::CrashStrike, &detail);
     if matches!(standing, Standing::Held { .. }) {
-        crate::event::log(Event::Quarantined, &detail);
+        event::log(Event::Quarantined, &detail);
     }
 }
 
--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -2,8 +2,9 @@
 
 use crate::router::Drained;
 use crate::shared::{Phase, Shared, lock};
-use crate::{event, gossip, refresh};
+use crate::{gossip, refresh};
 use sequoiaridge_core::{Event, RouterId};
+use sequoiaridge_log as event;
 use sequoiaridge_policy::ChatEntry;
 use sequoiaridge_wire::{Frame, IndexEntry};
 use std::collections::BTreeMap;
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -1,9 +1,10 @@
 //! Datagrams between routers.
 
+use crate::crash;
 use crate::metrics::Traffic;
 use crate::shared::{Phase, Shared, lock};
-use crate::{crash, event};
 use sequoiaridge_core::Event;
+use sequoiaridge_log as event;
 use sequoiaridge_membership::{MemberEvent, Message, Outgoing};
 use sequoiaridge_wire::MAX_DATAGRAM;
 use std::net::SocketAddr;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,7 +22,7 @@
 mod crash;
 mod dispatch;
 mod drain;
-mod event;
+
 mod execute;
 mod gossip;
 mod list_sync;
--- a/crates/router/src/list_sync.rs
+++ b/crates/router/src/list_sync.rs
@@ -1,10 +1,10 @@
 //! Follows the platform's membership list.
 
-use crate::event;
 use crate::metrics::Traffic;
 use crate::shared::{Shared, lock};
 use rand::RngExt;
 use sequoiaridge_core::{EndpointId, Event, Member, Role};
+use sequoiaridge_log as event;
 use sequoiaridge_membership::MemberInfo;
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/router/src/maintain.rs
+++ b/crates/router/src/maintain.rs
@@ -1,8 +1,9 @@
 //! Periodic upkeep: waiting calls, load reports, isolation, and when to refresh the view.
 
 use crate::shared::{Phase, Shared, Turn, lock};
-use crate::{admission, event, probes, refresh, sums};
+use crate::{admission, probes, refresh, sums};
 use sequoiaridge_core::{EndpointId, Event, Role};
+use sequoiaridge_log as event;
 use sequoiaridge_membership::{COUNTED_ENDPOINTS, EndpointLoad, EndpointState as Reported};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- a/crates/router/src/operators/auth.rs
+++ b/crates/router/src/operators/auth.rs
@@ -1,11 +1,11 @@
 //! Who an operator is and what the operator may do.
 
 use super::problem;
-use crate::event;
 use crate::shared::Shared;
 use http::StatusCode;
 use sequoiaridge_core::{Change, Class, Event, FleetConfig, TeamId, token_digest};
 use sequoiaridge_http::{Reply, Request};
+use sequoiaridge_log as event;
 
 /// An authenticated operator.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/router/src/operators/commands.rs
+++ b/crates/router/src/operators/commands.rs
@@ -1,11 +1,12 @@
 //! Commands of the administration API: changes of the fleet configuration.
 
 use super::{auth, json, problem};
+use crate::config_sync;
 use crate::shared::{Shared, lock};
-use crate::{config_sync, event};
 use http::{Method, StatusCode};
 use sequoiaridge_core::{Change, Class, Customer, Event, RouterId, Team, Version};
 use sequoiaridge_http::{Reply, Request};
+use sequoiaridge_log as event;
 use sequoiaridge_membership::PeerView;
 use sequoiaridge_store::Accept;
 use serde::Serialize;
--- a/crates/router/src/peer_server.rs
+++ b/crates/router/src/peer_server.rs
@@ -1,12 +1,13 @@
 //! Serves connections of other routers.
 
+use crate::config_sync;
 use crate::execute::execute;
 use crate::metrics::Traffic;
 use crate::part::{Part, PartReceiver};
 use crate::remote::frame_of;
 use crate::shared::{Shared, lock};
-use crate::{config_sync, event};
 use sequoiaridge_core::Event;
+use sequoiaridge_log as event;
 use sequoiaridge_policy::ChatEntry;
 use sequoiaridge_wire::{Frame, FrameReader, FrameStream, FrameWriter, IndexEntry, LinkError};
 use std::sync::Arc;
--- a/crates/router/src/probes.rs
+++ b/crates/router/src/probes.rs
@@ -1,11 +1,12 @@
 //! Probes of the endpoints that this router owns. See section 4.5 of `docs/design.md`.
 
 use crate::metrics::Traffic;
+use crate::refresh;
 use crate::shared::{Shared, lock};
-use crate::{event, refresh};
 use bytes::Bytes;
 use http::Method;
 use sequoiaridge_core::{EndpointId, Event, Member, MemberState, hash64};
+use sequoiaridge_log as event;
 use sequoiaridge_membership::{
     EndpointHealth, EndpointReport, EndpointState, HealthConfig, HealthEvent, HealthState,
 };
--- a/crates/router/src/reply.rs
+++ b/crates/router/src/reply.rs
@@ -76,7 +76,7 @@
         R::BadRequest | R::UnknownClass | R::KeyMissing => StatusCode::BAD_REQUEST,
         R::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         R::TooSlow => StatusCode::REQUEST_TIMEOUT,
-        R::UnknownModel => StatusCode::NOT_FOUND,
+        R::UnknownModel | R::UnknownRoute => StatusCode::NOT_FOUND,
         R::KeyReused | R::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
         R::KeyClaimed => StatusCode::CONFLICT,
         R::CustomerShare => StatusCode::TOO_MANY_REQUESTS,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -3,10 +3,11 @@
 use crate::callers::{self, Callers};
 use crate::operators::{self, Operators};
 use crate::shared::{Phase, Services, Shared};
-use crate::{config_sync, drain, event, gossip, list_sync, maintain, peer_server, probes};
+use crate::{config_sync, drain, gossip, list_sync, maintain, peer_server, probes};
 use displaydoc::Display;
 use sequoiaridge_core::{Clock, Event};
 use sequoiaridge_http::{Client, ClientConfig, Limits, Server};
+use sequoiaridge_log as event;
 use sequoiaridge_membership::{Detector, DetectorConfig, MemberInfo};
 use sequoiaridge_policy::{LoadBound, Owner, OwnerConfig};
 use sequoiaridge_settings::Settings;
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -15,6 +15,7 @@
     Clock, EndpointId, Event, Member, Refusal, RefusalReason, RetryReason, RouterId,
 };
 use sequoiaridge_http::Client;
+use sequoiaridge_log as event;
 use sequoiaridge_membership::{Detector, EndpointHealth};
 use sequoiaridge_policy::{Owner, Quarantine, RetryBudget, Started, TicketId};
 use sequoiaridge_settings::Settings;
@@ -277,7 +278,7 @@
         let silent = lock(&self.platform_heard).replace(now).is_none();
         self.platform_down.store(false, Ordering::Relaxed);
         if silent {
-            crate::event::log(Event::PlatformUp, "");
+            event::log(Event::PlatformUp, "");
         }
     }
 
@@ -289,14 +290,14 @@
         let long = self.now().saturating_sub(since) > limit;
         if long && !self.platform_down.swap(true, Ordering::Relaxed) {
             *heard = None;
-            crate::event::log(Event::PlatformDown, cause);
+            event::log(Event::PlatformDown, cause);
         }
     }
 
     /// Counts and logs a refusal.
     pub(crate) fn count_refusal(&self, reason: RefusalReason, call: u64) {
         self.metrics.refused(reason);
-        crate::event::log(
+        event::log(
             Event::CallRefused,
             &format!("call {call}: {}", reason.as_str()),
         );
@@ -305,7 +306,7 @@
     /// Counts and logs a retry.
     pub(crate) fn count_retry(&self, reason: RetryReason, call: u64) {
         self.metrics.retried(reason);
-        crate::event::log(
+        event::log(
             Event::CallRetried,
             &format!("call {call}: {}", reason.as_str()),
         );
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -25,6 +25,13 @@
         #[bpaf(short, long, argument("FILE"))]
         config: PathBuf,
     },
+    /// Run one router on the users' platform until SIGTERM or SIGINT, then drain it
+    ///
+    ///
+    /// Reads the platform's settings file from SEQUOIARIDGE_BOOT; see docs/platform.md. Logs go to
+    /// standard output. Exits like `run`.
+    #[bpaf(command)]
+    Edge,
     /// Read a settings file and report every mistake
     ///
     ///
--- a/src/cli/logs.rs
+++ b/src/cli/logs.rs
@@ -1,13 +1,14 @@
-//! Sets up log output on standard error.
+//! Sets up log output: standard error, or standard output behind a buffer.
 
+use sequoiaridge::log::LineWriter;
 use sequoiaridge::settings::{LogFormat, LogLevel};
-use std::io::IsTerminal;
+use std::io::{self, IsTerminal};
 use tracing_subscriber::EnvFilter;
 
 /// Writes log lines of the given format and level. Libraries only log warnings.
 pub(crate) fn start(format: LogFormat, level: LogLevel) {
     let filter = EnvFilter::new(format!(
-        "warn,sequoiaridge={0},sequoiaridge_router={0}",
+        "warn,sequoiaridge={0},sequoiaridge_log={0}",
         level.as_str()
     ));
     let builder = tracing_subscriber::fmt()
@@ -19,3 +20,19 @@
         LogFormat::Text => builder.init(),
     }
 }
+
+/// Writes JSON lines to standard output without ever waiting for it.
+///
+/// # Errors
+///
+/// The thread that writes cannot be started.
+pub(crate) fn start_lines() -> io::Result<()> {
+    let writer = LineWriter::start()?;
+    tracing_subscriber::fmt()
+        .with_env_filter(EnvFilter::new("warn,sequoiaridge_log=info"))
+        .with_writer(move || writer.clone())
+        .json()
+        .with_target(false)
+        .init();
+    Ok(())
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod args;
 mod check;
 mod dev;
+mod edge;
 mod fake;
 mod logs;
 mod run;
@@ -51,6 +52,7 @@
     };
     let code = match command {
         Command::Run { config } => run::run(&config),
+        Command::Edge => edge::edge(),
         Command::Check { config } => check::check(&config),
         Command::Targets(command) => admin::report(admin::targets(command)),
         Command::Customers(command) => admin::report(admin::customers(command)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,9 @@
 //! | [`store`] | claims, configuration log and membership list on the platform |
 //! | [`http`] | HTTP server and client |
 //! | [`router`] | the router process |
+//! | [`edge`] | the router process on the users' platform |
+//! | [`platform`] | names and formats of the users' platform |
+//! | [`log`] | numbered log events |
 //! | [`fakes`] | stand-ins for engines, services and the platform |
 //!
 //! # Example
@@ -36,9 +39,12 @@
 //! ```
 
 pub use sequoiaridge_core as core;
+pub use sequoiaridge_edge as edge;
 pub use sequoiaridge_fakes as fakes;
 pub use sequoiaridge_http as http;
+pub use sequoiaridge_log as log;
 pub use sequoiaridge_membership as membership;
+pub use sequoiaridge_platform as platform;
 pub use sequoiaridge_policy as policy;
 pub use sequoiaridge_router as router;
 pub use sequoiaridge_settings as settings;
