Share load and cached prefixes between routers, and stop without cutting requests

Load was known to each router alone. Change: late streams are refused during a drain, idle connections close after the balancer has let go; routers tell each other work, prefixes, crashes and failures by datagram; Kv-Fetch names a holder; an endpoint that is silent and cannot be reached ends its attempts.

--- /dev/null
+++ b/crates/edge/src/cache_map.rs
@@ -0,0 +1,150 @@
+//! Which endpoints have which prompt prefixes cached, as far as the routers know.
+
+use crate::call::Prompt;
+use sequoiaridge_core::{EndpointId, hash_parts};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Names a prefix of a prompt: the model and the parts up to one of them.
+pub type PrefixKey = u64;
+
+/// Time after its last known use for which a prefix counts as cached. Memory of engines holds what
+/// they read in about a minute at the rates of today's sites, and the least recently used parts yield.
+const LIFE: Duration = Duration::from_secs(40);
+/// Prefixes that are tracked; 64 bytes each with one holder.
+const MAX_PREFIXES: usize = 65_536;
+/// Time after which a use is told to the other routers again.
+const TELL_AGAIN: Duration = Duration::from_secs(4);
+
+/// A prefix of one prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prefix {
+    /// Name of the prefix.
+    pub key: PrefixKey,
+    /// Tokens up to its end.
+    pub tokens: u64,
+    /// Whether other requests may share it; the last part of a prompt is its own.
+    pub shared: bool,
+}
+
+/// The prefixes of a prompt, shortest first.
+pub fn prefixes(prompt: &Prompt) -> Vec<Prefix> {
+    let mut key = hash_parts(&[prompt.model.as_bytes()]);
+    let mut tokens = 0;
+    let last = prompt.parts.len().saturating_sub(1);
+    let parts = prompt.parts.iter().enumerate();
+    parts
+        .map(|(index, part)| {
+            key = hash_parts(&[&key.to_le_bytes(), &part.id.to_le_bytes()]);
+            tokens += part.tokens;
+            Prefix {
+                key,
+                tokens,
+                shared: index < last,
+            }
+        })
+        .collect()
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    last: Duration,
+    told: Option<Duration>,
+}
+
+/// Endpoints by prefix.
+#[derive(Clone, Debug, Default)]
+pub struct CacheMap {
+    holders: BTreeMap<PrefixKey, BTreeMap<EndpointId, Use>>,
+}
+
+impl CacheMap {
+    /// Creates an empty map.
+    pub fn new() -> CacheMap {
+        CacheMap::default()
+    }
+
+    /// Leading tokens of a prompt that each endpoint has cached. Endpoints without any are left out.
+    pub fn cached(&self, prefixes: &[Prefix], now: Duration) -> BTreeMap<&str, u64> {
+        let mut cached = BTreeMap::new();
+        for prefix in prefixes {
+            let Some(holders) = self.holders.get(&prefix.key) else {
+                continue;
+            };
+            for (id, used) in holders {
+                if now < used.last + LIFE {
+                    cached.insert(id.as_str(), prefix.tokens);
+                }
+            }
+        }
+        cached
+    }
+
+    /// Records that an endpoint reads or uses the prefixes of a prompt. Returns the shared ones that
+    /// the other routers should be told.
+    pub fn record(&mut self, prefixes: &[Prefix], id: &str, now: Duration) -> Vec<PrefixKey> {
+        let mut tell = Vec::new();
+        for prefix in prefixes {
+            let Some(used) = self.touch(prefix.key, id, now) else {
+                continue;
+            };
+            let due = used.told.is_none_or(|told| now >= told + TELL_AGAIN);
+            if prefix.shared && due {
+                used.told = Some(now);
+                tell.push(prefix.key);
+            }
+        }
+        tell
+    }
+
+    /// Takes over what another router tells.
+    pub fn hear(&mut self, key: PrefixKey, id: &str, now: Duration) {
+        if let Some(used) = self.touch(key, id, now) {
+            used.told = Some(now);
+        }
+    }
+
+    /// Forgets an endpoint that is gone, crashed or started again.
+    pub fn forget(&mut self, id: &str) {
+        for holders in self.holders.values_mut() {
+            holders.remove(id);
+        }
+        self.holders.retain(|_, holders| !holders.is_empty());
+    }
+
+    /// Drops what was not used for too long.
+    pub fn expire(&mut self, now: Duration) {
+        for holders in self.holders.values_mut() {
+            holders.retain(|_, used| now < used.last + LIFE);
+        }
+        self.holders.retain(|_, holders| !holders.is_empty());
+    }
+
+    /// Number of prefixes.
+    pub fn len(&self) -> usize {
+        self.holders.len()
+    }
+
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.holders.is_empty()
+    }
+
+    /// The use of a prefix by an endpoint; `None` if the table is full and does not have it.
+    fn touch(&mut self, key: PrefixKey, id: &str, now: Duration) -> Option<&mut Use> {
+        if self.holders.len() >= MAX_PREFIXES && !self.holders.contains_key(&key) {
+            return None;
+        }
+        let holders = self.holders.entry(key).or_default();
+        if !holders.contains_key(id) {
+            let used = Use {
+                last: now,
+                told: None,
+            };
+            holders.insert(id.to_string(), used);
+        }
+        let used = holders.get_mut(id)?;
+        used.last = used.last.max(now);
+        Some(used)
+    }
+}
--- a/crates/edge/src/health.rs
+++ b/crates/edge/src/health.rs
@@ -45,6 +45,13 @@
         record.until
     }
 
+    /// Takes over that another router could not reach an endpoint. It is left out for a short time
+    /// only, since the other router may be the one that is cut off.
+    pub fn suspect(&mut self, id: &str, now: Duration) {
+        let record = self.records.entry(id.to_string()).or_default();
+        record.until = record.until.max(now + FIRST_PAUSE);
+    }
+
     /// Counts an answer; `error` says that it was a failure of the endpoint's own.
     pub fn answered(&mut self, id: &str, error: bool) {
         let record = self.records.entry(id.to_string()).or_default();
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -17,6 +17,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Time after SIGTERM up to which streams are taken. Most end within the rest of the grace period,
+/// which is several times as long.
+const LAST_STREAM: Duration = Duration::from_millis(2700);
+/// Time before the end of the grace period up to which requests of plain services are taken.
+const LAST_REQUEST: Duration = Duration::from_millis(2000);
 /// Time after which a caller comes back to another router.
 const ELSEWHERE: Duration = Duration::from_millis(50);
 
@@ -99,6 +104,9 @@
         ));
     };
     let (customer, priority) = customer(&routes, route, call)?;
+    if !takes(shared, route) {
+        return Err(Refusal::not_run(RefusalReason::Draining, ELSEWHERE));
+    }
     Ok((
         route.clone(),
         customer,
@@ -107,6 +115,19 @@
     ))
 }
 
+/// Whether a request can end before a router that drains does.
+fn takes(shared: &Shared, route: &Route) -> bool {
+    let Some(start) = shared.drain_start() else {
+        return true;
+    };
+    let last = if route.kind.streams() {
+        LAST_STREAM
+    } else {
+        shared.settings.grace.saturating_sub(LAST_REQUEST)
+    };
+    shared.now() < start + last
+}
+
 fn customer(
     routes: &RouteTable,
     route: &Route,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,12 +18,14 @@
 //! assert!(repeats.take("orders", 4, now));
 //! ```
 
+mod cache_map;
 mod call;
 mod health;
 mod ingress;
 mod load;
 mod manifest;
 mod metrics;
+mod peers;
 mod placement;
 mod registry;
 mod relay;
@@ -37,6 +39,7 @@
 mod sync;
 mod upstream;
 
+pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
 pub use call::{AnswerHead, Attempt, AttemptId, Call, EndpointLoad, Part, PartId, Prompt};
 pub use health::Health;
 pub use load::{Loads, Work};
@@ -44,9 +47,11 @@
     CallerLimits, Customer, EndpointEntry, Engine, Kind, Manifest, Route, RouterEntry, Service,
     ServiceName,
 };
+pub use peers::Tell;
 pub use placement::{Candidate, Choice, Placement};
 pub use registry::{
-    CallError, Dialect, Entry, Position, Registry, RegistryError, RegistryFuture, Row, Rows, Table,
+    CallError, Dialect, Entry, PeerKey, Position, Registry, RegistryError, RegistryFuture, Row,
+    Rows, Table,
 };
 pub use retry_window::RetryWindow;
 pub use roster::{Change, Roster};
--- /dev/null
+++ b/crates/edge/src/peers.rs
@@ -0,0 +1,336 @@
+//! What routers tell each other: load, cached prefixes, crashes and the configuration's version.
+
+use crate::cache_map::PrefixKey;
+use crate::load::Work;
+use crate::manifest::RouterEntry;
+use crate::registry::{Entry, PeerKey, Registry, RegistryError, Table};
+use crate::shared::Shared;
+use rand::RngExt;
+use sequoiaridge_core::{EndpointId, Event, Fingerprint, RouterId, Version};
+use sequoiaridge_log::log;
+use sequoiaridge_policy::Crash;
+use sequoiaridge_wire::{MAX_DATAGRAM, Opener, PeerKeys, Sealer};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+/// Pause between messages to a router that is heard. Requests last a second or so, and counts that
+/// are a tenth of that old keep the bound on load.
+const PERIOD: Duration = Duration::from_millis(100);
+/// Pause between messages that tell nothing new.
+const QUIET_PERIOD: Duration = Duration::from_millis(500);
+/// Pause between messages to a router that is not heard.
+const UNHEARD_PERIOD: Duration = Duration::from_secs(1);
+/// Time after which a router counts as not heard.
+const HEARD: Duration = Duration::from_millis(1500);
+/// Endpoints whose work one message tells; with the other fields it fits a datagram.
+const MAX_WORK: usize = 40;
+/// Prefixes, crashes and failed endpoints that one message tells.
+const MAX_PREFIXES: usize = 16;
+const MAX_CRASHES: usize = 2;
+const MAX_FAILED: usize = 4;
+/// Messages that repeat a crash or a failed endpoint, since datagrams are lost at times.
+const REPEATS: u8 = 3;
+/// Items that wait to be told; older ones are dropped.
+const MAX_WAITING: usize = 512;
+/// Pause after a failed call to the registry; drawn between half and the whole.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// One message from a router to another.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tell {
+    /// Address at which the sender hears.
+    pub address: Option<SocketAddr>,
+    /// Configuration that the sender has in force.
+    pub version: Version,
+    /// Whether the sender drains.
+    pub draining: bool,
+    /// Work that the sender has outstanding.
+    pub work: Vec<(EndpointId, Work)>,
+    /// Prefixes that endpoints read.
+    pub prefixes: Vec<(PrefixKey, EndpointId)>,
+    /// Crashes that the sender saw.
+    pub crashes: Vec<Crash>,
+    /// Requests that ran to their end after a crash.
+    pub cleared: Vec<Fingerprint>,
+    /// Endpoints that the sender could not reach.
+    pub failed: Vec<EndpointId>,
+}
+
+/// What waits to be told.
+#[derive(Debug, Default)]
+pub(crate) struct News {
+    prefixes: VecDeque<(PrefixKey, EndpointId)>,
+    crashes: VecDeque<(Crash, u8)>,
+    cleared: VecDeque<(Fingerprint, u8)>,
+    failed: VecDeque<(EndpointId, u8)>,
+}
+
+impl News {
+    /// Adds prefixes that an endpoint reads.
+    pub(crate) fn prefixes(&mut self, keys: Vec<PrefixKey>, id: &str) {
+        let entries = keys.into_iter().map(|key| (key, id.to_string()));
+        self.prefixes.extend(entries);
+        trim(&mut self.prefixes);
+    }
+
+    /// Adds a crash.
+    pub(crate) fn crash(&mut self, crash: Crash) {
+        self.crashes.push_back((crash, REPEATS));
+        trim(&mut self.crashes);
+    }
+
+    /// Adds a request that ran to its end after a crash.
+    pub(crate) fn cleared(&mut self, fingerprint: Fingerprint) {
+        self.cleared.push_back((fingerprint, REPEATS));
+        trim(&mut self.cleared);
+    }
+
+    /// Adds an endpoint that could not be reached.
+    pub(crate) fn failed(&mut self, id: &str) {
+        if self.failed.iter().all(|(known, _)| known != id) {
+            self.failed.push_back((id.to_string(), REPEATS));
+            trim(&mut self.failed);
+        }
+    }
+
+    /// Moves what fits into a message.
+    fn fill(&mut self, tell: &mut Tell) {
+        let count = self.prefixes.len().min(MAX_PREFIXES);
+        tell.prefixes = self.prefixes.drain(..count).collect();
+        tell.crashes = take(&mut self.crashes, MAX_CRASHES);
+        tell.cleared = take(&mut self.cleared, MAX_CRASHES);
+        tell.failed = take(&mut self.failed, MAX_FAILED);
+    }
+}
+
+fn trim<T>(queue: &mut VecDeque<T>) {
+    while queue.len() > MAX_WAITING {
+        queue.pop_front();
+    }
+}
+
+/// Takes items that are told several times; those with tellings left go to the back.
+fn take<T: Clone>(queue: &mut VecDeque<(T, u8)>, count: usize) -> Vec<T> {
+    let count = queue.len().min(count);
+    let taken: Vec<(T, u8)> = queue.drain(..count).collect();
+    let again = taken.iter().filter(|(_, left)| *left > 1);
+    queue.extend(again.map(|(item, left)| (item.clone(), left - 1)));
+    taken.into_iter().map(|(item, _)| item).collect()
+}
+
+/// A router as this one knows it.
+#[derive(Clone, Debug)]
+struct Peer {
+    address: SocketAddr,
+    heard: Option<Duration>,
+    sent: Option<Duration>,
+}
+
+/// Routers by name.
+struct Links {
+    shared: Arc<Shared>,
+    socket: UdpSocket,
+    sealer: Sealer,
+    opener: Opener,
+    peers: BTreeMap<RouterId, Peer>,
+    told: Option<(Duration, Tell)>,
+}
+
+/// Announces this router, finds the others and exchanges messages with them until the process ends.
+pub(crate) async fn run(shared: Arc<Shared>, registry: Arc<dyn Registry>, socket: UdpSocket) {
+    let incarnation = shared.incarnation();
+    let (key, routers) = join(&shared, registry.as_ref(), incarnation).await;
+    let keys = PeerKeys::from_bytes(key, None);
+    let mut links = Links {
+        sealer: Sealer::new(&keys, shared.settings.id.clone(), incarnation),
+        opener: Opener::new(&keys),
+        shared,
+        socket,
+        peers: BTreeMap::new(),
+        told: None,
+    };
+    for router in routers {
+        links.introduce(router.id, router.address);
+    }
+    let mut buffer = [0; MAX_DATAGRAM];
+    let mut period = tokio::time::interval(PERIOD);
+    period.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = period.tick() => links.tell(),
+            received = links.socket.recv_from(&mut buffer) => {
+                if let Ok((size, from)) = received {
+                    links.hear(&buffer[..size], from);
+                }
+            }
+        }
+    }
+}
+
+/// Writes this router's row, creates the fleet's key if there is none, and returns the key with the
+/// other routers. A router writes before it reads, so of two that start together one sees the other.
+async fn join(
+    shared: &Shared,
+    registry: &dyn Registry,
+    incarnation: u64,
+) -> (PeerKey, Vec<RouterEntry>) {
+    let own = RouterEntry {
+        id: shared.settings.id.clone(),
+        address: shared.settings.peers,
+        incarnation,
+    };
+    let mut announced = false;
+    loop {
+        let outcome = join_once(registry, &own, &mut announced).await;
+        let outcome_label = if outcome.is_ok() {
+            "answered"
+        } else {
+            "failed"
+        };
+        shared
+            .metrics
+            .registry_call(Table::Routers.as_str(), outcome_label);
+        match outcome {
+            Ok(Some(joined)) => return joined,
+            Ok(None) => {}
+            Err(error) => {
+                log(Event::PlatformDown, &format!("table=routers {error}"));
+                let drawn = rand::rng().random_range(0.5..1.0);
+                tokio::time::sleep(RETRY.mul_f64(drawn)).await;
+            }
+        }
+    }
+}
+
+async fn join_once(
+    registry: &dyn Registry,
+    own: &RouterEntry,
+    announced: &mut bool,
+) -> Result<Option<(PeerKey, Vec<RouterEntry>)>, RegistryError> {
+    let mut key = None;
+    let mut routers = Vec::new();
+    for row in registry.read(Table::Routers).await?.rows {
+        match row.entry {
+            Entry::PeerKey(found) => key = Some(found),
+            Entry::Router(router) if router.id != own.id => routers.push(router),
+            Entry::Malformed(reason) => {
+                log(Event::PeerRejected, &format!("row {}: {reason}", row.key));
+            }
+            _ => {}
+        }
+    }
+    if let (Some(key), true) = (key, *announced) {
+        return Ok(Some((key, routers)));
+    }
+    let new_key = key.is_none().then(|| rand::rng().random());
+    match registry.announce(own.clone(), new_key).await {
+        Ok(()) => *announced = true,
+        // Another router created the key first; the next read shows it.
+        Err(RegistryError::Conflict) => {}
+        Err(error) => return Err(error),
+    }
+    Ok(None)
+}
+
+impl Links {
+    fn introduce(&mut self, id: RouterId, address: SocketAddr) {
+        let peer = self.peers.entry(id).or_insert(Peer {
+            address,
+            heard: None,
+            sent: None,
+        });
+        peer.address = address;
+    }
+
+    /// Sends one message to each router that is due.
+    fn tell(&mut self) {
+        let now = self.shared.now();
+        let message = self.message();
+        let same = self.told.as_ref().is_some_and(|(_, told)| *told == message);
+        if !same {
+            self.told = Some((now, message.clone()));
+        }
+        let mut sealed = None;
+        for peer in self.peers.values_mut() {
+            let heard = peer.heard.is_some_and(|heard| now < heard + HEARD);
+            let period = match (heard, same) {
+                (false, _) => UNHEARD_PERIOD,
+                (true, true) => QUIET_PERIOD,
+                (true, false) => Duration::ZERO,
+            };
+            if peer.sent.is_some_and(|sent| now < sent + period) {
+                continue;
+            }
+            peer.sent = Some(now);
+            if sealed.is_none() {
+                match self.sealer.seal(&message) {
+                    Ok(datagram) => sealed = Some(datagram),
+                    Err(error) => {
+                        return log(Event::PeerRejected, &format!("own message: {error}"));
+                    }
+                }
+            }
+            if let Some(datagram) = &sealed {
+                // A datagram that the socket does not take is lost like one on the way; the next one
+                // follows within a period.
+                let _ = self.socket.try_send_to(datagram, peer.address);
+            }
+        }
+        let heard = self
+            .peers
+            .values()
+            .filter(|peer| peer.heard.is_some_and(|heard| now < heard + HEARD));
+        let routers = i64::try_from(heard.count() + 1).unwrap_or(i64::MAX);
+        self.shared.metrics.routers.set(routers);
+    }
+
+    fn message(&self) -> Tell {
+        let mut board = self.shared.board();
+        let mut work: Vec<(EndpointId, Work)> = board
+            .loads
+            .own()
+            .iter()
+            .map(|(id, work)| (id.clone(), *work))
+            .collect();
+        if work.len() > MAX_WORK {
+            work.sort_by_key(|(_, work)| std::cmp::Reverse(work.requests));
+            work.truncate(MAX_WORK);
+        }
+        let mut tell = Tell {
+            address: Some(self.shared.settings.peers),
+            version: board
+                .routes
+                .as_ref()
+                .map_or(0, |routes| routes.manifest().version),
+            draining: self.shared.is_draining(),
+            work,
+            ..Tell::default()
+        };
+        board.news.fill(&mut tell);
+        tell
+    }
+
+    fn hear(&mut self, datagram: &[u8], from: SocketAddr) {
+        let (id, incarnation, tell) = match self.opener.open::<Tell>(datagram) {
+            Ok(opened) => opened,
+            Err(error) => return log(Event::PeerRejected, &format!("from={from} {error}")),
+        };
+        let now = self.shared.now();
+        self.introduce(id.clone(), tell.address.unwrap_or(from));
+        if let Some(peer) = self.peers.get_mut(&id) {
+            let was_heard = peer.heard.is_some_and(|heard| now < heard + HEARD);
+            peer.heard = Some(now);
+            if !was_heard {
+                log(
+                    Event::PeerUp,
+                    &format!("router={id} incarnation={incarnation}"),
+                );
+            }
+        }
+        self.shared.hear(&id, tell, now);
+    }
+}
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -1,6 +1,7 @@
 //! Choice of an endpoint for a request.
 
 use sequoiaridge_core::{EndpointId, hash_parts};
+use std::cmp::Reverse;
 use std::time::Duration;
 
 /// What is known of an endpoint that could run a request.
@@ -33,6 +34,8 @@
     pub mean: f64,
     /// Leading tokens of the prompt that it has cached.
     pub cached: u64,
+    /// Another endpoint that has more of the prompt cached, and how many tokens.
+    pub fetch: Option<(EndpointId, u64)>,
 }
 
 /// Rules for the choice.
@@ -53,12 +56,17 @@
     }
 }
 
-/// Time that one waiting request is worth when plain services are compared.
+/// Time that a plain service in another failure domain costs: one round trip between domains.
 const REMOTE_COST: Duration = Duration::from_millis(7);
+/// Tokens below which a difference in what is cached does not decide. Reading them takes 2 ms, as
+/// much as setting up a copy.
+const WORTH_MOVING: u64 = 256;
 
 impl Placement {
-    /// Chooses an endpoint for a prompt: the one ranked first for `subject` that is within the bound
-    /// on load.
+    /// Chooses an endpoint for a prompt: of those within the bound on load the one with most of the
+    /// prompt cached, then the one with the least work, then the one ranked first for `subject`. Where
+    /// nothing is cached the rank alone decides, so that routers that do not know of each other's
+    /// choices agree.
     pub fn for_prompt(&self, subject: u64, candidates: &[Candidate]) -> Option<Choice> {
         let usable = usable(candidates);
         let mean = mean(&usable);
@@ -66,11 +74,15 @@
         let within = |candidate: &&&Candidate| {
             f64::from(candidate.requests) < bound && candidate.requests < candidate.slots
         };
-        let best = usable
-            .iter()
-            .filter(within)
-            .max_by_key(|candidate| rank(subject, &candidate.id))?;
-        Some(choice(best, mean))
+        let order = |candidate: &&&Candidate| {
+            let cached = candidate.cached / WORTH_MOVING;
+            let work = if cached == 0 { 0 } else { candidate.requests };
+            (cached, Reverse(work), rank(subject, &candidate.id))
+        };
+        let best = usable.iter().filter(within).max_by_key(order)?;
+        let mut choice = choice(best, mean);
+        choice.fetch = source(&choice, &usable);
+        Some(choice)
     }
 
     /// Chooses an endpoint for a request of a plain service: the one with the shortest expected wait.
@@ -97,6 +109,13 @@
     }
 }
 
+/// The endpoint from which the chosen one should copy what it lacks.
+fn source(choice: &Choice, usable: &[&Candidate]) -> Option<(EndpointId, u64)> {
+    let best = usable.iter().max_by_key(|candidate| candidate.cached)?;
+    let more = best.cached >= choice.cached + WORTH_MOVING;
+    (more && best.id != choice.id).then(|| (best.id.clone(), best.cached))
+}
+
 /// The candidates that are not avoided, or all if every one is.
 fn usable(candidates: &[Candidate]) -> Vec<&Candidate> {
     let preferred: Vec<&Candidate> = candidates.iter().filter(|c| !c.avoid).collect();
@@ -121,5 +140,6 @@
         requests: candidate.requests,
         mean,
         cached: candidate.cached,
+        fetch: None,
     }
 }
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -14,6 +14,9 @@
 pub type RegistryFuture<'a, T> =
     Pin<Box<dyn Future<Output = Result<T, RegistryError>> + Send + 'a>>;
 
+/// Key under which the routers of a fleet send each other messages.
+pub type PeerKey = [u8; 32];
+
 /// Position in a table's history.
 pub type Position = u64;
 
@@ -48,6 +51,8 @@
     Endpoint(EndpointEntry),
     /// A router.
     Router(RouterEntry),
+    /// The key of the fleet.
+    PeerKey(PeerKey),
     /// A row that cannot be read, with the reason. It stands for nothing.
     Malformed(String),
     /// The row was removed.
@@ -79,6 +84,8 @@
 pub enum RegistryError {
     /// the history from the given position is gone
     HistoryLost,
+    /// another router changed the row first
+    Conflict,
     /// the registry refused the call with status {0}
     Refused(u16),
     /// the registry did not answer
@@ -106,12 +113,13 @@
     fn changes(&self, table: Table, position: Position, wait: Duration)
     -> RegistryFuture<'_, Rows>;
 
-    /// Announces a router.
+    /// Announces a router and, if there is one, creates the fleet's key.
     ///
     /// # Errors
     ///
-    /// The registry gave no usable answer; the row may have been written.
-    fn announce(&self, router: RouterEntry) -> RegistryFuture<'_, ()>;
+    /// [`RegistryError::Conflict`] if the fleet has a key already; then nothing was written. After
+    /// another error the rows may have been written.
+    fn announce(&self, router: RouterEntry, key: Option<PeerKey>) -> RegistryFuture<'_, ()>;
 }
 
 /// A request that cannot be understood.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,11 +1,12 @@
 //! One request: choice of endpoints, sending, repeats, and the answer's head.
 
+use crate::cache_map::prefixes;
 use crate::call::{AnswerHead, Attempt, Call};
 use crate::load::Work;
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName};
 use crate::placement::{Candidate, Choice, Placement};
 use crate::shared::{InFlight, Shared};
-use crate::upstream::{Link, SendError};
+use crate::upstream::{Link, SILENCE, SendError, is_reachable};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
@@ -16,6 +17,8 @@
 };
 use sequoiaridge_log::log_request;
 use sequoiaridge_policy::{Crash, Standing};
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -54,6 +57,7 @@
     pub(crate) head: AnswerHead,
     pub(crate) body: AnswerBody,
     pub(crate) endpoint: EndpointId,
+    pub(crate) address: SocketAddr,
 }
 
 /// Body of an answer.
@@ -94,6 +98,15 @@
     }
 }
 
+/// An endpoint that was chosen for a request, with the request counted there.
+struct Placed {
+    entry: EndpointEntry,
+    choice: Choice,
+    /// Address from which the endpoint copies what it lacks of the prompt.
+    fetch: Option<SocketAddr>,
+    ticket: Ticket,
+}
+
 /// What became of one attempt.
 enum Outcome {
     Answer(Opened),
@@ -124,11 +137,12 @@
             if self.left().is_zero() {
                 return self.give_up(fallback, RefusalReason::Deadline);
             }
-            let (entry, choice, ticket) = match self.place() {
+            let placed = match self.place() {
                 Ok(placed) => placed,
                 Err(reason) => return self.give_up(fallback, last.unwrap_or(reason)),
             };
-            let outcome = self.attempt(&entry, choice, ticket).await;
+            let entry = placed.entry.clone();
+            let outcome = self.attempt(placed).await;
             let (reason, retry) = match outcome {
                 Outcome::Answer(opened) => {
                     if !self.is_worth_repeating(&opened) {
@@ -204,7 +218,7 @@
     }
 
     /// Chooses an endpoint and counts the request there.
-    fn place(&self) -> Result<(EndpointEntry, Choice, Ticket), RefusalReason> {
+    fn place(&self) -> Result<Placed, RefusalReason> {
         let now = self.shared.now();
         let mut board = self.shared.board();
         if let Some(fingerprint) = self.fingerprint
@@ -212,6 +226,8 @@
         {
             return Err(RefusalReason::Quarantined);
         }
+        let prefixes = self.call.prompt.as_ref().map(prefixes).unwrap_or_default();
+        let cached = board.cache.cached(&prefixes, now);
         let mut errors = 0.0;
         let mut count = 0.0;
         for entry in board.roster.open(&self.service, now) {
@@ -230,7 +246,7 @@
                 slots: entry.slots,
                 requests,
                 unread,
-                cached: 0,
+                cached: cached.get(entry.id.as_str()).copied().unwrap_or(0),
                 near: entry.domain == self.shared.settings.domain,
                 avoid: board.health.is_paused(&entry.id, now)
                     || board.health.is_failing(&entry.id, errors),
@@ -248,22 +264,49 @@
             }
         };
         let choice = choice.ok_or(RefusalReason::Overload)?;
+        let fetch = choice.fetch.as_ref();
+        let fetch = fetch.and_then(|(id, _)| Some(board.roster.get(id)?.address));
         let entry = board.roster.get(&choice.id).cloned();
         let entry = entry.ok_or(RefusalReason::NoEndpoint)?;
         let prompt = self.call.prompt.as_ref();
-        let unread = prompt.map_or(0, |prompt| prompt.input.saturating_sub(choice.cached));
+        let kept = choice
+            .fetch
+            .as_ref()
+            .map_or(choice.cached, |(_, tokens)| *tokens);
+        let unread = prompt.map_or(0, |prompt| prompt.input.saturating_sub(kept));
         let unread = u32::try_from(unread).unwrap_or(u32::MAX);
+        self.count_prompt(kept);
         board.loads.begin(&entry.id, unread);
+        let told = board.cache.record(&prefixes, &entry.id, now);
+        board.news.prefixes(told, &entry.id);
         let ticket = Ticket {
             shared: self.shared.clone(),
             endpoint: entry.id.clone(),
             unread,
         };
-        Ok((entry, choice, ticket))
+        Ok(Placed {
+            entry,
+            choice,
+            fetch,
+            ticket,
+        })
+    }
+
+    /// Counts the tokens of a prompt and those that need not be read.
+    fn count_prompt(&self, kept: u64) {
+        if let Some(prompt) = &self.call.prompt {
+            self.shared.metrics.prompt_tokens.inc_by(prompt.input);
+            self.shared
+                .metrics
+                .cached_tokens
+                .inc_by(kept.min(prompt.input));
+        }
     }
 
     /// Sends the request to one endpoint.
-    async fn attempt(&mut self, entry: &EndpointEntry, choice: Choice, ticket: Ticket) -> Outcome {
+    async fn attempt(&mut self, placed: Placed) -> Outcome {
+        let entry = &placed.entry;
+        let choice = &placed.choice;
         let once = !self.route.kind.repeatable();
         let shared = self.shared.clone();
         let link = shared
@@ -283,7 +326,7 @@
         if left.is_zero() {
             return Outcome::NotRun(RefusalReason::Deadline, RetryReason::ConnectFailed);
         }
-        let request = match self.request(entry, left) {
+        let request = match self.request(entry, placed.fetch, left) {
             Some(request) => request,
             None => return Outcome::NotRun(RefusalReason::BadRequest, RetryReason::ConnectFailed),
         };
@@ -291,31 +334,33 @@
             Event::CallPlaced,
             &self.call.attempt,
             format_args!(
-                "endpoint={} requests={} mean={:.1} cached={} route={} left_ms={}",
+                "endpoint={} requests={} mean={:.1} cached={} fetch={:?} route={} left_ms={}",
                 entry.id,
                 choice.requests,
                 choice.mean,
                 choice.cached,
+                choice.fetch,
                 self.route.name,
                 left.as_millis()
             ),
         );
         self.sent += 1;
-        let answer = tokio::time::timeout(left, link.send(request)).await;
+        let answer = while_reachable(entry.address, link.send(request));
+        let answer = tokio::time::timeout(left, answer).await;
         let response = match answer {
-            Ok(Ok(response)) => response,
-            Ok(Err(SendError::Broke)) => {
+            Ok(Some(Ok(response))) => response,
+            Ok(Some(Err(SendError::Broke))) => {
                 self.crashed(entry);
                 return Outcome::MayHaveRun(
                     RefusalReason::EndpointBroke,
                     RetryReason::EndpointBroke,
                 );
             }
-            Ok(Err(SendError::Unsent | SendError::Connect)) => {
+            Ok(Some(Err(SendError::Unsent | SendError::Connect))) => {
                 self.sent -= 1;
                 return Outcome::NotRun(RefusalReason::NoEndpoint, RetryReason::ConnectFailed);
             }
-            Err(_) => {
+            Ok(None) | Err(_) => {
                 self.endpoint_failed(&entry.id);
                 return Outcome::MayHaveRun(
                     RefusalReason::EndpointSilent,
@@ -323,7 +368,7 @@
                 );
             }
         };
-        self.read_answer(entry, response, link, ticket).await
+        self.read_answer(entry, response, link, placed.ticket).await
     }
 
     /// Checks the head of an answer and, for plain services, waits for the whole body.
@@ -367,15 +412,14 @@
             head: head.clone(),
             body,
             endpoint: entry.id.clone(),
+            address: entry.address,
         };
         if streams {
             return Outcome::Answer(opened(AnswerBody::Arriving(Box::new(arriving))));
         }
         match self.collect(&head, arriving).await {
             Some(body) => {
-                if let Some(fingerprint) = self.fingerprint {
-                    self.shared.board().quarantine.clear(fingerprint);
-                }
+                self.ran_whole();
                 Outcome::Answer(opened(body))
             }
             None => {
@@ -428,13 +472,18 @@
     }
 
     /// The request as one endpoint gets it.
-    fn request(&self, entry: &EndpointEntry, left: Duration) -> Option<Request<Full<Bytes>>> {
+    fn request(
+        &self,
+        entry: &EndpointEntry,
+        fetch: Option<SocketAddr>,
+        left: Duration,
+    ) -> Option<Request<Full<Bytes>>> {
         let attempt = Attempt {
             endpoint: entry.id.clone(),
             customer: self.customer.clone(),
             deadline: left,
             resume: self.call.resume,
-            fetch: None,
+            fetch,
             priority: None,
         };
         let headers = self.shared.dialect.attempt(&self.headers, &attempt);
@@ -450,7 +499,10 @@
 
     fn endpoint_failed(&self, id: &str) {
         let now = self.shared.now();
-        let until = self.shared.board().health.failed(id, now);
+        let mut board = self.shared.board();
+        let until = board.health.failed(id, now);
+        board.news.failed(id);
+        drop(board);
         log_request(
             Event::EndpointDown,
             &self.call.attempt,
@@ -473,7 +525,10 @@
             boot: entry.born.map(|born| born.to_string()).unwrap_or_default(),
         };
         let now = self.shared.now();
-        let standing = self.shared.board().quarantine.strike(&crash, now);
+        let mut board = self.shared.board();
+        let standing = board.quarantine.strike(&crash, now);
+        board.news.crash(crash);
+        drop(board);
         log_request(
             Event::CrashStrike,
             &self.call.attempt,
@@ -481,6 +536,19 @@
         );
     }
 
+    /// The request ran to its end, so it is not what crashes endpoints.
+    pub(crate) fn ran_whole(&self) {
+        let Some(fingerprint) = self.fingerprint else {
+            return;
+        };
+        let now = self.shared.now();
+        let mut board = self.shared.board();
+        if board.quarantine.state(fingerprint, now) != Standing::Clear {
+            board.quarantine.clear(fingerprint);
+            board.news.cleared(fingerprint);
+        }
+    }
+
     fn invalid(&self, id: &str, what: &str) {
         log_request(
             Event::EndpointInvalid,
@@ -489,3 +557,20 @@
         );
     }
 }
+
+/// The output of `answer`, or `None` once the endpoint is silent and cannot be reached.
+async fn while_reachable<T>(address: SocketAddr, answer: impl Future<Output = T>) -> Option<T> {
+    let mut answer = pin!(answer);
+    loop {
+        tokio::select! {
+            output = answer.as_mut() => return Some(output),
+            () = tokio::time::sleep(SILENCE) => {}
+        }
+        tokio::select! {
+            output = answer.as_mut() => return Some(output),
+            reachable = is_reachable(address) => if !reachable {
+                return None;
+            },
+        }
+    }
+}
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -143,7 +143,7 @@
                 self.listed.remove(&row.key);
                 Some(Change::Malformed(row.key, reason))
             }
-            Entry::Configuration(_) | Entry::Router(_) => None,
+            Entry::Configuration(_) | Entry::Router(_) | Entry::PeerKey(_) => None,
         }
     }
 
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -1,6 +1,7 @@
 //! The process: listeners, readers of the registry, and the planned stop.
 
 use crate::ingress;
+use crate::peers;
 use crate::registry::{Dialect, Registry, Table};
 use crate::settings::EdgeSettings;
 use crate::shared::Shared;
@@ -17,9 +18,10 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 /// Head of a request that is read before the first configuration is known.
 const MAX_HEAD: usize = 16 * 1024;
@@ -29,6 +31,9 @@
 /// Time after SIGTERM in which the balancer may still send connections: it asks for readiness once a
 /// second and needs two misses.
 const BALANCER: Duration = Duration::from_millis(3500);
+/// Time after SIGTERM from which idle connections of callers are closed. Until then each is closed
+/// with its next answer, so that no request crosses the close.
+const CLOSE_IDLE: Duration = Duration::from_millis(3200);
 /// Time without a request after which a drained router ends.
 const QUIET: Duration = Duration::from_millis(500);
 /// Time between the end of a planned stop and the end of the grace period.
@@ -67,6 +72,8 @@
         for table in [Table::Configuration, Table::Endpoints] {
             tokio::spawn(sync::follow(shared.clone(), registry.clone(), table));
         }
+        let socket = UdpSocket::bind(shared.settings.peers).await?;
+        tokio::spawn(peers::run(shared.clone(), registry, socket));
         tokio::spawn(clean(shared.clone()));
         log(
             Event::RouterStarted,
@@ -97,6 +104,9 @@
             if left > 0 {
                 busy = now;
             }
+            if now >= start + CLOSE_IDLE {
+                shared.close_idle();
+            }
             let quiet = now >= start + BALANCER && now >= busy + QUIET;
             if quiet || now >= end {
                 let event = if left == 0 {
@@ -143,16 +153,23 @@
     let (head, idle) = limits.map_or((MAX_HEAD, IDLE), |limits| {
         (limits.head, limits.idle.max(limits.arrival))
     });
+    let closing = shared.closing();
     let service = service_fn(move |request| {
         let shared = shared.clone();
         async move { Ok::<_, Infallible>(answer(shared, request, port).await) }
     });
-    let _ = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(head.max(MAX_HEAD))
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let mut closing = closing;
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
 }
 
 async fn answer(
@@ -192,6 +209,8 @@
         tokio::time::sleep(CLEAN).await;
         let now = shared.now();
         shared.upstream.expire(now);
-        shared.board().loads.expire(now);
+        let mut board = shared.board();
+        board.loads.expire(now);
+        board.cache.expire(now);
     }
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,19 +1,22 @@
 //! State that the tasks of one router share.
 
+use crate::cache_map::CacheMap;
 use crate::health::Health;
 use crate::load::Loads;
 use crate::metrics::Metrics;
+use crate::peers::{News, Tell};
 use crate::registry::Dialect;
 use crate::retry_window::RetryWindow;
 use crate::roster::Roster;
 use crate::routes::RouteTable;
 use crate::settings::EdgeSettings;
 use crate::upstream::Upstream;
-use sequoiaridge_core::Clock;
+use sequoiaridge_core::{Clock, RouterId};
 use sequoiaridge_policy::Quarantine;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, UNIX_EPOCH};
+use tokio::sync::watch;
 
 /// Crashes after which a request is held back.
 const STRIKES: u32 = 3;
@@ -29,6 +32,8 @@
     pub(crate) endpoints_known: bool,
     pub(crate) loads: Loads,
     pub(crate) health: Health,
+    pub(crate) cache: CacheMap,
+    pub(crate) news: News,
     pub(crate) repeats: RetryWindow,
     pub(crate) quarantine: Quarantine,
 }
@@ -44,8 +49,12 @@
     pub(crate) metrics: Metrics,
     pub(crate) upstream: Upstream,
     board: Mutex<Board>,
-    draining: AtomicBool,
+    /// When the drain started.
+    draining: OnceLock<Duration>,
+    /// Whether idle connections of callers are closed.
+    closing: watch::Sender<bool>,
     in_flight: AtomicUsize,
+    incarnation: u64,
 }
 
 impl Shared {
@@ -60,7 +69,9 @@
             settings.retry_window,
             settings.retry_extra,
         );
+        let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         Shared {
+            incarnation: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
             clock,
             dialect,
             metrics: Metrics::new(),
@@ -71,10 +82,13 @@
                 endpoints_known: false,
                 loads: Loads::new(),
                 health: Health::new(),
+                cache: CacheMap::new(),
+                news: News::default(),
                 repeats,
                 quarantine: Quarantine::new(STRIKES, HOLD, FINGERPRINTS),
             }),
-            draining: AtomicBool::new(false),
+            draining: OnceLock::new(),
+            closing: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
             settings,
         }
@@ -90,6 +104,30 @@
         self.clock.now()
     }
 
+    /// Start of the process in ms since the epoch, which tells it from its predecessor.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Takes over what another router tells.
+    pub(crate) fn hear(&self, router: &RouterId, tell: Tell, now: Duration) {
+        let mut board = self.board();
+        let work = tell.work.into_iter().collect();
+        board.loads.hear(router, work, now);
+        for (key, id) in tell.prefixes {
+            board.cache.hear(key, &id, now);
+        }
+        for id in tell.failed {
+            board.health.suspect(&id, now);
+        }
+        for crash in tell.crashes {
+            board.quarantine.strike(&crash, now);
+        }
+        for fingerprint in tell.cleared {
+            board.quarantine.clear(fingerprint);
+        }
+    }
+
     /// Whether the router takes requests from the balancer.
     pub(crate) fn is_ready(&self) -> bool {
         let board = self.board();
@@ -98,12 +136,27 @@
 
     /// Starts the drain.
     pub(crate) fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+        self.draining.get_or_init(|| self.clock.now());
     }
 
     /// Whether the router drains.
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.draining.get().is_some()
+    }
+
+    /// When the drain started.
+    pub(crate) fn drain_start(&self) -> Option<Duration> {
+        self.draining.get().copied()
+    }
+
+    /// Closes idle connections of callers.
+    pub(crate) fn close_idle(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Turns true when idle connections of callers are to be closed.
+    pub(crate) fn closing(&self) -> watch::Receiver<bool> {
+        self.closing.subscribe()
     }
 
     /// Requests that have no whole answer yet.
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -1,15 +1,17 @@
 //! Body of an answer to a caller.
 
 use crate::relay::{AnswerBody, Arriving, Exchange, Opened};
+use crate::upstream::{SILENCE, is_reachable};
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use http_body::{Body, Frame, SizeHint};
 use sequoiaridge_core::{EndpointId, Event, Refusal, RetryReason};
 use sequoiaridge_log::log_request;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 /// Why an answer breaks off. The connection to the caller is closed, so that the answer does not look
 /// complete.
@@ -19,6 +21,8 @@
     Broke,
     /// the request's time has passed
     Deadline,
+    /// the caller closed its connection
+    CallerLeft,
 }
 
 impl std::error::Error for BodyError {}
@@ -33,11 +37,57 @@
     Ended,
 }
 
+/// Notices an endpoint that falls silent and is gone.
+struct SilenceWatch {
+    timer: Pin<Box<Sleep>>,
+    last: Instant,
+    check: Option<Pin<Box<dyn Future<Output = bool> + Send>>>,
+}
+
+impl SilenceWatch {
+    fn new() -> SilenceWatch {
+        SilenceWatch {
+            timer: Box::pin(tokio::time::sleep(SILENCE)),
+            last: Instant::now(),
+            check: None,
+        }
+    }
+
+    /// Notes that the endpoint sent something.
+    fn heard(&mut self) {
+        self.last = Instant::now();
+        self.check = None;
+    }
+
+    /// Ready once the endpoint is silent and cannot be reached.
+    fn poll_gone(&mut self, address: SocketAddr, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            if let Some(check) = &mut self.check {
+                let reachable = ready!(check.as_mut().poll(cx));
+                self.check = None;
+                if !reachable {
+                    return Poll::Ready(());
+                }
+                self.timer.as_mut().reset(Instant::now() + SILENCE);
+            }
+            ready!(self.timer.as_mut().poll(cx));
+            let due = self.last + SILENCE;
+            if due > Instant::now() {
+                self.timer.as_mut().reset(due);
+            } else {
+                self.check = Some(Box::pin(is_reachable(address)));
+            }
+        }
+    }
+}
+
 /// Body of an answer: whole, or a stream that may go on at another endpoint when one breaks off.
 pub(crate) struct StreamBody {
     source: Source,
     exchange: Option<Box<Exchange>>,
     endpoint: EndpointId,
+    address: Option<SocketAddr>,
+    watch: Option<SilenceWatch>,
     idle: Option<Duration>,
     close: bool,
     /// Bytes of an event that is not whole yet.
@@ -53,6 +103,8 @@
             source: Source::Whole(Some(body)),
             exchange: None,
             endpoint: EndpointId::new(),
+            address: None,
+            watch: None,
             idle: None,
             close: false,
             partial: BytesMut::new(),
@@ -72,6 +124,8 @@
             source: Source::Arriving(arriving),
             exchange: Some(exchange),
             endpoint: opened.endpoint,
+            address: Some(opened.address),
+            watch: Some(SilenceWatch::new()),
             idle: opened.head.idle,
             close: opened.head.close,
             partial: BytesMut::new(),
@@ -80,6 +134,13 @@
         }
     }
 
+    fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        match (&mut self.watch, self.address) {
+            (Some(watch), Some(address)) => watch.poll_gone(address, cx),
+            _ => Poll::Pending,
+        }
+    }
+
     fn resumable(&self) -> bool {
         let exchange = self.exchange.as_ref();
         exchange.is_some_and(|exchange| exchange.route.kind.repeatable())
@@ -118,9 +179,7 @@
         {
             exchange.shared.upstream.park(arriving.link, self.idle, now);
         }
-        if let Some(fingerprint) = exchange.fingerprint {
-            exchange.shared.board().quarantine.clear(fingerprint);
-        }
+        exchange.ran_whole();
         log_request(
             Event::CallEnded,
             &exchange.call.attempt,
@@ -202,6 +261,8 @@
                     return false;
                 };
                 self.endpoint = opened.endpoint;
+                self.address = Some(opened.address);
+                self.watch = Some(SilenceWatch::new());
                 self.idle = opened.head.idle;
                 self.close = opened.head.close;
                 self.source = Source::Arriving(arriving);
@@ -247,7 +308,21 @@
                     }
                 }
                 Source::Arriving(arriving) => {
-                    match ready!(Pin::new(&mut arriving.body).poll_frame(cx)) {
+                    let frame = match Pin::new(&mut arriving.body).poll_frame(cx) {
+                        Poll::Ready(frame) => frame,
+                        Poll::Pending => {
+                            ready!(this.poll_gone(cx));
+                            if !this.resume() {
+                                this.break_off(BodyError::Broke);
+                                return Poll::Ready(Some(Err(BodyError::Broke)));
+                            }
+                            continue;
+                        }
+                    };
+                    if let Some(watch) = &mut this.watch {
+                        watch.heard();
+                    }
+                    match frame {
                         None => {
                             let rest = this.partial.split().freeze();
                             this.finish();
@@ -295,3 +370,11 @@
         }
     }
 }
+
+impl Drop for StreamBody {
+    fn drop(&mut self) {
+        if self.exchange.is_some() {
+            self.break_off(BodyError::CallerLeft);
+        }
+    }
+}
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -148,7 +148,7 @@
                 );
             }
             Entry::Malformed(reason) => log(Event::ConfigInvalid, &reason),
-            Entry::Endpoint(_) | Entry::Router(_) | Entry::Removed => {}
+            Entry::Endpoint(_) | Entry::Router(_) | Entry::PeerKey(_) | Entry::Removed => {}
         }
     }
 }
@@ -160,12 +160,14 @@
             Change::Joined(id) => log(Event::EndpointJoined, &format!("endpoint={id}")),
             Change::Restarted(id) => {
                 board.health.forget(&id);
+                board.cache.forget(&id);
                 shared.upstream.forget(&id);
                 log(Event::EndpointRestarted, &format!("endpoint={id}"));
             }
             Change::Leaving(id) => log(Event::EndpointLeaving, &format!("endpoint={id}")),
             Change::Gone(id) => {
                 board.health.forget(&id);
+                board.cache.forget(&id);
                 shared.upstream.forget(&id);
                 log(Event::EndpointLeaving, &format!("endpoint={id} gone=true"));
             }
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -20,6 +20,9 @@
 /// Time after which unacknowledged bytes end a connection: two retransmissions at the usual timeouts
 /// of TCP.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1000);
+/// Time without a byte from an endpoint after which it is asked whether it is reachable. Events come
+/// every 30 ms or so, and most answers of plain services within this time.
+pub(crate) const SILENCE: Duration = Duration::from_millis(500);
 /// Pause after which an idle peer is probed, and between probes.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Idle connections kept for one endpoint.
@@ -149,6 +152,13 @@
     }
 }
 
+/// Whether an endpoint accepts connections. An endpoint that is silent and cannot be reached is gone,
+/// while one that can be reached only takes its time.
+pub(crate) async fn is_reachable(address: SocketAddr) -> bool {
+    let connected = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Ok(_)))
+}
+
 async fn connect(endpoint: &EndpointId, address: SocketAddr) -> Result<Link, SendError> {
     let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
     let Ok(Ok(stream)) = stream else {
