--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request and the answer of an endpoint, free of any wire format.
 
+use crate::placement::Subject;
 use sequoiaridge_core::{ModelName, hash_parts};
 use std::time::Duration;
 
@@ -31,18 +32,18 @@
 }
 
 impl Prompt {
-    /// The part that decides where the prompt is cached: the longest one that other requests may
-    /// share. A prompt of one part has none.
-    pub fn subject(&self) -> Option<Part> {
-        let shared = self.parts.split_last()?.1;
-        shared.last().copied()
-    }
-
-    /// Key of the group of prompts that share everything but their last parts.
-    pub fn subject_key(&self) -> u64 {
-        let id = self.subject().or(self.parts.last().copied());
-        let id = id.map_or(0, |part| part.id);
-        hash_parts(&[self.model.as_bytes(), &id.to_le_bytes()])
+    /// The group of prompts that share everything but their last parts.
+    pub fn subject(&self) -> Subject {
+        let shared = match self.parts.split_last() {
+            Some((_, shared)) if !shared.is_empty() => shared,
+            _ => &self.parts,
+        };
+        let id = shared.last().map_or(0, |part| part.id);
+        let tokens: u64 = shared.iter().map(|part| part.tokens).sum();
+        Subject {
+            key: hash_parts(&[self.model.as_bytes(), &id.to_le_bytes()]),
+            tokens: tokens.max(1),
+        }
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -48,7 +48,7 @@
     ServiceName,
 };
 pub use peers::Tell;
-pub use placement::{Candidate, Choice, Placement};
+pub use placement::{Candidate, Choice, Placement, Subject};
 pub use registry::{
     CallError, Dialect, Entry, PeerKey, Position, Registry, RegistryError, RegistryFuture, Row,
     Rows, Table,
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -23,6 +23,15 @@
     pub avoid: bool,
 }
 
+/// What prompts share, so that they are best read by one endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Subject {
+    /// Key of the group of prompts.
+    pub key: u64,
+    /// Leading tokens that they share; at least 1, since nothing shared is nowhere cached.
+    pub tokens: u64,
+}
+
 /// A chosen endpoint, with what decided.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -63,11 +72,11 @@
 const WORTH_MOVING: u64 = 256;
 
 impl Placement {
-    /// Chooses an endpoint for a prompt: of those within the bound on load the one with most of the
-    /// prompt cached, then the one with the least work, then the one ranked first for `subject`. Where
-    /// nothing is cached the rank alone decides, so that routers that do not know of each other's
-    /// choices agree.
-    pub fn for_prompt(&self, subject: u64, candidates: &[Candidate]) -> Option<Choice> {
+    /// Chooses an endpoint for a prompt: of those within the bound on load one that has the subject
+    /// cached, and of these the one with most of the prompt, then the one with the least work. Where no
+    /// such endpoint has the subject, the rank for it alone decides, so that routers that do not know
+    /// of each other's choices agree.
+    pub fn for_prompt(&self, subject: &Subject, candidates: &[Candidate]) -> Option<Choice> {
         let usable = usable(candidates);
         let mean = mean(&usable);
         let bound = mean * self.multiple + self.slack;
@@ -75,9 +84,11 @@
             f64::from(candidate.requests) < bound && candidate.requests < candidate.slots
         };
         let order = |candidate: &&&Candidate| {
-            let cached = candidate.cached / WORTH_MOVING;
-            let work = if cached == 0 { 0 } else { candidate.requests };
-            (cached, Reverse(work), rank(subject, &candidate.id))
+            let has = candidate.cached >= subject.tokens;
+            let cached = if has { candidate.cached } else { 0 };
+            let work = if has { candidate.requests } else { 0 };
+            let rank = rank(subject.key, &candidate.id);
+            (has, cached / WORTH_MOVING, Reverse(work), rank)
         };
         let best = usable.iter().filter(within).max_by_key(order)?;
         let mut choice = choice(best, mean);
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -257,7 +257,7 @@
         }
         let placement = Placement::default();
         let choice = match &self.call.prompt {
-            Some(prompt) => placement.for_prompt(prompt.subject_key(), &candidates),
+            Some(prompt) => placement.for_prompt(&prompt.subject(), &candidates),
             None => {
                 let draw = hash_parts(&[self.call.attempt.as_bytes()]);
                 placement.for_service(draw, SERVICE_WORK, &candidates)
