--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -86,6 +86,8 @@
     EndpointLapsed = 307, Info, "endpoint-lapsed";
     /// The row of an endpoint cannot be read.
     EndpointMalformed = 308, Warn, "endpoint-row-malformed";
+    /// What endpoints have cached was taken over from the platform.
+    CacheRestored = 309, Info, "cache-restored";
     /// A call was refused or ended without its whole answer.
     CallRefused = 400, Info, "call-refused";
     /// A call was sent again.
--- a/crates/edge/src/cache_map.rs
+++ b/crates/edge/src/cache_map.rs
@@ -16,6 +16,9 @@
 /// Time after which a use is told to the other routers again.
 const TELL_AGAIN: Duration = Duration::from_secs(4);
 
+/// Entries of a snapshot; with ten bytes each they fit a row of 64 KiB.
+const MAX_SAVED: usize = 5000;
+
 /// A prefix of one prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Prefix {
@@ -104,6 +107,42 @@
         }
     }
 
+    /// The shared prefixes by endpoint, those used last first, for routers that start.
+    ///
+    /// # Errors
+    ///
+    /// The map cannot be encoded.
+    pub fn snapshot(&self) -> Result<Vec<u8>, postcard::Error> {
+        let mut uses: Vec<(Duration, PrefixKey, &EndpointId)> = Vec::new();
+        for (key, holders) in &self.holders {
+            let shared = holders.iter().filter(|(_, used)| used.told.is_some());
+            uses.extend(shared.map(|(id, used)| (used.last, *key, id)));
+        }
+        uses.sort_by(|a, b| b.cmp(a));
+        let mut saved: BTreeMap<&EndpointId, Vec<PrefixKey>> = BTreeMap::new();
+        for (_, key, id) in uses.into_iter().take(MAX_SAVED) {
+            saved.entry(id).or_default().push(key);
+        }
+        postcard::to_stdvec(&saved)
+    }
+
+    /// Takes over a snapshot. Returns the number of its entries.
+    ///
+    /// # Errors
+    ///
+    /// The snapshot cannot be decoded; nothing is taken over.
+    pub fn restore(&mut self, snapshot: &[u8], now: Duration) -> Result<usize, postcard::Error> {
+        let saved: BTreeMap<EndpointId, Vec<PrefixKey>> = postcard::from_bytes(snapshot)?;
+        let mut count = 0;
+        for (id, keys) in saved {
+            count += keys.len();
+            for key in keys {
+                self.hear(key, &id, now);
+            }
+        }
+        Ok(count)
+    }
+
     /// Forgets an endpoint that is gone, crashed or started again.
     pub fn forget(&mut self, id: &str) {
         for holders in self.holders.values_mut() {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod cache_map;
 mod call;
+mod feed;
 mod health;
 mod ingress;
 mod load;
@@ -41,6 +42,7 @@
 
 pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
 pub use call::{AnswerHead, Attempt, AttemptId, Call, EndpointLoad, Part, PartId, Prompt};
+pub use feed::{ChangedRow, Feed};
 pub use health::Health;
 pub use load::{Loads, Work};
 pub use manifest::{
--- a/crates/edge/src/load.rs
+++ b/crates/edge/src/load.rs
@@ -28,6 +28,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     heard: Duration,
+    draining: bool,
     work: BTreeMap<EndpointId, Work>,
 }
 
@@ -78,9 +79,25 @@
     }
 
     /// Takes over the work that another router tells.
-    pub fn hear(&mut self, router: &str, work: BTreeMap<EndpointId, Work>, now: Duration) {
-        self.peers
-            .insert(router.to_string(), Peer { heard: now, work });
+    pub fn hear(
+        &mut self,
+        router: &str,
+        work: BTreeMap<EndpointId, Work>,
+        draining: bool,
+        now: Duration,
+    ) {
+        let peer = Peer {
+            heard: now,
+            draining,
+            work,
+        };
+        self.peers.insert(router.to_string(), peer);
+    }
+
+    /// Routers heard that do not drain.
+    pub fn peers(&self) -> impl Iterator<Item = &RouterId> {
+        let staying = self.peers.iter().filter(|(_, peer)| !peer.draining);
+        staying.map(|(id, _)| id)
     }
 
     /// Drops routers that were not heard for too long.
--- a/crates/edge/src/manifest.rs
+++ b/crates/edge/src/manifest.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration: routes, services, customers and limits.
 
 use sequoiaridge_core::{CustomerId, DomainId, EndpointId, Version};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -144,7 +145,7 @@
 }
 
 /// What the registry says of an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEntry {
     /// Name of this start of the endpoint.
     pub id: EndpointId,
@@ -164,6 +165,17 @@
     pub born: Option<u64>,
 }
 
+impl EndpointEntry {
+    /// Whether the other entry says the same but for the time since the start.
+    pub fn says_same(&self, other: &EndpointEntry) -> bool {
+        let other = EndpointEntry {
+            cold: self.cold,
+            ..other.clone()
+        };
+        *self == other
+    }
+}
+
 /// What the registry says of a router of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RouterEntry {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,6 +1,7 @@
 //! What routers tell each other: load, cached prefixes, crashes and the configuration's version.
 
 use crate::cache_map::PrefixKey;
+use crate::feed::Feed;
 use crate::load::Work;
 use crate::manifest::RouterEntry;
 use crate::registry::{Entry, PeerKey, Registry, RegistryError, Table};
@@ -16,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 
 /// Pause between messages to a router that is heard. Requests last a second or so, and counts that
 /// are a tenth of that old keep the bound on load.
@@ -36,6 +38,9 @@
 const REPEATS: u8 = 3;
 /// Items that wait to be told; older ones are dropped.
 const MAX_WAITING: usize = 512;
+/// Pause between saves of what endpoints have cached: the time of some ten thousand requests at the
+/// target size, and a hundredth of the platform's calls today.
+const SAVE_PERIOD: Duration = Duration::from_secs(5);
 /// Pause after a failed call to the registry; drawn between half and the whole.
 const RETRY: Duration = Duration::from_millis(500);
 
@@ -48,8 +53,8 @@
     pub version: Version,
     /// Whether the sender drains.
     pub draining: bool,
-    /// Work that the sender has outstanding.
-    pub work: Vec<(EndpointId, Work)>,
+    /// Work that the sender has outstanding; `None` if the message does not tell it.
+    pub work: Option<Vec<(EndpointId, Work)>>,
     /// Prefixes that endpoints read.
     pub prefixes: Vec<(PrefixKey, EndpointId)>,
     /// Crashes that the sender saw.
@@ -58,6 +63,8 @@
     pub cleared: Vec<Fingerprint>,
     /// Endpoints that the sender could not reach.
     pub failed: Vec<EndpointId>,
+    /// What the sender has just read from the registry.
+    pub feed: Option<Feed>,
 }
 
 /// What waits to be told.
@@ -141,9 +148,18 @@
 }
 
 /// Announces this router, finds the others and exchanges messages with them until the process ends.
-pub(crate) async fn run(shared: Arc<Shared>, registry: Arc<dyn Registry>, socket: UdpSocket) {
+pub(crate) async fn run(
+    shared: Arc<Shared>,
+    registry: Arc<dyn Registry>,
+    socket: UdpSocket,
+    mut feeds: mpsc::UnboundedReceiver<Feed>,
+) {
     let incarnation = shared.incarnation();
-    let (key, routers) = join(&shared, registry.as_ref(), incarnation).await;
+    let Joined { key, routers, cache } = join(&shared, registry.as_ref(), incarnation).await;
+    if let Some(cache) = cache {
+        restore(&shared, &cache);
+    }
+    tokio::spawn(save(shared.clone(), registry));
     let keys = PeerKeys::from_bytes(key, None);
     let mut links = Links {
         sealer: Sealer::new(&keys, shared.settings.id.clone(), incarnation),
@@ -162,6 +178,7 @@
     loop {
         tokio::select! {
             _ = period.tick() => links.tell(),
+            Some(feed) = feeds.recv() => links.pass_on(feed),
             received = links.socket.recv_from(&mut buffer) => {
                 if let Ok((size, from)) = received {
                     links.hear(&buffer[..size], from);
@@ -171,13 +188,57 @@
     }
 }
 
+/// What a router learns when it joins.
+struct Joined {
+    key: PeerKey,
+    routers: Vec<RouterEntry>,
+    cache: Option<Vec<u8>>,
+}
+
+/// Takes over what endpoints have cached, as it was saved last.
+fn restore(shared: &Shared, cache: &[u8]) {
+    let now = shared.now();
+    let restored = shared.board().cache.restore(cache, now);
+    match restored {
+        Ok(count) => log(Event::CacheRestored, &format!("prefixes={count}")),
+        Err(error) => log(Event::CacheRestored, &format!("prefixes=0 {error}")),
+    }
+}
+
+/// Saves what endpoints have cached, at the first router in the order of names, so that routers that
+/// start, or all of them after a power cut, know where prompts are cached.
+async fn save(shared: Arc<Shared>, registry: Arc<dyn Registry>) {
+    let mut saved = Vec::new();
+    loop {
+        tokio::time::sleep(SAVE_PERIOD).await;
+        let (first, snapshot) = {
+            let board = shared.board();
+            let first = board.place(&shared.settings.id) == 0;
+            (first, board.cache.snapshot())
+        };
+        let Ok(snapshot) = snapshot else {
+            continue;
+        };
+        if !first || snapshot == saved {
+            continue;
+        }
+        let outcome = registry.save_cache(snapshot.clone()).await;
+        let label = if outcome.is_ok() { "answered" } else { "failed" };
+        shared.metrics.registry_call(Table::Routers.as_str(), label);
+        // A save that failed is made up for by the next one.
+        if outcome.is_ok() {
+            saved = snapshot;
+        }
+    }
+}
+
 /// Writes this router's row, creates the fleet's key if there is none, and returns the key with the
 /// other routers. A router writes before it reads, so of two that start together one sees the other.
 async fn join(
     shared: &Shared,
     registry: &dyn Registry,
     incarnation: u64,
-) -> (PeerKey, Vec<RouterEntry>) {
+) -> Joined {
     let own = RouterEntry {
         id: shared.settings.id.clone(),
         address: shared.settings.peers,
@@ -210,12 +271,14 @@
     registry: &dyn Registry,
     own: &RouterEntry,
     announced: &mut bool,
-) -> Result<Option<(PeerKey, Vec<RouterEntry>)>, RegistryError> {
+) -> Result<Option<Joined>, RegistryError> {
     let mut key = None;
+    let mut cache = None;
     let mut routers = Vec::new();
     for row in registry.read(Table::Routers).await?.rows {
         match row.entry {
             Entry::PeerKey(found) => key = Some(found),
+            Entry::Cache(found) => cache = Some(found),
             Entry::Router(router) if router.id != own.id => routers.push(router),
             Entry::Malformed(reason) => {
                 log(Event::PeerRejected, &format!("row {}: {reason}", row.key));
@@ -224,7 +287,7 @@
         }
     }
     if let (Some(key), true) = (key, *announced) {
-        return Ok(Some((key, routers)));
+        return Ok(Some(Joined { key, routers, cache }));
     }
     let new_key = key.is_none().then(|| rand::rng().random());
     match registry.announce(own.clone(), new_key).await {
@@ -288,7 +351,36 @@
         self.shared.metrics.routers.set(routers);
     }
 
+    /// Sends what was read from the registry to every router that is heard.
+    fn pass_on(&self, feed: Feed) {
+        let now = self.shared.now();
+        let tell = Tell {
+            feed: Some(feed.for_datagram()),
+            ..self.base()
+        };
+        let datagram = match self.sealer.seal(&tell) {
+            Ok(datagram) => datagram,
+            Err(error) => return log(Event::PeerRejected, &format!("own message: {error}")),
+        };
+        for peer in self.peers.values() {
+            if peer.heard.is_some_and(|heard| now < heard + HEARD) {
+                let _ = self.socket.try_send_to(&datagram, peer.address);
+            }
+        }
+    }
+
+    /// What every message says.
+    fn base(&self) -> Tell {
+        Tell {
+            address: Some(self.shared.settings.peers),
+            version: self.shared.board().version(),
+            draining: self.shared.is_draining(),
+            ..Tell::default()
+        }
+    }
+
     fn message(&self) -> Tell {
+        let base = self.base();
         let mut board = self.shared.board();
         let mut work: Vec<(EndpointId, Work)> = board
             .loads
@@ -301,14 +393,8 @@
             work.truncate(MAX_WORK);
         }
         let mut tell = Tell {
-            address: Some(self.shared.settings.peers),
-            version: board
-                .routes
-                .as_ref()
-                .map_or(0, |routes| routes.manifest().version),
-            draining: self.shared.is_draining(),
-            work,
-            ..Tell::default()
+            work: Some(work),
+            ..base
         };
         board.news.fill(&mut tell);
         tell
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -17,6 +17,8 @@
     pub unread: u32,
     /// Leading tokens of the prompt that it has cached.
     pub cached: u64,
+    /// Whether it takes no new requests. Others may still copy from it what it has cached.
+    pub leaving: bool,
     /// Whether it is in the router's own failure domain.
     pub near: bool,
     /// Whether it is left out while another one can run the request.
@@ -24,7 +26,7 @@
 }
 
 /// What prompts share, so that they are best read by one endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Subject {
     /// Key of the group of prompts.
     pub key: u64,
@@ -59,7 +61,7 @@
 impl Default for Placement {
     fn default() -> Placement {
         Placement {
-            multiple: 1.4,
+            multiple: 1.75,
             slack: 2.0,
         }
     }
@@ -92,7 +94,7 @@
         };
         let best = usable.iter().filter(within).max_by_key(order)?;
         let mut choice = choice(best, mean);
-        choice.fetch = source(&choice, &usable);
+        choice.fetch = source(&choice, candidates);
         Some(choice)
     }
 
@@ -121,19 +123,21 @@
 }
 
 /// The endpoint from which the chosen one should copy what it lacks.
-fn source(choice: &Choice, usable: &[&Candidate]) -> Option<(EndpointId, u64)> {
-    let best = usable.iter().max_by_key(|candidate| candidate.cached)?;
+fn source(choice: &Choice, candidates: &[Candidate]) -> Option<(EndpointId, u64)> {
+    let reachable = candidates.iter().filter(|candidate| !candidate.avoid);
+    let best = reachable.max_by_key(|candidate| candidate.cached)?;
     let more = best.cached >= choice.cached + WORTH_MOVING;
     (more && best.id != choice.id).then(|| (best.id.clone(), best.cached))
 }
 
 /// The candidates that are not avoided, or all if every one is.
 fn usable(candidates: &[Candidate]) -> Vec<&Candidate> {
-    let preferred: Vec<&Candidate> = candidates.iter().filter(|c| !c.avoid).collect();
-    if preferred.is_empty() {
-        return candidates.iter().collect();
+    let open = candidates.iter().filter(|candidate| !candidate.leaving);
+    let open: Vec<&Candidate> = open.collect();
+    if open.iter().all(|candidate| candidate.avoid) {
+        return open;
     }
-    preferred
+    open.into_iter().filter(|candidate| !candidate.avoid).collect()
 }
 
 fn mean(candidates: &[&Candidate]) -> f64 {
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -6,6 +6,7 @@
 use crate::manifest::{EndpointEntry, Manifest, RouterEntry};
 use displaydoc::Display;
 use http::HeaderMap;
+use serde::{Deserialize, Serialize};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +22,7 @@
 pub type Position = u64;
 
 /// Tables of the registry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Table {
     /// The operators' configuration.
     Configuration,
@@ -53,6 +54,8 @@
     Router(RouterEntry),
     /// The key of the fleet.
     PeerKey(PeerKey),
+    /// What endpoints have cached, as a router saved it.
+    Cache(Vec<u8>),
     /// A row that cannot be read, with the reason. It stands for nothing.
     Malformed(String),
     /// The row was removed.
@@ -120,6 +123,13 @@
     /// [`RegistryError::Conflict`] if the fleet has a key already; then nothing was written. After
     /// another error the rows may have been written.
     fn announce(&self, router: RouterEntry, key: Option<PeerKey>) -> RegistryFuture<'_, ()>;
+
+    /// Saves what endpoints have cached, for routers that start. A later save replaces it.
+    ///
+    /// # Errors
+    ///
+    /// The registry gave no usable answer; the row may have been written.
+    fn save_cache(&self, cache: Vec<u8>) -> RegistryFuture<'_, ()>;
 }
 
 /// A request that cannot be understood.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,7 +1,7 @@
 //! One request: choice of endpoints, sending, repeats, and the answer's head.
 
 use crate::cache_map::prefixes;
-use crate::call::{AnswerHead, Attempt, Call};
+use crate::call::{AnswerHead, Attempt, Call, Prompt};
 use crate::load::Work;
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName};
 use crate::placement::{Candidate, Choice, Placement};
@@ -236,7 +236,7 @@
         }
         let errors = errors / f64::max(count, 1.0);
         let mut candidates: Vec<Candidate> = Vec::new();
-        for entry in board.roster.open(&self.service, now) {
+        for entry in board.roster.of(&self.service, now) {
             if self.tried.contains(&entry.id) {
                 continue;
             }
@@ -247,12 +247,13 @@
                 requests,
                 unread,
                 cached: cached.get(entry.id.as_str()).copied().unwrap_or(0),
+                leaving: entry.leaving,
                 near: entry.domain == self.shared.settings.domain,
                 avoid: board.health.is_paused(&entry.id, now)
                     || board.health.is_failing(&entry.id, errors),
             });
         }
-        if candidates.is_empty() {
+        if candidates.iter().all(|candidate| candidate.leaving) {
             return Err(RefusalReason::NoEndpoint);
         }
         let placement = Placement::default();
@@ -330,14 +331,17 @@
             Some(request) => request,
             None => return Outcome::NotRun(RefusalReason::BadRequest, RetryReason::ConnectFailed),
         };
+        let subject = self.call.prompt.as_ref().map(Prompt::subject).unwrap_or_default();
         log_request(
             Event::CallPlaced,
             &self.call.attempt,
             format_args!(
-                "endpoint={} requests={} mean={:.1} cached={} fetch={:?} route={} left_ms={}",
+                "endpoint={} requests={} mean={:.1} subject={:x} shared={} cached={} fetch={:?} route={} left_ms={}",
                 entry.id,
                 choice.requests,
                 choice.mean,
+                subject.key,
+                subject.tokens,
                 choice.cached,
                 choice.fetch,
                 self.route.name,
@@ -350,7 +354,7 @@
         let response = match answer {
             Ok(Some(Ok(response))) => response,
             Ok(Some(Err(SendError::Broke))) => {
-                self.crashed(entry);
+                self.broke(entry);
                 return Outcome::MayHaveRun(
                     RefusalReason::EndpointBroke,
                     RetryReason::EndpointBroke,
@@ -423,7 +427,7 @@
                 Outcome::Answer(opened(body))
             }
             None => {
-                self.endpoint_failed(&entry.id);
+                self.broke(entry);
                 Outcome::MayHaveRun(RefusalReason::EndpointBroke, RetryReason::EndpointBroke)
             }
         }
@@ -514,8 +518,10 @@
     }
 
     /// A connection broke during a run: the request may be what crashed the endpoint.
-    pub(crate) fn crashed(&self, entry: &EndpointEntry) {
-        self.endpoint_failed(&entry.id);
+    /// Whether it did crash shows when the next connection is refused.
+    pub(crate) fn broke(&self, entry: &EndpointEntry) {
+        self.shared.upstream.forget(&entry.id);
+        self.shared.board().health.answered(&entry.id, true);
         let Some(fingerprint) = self.fingerprint else {
             return;
         };
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -1,5 +1,6 @@
 //! Endpoints as the registry lists them.
 
+use crate::feed::ChangedRow;
 use crate::manifest::EndpointEntry;
 use crate::registry::{Entry, Position, Row, Rows};
 use sequoiaridge_core::EndpointId;
@@ -57,6 +58,29 @@
         self.position
     }
 
+    /// The rows that say something new.
+    pub fn news(&self, rows: &[Row]) -> Vec<ChangedRow> {
+        let mut news = Vec::new();
+        for row in rows {
+            let known = self.listed.get(&row.key);
+            let entry = match &row.entry {
+                Entry::Endpoint(entry) => Some(entry.clone()),
+                _ => None,
+            };
+            let same = match (&entry, known) {
+                (Some(entry), Some(known)) => {
+                    known.lapsed.is_none() && known.entry.says_same(entry)
+                }
+                (None, None) => true,
+                _ => false,
+            };
+            if !same {
+                news.push((row.key.clone(), row.position, entry));
+            }
+        }
+        news
+    }
+
     /// Takes over rows that changed. `troubled` says that the registry was away a short time ago, so
     /// that a removed row may only have lapsed.
     pub fn apply(&mut self, rows: Rows, troubled: bool, now: Duration) -> Vec<Change> {
@@ -106,10 +130,19 @@
         &'a self,
         service: &'a str,
         now: Duration,
+    ) -> impl Iterator<Item = &'a EndpointEntry> + 'a {
+        self.of(service, now).filter(|entry| !entry.leaving)
+    }
+
+    /// Endpoints of a service, also those that leave.
+    pub fn of<'a>(
+        &'a self,
+        service: &'a str,
+        now: Duration,
     ) -> impl Iterator<Item = &'a EndpointEntry> + 'a {
         let usable = move |listed: &&Listed| {
             let lapsed = listed.lapsed.is_some_and(|since| now >= since + LAPSE);
-            listed.entry.service == service && !listed.entry.leaving && !lapsed
+            listed.entry.service == service && !lapsed
         };
         let listed = self.listed.values().filter(usable);
         listed.map(|listed| &listed.entry)
@@ -143,7 +176,7 @@
                 self.listed.remove(&row.key);
                 Some(Change::Malformed(row.key, reason))
             }
-            Entry::Configuration(_) | Entry::Router(_) | Entry::PeerKey(_) => None,
+            _ => None,
         }
     }
 
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -22,6 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::mpsc;
 
 /// Head of a request that is read before the first configuration is known.
 const MAX_HEAD: usize = 16 * 1024;
@@ -62,7 +63,8 @@
         dialect: Arc<dyn Dialect>,
         registry: Arc<dyn Registry>,
     ) -> io::Result<EdgeRouter> {
-        let shared = Arc::new(Shared::new(settings, clock, dialect));
+        let (feeds, to_tell) = mpsc::unbounded_channel();
+        let shared = Arc::new(Shared::new(settings, clock, dialect, feeds));
         let callers = TcpListener::bind(shared.settings.callers).await?;
         let readiness = TcpListener::bind(shared.settings.readiness).await?;
         tokio::spawn(accept(callers, shared.clone(), Port::Callers));
@@ -73,7 +75,7 @@
             tokio::spawn(sync::follow(shared.clone(), registry.clone(), table));
         }
         let socket = UdpSocket::bind(shared.settings.peers).await?;
-        tokio::spawn(peers::run(shared.clone(), registry, socket));
+        tokio::spawn(peers::run(shared.clone(), registry, socket, to_tell));
         tokio::spawn(clean(shared.clone()));
         log(
             Event::RouterStarted,
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,22 +1,25 @@
 //! State that the tasks of one router share.
 
 use crate::cache_map::CacheMap;
+use crate::feed::Feed;
 use crate::health::Health;
 use crate::load::Loads;
 use crate::metrics::Metrics;
 use crate::peers::{News, Tell};
-use crate::registry::Dialect;
+use crate::registry::{Dialect, Position, Table};
 use crate::retry_window::RetryWindow;
 use crate::roster::Roster;
 use crate::routes::RouteTable;
 use crate::settings::EdgeSettings;
+use crate::sync;
 use crate::upstream::Upstream;
-use sequoiaridge_core::{Clock, RouterId};
+use sequoiaridge_core::{Clock, RouterId, Version};
 use sequoiaridge_policy::Quarantine;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, UNIX_EPOCH};
-use tokio::sync::watch;
+use tokio::sync::{Notify, mpsc, watch};
 
 /// Crashes after which a request is held back.
 const STRIKES: u32 = 3;
@@ -29,7 +32,12 @@
 pub(crate) struct Board {
     pub(crate) routes: Option<Arc<RouteTable>>,
     pub(crate) roster: Roster,
-    pub(crate) endpoints_known: bool,
+    /// Positions up to which tables were read.
+    pub(crate) positions: BTreeMap<Table, Position>,
+    /// When the news of each table were last complete.
+    pub(crate) fresh: BTreeMap<Table, Duration>,
+    /// Tables of which another router has newer news.
+    pub(crate) behind: BTreeSet<Table>,
     pub(crate) loads: Loads,
     pub(crate) health: Health,
     pub(crate) cache: CacheMap,
@@ -38,6 +46,24 @@
     pub(crate) quarantine: Quarantine,
 }
 
+impl Board {
+    /// Version of the configuration in force; 0 if there is none.
+    pub(crate) fn version(&self) -> Version {
+        let routes = self.routes.as_ref();
+        routes.map_or(0, |routes| routes.manifest().version)
+    }
+
+    /// Whether another router has newer news of a table.
+    pub(crate) fn is_behind(&self, table: Table) -> bool {
+        self.behind.contains(&table)
+    }
+
+    /// Place of this router among those that live, in the order of names.
+    pub(crate) fn place(&self, own: &RouterId) -> usize {
+        self.loads.peers().filter(|peer| *peer < own).count()
+    }
+}
+
 /// State of one router.
 ///
 /// Two locks exist, and neither is held while the other is taken or a task waits: the board's and
@@ -55,6 +81,8 @@
     closing: watch::Sender<bool>,
     in_flight: AtomicUsize,
     incarnation: u64,
+    hints: BTreeMap<Table, Notify>,
+    feeds: mpsc::UnboundedSender<Feed>,
 }
 
 impl Shared {
@@ -63,6 +91,7 @@
         settings: EdgeSettings,
         clock: Arc<dyn Clock>,
         dialect: Arc<dyn Dialect>,
+        feeds: mpsc::UnboundedSender<Feed>,
     ) -> Shared {
         let repeats = RetryWindow::new(
             settings.retry_share,
@@ -72,6 +101,11 @@
         let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         Shared {
             incarnation: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
+            hints: [Table::Configuration, Table::Endpoints]
+                .into_iter()
+                .map(|table| (table, Notify::new()))
+                .collect(),
+            feeds,
             clock,
             dialect,
             metrics: Metrics::new(),
@@ -79,7 +113,9 @@
             board: Mutex::new(Board {
                 routes: None,
                 roster: Roster::new(),
-                endpoints_known: false,
+                positions: BTreeMap::new(),
+                fresh: BTreeMap::new(),
+                behind: BTreeSet::new(),
                 loads: Loads::new(),
                 health: Health::new(),
                 cache: CacheMap::new(),
@@ -104,6 +140,16 @@
         self.clock.now()
     }
 
+    /// Wakes the reader of a table when another router has newer news.
+    pub(crate) fn hints(&self, table: Table) -> &Notify {
+        &self.hints[&table]
+    }
+
+    /// Tells the other routers what this one read. Nobody hears it before the router has joined.
+    pub(crate) fn publish(&self, feed: Feed) {
+        let _ = self.feeds.send(feed);
+    }
+
     /// Start of the process in ms since the epoch, which tells it from its predecessor.
     pub(crate) fn incarnation(&self) -> u64 {
         self.incarnation
@@ -111,9 +157,18 @@
 
     /// Takes over what another router tells.
     pub(crate) fn hear(&self, router: &RouterId, tell: Tell, now: Duration) {
+        if let Some(feed) = tell.feed {
+            sync::hear(self, feed, now);
+        }
         let mut board = self.board();
-        let work = tell.work.into_iter().collect();
-        board.loads.hear(router, work, now);
+        if tell.version > board.version() {
+            board.behind.insert(Table::Configuration);
+            self.hints(Table::Configuration).notify_one();
+        }
+        if let Some(work) = tell.work {
+            let work = work.into_iter().collect();
+            board.loads.hear(router, work, tell.draining, now);
+        }
         for (key, id) in tell.prefixes {
             board.cache.hear(key, &id, now);
         }
@@ -131,7 +186,8 @@
     /// Whether the router takes requests from the balancer.
     pub(crate) fn is_ready(&self) -> bool {
         let board = self.board();
-        board.routes.is_some() && board.endpoints_known && !self.is_draining()
+        let endpoints = board.positions.contains_key(&Table::Endpoints);
+        board.routes.is_some() && endpoints && !self.is_draining()
     }
 
     /// Starts the drain.
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -216,7 +216,7 @@
         let entry = self.exchange.as_ref().and_then(|exchange| {
             let entry = exchange.shared.board().roster.get(&self.endpoint).cloned();
             if let Some(entry) = &entry {
-                exchange.crashed(entry);
+                exchange.broke(entry);
             }
             entry
         });
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -14,9 +14,9 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// Time in which a connection must open. Links take some ms; a lost opening packet is sent again
-/// only after a second, and another endpoint answers sooner.
-const CONNECT: Duration = Duration::from_millis(300);
+/// Times in which a connection must open, one for each try. Links take some ms, and a lost opening
+/// packet is sent again only after a second; a second connection opens sooner.
+const CONNECT: [Duration; 2] = [Duration::from_millis(120), Duration::from_millis(250)];
 /// Time after which unacknowledged bytes end a connection: two retransmissions at the usual timeouts
 /// of TCP.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1000);
@@ -155,15 +155,21 @@
 /// Whether an endpoint accepts connections. An endpoint that is silent and cannot be reached is gone,
 /// while one that can be reached only takes its time.
 pub(crate) async fn is_reachable(address: SocketAddr) -> bool {
-    let connected = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Ok(_)))
+    open(address).await.is_some()
+}
+
+/// Opens a connection, trying again after a time without an answer but not after a refusal.
+async fn open(address: SocketAddr) -> Option<TcpStream> {
+    for time in CONNECT {
+        if let Ok(opened) = tokio::time::timeout(time, TcpStream::connect(address)).await {
+            return opened.ok();
+        }
+    }
+    None
 }
 
 async fn connect(endpoint: &EndpointId, address: SocketAddr) -> Result<Link, SendError> {
-    let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
-    let Ok(Ok(stream)) = stream else {
-        return Err(SendError::Connect);
-    };
+    let stream = open(address).await.ok_or(SendError::Connect)?;
     bound_silence(&stream).map_err(|_| SendError::Connect)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
