Take a vanished row for lapsed only after the registry was away from the whole fleet

A second cause: the first reader hung 3.2 s in a call to a silent store. Ruled out: stale reads of the store (positions 23, 49 and 52 in a trace).

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -22,8 +22,6 @@
     pub to: Position,
     /// Configuration that the reader has in force.
     pub version: Version,
-    /// Whether the registry was away a short time ago.
-    pub troubled: bool,
     /// Endpoints that changed.
     pub changed: Vec<ChangedRow>,
 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -155,7 +155,11 @@
     mut feeds: mpsc::UnboundedReceiver<Feed>,
 ) {
     let incarnation = shared.incarnation();
-    let Joined { key, routers, cache } = join(&shared, registry.as_ref(), incarnation).await;
+    let Joined {
+        key,
+        routers,
+        cache,
+    } = join(&shared, registry.as_ref(), incarnation).await;
     if let Some(cache) = cache {
         restore(&shared, &cache);
     }
@@ -223,7 +227,11 @@
             continue;
         }
         let outcome = registry.save_cache(snapshot.clone()).await;
-        let label = if outcome.is_ok() { "answered" } else { "failed" };
+        let label = if outcome.is_ok() {
+            "answered"
+        } else {
+            "failed"
+        };
         shared.metrics.registry_call(Table::Routers.as_str(), label);
         // A save that failed is made up for by the next one.
         if outcome.is_ok() {
@@ -234,11 +242,7 @@
 
 /// Writes this router's row, creates the fleet's key if there is none, and returns the key with the
 /// other routers. A router writes before it reads, so of two that start together one sees the other.
-async fn join(
-    shared: &Shared,
-    registry: &dyn Registry,
-    incarnation: u64,
-) -> Joined {
+async fn join(shared: &Shared, registry: &dyn Registry, incarnation: u64) -> Joined {
     let own = RouterEntry {
         id: shared.settings.id.clone(),
         address: shared.settings.peers,
@@ -287,7 +291,11 @@
         }
     }
     if let (Some(key), true) = (key, *announced) {
-        return Ok(Some(Joined { key, routers, cache }));
+        return Ok(Some(Joined {
+            key,
+            routers,
+            cache,
+        }));
     }
     let new_key = key.is_none().then(|| rand::rng().random());
     match registry.announce(own.clone(), new_key).await {
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -137,7 +137,9 @@
     if open.iter().all(|candidate| candidate.avoid) {
         return open;
     }
-    open.into_iter().filter(|candidate| !candidate.avoid).collect()
+    open.into_iter()
+        .filter(|candidate| !candidate.avoid)
+        .collect()
 }
 
 fn mean(candidates: &[&Candidate]) -> f64 {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -331,7 +331,12 @@
             Some(request) => request,
             None => return Outcome::NotRun(RefusalReason::BadRequest, RetryReason::ConnectFailed),
         };
-        let subject = self.call.prompt.as_ref().map(Prompt::subject).unwrap_or_default();
+        let subject = self
+            .call
+            .prompt
+            .as_ref()
+            .map(Prompt::subject)
+            .unwrap_or_default();
         log_request(
             Event::CallPlaced,
             &self.call.attempt,
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -36,6 +36,8 @@
     pub(crate) positions: BTreeMap<Table, Position>,
     /// When the news of each table were last complete.
     pub(crate) fresh: BTreeMap<Table, Duration>,
+    /// When the registry was last back after it had been away from the whole fleet.
+    pub(crate) returned: Option<Duration>,
     /// Tables of which another router has newer news.
     pub(crate) behind: BTreeSet<Table>,
     pub(crate) loads: Loads,
@@ -115,6 +117,7 @@
                 roster: Roster::new(),
                 positions: BTreeMap::new(),
                 fresh: BTreeMap::new(),
+                returned: None,
                 behind: BTreeSet::new(),
                 loads: Loads::new(),
                 health: Health::new(),
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -17,12 +17,12 @@
 
 /// Longest wait of a read for a change of the configuration.
 const CONFIG_WAIT: Duration = Duration::from_millis(1000);
-/// Age of the news about endpoints at which the first router reads again: less than half of the
-/// bound on leaving endpoints.
-const ENDPOINT_PERIOD: Duration = Duration::from_millis(800);
+/// Age of the news about endpoints at which the first router reads again: a quarter of the bound on
+/// leaving endpoints, so that the next routers can take over within the bound.
+const ENDPOINT_PERIOD: Duration = Duration::from_millis(500);
 /// Time by which each router in the order of names waits longer than the one before it; several
 /// times as long as a read and a message take.
-const STEP: Duration = Duration::from_millis(200);
+const STEP: Duration = Duration::from_millis(150);
 /// Places in the order beyond which routers wait no longer, so that the age stays bounded.
 const MAX_PLACE: usize = 3;
 /// Least pause between two reads that news of others cause.
@@ -30,9 +30,11 @@
 /// First and longest pause after a failed call; each is drawn between half and the whole.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// Time after a failed call for which a row that vanished may only have lapsed: rows are back within
-/// 2 s of the registry's return, and a call may have waited for as long before it failed.
-const TROUBLE: Duration = Duration::from_secs(4);
+/// Age of the news beyond which the registry was away from the whole fleet: the last router in the
+/// order of names reads at an age of about a second. Rows of endpoints lapse after 3.6 s of silence.
+const AWAY: Duration = Duration::from_millis(2500);
+/// Time after the registry's return in which a row that vanished may only have lapsed.
+const RETURN: Duration = Duration::from_secs(2);
 
 /// Reader of one table.
 struct Reader {
@@ -40,7 +42,6 @@
     registry: Arc<dyn Registry>,
     table: Table,
     failures: u32,
-    failed_at: Option<Duration>,
 }
 
 /// Follows one table until the process ends.
@@ -50,7 +51,6 @@
         registry,
         table,
         failures: 0,
-        failed_at: None,
     };
     loop {
         reader.wait_until_due().await;
@@ -94,14 +94,25 @@
     }
 
     async fn read(&mut self) {
-        let wait = match self.table {
-            Table::Configuration => CONFIG_WAIT,
-            Table::Endpoints | Table::Routers => Duration::ZERO,
+        let (position, behind) = {
+            let board = self.shared.board();
+            let position = board.positions.get(&self.table).copied();
+            (position, board.is_behind(self.table))
         };
-        let position = self.shared.board().positions.get(&self.table).copied();
         let read = match position {
             None => self.registry.read(self.table).await,
-            Some(position) => self.registry.changes(self.table, position, wait).await,
+            Some(position) if behind || self.table != Table::Configuration => {
+                let wait = Duration::ZERO;
+                self.registry.changes(self.table, position, wait).await
+            }
+            Some(position) => {
+                let changes = self.registry.changes(self.table, position, CONFIG_WAIT);
+                // A wait on a connection that went silent must not outlast news from elsewhere.
+                tokio::select! {
+                    read = changes => read,
+                    () = self.until_behind() => return,
+                }
+            }
         };
         match read {
             Ok(rows) => {
@@ -127,7 +138,6 @@
             .metrics
             .registry_call(self.table.as_str(), "failed");
         self.failures = self.failures.saturating_add(1);
-        self.failed_at = Some(self.shared.now());
         if self.failures == 1 {
             let detail = format!("table={} {error}", self.table.as_str());
             log(Event::PlatformDown, &detail);
@@ -140,10 +150,17 @@
         tokio::time::sleep(drawn(longest)).await;
     }
 
+    /// Waits until another router has newer news.
+    async fn until_behind(&self) {
+        let hints = self.shared.hints(self.table);
+        while !self.shared.board().is_behind(self.table) {
+            hints.notified().await;
+        }
+    }
+
     /// Takes over what was read and tells the other routers.
     fn apply(&self, rows: Rows, from: Option<u64>) {
         let now = self.shared.now();
-        let troubled = self.failed_at.is_some_and(|at| now < at + TROUBLE);
         let to = rows.position;
         let mut board = self.shared.board();
         let changed = match self.table {
@@ -153,13 +170,15 @@
             }
             Table::Endpoints => {
                 let changed = board.roster.news(&rows.rows);
-                apply_endpoints(&mut board, &self.shared, rows, from.is_none(), troubled, now);
+                apply_endpoints(&mut board, &self.shared, rows, from.is_none(), now);
                 changed
             }
             Table::Routers => Vec::new(),
         };
         board.fresh.insert(self.table, now);
-        board.positions.insert(self.table, to.max(from.unwrap_or(0)));
+        board
+            .positions
+            .insert(self.table, to.max(from.unwrap_or(0)));
         let version = board.version();
         drop(board);
         if let Some(from) = from {
@@ -168,7 +187,6 @@
                 from,
                 to,
                 version,
-                troubled,
                 changed,
             });
         }
@@ -197,23 +215,23 @@
         shared.hints(table).notify_one();
         return;
     }
-    let (to, troubled) = (feed.to, feed.troubled);
+    let to = feed.to;
     if table == Table::Endpoints {
-        apply_endpoints(&mut board, shared, feed.into_rows(), false, troubled, now);
+        apply_endpoints(&mut board, shared, feed.into_rows(), false, now);
     }
     board.fresh.insert(table, now);
     board.positions.insert(table, position.max(to));
     board.behind.remove(&table);
 }
 
-fn apply_endpoints(
-    board: &mut Board,
-    shared: &Shared,
-    rows: Rows,
-    whole: bool,
-    troubled: bool,
-    now: Duration,
-) {
+fn apply_endpoints(board: &mut Board, shared: &Shared, rows: Rows, whole: bool, now: Duration) {
+    let fresh = board.fresh.get(&Table::Endpoints);
+    if fresh.is_some_and(|fresh| now > *fresh + AWAY) {
+        board.returned = Some(now);
+    }
+    let troubled = board
+        .returned
+        .is_some_and(|returned| now < returned + RETURN);
     let mut changes = if whole {
         board.roster.replace(rows, troubled, now)
     } else {
@@ -256,7 +274,11 @@
 fn note(board: &mut Board, shared: &Shared, changes: Vec<Change>) {
     for change in changes {
         match change {
-            Change::Joined(id) => log(Event::EndpointJoined, &format!("endpoint={id}")),
+            Change::Joined(id) => {
+                let leaving = board.roster.get(&id).is_some_and(|entry| entry.leaving);
+                let detail = format!("endpoint={id} leaving={leaving}");
+                log(Event::EndpointJoined, &detail);
+            }
             Change::Restarted(id) => {
                 forget(board, shared, &id);
                 log(Event::EndpointRestarted, &format!("endpoint={id}"));
