--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -58,23 +58,25 @@
     ///
     /// An address cannot be bound.
     pub async fn start(
-        settings: EdgeSettings,
+        mut settings: EdgeSettings,
         clock: Arc<dyn Clock>,
         dialect: Arc<dyn Dialect>,
         registry: Arc<dyn Registry>,
     ) -> io::Result<EdgeRouter> {
+        let callers = TcpListener::bind(settings.callers).await?;
+        let readiness = TcpListener::bind(settings.readiness).await?;
+        let socket = UdpSocket::bind(settings.peers).await?;
+        // A port of 0 takes a free one.
+        settings.callers = callers.local_addr()?;
+        settings.readiness = readiness.local_addr()?;
+        settings.peers = socket.local_addr()?;
         let (feeds, to_tell) = mpsc::unbounded_channel();
         let shared = Arc::new(Shared::new(settings, clock, dialect, feeds));
-        let callers = TcpListener::bind(shared.settings.callers).await?;
-        let readiness = TcpListener::bind(shared.settings.readiness).await?;
         tokio::spawn(accept(callers, shared.clone(), Port::Callers));
-        if shared.settings.readiness != shared.settings.callers {
-            tokio::spawn(accept(readiness, shared.clone(), Port::Readiness));
-        }
+        tokio::spawn(accept(readiness, shared.clone(), Port::Readiness));
         for table in [Table::Configuration, Table::Endpoints] {
             tokio::spawn(sync::follow(shared.clone(), registry.clone(), table));
         }
-        let socket = UdpSocket::bind(shared.settings.peers).await?;
         tokio::spawn(peers::run(shared.clone(), registry, socket, to_tell));
         tokio::spawn(clean(shared.clone()));
         log(
@@ -87,6 +89,11 @@
         Ok(EdgeRouter { shared })
     }
 
+    /// Settings of the router, with the addresses that it listens on.
+    pub fn settings(&self) -> &EdgeSettings {
+        &self.shared.settings
+    }
+
     /// Stops the router: it is no longer ready, serves what still arrives, asks callers to go
     /// elsewhere, and returns once nothing is in flight or the grace period is nearly over. Returns
     /// the number of requests that are cut.
--- /dev/null
+++ b/crates/edge/tests/roster.rs
@@ -0,0 +1,160 @@
+//! Endpoints that come, leave, vanish and come back.
+
+use sequoiaridge_edge::{Change, EndpointEntry, Entry, Roster, Row, Rows};
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn entry(id: &str, leaving: bool) -> EndpointEntry {
+    EndpointEntry {
+        id: id.to_string(),
+        service: "model".to_string(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        domain: "a".to_string(),
+        slots: 8,
+        leaving,
+        cold: Duration::ZERO,
+        born: Some(1),
+    }
+}
+
+fn row(id: &str, position: u64, entry: Entry) -> Row {
+    Row {
+        key: id.to_string(),
+        position,
+        entry,
+    }
+}
+
+fn rows(position: u64, rows: Vec<Row>) -> Rows {
+    Rows { rows, position }
+}
+
+fn roster() -> Roster {
+    let mut roster = Roster::new();
+    let joined = row("e1", 5, Entry::Endpoint(entry("e1", false)));
+    roster.apply(rows(5, vec![joined]), false, NOW);
+    roster
+}
+
+fn open(roster: &Roster, now: Duration) -> usize {
+    roster.open("model", now).count()
+}
+
+/// Guards against requests to an endpoint that says it leaves.
+#[test]
+fn a_leaving_endpoint_is_closed_at_once() {
+    let mut roster = roster();
+    let leaving = row("e1", 6, Entry::Endpoint(entry("e1", true)));
+    let changes = roster.apply(rows(6, vec![leaving]), false, NOW);
+    assert_eq!(changes, [Change::Leaving("e1".to_string())]);
+    assert_eq!(open(&roster, NOW), 0);
+    assert_eq!(roster.of("model", NOW).count(), 1);
+}
+
+/// Guards against use of a removed endpoint when the registry was never away (found by the hunt:
+/// DRAIN, hunt-f249-19).
+#[test]
+fn a_removed_row_ends_an_endpoint_while_the_registry_is_there() {
+    let mut roster = roster();
+    let removed = row("e1", 6, Entry::Removed);
+    let changes = roster.apply(rows(6, vec![removed]), false, NOW);
+    assert_eq!(changes, [Change::Gone("e1".to_string())]);
+    assert_eq!(open(&roster, NOW), 0);
+}
+
+/// Guards against an outage of the registry that takes living endpoints away, and against one that
+/// stays for longer than the bound on leaving endpoints allows.
+#[test]
+fn a_row_that_lapsed_is_used_a_little_longer() {
+    let mut roster = roster();
+    let removed = row("e1", 6, Entry::Removed);
+    let changes = roster.apply(rows(6, vec![removed]), true, NOW);
+    assert_eq!(changes, [Change::Lapsed("e1".to_string())]);
+    assert_eq!(open(&roster, NOW + Duration::from_millis(1400)), 1);
+    assert_eq!(open(&roster, NOW + Duration::from_millis(1600)), 0);
+    let gone = roster.expire(NOW + Duration::from_millis(1600));
+    assert_eq!(gone, [Change::Gone("e1".to_string())]);
+}
+
+/// Guards against an endpoint that stays out although its row is back.
+#[test]
+fn a_row_that_comes_back_ends_the_lapse() {
+    let mut roster = roster();
+    roster.apply(rows(6, vec![row("e1", 6, Entry::Removed)]), true, NOW);
+    let back = row("e1", 7, Entry::Endpoint(entry("e1", false)));
+    roster.apply(rows(7, vec![back]), true, NOW);
+    assert_eq!(open(&roster, NOW + Duration::from_secs(10)), 1);
+}
+
+/// Guards against a read from before a removal that brings the endpoint back.
+#[test]
+fn a_stale_read_changes_nothing() {
+    let mut roster = roster();
+    roster.apply(rows(9, vec![row("e1", 9, Entry::Removed)]), false, NOW);
+    let stale = row("e1", 5, Entry::Endpoint(entry("e1", false)));
+    let changes = roster.replace(rows(6, vec![stale]), false, NOW);
+    assert_eq!(changes, []);
+    assert_eq!(open(&roster, NOW), 0);
+    let joined = row("e2", 10, Entry::Endpoint(entry("e2", false)));
+    roster.apply(rows(10, vec![joined]), false, NOW);
+    roster.replace(rows(7, Vec::new()), false, NOW);
+    assert_eq!(
+        open(&roster, NOW),
+        1,
+        "an older read must not remove a newer row"
+    );
+}
+
+/// Guards against an endpoint that is gone but stays listed after a read of the whole table.
+#[test]
+fn a_whole_read_removes_what_it_does_not_hold() {
+    let mut roster = roster();
+    roster.replace(rows(8, Vec::new()), false, NOW);
+    assert_eq!(roster.len(), 0);
+}
+
+/// Guards against one unreadable row that hides the others, or stays in use.
+#[test]
+fn a_malformed_row_names_no_endpoint() {
+    let mut roster = roster();
+    let bad = row("e2", 6, Entry::Malformed("no address".to_string()));
+    let changes = roster.apply(rows(6, vec![bad]), false, NOW);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(open(&roster, NOW), 1);
+    let bad = row("e1", 7, Entry::Malformed("no address".to_string()));
+    roster.apply(rows(7, vec![bad]), false, NOW);
+    assert_eq!(open(&roster, NOW), 0);
+}
+
+/// Guards against beliefs about an endpoint that outlive its process.
+#[test]
+fn a_new_start_under_the_same_id_is_told() {
+    let mut roster = roster();
+    let again = EndpointEntry {
+        born: Some(2),
+        ..entry("e1", false)
+    };
+    let changes = roster.apply(
+        rows(6, vec![row("e1", 6, Entry::Endpoint(again))]),
+        false,
+        NOW,
+    );
+    assert_eq!(changes, [Change::Restarted("e1".to_string())]);
+}
+
+/// Guards against messages between routers that repeat what every heartbeat says.
+#[test]
+fn a_heartbeat_is_no_news() {
+    let roster = roster();
+    let beat = EndpointEntry {
+        cold: Duration::from_secs(1),
+        ..entry("e1", false)
+    };
+    let beat = [row("e1", 6, Entry::Endpoint(beat))];
+    assert!(roster.news(&beat).is_empty());
+    let leaving = [row("e1", 6, Entry::Endpoint(entry("e1", true)))];
+    assert_eq!(roster.news(&leaving).len(), 1);
+    let removed = [row("e1", 6, Entry::Removed)];
+    assert_eq!(roster.news(&removed).len(), 1);
+}
--- /dev/null
+++ b/crates/edge/tests/routes.rs
@@ -0,0 +1,84 @@
+//! Choice of routes and customers.
+
+use sequoiaridge_edge::{CallerLimits, Customer, Kind, Manifest, Route, RouteTable};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_string(),
+        host: "a.example".to_string(),
+        prefix: prefix.to_string(),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(300),
+        pause: None,
+        priority: 0,
+        services: vec![("one".to_string(), 9), ("two".to_string(), 1)],
+        attempts: 2,
+        anonymous: false,
+    }
+}
+
+fn table(customers: Vec<Customer>) -> RouteTable {
+    RouteTable::new(Arc::new(Manifest {
+        version: 1,
+        routes: vec![route("short", "/a/"), route("long", "/a/b/")],
+        services: BTreeMap::new(),
+        limits: CallerLimits {
+            head: 16_384,
+            body: 1 << 20,
+            arrival: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        },
+        customers,
+    }))
+}
+
+/// Guards against requests that a shorter prefix takes from the route they belong to.
+#[test]
+fn the_longest_prefix_wins() {
+    let table = table(Vec::new());
+    let name = |path: &str| {
+        table
+            .select("a.example", path)
+            .map(|route| route.name.clone())
+    };
+    assert_eq!(name("/a/b/c").as_deref(), Some("long"));
+    assert_eq!(name("/a/c").as_deref(), Some("short"));
+    assert_eq!(name("/a/bc").as_deref(), Some("short"));
+    assert_eq!(name("/b/"), None);
+    assert!(table.select("b.example", "/a/").is_none());
+}
+
+/// Guards against a key that opens another customer's door, and routes that ask no key at all.
+#[test]
+fn only_known_keys_name_a_customer() {
+    let customer = Customer {
+        name: "bakery".to_string(),
+        keys: vec!["k1".to_string(), "k2".to_string()],
+        priority: Some(1),
+    };
+    let table = table(vec![customer]);
+    let route = route("any", "/a/");
+    assert!(table.needs_key(&route));
+    assert_eq!(
+        table.customer("k2").map(|c| c.name.as_str()),
+        Some("bakery")
+    );
+    assert!(table.customer("k3").is_none());
+    let open = Route {
+        anonymous: true,
+        ..route
+    };
+    assert!(!table.needs_key(&open));
+}
+
+/// Guards against a split that sends everything to one service.
+#[test]
+fn a_split_follows_its_shares() {
+    let route = route("split", "/a/");
+    let to_two = (0..1000).filter(|draw| route.service(*draw).is_some_and(|s| s == "two"));
+    assert_eq!(to_two.count(), 100);
+}
--- /dev/null
+++ b/crates/edge/tests/tables.rs
@@ -0,0 +1,233 @@
+//! Cached prefixes, load, health and the budget of repeats.
+
+use proptest::prelude::*;
+use sequoiaridge_edge::{
+    CacheMap, Feed, Health, Loads, Part, Prompt, RetryWindow, Table, Work, prefixes,
+};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn prompt(parts: &[(u64, u64)]) -> Prompt {
+    Prompt {
+        model: "m".to_string(),
+        input: parts.iter().map(|(_, tokens)| tokens).sum(),
+        output: 80,
+        parts: parts
+            .iter()
+            .map(|(id, tokens)| Part {
+                id: *id,
+                tokens: *tokens,
+            })
+            .collect(),
+    }
+}
+
+/// Guards against a part that counts as cached behind another system prompt, where it is not.
+#[test]
+fn a_prefix_is_cached_with_all_parts_before_it() {
+    let mut map = CacheMap::new();
+    map.record(
+        &prefixes(&prompt(&[(1, 500), (2, 10_000), (3, 40)])),
+        "e1",
+        NOW,
+    );
+    let same = prefixes(&prompt(&[(1, 500), (2, 10_000), (4, 90)]));
+    assert_eq!(map.cached(&same, NOW).get("e1"), Some(&10_500));
+    let other = prefixes(&prompt(&[(9, 500), (2, 10_000), (3, 40)]));
+    assert_eq!(map.cached(&other, NOW).get("e1"), None);
+}
+
+/// Guards against routers that start without knowing where prompts are cached (2,052 thousand tokens
+/// read again on one day), and against own parts of requests in what is saved for them.
+#[test]
+fn a_snapshot_restores_the_shared_prefixes() {
+    let mut map = CacheMap::new();
+    let parts = prefixes(&prompt(&[(1, 500), (2, 10_000), (3, 40)]));
+    assert_eq!(map.record(&parts, "e1", NOW).len(), 2);
+    let snapshot = map.snapshot().expect("a snapshot");
+    let mut restored = CacheMap::new();
+    assert_eq!(restored.restore(&snapshot, NOW), Ok(2));
+    assert_eq!(restored.cached(&parts, NOW).get("e1"), Some(&10_500));
+    assert!(restored.restore(b"\xff\xff\xff", NOW).is_err());
+}
+
+/// Guards against trust in the cache of an endpoint that crashed, or in one that was long unused.
+#[test]
+fn forgotten_and_old_prefixes_do_not_count() {
+    let mut map = CacheMap::new();
+    let parts = prefixes(&prompt(&[(1, 500), (2, 10_000), (3, 40)]));
+    map.record(&parts, "e1", NOW);
+    map.record(&parts, "e2", NOW);
+    map.forget("e1");
+    assert_eq!(
+        map.cached(&parts, NOW).keys().copied().collect::<Vec<_>>(),
+        ["e2"]
+    );
+    let later = NOW + Duration::from_secs(60);
+    assert!(map.cached(&parts, later).is_empty());
+    map.expire(later);
+    assert!(map.is_empty());
+}
+
+/// Guards against messages that tell every use of a hot subject.
+#[test]
+fn a_use_is_told_once_in_a_while() {
+    let mut map = CacheMap::new();
+    let parts = prefixes(&prompt(&[(1, 500), (2, 10_000), (3, 40)]));
+    assert_eq!(map.record(&parts, "e1", NOW).len(), 2);
+    assert!(
+        map.record(&parts, "e1", NOW + Duration::from_secs(1))
+            .is_empty()
+    );
+    assert_eq!(
+        map.record(&parts, "e1", NOW + Duration::from_secs(5)).len(),
+        2
+    );
+}
+
+/// Guards against load that other routers no longer have, or that is counted twice.
+#[test]
+fn load_is_the_sum_of_what_living_routers_tell() {
+    let mut loads = Loads::new();
+    loads.begin("e1", 100);
+    loads.begin("e1", 50);
+    loads.read("e1", 100);
+    let work = |requests| Work {
+        requests,
+        unread: 0,
+    };
+    let tell = |requests| BTreeMap::from([("e1".to_string(), work(requests))]);
+    loads.hear("r2", tell(5), false, NOW);
+    loads.hear("r2", tell(3), false, NOW);
+    assert_eq!(
+        loads.at("e1"),
+        Work {
+            requests: 5,
+            unread: 50
+        }
+    );
+    loads.expire(NOW + Duration::from_secs(2));
+    assert_eq!(loads.at("e1").requests, 2);
+    loads.end("e1", 50);
+    loads.end("e1", 0);
+    assert_eq!(loads.at("e1"), Work::default());
+}
+
+/// Guards against a draining router that keeps the first place in the order of readers.
+#[test]
+fn a_draining_router_has_no_place() {
+    let mut loads = Loads::new();
+    loads.hear("r1", BTreeMap::new(), true, NOW);
+    loads.hear("r2", BTreeMap::new(), false, NOW);
+    assert_eq!(loads.peers().collect::<Vec<_>>(), ["r2"]);
+    assert_eq!(loads.routers(), 3);
+}
+
+/// Guards against a dead endpoint that every request tries, and one that stays out once it is back.
+#[test]
+fn a_failed_endpoint_is_left_out_for_longer_each_time() {
+    let mut health = Health::new();
+    let first = health.failed("e1", NOW) - NOW;
+    assert!(health.is_paused("e1", NOW));
+    let again = NOW + first;
+    assert!(!health.is_paused("e1", again));
+    assert!(health.failed("e1", again) - again > first);
+    health.answered("e1", false);
+    assert!(!health.is_paused("e1", again));
+}
+
+/// Guards against an endpoint that fails half of its requests while its health check is good.
+#[test]
+fn an_endpoint_that_fails_more_than_others_is_avoided() {
+    let mut health = Health::new();
+    for index in 0..40 {
+        health.answered("grey", index % 2 == 0);
+        health.answered("well", index % 8 == 0);
+    }
+    let mean = (health.errors("grey") + health.errors("well")) / 4.0;
+    assert!(health.is_failing("grey", mean));
+    assert!(!health.is_failing("well", mean));
+    assert!(!health.is_failing("grey", 0.5), "all fail alike");
+}
+
+/// Guards against a feed that does not fit a datagram and is taken for complete.
+#[test]
+fn a_feed_with_many_changes_is_cut_and_says_so() {
+    let feed = Feed {
+        table: Table::Endpoints,
+        from: 1,
+        to: 2,
+        version: 1,
+        changed: (0..200)
+            .map(|index| (format!("e{index}"), 2, None))
+            .collect(),
+    };
+    let feed = feed.for_datagram();
+    assert!(feed.is_cut());
+    assert!(feed.changed.len() < 10);
+}
+
+/// Guards against repeats beyond the fleet's budget (a share of the requests and a fixed part) in any
+/// window, when eight routers each see an eighth of the traffic.
+#[test]
+fn repeats_of_all_routers_stay_within_the_budget() {
+    let (share, extra, routers) = (0.2, 56.0, 8);
+    let window = Duration::from_secs(10);
+    let mut all = vec![RetryWindow::new(share, window, extra); routers];
+    let mut sent: Vec<(Duration, bool)> = Vec::new();
+    for tick in 0..4_000u32 {
+        let now = Duration::from_millis(10) * tick;
+        let router = &mut all[tick as usize % routers];
+        router.request("s", now);
+        sent.push((now, false));
+        if router.take("s", routers, now) {
+            sent.push((now, true));
+        }
+    }
+    for start in (0..30_000).step_by(250).map(Duration::from_millis) {
+        let within = sent
+            .iter()
+            .filter(|(at, _)| *at >= start && *at < start + window);
+        let (requests, repeats) = within.fold((0, 0), |(requests, repeats), (_, repeat)| {
+            if *repeat {
+                (requests, repeats + 1)
+            } else {
+                (requests + 1, repeats)
+            }
+        });
+        assert!(f64::from(repeats) <= share * f64::from(requests) + extra);
+    }
+}
+
+proptest! {
+    /// Guards against a budget that an unlucky rhythm of requests stretches: one router alone never
+    /// repeats more than the share of a window and the fixed part.
+    #[test]
+    fn any_rhythm_of_requests_keeps_the_budget(
+        gaps in prop::collection::vec((0u64..400, prop::bool::ANY), 1..400),
+    ) {
+        let window = Duration::from_secs(10);
+        let mut budget = RetryWindow::new(0.2, window, 5.0);
+        let mut now = Duration::ZERO;
+        let mut events = Vec::new();
+        for (gap, request) in gaps {
+            now += Duration::from_millis(gap);
+            if request {
+                budget.request("s", now);
+                events.push((now, false));
+            } else if budget.take("s", 1, now) {
+                events.push((now, true));
+            }
+        }
+        for (end, _) in &events {
+            let from = end.saturating_sub(window);
+            let repeats = events.iter().filter(|(at, repeat)| *repeat && *at > from && at <= end);
+            // A bucket longer than the window may count requests up to one bucket older.
+            let counted = from.saturating_sub(window / 5);
+            let requests = events.iter().filter(|(at, repeat)| !repeat && *at > counted && at <= end);
+            prop_assert!(repeats.count() as f64 <= 0.2 * requests.count() as f64 + 5.0);
+        }
+    }
+}
