--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -27,18 +27,26 @@
 }
 
 impl Feed {
-    /// Whether there are more changes than one message holds. The hearer reads them itself.
-    pub fn is_cut(&self) -> bool {
-        self.changed.len() > MAX_CHANGED
-    }
-
-    /// The feed with no more changes than tell the hearer that it is cut.
-    pub fn for_datagram(mut self) -> Feed {
-        if self.is_cut() {
-            let unreadable = |_| (EndpointId::new(), 0, None);
-            self.changed = (0..=MAX_CHANGED).map(unreadable).collect();
+    /// The feed in parts that each fit a datagram and follow on each other. A hearer that misses one
+    /// finds that the next does not follow on its own position, and reads for itself.
+    pub fn into_parts(mut self) -> Vec<Feed> {
+        self.changed.sort_by_key(|(_, position, _)| *position);
+        let mut parts = Vec::new();
+        while self.changed.len() > MAX_CHANGED {
+            let rest = self.changed.split_off(MAX_CHANGED);
+            let to = self
+                .changed
+                .last()
+                .map_or(self.from, |(_, position, _)| *position);
+            parts.push(Feed {
+                to,
+                changed: std::mem::replace(&mut self.changed, rest),
+                ..self.clone()
+            });
+            self.from = to;
         }
-        self
+        parts.push(self);
+        parts
     }
 
     /// The changes as rows.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -182,7 +182,7 @@
     loop {
         tokio::select! {
             _ = period.tick() => links.tell(),
-            Some(feed) = feeds.recv() => links.pass_on(feed),
+            Some(feed) = feeds.recv() => feed.into_parts().into_iter().for_each(|part| links.pass_on(part)),
             received = links.socket.recv_from(&mut buffer) => {
                 if let Ok((size, from)) = received {
                     links.hear(&buffer[..size], from);
@@ -363,7 +363,7 @@
     fn pass_on(&self, feed: Feed) {
         let now = self.shared.now();
         let tell = Tell {
-            feed: Some(feed.for_datagram()),
+            feed: Some(feed),
             ..self.base()
         };
         let datagram = match self.sealer.seal(&tell) {
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -25,8 +25,11 @@
 const STEP: Duration = Duration::from_millis(150);
 /// Places in the order beyond which routers wait no longer, so that the age stays bounded.
 const MAX_PLACE: usize = 3;
-/// Least pause between two reads that news of others cause.
+/// Pause before a read that news of others cause, drawn so that routers do not call in step.
 const HINT_PAUSE: Duration = Duration::from_millis(100);
+/// Least time between two such reads. Versions that come in quick succession are read together, well
+/// within the bound on applying a configuration.
+const HINT_PERIOD: Duration = Duration::from_millis(500);
 /// First and longest pause after a failed call; each is drawn between half and the whole.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
@@ -42,6 +45,8 @@
     registry: Arc<dyn Registry>,
     table: Table,
     failures: u32,
+    /// When news of others last caused a read.
+    last_hint: Duration,
 }
 
 /// Follows one table until the process ends.
@@ -51,6 +56,7 @@
         registry,
         table,
         failures: 0,
+        last_hint: Duration::ZERO,
     };
     loop {
         reader.wait_until_due().await;
@@ -60,11 +66,16 @@
 
 impl Reader {
     /// Waits until the news of the table are too old, or another router has newer ones.
-    async fn wait_until_due(&self) {
-        let hints = self.shared.hints(self.table);
+    async fn wait_until_due(&mut self) {
+        let shared = self.shared.clone();
+        let hints = shared.hints(self.table);
         loop {
             if self.shared.board().is_behind(self.table) {
-                return tokio::time::sleep(drawn(HINT_PAUSE)).await;
+                let since = self.shared.now().saturating_sub(self.last_hint);
+                let left = HINT_PERIOD.saturating_sub(since);
+                tokio::time::sleep(left.max(drawn(HINT_PAUSE))).await;
+                self.last_hint = self.shared.now();
+                return;
             }
             let due = self.due();
             let now = self.shared.now();
@@ -207,7 +218,7 @@
     };
     let complete = match table {
         Table::Configuration => board.version() >= feed.version,
-        Table::Endpoints | Table::Routers => position >= feed.from && !feed.is_cut(),
+        Table::Endpoints | Table::Routers => position >= feed.from,
     };
     if !complete {
         board.behind.insert(table);
--- a/crates/edge/tests/tables.rs
+++ b/crates/edge/tests/tables.rs
@@ -152,21 +152,26 @@
     assert!(!health.is_failing("grey", 0.5), "all fail alike");
 }
 
-/// Guards against a feed that does not fit a datagram and is taken for complete.
+/// Guards against a feed that does not fit a datagram, so that every router reads for itself (1,644
+/// calls in a minute at 68 routers while 55 servers were replaced).
 #[test]
-fn a_feed_with_many_changes_is_cut_and_says_so() {
+fn a_feed_with_many_changes_goes_in_parts_that_follow_on_each_other() {
     let feed = Feed {
         table: Table::Endpoints,
         from: 1,
         to: 2,
         version: 1,
-        changed: (0..200)
-            .map(|index| (format!("e{index}"), 2, None))
+        changed: (0..20)
+            .rev()
+            .map(|index| (format!("e{index}"), 100 + index, None))
             .collect(),
     };
-    let feed = feed.for_datagram();
-    assert!(feed.is_cut());
-    assert!(feed.changed.len() < 10);
+    let parts = Feed { to: 200, ..feed }.into_parts();
+    assert!(parts.len() > 1);
+    assert_eq!((parts[0].from, parts[parts.len() - 1].to), (1, 200));
+    assert!(parts.windows(2).all(|pair| pair[0].to == pair[1].from));
+    let changed: usize = parts.iter().map(|part| part.changed.len()).sum();
+    assert_eq!(changed, 20);
 }
 
 /// Guards against repeats beyond the fleet's budget (a share of the requests and a fixed part) in any
