Let feeds overlap, pace messages by the size of the fleet, and wait for the first read at start

At 74 routers every router told every other one ten times a second. Change: each feed repeats the one before; rounds of messages slow down beyond 24 routers; a request at a router that has just started waits up to 250 ms for the first read; bodies in memory are bounded; the operators' priorities reach the engines.

--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -7,6 +7,7 @@
 use crate::shared::{InFlight, Shared};
 use crate::stream_body::StreamBody;
 use bytes::{Bytes, BytesMut};
+use http::request::Parts;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -22,6 +23,9 @@
 const LAST_STREAM: Duration = Duration::from_millis(2700);
 /// Time before the end of the grace period up to which requests of plain services are taken.
 const LAST_REQUEST: Duration = Duration::from_millis(2000);
+/// Longest wait of a request at a router that has just started; the registry answers within
+/// milliseconds.
+const START_WAIT: Duration = Duration::from_millis(250);
 /// Time after which a caller comes back to another router.
 const ELSEWHERE: Duration = Duration::from_millis(50);
 
@@ -46,11 +50,19 @@
             return refuse(&shared, None, &refusal, started);
         }
     };
+    if !shared.is_draining() {
+        shared.wait_informed(START_WAIT).await;
+    }
     let admitted = admit(&shared, &call);
     let (route, customer, priority, limits) = match admitted {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(&shared, Some(&call), &refusal, started),
     };
+    let held = shared.hold(body_bytes(&parts, &body));
+    let Some(held) = held else {
+        let refusal = Refusal::not_run(RefusalReason::Overload, ELSEWHERE);
+        return refuse(&shared, Some(&call), &refusal, started);
+    };
     let body = match collect(body, limits.body, route.timeout).await {
         Ok(body) => body,
         Err(reason) => {
@@ -81,7 +93,8 @@
         tried: Vec::new(),
         may_have_run: false,
         fingerprint,
-        in_flight,
+        _held: held,
+        _in_flight: in_flight,
     });
     match exchange.open().await {
         Ok(opened) => pass_on(&shared, exchange, opened),
@@ -154,6 +167,18 @@
     (!body.is_empty()).then(|| hash_parts(&parts))
 }
 
+/// Bytes that a body will take; one without a length counts as what such bodies usually have.
+fn body_bytes(parts: &Parts, body: &Incoming) -> usize {
+    const UNKNOWN: u64 = 64 * 1024;
+    let hint = body.size_hint();
+    let bytes = match hint.exact() {
+        Some(exact) => exact,
+        None if parts.headers.contains_key(header::TRANSFER_ENCODING) => UNKNOWN,
+        None => hint.lower(),
+    };
+    usize::try_from(bytes).unwrap_or(usize::MAX)
+}
+
 /// Reads a whole body.
 async fn collect(mut body: Incoming, limit: usize, time: Duration) -> Result<Bytes, RefusalReason> {
     if body.size_hint().lower() > limit as u64 {
--- a/crates/edge/src/load.rs
+++ b/crates/edge/src/load.rs
@@ -5,9 +5,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Time after which the load of a router that was not heard again no longer counts.
-const PEER_LIFE: Duration = Duration::from_millis(1500);
-
 /// Work outstanding at one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
@@ -100,9 +97,9 @@
         staying.map(|(id, _)| id)
     }
 
-    /// Drops routers that were not heard for too long.
-    pub fn expire(&mut self, now: Duration) {
-        self.peers.retain(|_, peer| now < peer.heard + PEER_LIFE);
+    /// Drops routers that were not heard for `life`; their load no longer counts.
+    pub fn expire(&mut self, now: Duration, life: Duration) {
+        self.peers.retain(|_, peer| now < peer.heard + life);
     }
 
     /// Routers heard, with this one.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -19,19 +19,26 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-/// Pause between messages to a router that is heard. Requests last a second or so, and counts that
-/// are a tenth of that old keep the bound on load.
+/// Pause between messages to a router that is heard, in a small fleet. Requests last a second or so,
+/// and counts that are a tenth of that old keep the bound on load.
 const PERIOD: Duration = Duration::from_millis(100);
+/// Routers up to which that pause holds. In larger fleets it grows in proportion, so that the messages
+/// of each router do not, while each router's part of the load shrinks.
+const SMALL_FLEET: u32 = 24;
 /// Pause between messages that tell nothing new.
 const QUIET_PERIOD: Duration = Duration::from_millis(500);
 /// Pause between messages to a router that is not heard.
 const UNHEARD_PERIOD: Duration = Duration::from_secs(1);
-/// Time after which a router counts as not heard.
-const HEARD: Duration = Duration::from_millis(1500);
-/// Endpoints whose work one message tells; with the other fields it fits a datagram.
-const MAX_WORK: usize = 40;
-/// Prefixes, crashes and failed endpoints that one message tells.
-const MAX_PREFIXES: usize = 16;
+/// Least time after which a router counts as not heard, and the same in pauses between messages.
+const LIFE: Duration = Duration::from_millis(1500);
+const LIFE_PACES: u32 = 3;
+/// Endpoints whose work one message tells: those with the most.
+const MAX_WORK: usize = 32;
+/// Bytes of a message for work and prefixes, and the most that one entry of each takes.
+const ENTRY_BYTES: usize = 1000;
+const WORK_BYTES: usize = 24;
+const PREFIX_BYTES: usize = 26;
+/// Crashes and failed endpoints that one message tells.
 const MAX_CRASHES: usize = 2;
 const MAX_FAILED: usize = 4;
 /// Messages that repeat a crash or a failed endpoint, since datagrams are lost at times.
@@ -106,7 +113,9 @@
 
     /// Moves what fits into a message.
     fn fill(&mut self, tell: &mut Tell) {
-        let count = self.prefixes.len().min(MAX_PREFIXES);
+        let work = tell.work.as_ref().map_or(0, Vec::len) * WORK_BYTES;
+        let room = ENTRY_BYTES.saturating_sub(work) / PREFIX_BYTES;
+        let count = self.prefixes.len().min(room);
         tell.prefixes = self.prefixes.drain(..count).collect();
         tell.crashes = take(&mut self.crashes, MAX_CRASHES);
         tell.cleared = take(&mut self.cleared, MAX_CRASHES);
@@ -317,46 +326,73 @@
         peer.address = address;
     }
 
-    /// Sends one message to each router that is due.
+    /// Sends what is new to the routers that are heard, and a sign of life to the others.
     fn tell(&mut self) {
         let now = self.shared.now();
-        let message = self.message();
-        let same = self.told.as_ref().is_some_and(|(_, told)| *told == message);
-        if !same {
-            self.told = Some((now, message.clone()));
+        let pace = self.pace();
+        let life = self.life();
+        let heard = |peer: &Peer| peer.heard.is_some_and(|heard| now < heard + life);
+        let count = self.peers.values().filter(|peer| heard(peer)).count();
+        let routers = i64::try_from(count + 1).unwrap_or(i64::MAX);
+        self.shared.metrics.routers.set(routers);
+        self.shared.board().loads.expire(now, life);
+        if let Some(datagram) = self.round(now, pace) {
+            for peer in self.peers.values().filter(|peer| heard(peer)) {
+                send(&self.socket, &datagram, peer.address);
+            }
         }
-        let mut sealed = None;
-        for peer in self.peers.values_mut() {
-            let heard = peer.heard.is_some_and(|heard| now < heard + HEARD);
-            let period = match (heard, same) {
-                (false, _) => UNHEARD_PERIOD,
-                (true, true) => QUIET_PERIOD,
-                (true, false) => Duration::ZERO,
+        let due = |peer: &Peer| peer.sent.is_none_or(|sent| now >= sent + UNHEARD_PERIOD);
+        if self.peers.values().any(|peer| !heard(peer) && due(peer)) {
+            let Some(datagram) = self.seal(&self.base()) else {
+                return;
             };
-            if peer.sent.is_some_and(|sent| now < sent + period) {
-                continue;
-            }
-            peer.sent = Some(now);
-            if sealed.is_none() {
-                match self.sealer.seal(&message) {
-                    Ok(datagram) => sealed = Some(datagram),
-                    Err(error) => {
-                        return log(Event::PeerRejected, &format!("own message: {error}"));
-                    }
+            for peer in self.peers.values_mut() {
+                if !heard(peer) && due(peer) {
+                    peer.sent = Some(now);
+                    send(&self.socket, &datagram, peer.address);
                 }
             }
-            if let Some(datagram) = &sealed {
-                // A datagram that the socket does not take is lost like one on the way; the next one
-                // follows within a period.
-                let _ = self.socket.try_send_to(datagram, peer.address);
+        }
+    }
+
+    /// Pause between rounds of messages.
+    fn pace(&self) -> Duration {
+        let count = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        (PERIOD * count / SMALL_FLEET).max(PERIOD)
+    }
+
+    /// Time after which a router counts as not heard.
+    fn life(&self) -> Duration {
+        LIFE.max(self.pace() * LIFE_PACES)
+    }
+
+    /// The message of a round, if one is due and tells something new or a sign of life.
+    fn round(&mut self, now: Duration, pace: Duration) -> Option<Vec<u8>> {
+        let last = self.told.as_ref().map(|(at, _)| *at);
+        // Ticks come a little early or late.
+        if last.is_some_and(|last| now + PERIOD / 4 < last + pace) {
+            return None;
+        }
+        let message = self.message();
+        if let Some((at, told)) = &self.told
+            && *told == message
+            && now < *at + QUIET_PERIOD
+        {
+            return None;
+        }
+        let datagram = self.seal(&message);
+        self.told = Some((now, message));
+        datagram
+    }
+
+    fn seal(&self, tell: &Tell) -> Option<Vec<u8>> {
+        match self.sealer.seal(tell) {
+            Ok(datagram) => Some(datagram),
+            Err(error) => {
+                log(Event::PeerRejected, &format!("own message: {error}"));
+                None
             }
         }
-        let heard = self
-            .peers
-            .values()
-            .filter(|peer| peer.heard.is_some_and(|heard| now < heard + HEARD));
-        let routers = i64::try_from(heard.count() + 1).unwrap_or(i64::MAX);
-        self.shared.metrics.routers.set(routers);
     }
 
     /// Sends what was read from the registry to every router that is heard.
@@ -366,13 +402,13 @@
             feed: Some(feed),
             ..self.base()
         };
-        let datagram = match self.sealer.seal(&tell) {
-            Ok(datagram) => datagram,
-            Err(error) => return log(Event::PeerRejected, &format!("own message: {error}")),
+        let Some(datagram) = self.seal(&tell) else {
+            return;
         };
+        let life = self.life();
         for peer in self.peers.values() {
-            if peer.heard.is_some_and(|heard| now < heard + HEARD) {
-                let _ = self.socket.try_send_to(&datagram, peer.address);
+            if peer.heard.is_some_and(|heard| now < heard + life) {
+                send(&self.socket, &datagram, peer.address);
             }
         }
     }
@@ -415,8 +451,9 @@
         };
         let now = self.shared.now();
         self.introduce(id.clone(), tell.address.unwrap_or(from));
+        let life = self.life();
         if let Some(peer) = self.peers.get_mut(&id) {
-            let was_heard = peer.heard.is_some_and(|heard| now < heard + HEARD);
+            let was_heard = peer.heard.is_some_and(|heard| now < heard + life);
             peer.heard = Some(now);
             if !was_heard {
                 log(
@@ -428,3 +465,9 @@
         self.shared.hear(&id, tell, now);
     }
 }
+
+/// Sends a datagram. One that the socket does not take is lost like one on the way; the next follows
+/// within a second.
+fn send(socket: &UdpSocket, datagram: &[u8], to: SocketAddr) {
+    let _ = socket.try_send_to(datagram, to);
+}
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -5,7 +5,7 @@
 use crate::load::Work;
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName};
 use crate::placement::{Candidate, Choice, Placement};
-use crate::shared::{InFlight, Shared};
+use crate::shared::{HeldBytes, InFlight, Shared};
 use crate::upstream::{Link, SILENCE, SendError, is_reachable};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -24,6 +24,8 @@
 
 /// Time after which a caller comes back when no endpoint could take its request.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Last rank that engines know; the first is 0.
+const LAST_PRIORITY: u8 = 9;
 /// Work of a request to a plain service that is assumed when waits are compared.
 const SERVICE_WORK: Duration = Duration::from_millis(50);
 /// Largest answer of a plain service that is held until it is whole.
@@ -47,7 +49,8 @@
     /// Whether an endpoint may have run the request.
     pub(crate) may_have_run: bool,
     pub(crate) fingerprint: Option<Fingerprint>,
-    pub(crate) in_flight: InFlight,
+    pub(crate) _held: HeldBytes,
+    pub(crate) _in_flight: InFlight,
 }
 
 /// The head of an answer, and where its body comes from.
@@ -493,7 +496,11 @@
             deadline: left,
             resume: self.call.resume,
             fetch,
-            priority: None,
+            priority: self
+                .call
+                .prompt
+                .is_some()
+                .then_some(self.priority.min(LAST_PRIORITY)),
         };
         let headers = self.shared.dialect.attempt(&self.headers, &attempt);
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -218,8 +218,6 @@
         tokio::time::sleep(CLEAN).await;
         let now = shared.now();
         shared.upstream.expire(now);
-        let mut board = shared.board();
-        board.loads.expire(now);
-        board.cache.expire(now);
+        shared.board().cache.expire(now);
     }
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -25,6 +25,8 @@
 const STRIKES: u32 = 3;
 /// Time for which it is held back.
 const HOLD: Duration = Duration::from_secs(60);
+/// Part of the memory that bodies of requests may take: a quarter, next to buffers of connections.
+const BODY_PART: usize = 4;
 /// Fingerprints that are tracked.
 const FINGERPRINTS: usize = 4096;
 
@@ -79,9 +81,13 @@
     board: Mutex<Board>,
     /// When the drain started.
     draining: OnceLock<Duration>,
+    /// Whether a configuration and the endpoints are known.
+    informed: watch::Sender<bool>,
     /// Whether idle connections of callers are closed.
     closing: watch::Sender<bool>,
     in_flight: AtomicUsize,
+    /// Bytes of request bodies that are held.
+    held: AtomicUsize,
     incarnation: u64,
     hints: BTreeMap<Table, Notify>,
     feeds: mpsc::UnboundedSender<Feed>,
@@ -127,8 +133,10 @@
                 quarantine: Quarantine::new(STRIKES, HOLD, FINGERPRINTS),
             }),
             draining: OnceLock::new(),
+            informed: watch::Sender::new(false),
             closing: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
+            held: AtomicUsize::new(0),
             settings,
         }
     }
@@ -193,6 +201,23 @@
         board.routes.is_some() && endpoints && !self.is_draining()
     }
 
+    /// Notes that a table was read for the first time or again.
+    pub(crate) fn check_informed(&self) {
+        if !*self.informed.borrow() && self.is_ready() {
+            self.informed.send_replace(true);
+        }
+    }
+
+    /// Waits until a configuration and the endpoints are known, for at most `time`.
+    pub(crate) async fn wait_informed(&self, time: Duration) {
+        if *self.informed.borrow() {
+            return;
+        }
+        let mut informed = self.informed.subscribe();
+        // Whether the wait ended in time shows in what is known afterwards.
+        let _ = tokio::time::timeout(time, informed.wait_for(|informed| *informed)).await;
+    }
+
     /// Starts the drain.
     pub(crate) fn drain(&self) {
         self.draining.get_or_init(|| self.clock.now());
@@ -218,12 +243,35 @@
         self.closing.subscribe()
     }
 
+    /// Reserves memory for the body of a request; `None` if too many bodies are held.
+    pub(crate) fn hold(self: &Arc<Self>, bytes: usize) -> Option<HeldBytes> {
+        let most = usize::try_from(self.settings.memory).unwrap_or(usize::MAX) / BODY_PART;
+        let held = self.held.fetch_add(bytes, Ordering::Relaxed);
+        let reserved = HeldBytes {
+            shared: self.clone(),
+            bytes,
+        };
+        (held + bytes <= most).then_some(reserved)
+    }
+
     /// Requests that have no whole answer yet.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
     }
 }
 
+/// Memory reserved for the body of a request, until it is dropped.
+pub(crate) struct HeldBytes {
+    shared: Arc<Shared>,
+    bytes: usize,
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.shared.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// Counts one request as in flight until it is dropped.
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -4,7 +4,7 @@
 //! router's place in the order of names. So the first router that lives and reaches the registry
 //! reads, tells the others what changed, and they need not ask. docs/platform.md has the bounds.
 
-use crate::feed::Feed;
+use crate::feed::{ChangedRow, Feed};
 use crate::registry::{Entry, Registry, RegistryError, Row, Rows, Table};
 use crate::roster::Change;
 use crate::routes::RouteTable;
@@ -47,6 +47,8 @@
     failures: u32,
     /// When news of others last caused a read.
     last_hint: Duration,
+    /// Where the last read began, and what it found.
+    told: Option<(u64, Vec<ChangedRow>)>,
 }
 
 /// Follows one table until the process ends.
@@ -57,6 +59,7 @@
         table,
         failures: 0,
         last_hint: Duration::ZERO,
+        told: None,
     };
     loop {
         reader.wait_until_due().await;
@@ -170,7 +173,9 @@
     }
 
     /// Takes over what was read and tells the other routers.
-    fn apply(&self, rows: Rows, from: Option<u64>) {
+    ///
+    /// Each feed repeats what the one before it told, so that a lost datagram leaves no gap.
+    fn apply(&mut self, rows: Rows, from: Option<u64>) {
         let now = self.shared.now();
         let to = rows.position;
         let mut board = self.shared.board();
@@ -192,15 +197,20 @@
             .insert(self.table, to.max(from.unwrap_or(0)));
         let version = board.version();
         drop(board);
-        if let Some(from) = from {
-            self.shared.publish(Feed {
-                table: self.table,
-                from,
-                to,
-                version,
-                changed,
-            });
-        }
+        self.shared.check_informed();
+        let Some(from) = from else {
+            return;
+        };
+        let told = self.told.replace((from, changed.clone()));
+        let (first, mut all) = told.unwrap_or((from, Vec::new()));
+        all.extend(changed);
+        self.shared.publish(Feed {
+            table: self.table,
+            from: first,
+            to,
+            version,
+            changed: all,
+        });
     }
 }
 
--- a/crates/edge/tests/tables.rs
+++ b/crates/edge/tests/tables.rs
@@ -108,7 +108,7 @@
             unread: 50
         }
     );
-    loads.expire(NOW + Duration::from_secs(2));
+    loads.expire(NOW + Duration::from_secs(2), Duration::from_millis(1500));
     assert_eq!(loads.at("e1").requests, 2);
     loads.end("e1", 50);
     loads.end("e1", 0);
