--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -98,6 +98,8 @@
     CallAnswered = 407, Info, "call-answered";
     /// The body of an answer ended.
     CallEnded = 408, Info, "call-ended";
+    /// An attempt at one endpoint brought no answer.
+    AttemptFailed = 409, Info, "attempt-failed";
     /// A request crashed an endpoint.
     CrashStrike = 402, Warn, "crash-strike";
     /// A request is held back because it crashed several endpoints.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -49,6 +49,7 @@
     CallerLimits, Customer, EndpointEntry, Engine, Kind, Manifest, Route, RouterEntry, Service,
     ServiceName,
 };
+pub use metrics::example_metrics;
 pub use peers::Tell;
 pub use placement::{Candidate, Choice, Placement, Subject};
 pub use registry::{
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -158,6 +158,15 @@
     }
 }
 
+/// The metrics of a router that has done one of everything, in the OpenMetrics text format.
+/// docs/metrics.md is checked against it.
+pub fn example_metrics() -> String {
+    let metrics = Metrics::new();
+    metrics.answered(200, Duration::ZERO);
+    metrics.registry_call("configuration", "answered");
+    metrics.encode()
+}
+
 fn label(reason: &'static str) -> ReasonLabel {
     ReasonLabel { reason }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -154,8 +154,12 @@
                     fallback = Some(opened);
                     (RefusalReason::EndpointBroke, RetryReason::EndpointBroke)
                 }
-                Outcome::NotRun(reason, retry) => (reason, retry),
+                Outcome::NotRun(reason, retry) => {
+                    self.note_failure(&entry.id, reason, Verdict::NotRun);
+                    (reason, retry)
+                }
                 Outcome::MayHaveRun(reason, retry) => {
+                    self.note_failure(&entry.id, reason, Verdict::MayHaveRun);
                     self.may_have_run = true;
                     if !self.route.kind.repeatable() {
                         return self.give_up(fallback, reason);
@@ -182,6 +186,20 @@
         }
     }
 
+    fn note_failure(&self, endpoint: &str, reason: RefusalReason, verdict: Verdict) {
+        let elapsed = self.shared.now().saturating_sub(self.started);
+        log_request(
+            Event::AttemptFailed,
+            &self.call.attempt,
+            format_args!(
+                "endpoint={endpoint} reason={} verdict={verdict} sent={} elapsed_ms={}",
+                reason.as_str(),
+                self.sent,
+                elapsed.as_millis()
+            ),
+        );
+    }
+
     /// Whether the number of endpoints and the budget allow another attempt.
     pub(crate) fn may_repeat(&self) -> bool {
         if self.sent == 0 {
@@ -357,6 +375,7 @@
             ),
         );
         self.sent += 1;
+        let silent = Outcome::MayHaveRun(RefusalReason::EndpointSilent, RetryReason::EndpointSilent);
         let answer = while_reachable(entry.address, link.send(request));
         let answer = tokio::time::timeout(left, answer).await;
         let response = match answer {
@@ -372,12 +391,14 @@
                 self.sent -= 1;
                 return Outcome::NotRun(RefusalReason::NoEndpoint, RetryReason::ConnectFailed);
             }
-            Ok(None) | Err(_) => {
+            Ok(None) => {
                 self.endpoint_failed(&entry.id);
-                return Outcome::MayHaveRun(
-                    RefusalReason::EndpointSilent,
-                    RetryReason::EndpointSilent,
-                );
+                return silent;
+            }
+            Err(_) => {
+                // The endpoint can be reached and only takes too long.
+                shared.board().health.answered(&entry.id, true);
+                return silent;
             }
         };
         self.read_answer(entry, response, link, placed.ticket).await
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -174,6 +174,11 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let mut closing = closing;
+    // A connection that opens while idle ones are closed still gets an answer, with which it closes.
+    if *closing.borrow() {
+        let _ = connection.await;
+        return;
+    }
     tokio::select! {
         _ = connection.as_mut() => return,
         _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -90,7 +90,9 @@
             (row[0].clone(), (row[1].clone(), labels))
         })
         .collect();
-    assert_eq!(page, exported(&example_metrics()));
+    let mut code = exported(&example_metrics());
+    code.extend(exported(&sequoiaridge::edge::example_metrics()));
+    assert_eq!(page, code);
 }
 
 /// Guards against reasons of refusals and retries that callers and operators cannot look up.
