Join a fleet with two calls, and read versions that come in quick succession together

Change: a router joins with one read and one write, others introduce it; reads that news cause are a third of the bound on applying a version apart.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -7,6 +7,7 @@
 use crate::registry::{Entry, PeerKey, Registry, RegistryError, Table};
 use crate::shared::Shared;
 use rand::RngExt;
+use rand::seq::IteratorRandom;
 use sequoiaridge_core::{EndpointId, Event, Fingerprint, RouterId, Version};
 use sequoiaridge_log::log;
 use sequoiaridge_policy::Crash;
@@ -45,6 +46,9 @@
 const REPEATS: u8 = 3;
 /// Items that wait to be told; older ones are dropped.
 const MAX_WAITING: usize = 512;
+/// First and longest pause between reads of the other routers' rows while none is heard.
+const SEEK_PERIOD: Duration = Duration::from_secs(2);
+const LONGEST_SEEK: Duration = Duration::from_secs(30);
 /// Pause between saves of what endpoints have cached: the time of some ten thousand requests at the
 /// target size, and a hundredth of the platform's calls today.
 const SAVE_PERIOD: Duration = Duration::from_secs(5);
@@ -56,6 +60,8 @@
 pub struct Tell {
     /// Address at which the sender hears.
     pub address: Option<SocketAddr>,
+    /// Another router that the sender hears, so that routers that started together meet.
+    pub introduces: Option<(RouterId, SocketAddr)>,
     /// Configuration that the sender has in force.
     pub version: Version,
     /// Whether the sender drains.
@@ -172,7 +178,9 @@
     if let Some(cache) = cache {
         restore(&shared, &cache);
     }
-    tokio::spawn(save(shared.clone(), registry));
+    tokio::spawn(save(shared.clone(), registry.clone()));
+    let (found, mut newly_found) = mpsc::unbounded_channel();
+    tokio::spawn(seek(shared.clone(), registry, found));
     let keys = PeerKeys::from_bytes(key, None);
     let mut links = Links {
         sealer: Sealer::new(&keys, shared.settings.id.clone(), incarnation),
@@ -191,6 +199,7 @@
     loop {
         tokio::select! {
             _ = period.tick() => links.tell(),
+            Some(router) = newly_found.recv() => links.introduce(router.id, router.address),
             Some(feed) = feeds.recv() => feed.into_parts().into_iter().for_each(|part| links.pass_on(part)),
             received = links.socket.recv_from(&mut buffer) => {
                 if let Ok((size, from)) = received {
@@ -218,6 +227,35 @@
     }
 }
 
+/// Reads the rows of the other routers again for as long as none of them is heard: routers that start
+/// together at new addresses may have read before the others wrote.
+async fn seek(
+    shared: Arc<Shared>,
+    registry: Arc<dyn Registry>,
+    found: mpsc::UnboundedSender<RouterEntry>,
+) {
+    let mut pause = SEEK_PERIOD;
+    loop {
+        tokio::time::sleep(pause).await;
+        if shared.board().loads.routers() > 1 {
+            pause = SEEK_PERIOD;
+            continue;
+        }
+        pause = (pause * 2).min(LONGEST_SEEK);
+        let Ok(rows) = registry.read(Table::Routers).await else {
+            continue;
+        };
+        for row in rows.rows {
+            if let Entry::Router(router) = row.entry
+                && router.id != shared.settings.id
+                && found.send(router).is_err()
+            {
+                return;
+            }
+        }
+    }
+}
+
 /// Saves what endpoints have cached, at the first router in the order of names, so that routers that
 /// start, or all of them after a power cut, know where prompts are cached.
 async fn save(shared: Arc<Shared>, registry: Arc<dyn Registry>) {
@@ -250,16 +288,16 @@
 }
 
 /// Writes this router's row, creates the fleet's key if there is none, and returns the key with the
-/// other routers. A router writes before it reads, so of two that start together one sees the other.
+/// other routers. Routers that start together and do not read each other's rows are introduced by a
+/// third; the first two of a fleet meet because one of them reads again for the key.
 async fn join(shared: &Shared, registry: &dyn Registry, incarnation: u64) -> Joined {
     let own = RouterEntry {
         id: shared.settings.id.clone(),
         address: shared.settings.peers,
         incarnation,
     };
-    let mut announced = false;
     loop {
-        let outcome = join_once(registry, &own, &mut announced).await;
+        let outcome = join_once(registry, &own).await;
         let outcome_label = if outcome.is_ok() {
             "answered"
         } else {
@@ -283,7 +321,6 @@
 async fn join_once(
     registry: &dyn Registry,
     own: &RouterEntry,
-    announced: &mut bool,
 ) -> Result<Option<Joined>, RegistryError> {
     let mut key = None;
     let mut cache = None;
@@ -299,21 +336,17 @@
             _ => {}
         }
     }
-    if let (Some(key), true) = (key, *announced) {
-        return Ok(Some(Joined {
+    let new_key: Option<PeerKey> = key.is_none().then(|| rand::rng().random());
+    match registry.announce(own.clone(), new_key).await {
+        Ok(()) => Ok(key.or(new_key).map(|key| Joined {
             key,
             routers,
             cache,
-        }));
-    }
-    let new_key = key.is_none().then(|| rand::rng().random());
-    match registry.announce(own.clone(), new_key).await {
-        Ok(()) => *announced = true,
+        })),
         // Another router created the key first; the next read shows it.
-        Err(RegistryError::Conflict) => {}
-        Err(error) => return Err(error),
+        Err(RegistryError::Conflict) => Ok(None),
+        Err(error) => Err(error),
     }
-    Ok(None)
 }
 
 impl Links {
@@ -373,16 +406,25 @@
         if last.is_some_and(|last| now + PERIOD / 4 < last + pace) {
             return None;
         }
-        let message = self.message();
+        let mut message = self.message();
         if let Some((at, told)) = &self.told
             && *told == message
             && now < *at + QUIET_PERIOD
         {
             return None;
         }
-        let datagram = self.seal(&message);
-        self.told = Some((now, message));
-        datagram
+        self.told = Some((now, message.clone()));
+        message.introduces = self.introduction(now);
+        self.seal(&message)
+    }
+
+    /// One of the routers that are heard, drawn anew for each message.
+    fn introduction(&self, now: Duration) -> Option<(RouterId, SocketAddr)> {
+        let life = self.life();
+        let heard = |peer: &Peer| peer.heard.is_some_and(|heard| now < heard + life);
+        let heard = self.peers.iter().filter(|(_, peer)| heard(peer));
+        let drawn = heard.choose(&mut rand::rng());
+        drawn.map(|(id, peer)| (id.clone(), peer.address))
     }
 
     fn seal(&self, tell: &Tell) -> Option<Vec<u8>> {
@@ -451,6 +493,15 @@
         };
         let now = self.shared.now();
         self.introduce(id.clone(), tell.address.unwrap_or(from));
+        if let Some((other, address)) = tell.introduces.clone()
+            && other != self.shared.settings.id
+        {
+            self.peers.entry(other).or_insert(Peer {
+                address,
+                heard: None,
+                sent: None,
+            });
+        }
         let life = self.life();
         if let Some(peer) = self.peers.get_mut(&id) {
             let was_heard = peer.heard.is_some_and(|heard| now < heard + life);
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -375,7 +375,8 @@
             ),
         );
         self.sent += 1;
-        let silent = Outcome::MayHaveRun(RefusalReason::EndpointSilent, RetryReason::EndpointSilent);
+        let silent =
+            Outcome::MayHaveRun(RefusalReason::EndpointSilent, RetryReason::EndpointSilent);
         let answer = while_reachable(entry.address, link.send(request));
         let answer = tokio::time::timeout(left, answer).await;
         let response = match answer {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -21,6 +21,8 @@
     pub grace: Duration,
     /// Time within which a leaving endpoint must get no more requests.
     pub leave: Duration,
+    /// Time within which a version of the configuration must be in force.
+    pub apply: Duration,
     /// Repeats allowed as a share of the requests of a service.
     pub retry_share: f64,
     /// Window of the retry budget.
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -27,9 +27,9 @@
 const MAX_PLACE: usize = 3;
 /// Pause before a read that news of others cause, drawn so that routers do not call in step.
 const HINT_PAUSE: Duration = Duration::from_millis(100);
-/// Least time between two such reads. Versions that come in quick succession are read together, well
-/// within the bound on applying a configuration.
-const HINT_PERIOD: Duration = Duration::from_millis(500);
+/// Least time between two such reads, as a part of the bound on applying a configuration: versions
+/// that come in quick succession are read together, and a read that fails can be made again in time.
+const HINT_PART: f64 = 0.35;
 /// First and longest pause after a failed call; each is drawn between half and the whole.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
@@ -75,7 +75,8 @@
         loop {
             if self.shared.board().is_behind(self.table) {
                 let since = self.shared.now().saturating_sub(self.last_hint);
-                let left = HINT_PERIOD.saturating_sub(since);
+                let period = self.shared.settings.apply.mul_f64(HINT_PART);
+                let left = period.saturating_sub(since);
                 tokio::time::sleep(left.max(drawn(HINT_PAUSE))).await;
                 self.last_hint = self.shared.now();
                 return;
--- a/tests/platform_logs.rs
+++ b/tests/platform_logs.rs
@@ -34,6 +34,7 @@
 platform = {{ address = "{}" }}
 [bounds]
 drain_ms = 2000
+config_apply_ms = 2000
 grace_s = 6
 retry_budget_ratio = 0.2
 budget_window_s = 10
