Spread news and feeds through one router of each domain in large fleets

Change: beyond 24 routers rounds go to 16 routers drawn anew, news and feeds to the own domain and one router of each other domain, which passes them on; sums of the other routers' work are kept; the load that endpoints tell counts; feeds that come out of order wait for those before them.

--- a/crates/edge/src/load.rs
+++ b/crates/edge/src/load.rs
@@ -1,10 +1,14 @@
 //! Outstanding work by endpoint: what this router sent, and what the others tell.
 
-use sequoiaridge_core::{EndpointId, RouterId};
+use crate::call::EndpointLoad;
+use sequoiaridge_core::{DomainId, EndpointId, RouterId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Time for which the load that an endpoint tells with an answer counts. Requests last about a second.
+const REPORT_LIFE: Duration = Duration::from_millis(700);
+
 /// Work outstanding at one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
@@ -15,6 +19,12 @@
 }
 
 impl Work {
+    /// Removes work that is no longer told.
+    fn sub(&mut self, other: Work) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.unread = self.unread.saturating_sub(other.unread);
+    }
+
     /// Adds the work of another router.
     fn add(&mut self, other: Work) {
         self.requests = self.requests.saturating_add(other.requests);
@@ -26,14 +36,26 @@
 struct Peer {
     heard: Duration,
     draining: bool,
+    domain: DomainId,
     work: BTreeMap<EndpointId, Work>,
 }
 
+/// Load that an endpoint told, and this router's own requests there at that time.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    at: Duration,
+    requests: u32,
+    own: u32,
+}
+
 /// Work of all routers by endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
     own: BTreeMap<EndpointId, Work>,
     peers: BTreeMap<RouterId, Peer>,
+    /// Sum of the work of all other routers, so that a choice need not add it up.
+    others: BTreeMap<EndpointId, Work>,
+    reports: BTreeMap<EndpointId, Report>,
 }
 
 impl Loads {
@@ -63,13 +85,25 @@
         let Some(work) = self.own.get_mut(id) else {
             return;
         };
-        work.requests = work.requests.saturating_sub(1);
-        work.unread = work.unread.saturating_sub(unread);
+        work.sub(Work {
+            requests: 1,
+            unread,
+        });
         if *work == Work::default() {
             self.own.remove(id);
         }
     }
 
+    /// Takes over the load that an endpoint tells, of all callers.
+    pub fn report(&mut self, id: &str, load: EndpointLoad, now: Duration) {
+        let report = Report {
+            at: now,
+            requests: load.running.saturating_add(load.waiting),
+            own: self.own.get(id).map_or(0, |work| work.requests),
+        };
+        self.reports.insert(id.to_string(), report);
+    }
+
     /// Work of this router, for the others.
     pub fn own(&self) -> &BTreeMap<EndpointId, Work> {
         &self.own
@@ -79,27 +113,42 @@
     pub fn hear(
         &mut self,
         router: &str,
+        domain: &str,
         work: BTreeMap<EndpointId, Work>,
         draining: bool,
         now: Duration,
     ) {
+        self.forget(router);
+        for (id, work) in &work {
+            self.others.entry(id.clone()).or_default().add(*work);
+        }
         let peer = Peer {
             heard: now,
             draining,
+            domain: domain.to_string(),
             work,
         };
         self.peers.insert(router.to_string(), peer);
     }
 
-    /// Routers heard that do not drain.
-    pub fn peers(&self) -> impl Iterator<Item = &RouterId> {
+    /// Routers heard that do not drain, with their domains.
+    pub fn peers(&self) -> impl Iterator<Item = (&RouterId, &DomainId)> {
         let staying = self.peers.iter().filter(|(_, peer)| !peer.draining);
-        staying.map(|(id, _)| id)
+        staying.map(|(id, peer)| (id, &peer.domain))
     }
 
-    /// Drops routers that were not heard for `life`; their load no longer counts.
+    /// Drops routers that were not heard for `life`, and reports that are too old to count.
     pub fn expire(&mut self, now: Duration, life: Duration) {
-        self.peers.retain(|_, peer| now < peer.heard + life);
+        let silent = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now >= peer.heard + life);
+        let silent: Vec<RouterId> = silent.map(|(id, _)| id.clone()).collect();
+        for router in silent {
+            self.forget(&router);
+        }
+        self.reports
+            .retain(|_, report| now < report.at + REPORT_LIFE);
     }
 
     /// Routers heard, with this one.
@@ -107,12 +156,33 @@
         self.peers.len() + 1
     }
 
-    /// Work of all routers at one endpoint.
-    pub fn at(&self, id: &str) -> Work {
-        let mut sum = self.own.get(id).copied().unwrap_or_default();
-        for peer in self.peers.values() {
-            sum.add(peer.work.get(id).copied().unwrap_or_default());
+    /// Work of all routers at one endpoint: what they tell, or what the endpoint itself told a short
+    /// time ago, if that is more.
+    pub fn at(&self, id: &str, now: Duration) -> Work {
+        let own = self.own.get(id).copied().unwrap_or_default();
+        let mut sum = self.others.get(id).copied().unwrap_or_default();
+        sum.add(own);
+        if let Some(report) = self.reports.get(id)
+            && now < report.at + REPORT_LIFE
+        {
+            let since = own.requests.saturating_sub(report.own);
+            sum.requests = sum.requests.max(report.requests.saturating_add(since));
         }
         sum
     }
+
+    fn forget(&mut self, router: &str) {
+        let Some(peer) = self.peers.remove(router) else {
+            return;
+        };
+        for (id, work) in peer.work {
+            let Some(sum) = self.others.get_mut(&id) else {
+                continue;
+            };
+            sum.sub(work);
+            if *sum == Work::default() {
+                self.others.remove(&id);
+            }
+        }
+    }
 }
--- a/crates/edge/src/manifest.rs
+++ b/crates/edge/src/manifest.rs
@@ -183,6 +183,8 @@
     pub id: String,
     /// Address of its datagrams.
     pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainId,
     /// Start of the process in ms since the epoch.
     pub incarnation: u64,
 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -5,10 +5,10 @@
 use crate::load::Work;
 use crate::manifest::RouterEntry;
 use crate::registry::{Entry, PeerKey, Registry, RegistryError, Table};
-use crate::shared::Shared;
+use crate::shared::{SMALL_FLEET, Shared};
 use rand::RngExt;
-use rand::seq::IteratorRandom;
-use sequoiaridge_core::{EndpointId, Event, Fingerprint, RouterId, Version};
+use rand::seq::{IndexedRandom, IteratorRandom};
+use sequoiaridge_core::{DomainId, EndpointId, Event, Fingerprint, RouterId, Version};
 use sequoiaridge_log::log;
 use sequoiaridge_policy::Crash;
 use sequoiaridge_wire::{MAX_DATAGRAM, Opener, PeerKeys, Sealer};
@@ -23,16 +23,20 @@
 /// Pause between messages to a router that is heard, in a small fleet. Requests last a second or so,
 /// and counts that are a tenth of that old keep the bound on load.
 const PERIOD: Duration = Duration::from_millis(100);
-/// Routers up to which that pause holds. In larger fleets it grows in proportion, so that the messages
-/// of each router do not, while each router's part of the load shrinks.
-const SMALL_FLEET: u32 = 24;
+/// Pause between messages in a large fleet, where each goes to some routers drawn anew, so that what a
+/// router sends does not grow with the fleet, while its part of the load shrinks.
+const LARGE_PERIOD: Duration = Duration::from_millis(400);
+const FAN_OUT: usize = 16;
 /// Pause between messages that tell nothing new.
 const QUIET_PERIOD: Duration = Duration::from_millis(500);
 /// Pause between messages to a router that is not heard.
 const UNHEARD_PERIOD: Duration = Duration::from_secs(1);
-/// Least time after which a router counts as not heard, and the same in pauses between messages.
+/// Pause between messages with news in a fleet of a given size; larger ones take longer in proportion.
+const NEWS_PERIOD: Duration = Duration::from_secs(1);
+const NEWS_FLEET: u32 = 80;
+/// Least time after which a router counts as not heard, and the same in messages that should have come.
 const LIFE: Duration = Duration::from_millis(1500);
-const LIFE_PACES: u32 = 3;
+const LIFE_PACES: u32 = 4;
 /// Endpoints whose work one message tells: those with the most.
 const MAX_WORK: usize = 32;
 /// Bytes of a message for work and prefixes, and the most that one entry of each takes.
@@ -60,8 +64,10 @@
 pub struct Tell {
     /// Address at which the sender hears.
     pub address: Option<SocketAddr>,
+    /// Failure domain of the sender.
+    pub domain: DomainId,
     /// Another router that the sender hears, so that routers that started together meet.
-    pub introduces: Option<(RouterId, SocketAddr)>,
+    pub introduces: Option<(RouterId, SocketAddr, DomainId)>,
     /// Configuration that the sender has in force.
     pub version: Version,
     /// Whether the sender drains.
@@ -78,6 +84,30 @@
     pub failed: Vec<EndpointId>,
     /// What the sender has just read from the registry.
     pub feed: Option<Feed>,
+    /// Whether the hearer passes feed and news on to the routers of its own domain.
+    pub relay: bool,
+}
+
+impl Tell {
+    /// Whether the message tells anything that all routers should know.
+    fn has_news(&self) -> bool {
+        !(self.prefixes.is_empty()
+            && self.crashes.is_empty()
+            && self.cleared.is_empty()
+            && self.failed.is_empty())
+    }
+
+    /// What a relay passes on, under its own name.
+    fn passed_on(&self, base: Tell) -> Tell {
+        Tell {
+            prefixes: self.prefixes.clone(),
+            crashes: self.crashes.clone(),
+            cleared: self.cleared.clone(),
+            failed: self.failed.clone(),
+            feed: self.feed.clone(),
+            ..base
+        }
+    }
 }
 
 /// What waits to be told.
@@ -148,6 +178,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     address: SocketAddr,
+    domain: DomainId,
     heard: Option<Duration>,
     sent: Option<Duration>,
 }
@@ -160,6 +191,8 @@
     opener: Opener,
     peers: BTreeMap<RouterId, Peer>,
     told: Option<(Duration, Tell)>,
+    /// When news were last told in a large fleet.
+    news_at: Duration,
 }
 
 /// Announces this router, finds the others and exchanges messages with them until the process ends.
@@ -189,9 +222,10 @@
         socket,
         peers: BTreeMap::new(),
         told: None,
+        news_at: Duration::ZERO,
     };
     for router in routers {
-        links.introduce(router.id, router.address);
+        links.introduce(router.id, router.address, &router.domain);
     }
     let mut buffer = [0; MAX_DATAGRAM];
     let mut period = tokio::time::interval(PERIOD);
@@ -199,7 +233,7 @@
     loop {
         tokio::select! {
             _ = period.tick() => links.tell(),
-            Some(router) = newly_found.recv() => links.introduce(router.id, router.address),
+            Some(router) = newly_found.recv() => links.introduce(router.id, router.address, &router.domain),
             Some(feed) = feeds.recv() => feed.into_parts().into_iter().for_each(|part| links.pass_on(part)),
             received = links.socket.recv_from(&mut buffer) => {
                 if let Ok((size, from)) = received {
@@ -264,7 +298,7 @@
         tokio::time::sleep(SAVE_PERIOD).await;
         let (first, snapshot) = {
             let board = shared.board();
-            let first = board.place(&shared.settings.id) == 0;
+            let first = board.place(&shared.settings.id, &shared.settings.domain) == 0;
             (first, board.cache.snapshot())
         };
         let Ok(snapshot) = snapshot else {
@@ -294,6 +328,7 @@
     let own = RouterEntry {
         id: shared.settings.id.clone(),
         address: shared.settings.peers,
+        domain: shared.settings.domain.clone(),
         incarnation,
     };
     loop {
@@ -350,13 +385,15 @@
 }
 
 impl Links {
-    fn introduce(&mut self, id: RouterId, address: SocketAddr) {
+    fn introduce(&mut self, id: RouterId, address: SocketAddr, domain: &str) {
         let peer = self.peers.entry(id).or_insert(Peer {
             address,
+            domain: domain.to_string(),
             heard: None,
             sent: None,
         });
         peer.address = address;
+        self.shared.board().fleet = self.peers.len() + 1;
     }
 
     /// Sends what is new to the routers that are heard, and a sign of life to the others.
@@ -370,10 +407,17 @@
         self.shared.metrics.routers.set(routers);
         self.shared.board().loads.expire(now, life);
         if let Some(datagram) = self.round(now, pace) {
-            for peer in self.peers.values().filter(|peer| heard(peer)) {
-                send(&self.socket, &datagram, peer.address);
-            }
+            let to = self.peers.values().filter(|peer| heard(peer));
+            let to: Vec<SocketAddr> = if self.is_large() {
+                to.map(|peer| peer.address)
+                    .sample(&mut rand::rng(), FAN_OUT)
+            } else {
+                to.map(|peer| peer.address).collect()
+            };
+            to.into_iter()
+                .for_each(|address| send(&self.socket, &datagram, address));
         }
+        self.tell_news(now);
         let due = |peer: &Peer| peer.sent.is_none_or(|sent| now >= sent + UNHEARD_PERIOD);
         if self.peers.values().any(|peer| !heard(peer) && due(peer)) {
             let Some(datagram) = self.seal(&self.base()) else {
@@ -388,15 +432,44 @@
         }
     }
 
+    /// Sends what is new through the domains, when it is due in a large fleet.
+    fn tell_news(&mut self, now: Duration) {
+        let count = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
+        let period = NEWS_PERIOD.max(NEWS_PERIOD * count / NEWS_FLEET);
+        if !self.is_large() || now < self.news_at + period {
+            return;
+        }
+        self.news_at = now;
+        let mut tell = self.base();
+        self.shared.board().news.fill(&mut tell);
+        if tell.has_news() {
+            self.spread(tell);
+        }
+    }
+
     /// Pause between rounds of messages.
     fn pace(&self) -> Duration {
-        let count = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
-        (PERIOD * count / SMALL_FLEET).max(PERIOD)
+        if self.is_large() {
+            LARGE_PERIOD
+        } else {
+            PERIOD
+        }
+    }
+
+    /// Whether messages go to some routers only.
+    fn is_large(&self) -> bool {
+        self.peers.len() >= SMALL_FLEET
     }
 
     /// Time after which a router counts as not heard.
     fn life(&self) -> Duration {
-        LIFE.max(self.pace() * LIFE_PACES)
+        let rounds = if self.is_large() {
+            self.peers.len() / FAN_OUT + 1
+        } else {
+            1
+        };
+        let rounds = u32::try_from(rounds).unwrap_or(u32::MAX);
+        LIFE.max(self.pace() * rounds * LIFE_PACES)
     }
 
     /// The message of a round, if one is due and tells something new or a sign of life.
@@ -419,12 +492,12 @@
     }
 
     /// One of the routers that are heard, drawn anew for each message.
-    fn introduction(&self, now: Duration) -> Option<(RouterId, SocketAddr)> {
+    fn introduction(&self, now: Duration) -> Option<(RouterId, SocketAddr, DomainId)> {
         let life = self.life();
         let heard = |peer: &Peer| peer.heard.is_some_and(|heard| now < heard + life);
         let heard = self.peers.iter().filter(|(_, peer)| heard(peer));
         let drawn = heard.choose(&mut rand::rng());
-        drawn.map(|(id, peer)| (id.clone(), peer.address))
+        drawn.map(|(id, peer)| (id.clone(), peer.address, peer.domain.clone()))
     }
 
     fn seal(&self, tell: &Tell) -> Option<Vec<u8>> {
@@ -437,21 +510,59 @@
         }
     }
 
-    /// Sends what was read from the registry to every router that is heard.
+    /// Sends what was read from the registry.
     fn pass_on(&self, feed: Feed) {
-        let now = self.shared.now();
-        let tell = Tell {
+        self.spread(Tell {
             feed: Some(feed),
             ..self.base()
+        });
+    }
+
+    /// Sends a message to every router: in a large fleet directly to those of the own domain, and to
+    /// one of each other domain, drawn anew each time, which passes it on.
+    fn spread(&self, tell: Tell) {
+        let own = &self.shared.settings.domain;
+        let mut far: BTreeMap<&DomainId, Vec<SocketAddr>> = BTreeMap::new();
+        let mut direct = Vec::new();
+        for peer in self.peers.values().filter(|peer| self.is_reached(peer)) {
+            if self.is_large() && peer.domain != *own {
+                far.entry(&peer.domain).or_default().push(peer.address);
+            } else {
+                direct.push(peer.address);
+            }
+        }
+        self.send_all(&tell, &direct);
+        let drawn = far.values().filter_map(|all| all.choose(&mut rand::rng()));
+        let relays: Vec<SocketAddr> = drawn.copied().collect();
+        let relayed = Tell {
+            relay: true,
+            ..tell
         };
-        let Some(datagram) = self.seal(&tell) else {
+        self.send_all(&relayed, &relays);
+    }
+
+    /// Passes a message on to the routers of the own domain.
+    fn relay(&self, tell: &Tell) {
+        let own = &self.shared.settings.domain;
+        let near = self.peers.values().filter(|peer| peer.domain == *own);
+        let near = near.filter(|peer| self.is_reached(peer));
+        let near: Vec<SocketAddr> = near.map(|peer| peer.address).collect();
+        self.send_all(&tell.passed_on(self.base()), &near);
+    }
+
+    /// Whether a router is heard, or was not heard yet.
+    fn is_reached(&self, peer: &Peer) -> bool {
+        let now = self.shared.now();
+        peer.heard.is_none_or(|heard| now < heard + self.life())
+    }
+
+    fn send_all(&self, tell: &Tell, to: &[SocketAddr]) {
+        if to.is_empty() {
             return;
-        };
-        let life = self.life();
-        for peer in self.peers.values() {
-            if peer.heard.is_some_and(|heard| now < heard + life) {
-                send(&self.socket, &datagram, peer.address);
-            }
+        }
+        if let Some(datagram) = self.seal(tell) {
+            to.iter()
+                .for_each(|address| send(&self.socket, &datagram, *address));
         }
     }
 
@@ -459,6 +570,7 @@
     fn base(&self) -> Tell {
         Tell {
             address: Some(self.shared.settings.peers),
+            domain: self.shared.settings.domain.clone(),
             version: self.shared.board().version(),
             draining: self.shared.is_draining(),
             ..Tell::default()
@@ -482,7 +594,9 @@
             work: Some(work),
             ..base
         };
-        board.news.fill(&mut tell);
+        if !self.is_large() {
+            board.news.fill(&mut tell);
+        }
         tell
     }
 
@@ -492,15 +606,12 @@
             Err(error) => return log(Event::PeerRejected, &format!("from={from} {error}")),
         };
         let now = self.shared.now();
-        self.introduce(id.clone(), tell.address.unwrap_or(from));
-        if let Some((other, address)) = tell.introduces.clone()
+        self.introduce(id.clone(), tell.address.unwrap_or(from), &tell.domain);
+        if let Some((other, address, domain)) = tell.introduces.clone()
             && other != self.shared.settings.id
+            && !self.peers.contains_key(&other)
         {
-            self.peers.entry(other).or_insert(Peer {
-                address,
-                heard: None,
-                sent: None,
-            });
+            self.introduce(other, address, &domain);
         }
         let life = self.life();
         if let Some(peer) = self.peers.get_mut(&id) {
@@ -513,6 +624,9 @@
                 );
             }
         }
+        if tell.relay {
+            self.relay(&tell);
+        }
         self.shared.hear(&id, tell, now);
     }
 }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -6,9 +6,9 @@
 
 /// What is known of an endpoint that could run a request.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Candidate {
+pub struct Candidate<'a> {
     /// The endpoint.
-    pub id: EndpointId,
+    pub id: &'a str,
     /// Requests that it runs at the same time.
     pub slots: u32,
     /// Requests outstanding there, of all routers.
@@ -78,18 +78,18 @@
     /// cached, and of these the one with most of the prompt, then the one with the least work. Where no
     /// such endpoint has the subject, the rank for it alone decides, so that routers that do not know
     /// of each other's choices agree.
-    pub fn for_prompt(&self, subject: &Subject, candidates: &[Candidate]) -> Option<Choice> {
+    pub fn for_prompt(&self, subject: &Subject, candidates: &[Candidate<'_>]) -> Option<Choice> {
         let usable = usable(candidates);
         let mean = mean(&usable);
         let bound = mean * self.multiple + self.slack;
-        let within = |candidate: &&&Candidate| {
+        let within = |candidate: &&&Candidate<'_>| {
             f64::from(candidate.requests) < bound && candidate.requests < candidate.slots
         };
-        let order = |candidate: &&&Candidate| {
+        let order = |candidate: &&&Candidate<'_>| {
             let has = candidate.cached >= subject.tokens;
             let cached = if has { candidate.cached } else { 0 };
             let work = if has { candidate.requests } else { 0 };
-            let rank = rank(subject.key, &candidate.id);
+            let rank = rank(subject.key, candidate.id);
             (has, cached / WORTH_MOVING, Reverse(work), rank)
         };
         let best = usable.iter().filter(within).max_by_key(order)?;
@@ -103,11 +103,11 @@
         &self,
         draw: u64,
         work: Duration,
-        candidates: &[Candidate],
+        candidates: &[Candidate<'_>],
     ) -> Option<Choice> {
         let usable = usable(candidates);
         let mean = mean(&usable);
-        let cost = |candidate: &Candidate| {
+        let cost = |candidate: &Candidate<'_>| {
             let turns = f64::from(candidate.requests) / f64::from(candidate.slots.max(1));
             let far = if candidate.near {
                 Duration::ZERO
@@ -115,7 +115,7 @@
                 REMOTE_COST
             };
             let cost = work.mul_f64(turns) + far;
-            (cost, rank(draw, &candidate.id))
+            (cost, rank(draw, candidate.id))
         };
         let best = usable.iter().min_by_key(|candidate| cost(candidate))?;
         Some(choice(best, mean))
@@ -123,17 +123,17 @@
 }
 
 /// The endpoint from which the chosen one should copy what it lacks.
-fn source(choice: &Choice, candidates: &[Candidate]) -> Option<(EndpointId, u64)> {
+fn source(choice: &Choice, candidates: &[Candidate<'_>]) -> Option<(EndpointId, u64)> {
     let reachable = candidates.iter().filter(|candidate| !candidate.avoid);
     let best = reachable.max_by_key(|candidate| candidate.cached)?;
     let more = best.cached >= choice.cached + WORTH_MOVING;
-    (more && best.id != choice.id).then(|| (best.id.clone(), best.cached))
+    (more && best.id != choice.id).then(|| (best.id.to_string(), best.cached))
 }
 
 /// The candidates that are not avoided, or all if every one is.
-fn usable(candidates: &[Candidate]) -> Vec<&Candidate> {
+fn usable<'a>(candidates: &'a [Candidate<'a>]) -> Vec<&'a Candidate<'a>> {
     let open = candidates.iter().filter(|candidate| !candidate.leaving);
-    let open: Vec<&Candidate> = open.collect();
+    let open: Vec<&Candidate<'_>> = open.collect();
     if open.iter().all(|candidate| candidate.avoid) {
         return open;
     }
@@ -142,7 +142,7 @@
         .collect()
 }
 
-fn mean(candidates: &[&Candidate]) -> f64 {
+fn mean(candidates: &[&Candidate<'_>]) -> f64 {
     let sum: u32 = candidates.iter().map(|candidate| candidate.requests).sum();
     f64::from(sum) / candidates.len().max(1) as f64
 }
@@ -151,9 +151,9 @@
     hash_parts(&[&key.to_le_bytes(), id.as_bytes()])
 }
 
-fn choice(candidate: &Candidate, mean: f64) -> Choice {
+fn choice(candidate: &Candidate<'_>, mean: f64) -> Choice {
     Choice {
-        id: candidate.id.clone(),
+        id: candidate.id.to_string(),
         requests: candidate.requests,
         mean,
         cached: candidate.cached,
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -210,7 +210,7 @@
         }
         let now = self.shared.now();
         let mut board = self.shared.board();
-        let routers = board.loads.routers();
+        let routers = board.fleet.max(board.loads.routers());
         board.repeats.take(&self.service, routers, now)
     }
 
@@ -250,29 +250,27 @@
         let prefixes = self.call.prompt.as_ref().map(prefixes).unwrap_or_default();
         let cached = board.cache.cached(&prefixes, now);
         let mut errors = 0.0;
-        let mut count = 0.0;
-        for entry in board.roster.open(&self.service, now) {
-            errors += board.health.errors(&entry.id);
-            count += 1.0;
-        }
-        let errors = errors / f64::max(count, 1.0);
-        let mut candidates: Vec<Candidate> = Vec::new();
+        let mut candidates: Vec<Candidate<'_>> = Vec::new();
         for entry in board.roster.of(&self.service, now) {
             if self.tried.contains(&entry.id) {
                 continue;
             }
-            let Work { requests, unread } = board.loads.at(&entry.id);
+            let Work { requests, unread } = board.loads.at(&entry.id, now);
             candidates.push(Candidate {
-                id: entry.id.clone(),
+                id: &entry.id,
                 slots: entry.slots,
                 requests,
                 unread,
                 cached: cached.get(entry.id.as_str()).copied().unwrap_or(0),
                 leaving: entry.leaving,
                 near: entry.domain == self.shared.settings.domain,
-                avoid: board.health.is_paused(&entry.id, now)
-                    || board.health.is_failing(&entry.id, errors),
+                avoid: board.health.is_paused(&entry.id, now),
             });
+            errors += board.health.errors(&entry.id);
+        }
+        let errors = errors / f64::max(candidates.len() as f64, 1.0);
+        for candidate in &mut candidates {
+            candidate.avoid |= board.health.is_failing(candidate.id, errors);
         }
         if candidates.iter().all(|candidate| candidate.leaving) {
             return Err(RefusalReason::NoEndpoint);
@@ -438,6 +436,10 @@
         }
         let error = status.is_server_error();
         self.shared.board().health.answered(&entry.id, error);
+        if let Some(load) = head.load {
+            let now = self.shared.now();
+            self.shared.board().loads.report(&entry.id, load, now);
+        }
         let streams = self.route.kind.streams() && status.is_success();
         let arriving = Arriving { body, link, ticket };
         let opened = |body| Opened {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -13,9 +13,9 @@
 use crate::settings::EdgeSettings;
 use crate::sync;
 use crate::upstream::Upstream;
-use sequoiaridge_core::{Clock, RouterId, Version};
+use sequoiaridge_core::{Clock, DomainId, RouterId, Version};
 use sequoiaridge_policy::Quarantine;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, UNIX_EPOCH};
@@ -25,6 +25,9 @@
 const STRIKES: u32 = 3;
 /// Time for which it is held back.
 const HOLD: Duration = Duration::from_secs(60);
+/// Routers up to which everyone tells everyone everything ten times a second. Beyond, each message of
+/// a router costs more than it tells.
+pub(crate) const SMALL_FLEET: usize = 24;
 /// Part of the memory that bodies of requests may take: a quarter, next to buffers of connections.
 const BODY_PART: usize = 4;
 /// Fingerprints that are tracked.
@@ -40,6 +43,10 @@
     pub(crate) fresh: BTreeMap<Table, Duration>,
     /// When the registry was last back after it had been away from the whole fleet.
     pub(crate) returned: Option<Duration>,
+    /// Feeds that came before those that they follow on.
+    pub(crate) early: VecDeque<Feed>,
+    /// Routers that are known, with this one.
+    pub(crate) fleet: usize,
     /// Tables of which another router has newer news.
     pub(crate) behind: BTreeSet<Table>,
     pub(crate) loads: Loads,
@@ -62,9 +69,20 @@
         self.behind.contains(&table)
     }
 
-    /// Place of this router among those that live, in the order of names.
-    pub(crate) fn place(&self, own: &RouterId) -> usize {
-        self.loads.peers().filter(|peer| *peer < own).count()
+    /// Place of this router among those that live. In a small fleet it is that in the order of names.
+    /// In a large one only the first of all has place 0; the others count within their domains, so
+    /// that one of each domain follows.
+    pub(crate) fn place(&self, own: &RouterId, domain: &DomainId) -> usize {
+        let before = self.loads.peers().filter(|(peer, _)| *peer < own);
+        if self.fleet <= SMALL_FLEET {
+            return before.count();
+        }
+        let (mut all, mut near) = (0, 0);
+        for (_, of) in before {
+            all += 1;
+            near += usize::from(of == domain);
+        }
+        if all == 0 { 0 } else { near + 1 }
     }
 }
 
@@ -124,6 +142,8 @@
                 positions: BTreeMap::new(),
                 fresh: BTreeMap::new(),
                 returned: None,
+                early: VecDeque::new(),
+                fleet: 1,
                 behind: BTreeSet::new(),
                 loads: Loads::new(),
                 health: Health::new(),
@@ -178,7 +198,9 @@
         }
         if let Some(work) = tell.work {
             let work = work.into_iter().collect();
-            board.loads.hear(router, work, tell.draining, now);
+            board
+                .loads
+                .hear(router, &tell.domain, work, tell.draining, now);
         }
         for (key, id) in tell.prefixes {
             board.cache.hear(key, &id, now);
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -39,6 +39,9 @@
 /// Time after the registry's return in which a row that vanished may only have lapsed.
 const RETURN: Duration = Duration::from_secs(2);
 
+/// Feeds that wait for what comes before them.
+const MAX_EARLY: usize = 32;
+
 /// Reader of one table.
 struct Reader {
     shared: Arc<Shared>,
@@ -78,8 +81,11 @@
                 let period = self.shared.settings.apply.mul_f64(HINT_PART);
                 let left = period.saturating_sub(since);
                 tokio::time::sleep(left.max(drawn(HINT_PAUSE))).await;
-                self.last_hint = self.shared.now();
-                return;
+                // What was missing may have come in the meantime, out of order.
+                if self.shared.board().is_behind(self.table) {
+                    self.last_hint = self.shared.now();
+                    return;
+                }
             }
             let due = self.due();
             let now = self.shared.now();
@@ -99,7 +105,9 @@
         let Some(fresh) = board.fresh.get(&self.table) else {
             return Duration::ZERO;
         };
-        let place = board.place(&self.shared.settings.id).min(MAX_PLACE);
+        let place = board
+            .place(&self.shared.settings.id, &self.shared.settings.domain)
+            .min(MAX_PLACE);
         let period = match (self.table, place) {
             (Table::Configuration, 0) => Duration::ZERO,
             (Table::Configuration, _) => CONFIG_WAIT,
@@ -220,29 +228,55 @@
     longest.mul_f64(rand::rng().random_range(0.5..1.0))
 }
 
-/// Takes over what another router read.
+/// Takes over what another router read, and what came before it out of order.
 pub(crate) fn hear(shared: &Shared, feed: Feed, now: Duration) {
     let mut board = shared.board();
     let table = feed.table;
-    let Some(position) = board.positions.get(&table).copied() else {
+    if !board.positions.contains_key(&table) {
         return;
-    };
-    let complete = match table {
-        Table::Configuration => board.version() >= feed.version,
-        Table::Endpoints | Table::Routers => position >= feed.from,
-    };
-    if !complete {
+    }
+    if !follows(&board, &feed) {
+        board.early.push_back(feed);
+        if board.early.len() > MAX_EARLY {
+            board.early.pop_front();
+        }
         board.behind.insert(table);
         drop(board);
         shared.hints(table).notify_one();
         return;
     }
+    take_over(&mut board, shared, feed, now);
+    while let Some(index) = board.early.iter().position(|feed| follows(&board, feed)) {
+        let Some(feed) = board.early.remove(index) else {
+            break;
+        };
+        take_over(&mut board, shared, feed, now);
+    }
+    if board.early.iter().any(|feed| feed.table == table) {
+        board.behind.insert(table);
+    }
+}
+
+/// Whether nothing is missing between what is known and the feed.
+fn follows(board: &Board, feed: &Feed) -> bool {
+    match feed.table {
+        Table::Configuration => board.version() >= feed.version,
+        Table::Endpoints | Table::Routers => {
+            let position = board.positions.get(&feed.table);
+            position.is_some_and(|position| *position >= feed.from)
+        }
+    }
+}
+
+fn take_over(board: &mut Board, shared: &Shared, feed: Feed, now: Duration) {
+    let table = feed.table;
     let to = feed.to;
     if table == Table::Endpoints {
-        apply_endpoints(&mut board, shared, feed.into_rows(), false, now);
+        apply_endpoints(board, shared, feed.into_rows(), false, now);
     }
     board.fresh.insert(table, now);
-    board.positions.insert(table, position.max(to));
+    let position = board.positions.entry(table).or_default();
+    *position = (*position).max(to);
     board.behind.remove(&table);
 }
 
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -9,10 +9,15 @@
     tokens: 10_000,
 };
 
-fn candidates(count: usize) -> Vec<Candidate> {
+const IDS: [&str; 18] = [
+    "e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9", "e10", "e11", "e12", "e13", "e14",
+    "e15", "e16", "e17",
+];
+
+fn candidates(count: usize) -> Vec<Candidate<'static>> {
     (0..count)
         .map(|index| Candidate {
-            id: format!("e{index}"),
+            id: IDS[index],
             slots: 48,
             requests: 4,
             unread: 0,
@@ -24,7 +29,7 @@
         .collect()
 }
 
-fn placed(candidates: &[Candidate]) -> String {
+fn placed(candidates: &[Candidate<'_>]) -> String {
     let choice = Placement::default().for_prompt(&SUBJECT, candidates);
     choice.expect("an endpoint").id
 }
--- a/crates/edge/tests/tables.rs
+++ b/crates/edge/tests/tables.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use sequoiaridge_edge::{
-    CacheMap, Feed, Health, Loads, Part, Prompt, RetryWindow, Table, Work, prefixes,
+    CacheMap, EndpointLoad, Feed, Health, Loads, Part, Prompt, RetryWindow, Table, Work, prefixes,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -99,29 +99,48 @@
         unread: 0,
     };
     let tell = |requests| BTreeMap::from([("e1".to_string(), work(requests))]);
-    loads.hear("r2", tell(5), false, NOW);
-    loads.hear("r2", tell(3), false, NOW);
+    loads.hear("r2", "a", tell(5), false, NOW);
+    loads.hear("r2", "a", tell(3), false, NOW);
     assert_eq!(
-        loads.at("e1"),
+        loads.at("e1", NOW),
         Work {
             requests: 5,
             unread: 50
         }
     );
     loads.expire(NOW + Duration::from_secs(2), Duration::from_millis(1500));
-    assert_eq!(loads.at("e1").requests, 2);
+    assert_eq!(loads.at("e1", NOW).requests, 2);
     loads.end("e1", 50);
     loads.end("e1", 0);
-    assert_eq!(loads.at("e1"), Work::default());
+    assert_eq!(loads.at("e1", NOW), Work::default());
+}
+
+/// A hot subject in a large fleet, where each router sends its home a request now and then and hears few
+/// of the others in time: what the endpoint tells with an answer shows the load of all.
+#[test]
+fn the_load_that_an_endpoint_tells_counts_for_a_short_time() {
+    let mut loads = Loads::new();
+    loads.begin("e1", 0);
+    let told = EndpointLoad {
+        running: 9,
+        waiting: 2,
+        slots: 12,
+    };
+    loads.report("e1", told, NOW);
+    assert_eq!(loads.at("e1", NOW).requests, 11);
+    loads.begin("e1", 0);
+    assert_eq!(loads.at("e1", NOW).requests, 12);
+    assert_eq!(loads.at("e1", NOW + Duration::from_secs(1)).requests, 2);
 }
 
 /// Guards against a draining router that keeps the first place in the order of readers.
 #[test]
 fn a_draining_router_has_no_place() {
     let mut loads = Loads::new();
-    loads.hear("r1", BTreeMap::new(), true, NOW);
-    loads.hear("r2", BTreeMap::new(), false, NOW);
-    assert_eq!(loads.peers().collect::<Vec<_>>(), ["r2"]);
+    loads.hear("r1", "a", BTreeMap::new(), true, NOW);
+    loads.hear("r2", "b", BTreeMap::new(), false, NOW);
+    let peers: Vec<&str> = loads.peers().map(|(id, _)| id.as_str()).collect();
+    assert_eq!(peers, ["r2"]);
     assert_eq!(loads.routers(), 3);
 }
 
