Keep pages of a table over failed calls, and let the router with the fastest link read first

Cause: at 300 routers the reader could be one with 10 Mbit/s, which takes as long for a read of 3,000 servers' heartbeats as the period; a refused page began the whole table anew. Serving again after all were killed takes 30 s still.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -59,6 +59,7 @@
         Rows {
             rows: self.changed.into_iter().map(row).collect(),
             position: self.to,
+            next: None,
         }
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -44,7 +44,7 @@
 pub use call::{AnswerHead, Attempt, AttemptId, Call, EndpointLoad, Part, PartId, Prompt};
 pub use feed::{ChangedRow, Feed};
 pub use health::Health;
-pub use load::{Loads, Work};
+pub use load::{Loads, Sender, Work};
 pub use manifest::{
     CallerLimits, Customer, EndpointEntry, Engine, Kind, Manifest, Route, RouterEntry, Service,
     ServiceName,
--- a/crates/edge/src/load.rs
+++ b/crates/edge/src/load.rs
@@ -37,9 +37,21 @@
     heard: Duration,
     draining: bool,
     domain: DomainId,
+    link: u32,
     work: BTreeMap<EndpointId, Work>,
 }
 
+/// A router that tells its work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sender<'a> {
+    /// Name of the router.
+    pub id: &'a RouterId,
+    /// Failure domain of the router.
+    pub domain: &'a DomainId,
+    /// Bandwidth of its link in Mbit/s.
+    pub link: u32,
+}
+
 /// Load that an endpoint told, and this router's own requests there at that time.
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -112,29 +124,33 @@
     /// Takes over the work that another router tells.
     pub fn hear(
         &mut self,
-        router: &str,
-        domain: &str,
+        router: Sender<'_>,
         work: BTreeMap<EndpointId, Work>,
         draining: bool,
         now: Duration,
     ) {
-        self.forget(router);
+        self.forget(router.id);
         for (id, work) in &work {
             self.others.entry(id.clone()).or_default().add(*work);
         }
         let peer = Peer {
             heard: now,
             draining,
-            domain: domain.to_string(),
+            domain: router.domain.clone(),
+            link: router.link,
             work,
         };
-        self.peers.insert(router.to_string(), peer);
+        self.peers.insert(router.id.clone(), peer);
     }
 
-    /// Routers heard that do not drain, with their domains.
-    pub fn peers(&self) -> impl Iterator<Item = (&RouterId, &DomainId)> {
+    /// Routers heard that do not drain.
+    pub fn peers(&self) -> impl Iterator<Item = Sender<'_>> {
         let staying = self.peers.iter().filter(|(_, peer)| !peer.draining);
-        staying.map(|(id, peer)| (id, &peer.domain))
+        staying.map(|(id, peer)| Sender {
+            id,
+            domain: &peer.domain,
+            link: peer.link,
+        })
     }
 
     /// Drops routers that were not heard for `life`, and reports that are too old to count.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -4,7 +4,7 @@
 use crate::feed::Feed;
 use crate::load::Work;
 use crate::manifest::RouterEntry;
-use crate::registry::{Entry, PeerKey, Registry, RegistryError, Table};
+use crate::registry::{Entry, PeerKey, Registry, RegistryError, Row, Table};
 use crate::shared::{SMALL_FLEET, Shared};
 use rand::RngExt;
 use rand::seq::{IndexedRandom, IteratorRandom};
@@ -66,6 +66,8 @@
     pub address: Option<SocketAddr>,
     /// Failure domain of the sender.
     pub domain: DomainId,
+    /// Bandwidth of the sender's link in Mbit/s.
+    pub link: u32,
     /// Another router that the sender hears, so that routers that started together meet.
     pub introduces: Option<(RouterId, SocketAddr, DomainId)>,
     /// Configuration that the sender has in force.
@@ -276,10 +278,10 @@
             continue;
         }
         pause = (pause * 2).min(LONGEST_SEEK);
-        let Ok(rows) = registry.read(Table::Routers).await else {
+        let Ok(rows) = read_routers(registry.as_ref()).await else {
             continue;
         };
-        for row in rows.rows {
+        for row in rows {
             if let Entry::Router(router) = row.entry
                 && router.id != shared.settings.id
                 && found.send(router).is_err()
@@ -298,7 +300,7 @@
         tokio::time::sleep(SAVE_PERIOD).await;
         let (first, snapshot) = {
             let board = shared.board();
-            let first = board.place(&shared.settings.id, &shared.settings.domain) == 0;
+            let first = board.place(&shared.settings) == 0;
             (first, board.cache.snapshot())
         };
         let Ok(snapshot) = snapshot else {
@@ -353,6 +355,20 @@
     }
 }
 
+/// All rows of the table of routers.
+async fn read_routers(registry: &dyn Registry) -> Result<Vec<Row>, RegistryError> {
+    let mut rows = Vec::new();
+    let mut after = None;
+    loop {
+        let page = registry.read(Table::Routers, after).await?;
+        rows.extend(page.rows);
+        if page.next.is_none() {
+            return Ok(rows);
+        }
+        after = page.next;
+    }
+}
+
 async fn join_once(
     registry: &dyn Registry,
     own: &RouterEntry,
@@ -360,7 +376,7 @@
     let mut key = None;
     let mut cache = None;
     let mut routers = Vec::new();
-    for row in registry.read(Table::Routers).await?.rows {
+    for row in read_routers(registry).await? {
         match row.entry {
             Entry::PeerKey(found) => key = Some(found),
             Entry::Cache(found) => cache = Some(found),
@@ -571,6 +587,7 @@
         Tell {
             address: Some(self.shared.settings.peers),
             domain: self.shared.settings.domain.clone(),
+            link: self.shared.settings.link,
             version: self.shared.board().version(),
             draining: self.shared.is_draining(),
             ..Tell::default()
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -80,6 +80,8 @@
     pub rows: Vec<Row>,
     /// Position up to which the rows are complete.
     pub position: Position,
+    /// Key after which the next page of a whole table starts; `None` if there is no further page.
+    pub next: Option<String>,
 }
 
 /// A call to the registry that failed.
@@ -101,12 +103,12 @@
 
 /// The platform's registry.
 pub trait Registry: Send + Sync {
-    /// Reads a whole table.
+    /// Reads a page of a whole table: the first, or the one after the key `after`.
     ///
     /// # Errors
     ///
     /// The registry gave no usable answer.
-    fn read(&self, table: Table) -> RegistryFuture<'_, Rows>;
+    fn read(&self, table: Table, after: Option<String>) -> RegistryFuture<'_, Rows>;
 
     /// Reads the rows of a table that changed after `position`, waiting up to `wait` for the first.
     ///
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -33,6 +33,8 @@
     pub load_multiple: f64,
     /// Time after its last use for which a part counts as cached.
     pub reuse: Duration,
+    /// Bandwidth of the instance's link in Mbit/s.
+    pub link: u32,
     /// Memory of the instance in bytes.
     pub memory: u64,
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -3,7 +3,7 @@
 use crate::cache_map::CacheMap;
 use crate::feed::Feed;
 use crate::health::Health;
-use crate::load::Loads;
+use crate::load::{Loads, Sender};
 use crate::metrics::Metrics;
 use crate::peers::{News, Tell};
 use crate::registry::{Dialect, Position, Table};
@@ -13,8 +13,9 @@
 use crate::settings::EdgeSettings;
 use crate::sync;
 use crate::upstream::Upstream;
-use sequoiaridge_core::{Clock, DomainId, RouterId, Version};
+use sequoiaridge_core::{Clock, RouterId, Version};
 use sequoiaridge_policy::Quarantine;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -69,18 +70,21 @@
         self.behind.contains(&table)
     }
 
-    /// Place of this router among those that live. In a small fleet it is that in the order of names.
-    /// In a large one only the first of all has place 0; the others count within their domains, so
-    /// that one of each domain follows.
-    pub(crate) fn place(&self, own: &RouterId, domain: &DomainId) -> usize {
-        let before = self.loads.peers().filter(|(peer, _)| *peer < own);
+    /// Place of this router among those that live. In a small fleet it is that in the order of their
+    /// links, the fastest first, and names. In a large one only the first of all has place 0; the
+    /// others count within their domains, so that one of each domain follows.
+    pub(crate) fn place(&self, settings: &EdgeSettings) -> usize {
+        let (own, domain) = (&settings.id, &settings.domain);
+        let rank = (Reverse(settings.link), own);
+        let before = self.loads.peers();
+        let before = before.filter(|peer| (Reverse(peer.link), peer.id) < rank);
         if self.fleet <= SMALL_FLEET {
             return before.count();
         }
         let (mut all, mut near) = (0, 0);
-        for (_, of) in before {
+        for peer in before {
             all += 1;
-            near += usize::from(of == domain);
+            near += usize::from(peer.domain == domain);
         }
         if all == 0 { 0 } else { near + 1 }
     }
@@ -198,9 +202,12 @@
         }
         if let Some(work) = tell.work {
             let work = work.into_iter().collect();
-            board
-                .loads
-                .hear(router, &tell.domain, work, tell.draining, now);
+            let from = Sender {
+                id: router,
+                domain: &tell.domain,
+                link: tell.link,
+            };
+            board.loads.hear(from, work, tell.draining, now);
         }
         for (key, id) in tell.prefixes {
             board.cache.hear(key, &id, now);
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -50,6 +50,8 @@
     failures: u32,
     /// When news of others last caused a read.
     last_hint: Duration,
+    /// Pages of a whole table that is being read.
+    pages: Option<Rows>,
     /// Where the last read began, and what it found.
     told: Option<(u64, Vec<ChangedRow>)>,
 }
@@ -62,6 +64,7 @@
         table,
         failures: 0,
         last_hint: Duration::ZERO,
+        pages: None,
         told: None,
     };
     loop {
@@ -105,9 +108,7 @@
         let Some(fresh) = board.fresh.get(&self.table) else {
             return Duration::ZERO;
         };
-        let place = board
-            .place(&self.shared.settings.id, &self.shared.settings.domain)
-            .min(MAX_PLACE);
+        let place = board.place(&self.shared.settings).min(MAX_PLACE);
         let period = match (self.table, place) {
             (Table::Configuration, 0) => Duration::ZERO,
             (Table::Configuration, _) => CONFIG_WAIT,
@@ -123,7 +124,7 @@
             (position, board.is_behind(self.table))
         };
         let read = match position {
-            None => self.registry.read(self.table).await,
+            None => self.read_whole().await,
             Some(position) if behind || self.table != Table::Configuration => {
                 let wait = Duration::ZERO;
                 self.registry.changes(self.table, position, wait).await
@@ -146,6 +147,25 @@
         }
     }
 
+    /// Reads the rest of the whole table. Pages that arrived are kept when a later one fails, so that
+    /// routers that start together get on although the registry refuses some of their calls.
+    async fn read_whole(&mut self) -> Result<Rows, RegistryError> {
+        loop {
+            let after = self.pages.as_ref().and_then(|pages| pages.next.clone());
+            let mut page = self.registry.read(self.table, after).await?;
+            if let Some(mut pages) = self.pages.take() {
+                // Changes since the first page come again with those after its position.
+                page.position = pages.position;
+                pages.rows.append(&mut page.rows);
+                page.rows = pages.rows;
+            }
+            if page.next.is_none() {
+                return Ok(page);
+            }
+            self.pages = Some(page);
+        }
+    }
+
     fn answered(&mut self) {
         self.shared
             .metrics
--- a/crates/edge/tests/roster.rs
+++ b/crates/edge/tests/roster.rs
@@ -27,7 +27,11 @@
 }
 
 fn rows(position: u64, rows: Vec<Row>) -> Rows {
-    Rows { rows, position }
+    Rows {
+        rows,
+        position,
+        next: None,
+    }
 }
 
 fn roster() -> Roster {
--- a/crates/edge/tests/tables.rs
+++ b/crates/edge/tests/tables.rs
@@ -2,13 +2,22 @@
 
 use proptest::prelude::*;
 use sequoiaridge_edge::{
-    CacheMap, EndpointLoad, Feed, Health, Loads, Part, Prompt, RetryWindow, Table, Work, prefixes,
+    CacheMap, EndpointLoad, Feed, Health, Loads, Part, Prompt, RetryWindow, Sender, Table, Work,
+    prefixes,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(100);
 
+fn sender(id: &String) -> Sender<'_> {
+    Sender {
+        id,
+        domain: id,
+        link: 1000,
+    }
+}
+
 fn prompt(parts: &[(u64, u64)]) -> Prompt {
     Prompt {
         model: "m".to_string(),
@@ -94,13 +103,14 @@
     loads.begin("e1", 100);
     loads.begin("e1", 50);
     loads.read("e1", 100);
+    let r2 = "r2".to_string();
     let work = |requests| Work {
         requests,
         unread: 0,
     };
     let tell = |requests| BTreeMap::from([("e1".to_string(), work(requests))]);
-    loads.hear("r2", "a", tell(5), false, NOW);
-    loads.hear("r2", "a", tell(3), false, NOW);
+    loads.hear(sender(&r2), tell(5), false, NOW);
+    loads.hear(sender(&r2), tell(3), false, NOW);
     assert_eq!(
         loads.at("e1", NOW),
         Work {
@@ -137,9 +147,10 @@
 #[test]
 fn a_draining_router_has_no_place() {
     let mut loads = Loads::new();
-    loads.hear("r1", "a", BTreeMap::new(), true, NOW);
-    loads.hear("r2", "b", BTreeMap::new(), false, NOW);
-    let peers: Vec<&str> = loads.peers().map(|(id, _)| id.as_str()).collect();
+    let (r1, r2) = ("r1".to_string(), "r2".to_string());
+    loads.hear(sender(&r1), BTreeMap::new(), true, NOW);
+    loads.hear(sender(&r2), BTreeMap::new(), false, NOW);
+    let peers: Vec<&str> = loads.peers().map(|peer| peer.id.as_str()).collect();
     assert_eq!(peers, ["r2"]);
     assert_eq!(loads.routers(), 3);
 }
