Split the modules of messages, joining, placing and answers, and fit messages by the length of ids

Change: tell, join, place and opened are modules of their own; work and prefixes are counted in bytes. No other behaviour changes.

--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -2,7 +2,8 @@
 
 use crate::call::Call;
 use crate::manifest::{CallerLimits, Route};
-use crate::relay::{AnswerBody, Exchange, Opened};
+use crate::opened::{AnswerBody, Opened};
+use crate::relay::Exchange;
 use crate::routes::RouteTable;
 use crate::shared::{InFlight, Shared};
 use crate::stream_body::StreamBody;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,10 +23,13 @@
 mod feed;
 mod health;
 mod ingress;
+mod join;
 mod load;
 mod manifest;
 mod metrics;
+mod opened;
 mod peers;
+mod place;
 mod placement;
 mod registry;
 mod relay;
@@ -38,6 +41,7 @@
 mod shared;
 mod stream_body;
 mod sync;
+mod tell;
 mod upstream;
 
 pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
@@ -50,7 +54,6 @@
     ServiceName,
 };
 pub use metrics::example_metrics;
-pub use peers::Tell;
 pub use placement::{Candidate, Choice, Placement, Subject};
 pub use registry::{
     CallError, Dialect, Entry, PeerKey, Position, Registry, RegistryError, RegistryFuture, Row,
@@ -61,3 +64,4 @@
 pub use router::EdgeRouter;
 pub use routes::RouteTable;
 pub use settings::EdgeSettings;
+pub use tell::Tell;
--- /dev/null
+++ b/crates/edge/src/opened.rs
@@ -0,0 +1,59 @@
+//! An answer that an endpoint has begun, and the work that it counts for.
+
+use crate::call::AnswerHead;
+use crate::shared::Shared;
+use crate::upstream::Link;
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use hyper::body::Incoming;
+use sequoiaridge_core::EndpointId;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The head of an answer, and where its body comes from.
+pub(crate) struct Opened {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) head: AnswerHead,
+    pub(crate) body: AnswerBody,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) address: SocketAddr,
+}
+
+/// Body of an answer.
+pub(crate) enum AnswerBody {
+    /// The whole body.
+    Whole(Bytes),
+    /// A body that is still arriving.
+    Arriving(Box<Arriving>),
+}
+
+/// A body that is still arriving, with the connection that it arrives on.
+pub(crate) struct Arriving {
+    pub(crate) body: Incoming,
+    pub(crate) link: Link,
+    pub(crate) ticket: Ticket,
+}
+
+/// Counts the work of one attempt at an endpoint until it is dropped.
+pub(crate) struct Ticket {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) unread: u32,
+}
+
+impl Ticket {
+    /// Counts the first event of the answer: the prompt was read.
+    pub(crate) fn prompt_read(&mut self) {
+        if self.unread > 0 {
+            self.shared.board().loads.read(&self.endpoint, self.unread);
+            self.unread = 0;
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.shared.board().loads.end(&self.endpoint, self.unread);
+    }
+}
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,19 +1,17 @@
 //! One request: choice of endpoints, sending, repeats, and the answer's head.
 
-use crate::cache_map::prefixes;
 use crate::call::{AnswerHead, Attempt, Call, Prompt};
-use crate::load::Work;
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName};
-use crate::placement::{Candidate, Choice, Placement};
+use crate::opened::{AnswerBody, Arriving, Opened, Ticket};
+use crate::place::Placed;
 use crate::shared::{HeldBytes, InFlight, Shared};
 use crate::upstream::{Link, SILENCE, SendError, is_reachable};
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use sequoiaridge_core::{
     CustomerId, EndpointId, Event, Fingerprint, Refusal, RefusalReason, RetryReason, Verdict,
-    hash_parts,
 };
 use sequoiaridge_log::log_request;
 use sequoiaridge_policy::{Crash, Standing};
@@ -26,8 +24,6 @@
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Last rank that engines know; the first is 0.
 const LAST_PRIORITY: u8 = 9;
-/// Work of a request to a plain service that is assumed when waits are compared.
-const SERVICE_WORK: Duration = Duration::from_millis(50);
 /// Largest answer of a plain service that is held until it is whole.
 const WHOLE_ANSWER: usize = 256 * 1024;
 
@@ -53,66 +49,9 @@
     pub(crate) _in_flight: InFlight,
 }
 
-/// The head of an answer, and where its body comes from.
-pub(crate) struct Opened {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) head: AnswerHead,
-    pub(crate) body: AnswerBody,
-    pub(crate) endpoint: EndpointId,
-    pub(crate) address: SocketAddr,
-}
-
-/// Body of an answer.
-pub(crate) enum AnswerBody {
-    /// The whole body.
-    Whole(Bytes),
-    /// A body that is still arriving.
-    Arriving(Box<Arriving>),
-}
-
-/// A body that is still arriving, with the connection that it arrives on.
-pub(crate) struct Arriving {
-    pub(crate) body: Incoming,
-    pub(crate) link: Link,
-    pub(crate) ticket: Ticket,
-}
-
-/// Counts the work of one attempt at an endpoint until it is dropped.
-pub(crate) struct Ticket {
-    shared: Arc<Shared>,
-    endpoint: EndpointId,
-    unread: u32,
-}
-
-impl Ticket {
-    /// Counts the first event of the answer: the prompt was read.
-    pub(crate) fn prompt_read(&mut self) {
-        if self.unread > 0 {
-            self.shared.board().loads.read(&self.endpoint, self.unread);
-            self.unread = 0;
-        }
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        self.shared.board().loads.end(&self.endpoint, self.unread);
-    }
-}
-
-/// An endpoint that was chosen for a request, with the request counted there.
-struct Placed {
-    entry: EndpointEntry,
-    choice: Choice,
-    /// Address from which the endpoint copies what it lacks of the prompt.
-    fetch: Option<SocketAddr>,
-    ticket: Ticket,
-}
-
 /// What became of one attempt.
 enum Outcome {
-    Answer(Opened),
+    Answer(Box<Opened>),
     NotRun(RefusalReason, RetryReason),
     MayHaveRun(RefusalReason, RetryReason),
 }
@@ -149,9 +88,9 @@
             let (reason, retry) = match outcome {
                 Outcome::Answer(opened) => {
                     if !self.is_worth_repeating(&opened) {
-                        return Ok(opened);
+                        return Ok(*opened);
                     }
-                    fallback = Some(opened);
+                    fallback = Some(*opened);
                     (RefusalReason::EndpointBroke, RetryReason::EndpointBroke)
                 }
                 Outcome::NotRun(reason, retry) => {
@@ -238,91 +177,6 @@
         })
     }
 
-    /// Chooses an endpoint and counts the request there.
-    fn place(&self) -> Result<Placed, RefusalReason> {
-        let now = self.shared.now();
-        let mut board = self.shared.board();
-        if let Some(fingerprint) = self.fingerprint
-            && let Standing::Held { .. } = board.quarantine.state(fingerprint, now)
-        {
-            return Err(RefusalReason::Quarantined);
-        }
-        let prefixes = self.call.prompt.as_ref().map(prefixes).unwrap_or_default();
-        let cached = board.cache.cached(&prefixes, now);
-        let mut errors = 0.0;
-        let mut candidates: Vec<Candidate<'_>> = Vec::new();
-        for entry in board.roster.of(&self.service, now) {
-            if self.tried.contains(&entry.id) {
-                continue;
-            }
-            let Work { requests, unread } = board.loads.at(&entry.id, now);
-            candidates.push(Candidate {
-                id: &entry.id,
-                slots: entry.slots,
-                requests,
-                unread,
-                cached: cached.get(entry.id.as_str()).copied().unwrap_or(0),
-                leaving: entry.leaving,
-                near: entry.domain == self.shared.settings.domain,
-                avoid: board.health.is_paused(&entry.id, now),
-            });
-            errors += board.health.errors(&entry.id);
-        }
-        let errors = errors / f64::max(candidates.len() as f64, 1.0);
-        for candidate in &mut candidates {
-            candidate.avoid |= board.health.is_failing(candidate.id, errors);
-        }
-        if candidates.iter().all(|candidate| candidate.leaving) {
-            return Err(RefusalReason::NoEndpoint);
-        }
-        let placement = Placement::default();
-        let choice = match &self.call.prompt {
-            Some(prompt) => placement.for_prompt(&prompt.subject(), &candidates),
-            None => {
-                let draw = hash_parts(&[self.call.attempt.as_bytes()]);
-                placement.for_service(draw, SERVICE_WORK, &candidates)
-            }
-        };
-        let choice = choice.ok_or(RefusalReason::Overload)?;
-        let fetch = choice.fetch.as_ref();
-        let fetch = fetch.and_then(|(id, _)| Some(board.roster.get(id)?.address));
-        let entry = board.roster.get(&choice.id).cloned();
-        let entry = entry.ok_or(RefusalReason::NoEndpoint)?;
-        let prompt = self.call.prompt.as_ref();
-        let kept = choice
-            .fetch
-            .as_ref()
-            .map_or(choice.cached, |(_, tokens)| *tokens);
-        let unread = prompt.map_or(0, |prompt| prompt.input.saturating_sub(kept));
-        let unread = u32::try_from(unread).unwrap_or(u32::MAX);
-        self.count_prompt(kept);
-        board.loads.begin(&entry.id, unread);
-        let told = board.cache.record(&prefixes, &entry.id, now);
-        board.news.prefixes(told, &entry.id);
-        let ticket = Ticket {
-            shared: self.shared.clone(),
-            endpoint: entry.id.clone(),
-            unread,
-        };
-        Ok(Placed {
-            entry,
-            choice,
-            fetch,
-            ticket,
-        })
-    }
-
-    /// Counts the tokens of a prompt and those that need not be read.
-    fn count_prompt(&self, kept: u64) {
-        if let Some(prompt) = &self.call.prompt {
-            self.shared.metrics.prompt_tokens.inc_by(prompt.input);
-            self.shared
-                .metrics
-                .cached_tokens
-                .inc_by(kept.min(prompt.input));
-        }
-    }
-
     /// Sends the request to one endpoint.
     async fn attempt(&mut self, placed: Placed) -> Outcome {
         let entry = &placed.entry;
@@ -451,12 +305,12 @@
             address: entry.address,
         };
         if streams {
-            return Outcome::Answer(opened(AnswerBody::Arriving(Box::new(arriving))));
+            return Outcome::Answer(Box::new(opened(AnswerBody::Arriving(Box::new(arriving)))));
         }
         match self.collect(&head, arriving).await {
             Some(body) => {
                 self.ran_whole();
-                Outcome::Answer(opened(body))
+                Outcome::Answer(Box::new(opened(body)))
             }
             None => {
                 self.broke(entry);
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -1,6 +1,7 @@
 //! Body of an answer to a caller.
 
-use crate::relay::{AnswerBody, Arriving, Exchange, Opened};
+use crate::opened::{AnswerBody, Arriving, Opened};
+use crate::relay::Exchange;
 use crate::upstream::{SILENCE, is_reachable};
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
--- /dev/null
+++ b/crates/edge/src/tell.rs
@@ -0,0 +1,164 @@
+//! Messages between routers, and what waits to be told.
+
+use crate::cache_map::PrefixKey;
+use crate::feed::Feed;
+use crate::load::Work;
+use sequoiaridge_core::{DomainId, EndpointId, Fingerprint, RouterId, Version};
+use sequoiaridge_policy::Crash;
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// Bytes of a message for work and prefixes together, and of these the most for work. The other fields
+/// take up to 300, and a datagram holds 1,200.
+const ENTRY_BYTES: usize = 800;
+const MAX_WORK_BYTES: usize = 600;
+/// Most bytes of an entry of each kind beside the endpoint's id.
+const WORK_BYTES: usize = 11;
+const PREFIX_BYTES: usize = 11;
+/// Crashes and failed endpoints that one message tells.
+const MAX_CRASHES: usize = 2;
+const MAX_FAILED: usize = 4;
+/// Messages that repeat a crash or a failed endpoint, since datagrams are lost at times.
+const REPEATS: u8 = 3;
+/// Items that wait to be told; older ones are dropped.
+const MAX_WAITING: usize = 512;
+
+/// One message from a router to another.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tell {
+    /// Address at which the sender hears.
+    pub address: Option<SocketAddr>,
+    /// Failure domain of the sender.
+    pub domain: DomainId,
+    /// Bandwidth of the sender's link in Mbit/s.
+    pub link: u32,
+    /// Another router that the sender hears, so that routers that started together meet.
+    pub introduces: Option<(RouterId, SocketAddr, DomainId)>,
+    /// Configuration that the sender has in force.
+    pub version: Version,
+    /// Whether the sender drains.
+    pub draining: bool,
+    /// Work that the sender has outstanding; `None` if the message does not tell it.
+    pub work: Option<Vec<(EndpointId, Work)>>,
+    /// Prefixes that endpoints read.
+    pub prefixes: Vec<(PrefixKey, EndpointId)>,
+    /// Crashes that the sender saw.
+    pub crashes: Vec<Crash>,
+    /// Requests that ran to their end after a crash.
+    pub cleared: Vec<Fingerprint>,
+    /// Endpoints that the sender could not reach.
+    pub failed: Vec<EndpointId>,
+    /// What the sender has just read from the registry.
+    pub feed: Option<Feed>,
+    /// Whether the hearer passes feed and news on to the routers of its own domain.
+    pub relay: bool,
+}
+
+impl Tell {
+    /// Tells work, of as many endpoints as fit: those with the most requests.
+    pub fn with_work(mut self, mut work: Vec<(EndpointId, Work)>) -> Tell {
+        if work_bytes(&work) > MAX_WORK_BYTES {
+            work.sort_by_key(|(_, work)| std::cmp::Reverse(work.requests));
+        }
+        while work_bytes(&work) > MAX_WORK_BYTES {
+            work.pop();
+        }
+        self.work = Some(work);
+        self
+    }
+
+    /// Whether the message tells anything that all routers should know.
+    pub(crate) fn has_news(&self) -> bool {
+        !(self.prefixes.is_empty()
+            && self.crashes.is_empty()
+            && self.cleared.is_empty()
+            && self.failed.is_empty())
+    }
+
+    /// What a relay passes on, under its own name.
+    pub(crate) fn passed_on(&self, base: Tell) -> Tell {
+        Tell {
+            prefixes: self.prefixes.clone(),
+            crashes: self.crashes.clone(),
+            cleared: self.cleared.clone(),
+            failed: self.failed.clone(),
+            feed: self.feed.clone(),
+            ..base
+        }
+    }
+}
+
+/// What waits to be told.
+#[derive(Debug, Default)]
+pub(crate) struct News {
+    prefixes: VecDeque<(PrefixKey, EndpointId)>,
+    crashes: VecDeque<(Crash, u8)>,
+    cleared: VecDeque<(Fingerprint, u8)>,
+    failed: VecDeque<(EndpointId, u8)>,
+}
+
+impl News {
+    /// Adds prefixes that an endpoint reads.
+    pub(crate) fn prefixes(&mut self, keys: Vec<PrefixKey>, id: &str) {
+        let entries = keys.into_iter().map(|key| (key, id.to_string()));
+        self.prefixes.extend(entries);
+        trim(&mut self.prefixes);
+    }
+
+    /// Adds a crash.
+    pub(crate) fn crash(&mut self, crash: Crash) {
+        self.crashes.push_back((crash, REPEATS));
+        trim(&mut self.crashes);
+    }
+
+    /// Adds a request that ran to its end after a crash.
+    pub(crate) fn cleared(&mut self, fingerprint: Fingerprint) {
+        self.cleared.push_back((fingerprint, REPEATS));
+        trim(&mut self.cleared);
+    }
+
+    /// Adds an endpoint that could not be reached.
+    pub(crate) fn failed(&mut self, id: &str) {
+        if self.failed.iter().all(|(known, _)| known != id) {
+            self.failed.push_back((id.to_string(), REPEATS));
+            trim(&mut self.failed);
+        }
+    }
+
+    /// Moves what fits into a message.
+    pub(crate) fn fill(&mut self, tell: &mut Tell) {
+        let work = tell.work.as_deref().map_or(0, work_bytes);
+        let mut room = ENTRY_BYTES.saturating_sub(work);
+        while let Some((key, id)) = self.prefixes.pop_front() {
+            let Some(left) = room.checked_sub(id.len() + PREFIX_BYTES) else {
+                self.prefixes.push_front((key, id));
+                break;
+            };
+            room = left;
+            tell.prefixes.push((key, id));
+        }
+        tell.crashes = take(&mut self.crashes, MAX_CRASHES);
+        tell.cleared = take(&mut self.cleared, MAX_CRASHES);
+        tell.failed = take(&mut self.failed, MAX_FAILED);
+    }
+}
+
+fn work_bytes(work: &[(EndpointId, Work)]) -> usize {
+    work.iter().map(|(id, _)| id.len() + WORK_BYTES).sum()
+}
+
+fn trim<T>(queue: &mut VecDeque<T>) {
+    while queue.len() > MAX_WAITING {
+        queue.pop_front();
+    }
+}
+
+/// Takes items that are told several times; those with tellings left go to the back.
+fn take<T: Clone>(queue: &mut VecDeque<(T, u8)>, count: usize) -> Vec<T> {
+    let count = queue.len().min(count);
+    let taken: Vec<(T, u8)> = queue.drain(..count).collect();
+    let again = taken.iter().filter(|(_, left)| *left > 1);
+    queue.extend(again.map(|(item, left)| (item.clone(), left - 1)));
+    taken.into_iter().map(|(item, _)| item).collect()
+}
--- a/crates/edge/tests/tables.rs
+++ b/crates/edge/tests/tables.rs
@@ -2,8 +2,8 @@
 
 use proptest::prelude::*;
 use sequoiaridge_edge::{
-    CacheMap, EndpointLoad, Feed, Health, Loads, Part, Prompt, RetryWindow, Sender, Table, Work,
-    prefixes,
+    CacheMap, EndpointLoad, Feed, Health, Loads, Part, Prompt, RetryWindow, Sender, Table, Tell,
+    Work, prefixes,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -204,6 +204,26 @@
     assert_eq!(changed, 20);
 }
 
+/// Guards against messages that no datagram holds, and that are then never sent, when a router has work
+/// at many endpoints or their ids are long.
+#[test]
+fn the_work_that_a_message_tells_fits_a_datagram() {
+    for length in [4, 12, 60] {
+        let work = (0..300u32).map(|index| {
+            let requests = if index == 200 { 900 } else { index % 7 };
+            let work = Work {
+                requests,
+                unread: 100_000,
+            };
+            (format!("{index:0length$}"), work)
+        });
+        let tell = Tell::default().with_work(work.collect());
+        assert!(postcard::to_stdvec(&tell).expect("bytes").len() < 900);
+        let told = tell.work.expect("work");
+        assert_eq!(told[0].1.requests, 900, "the busiest endpoint comes first");
+    }
+}
+
 /// Guards against repeats beyond the fleet's budget (a share of the requests and a fixed part) in any
 /// window, when eight routers each see an eighth of the traffic.
 #[test]
