--- a/src/cli/logs.rs
+++ b/src/cli/logs.rs
@@ -3,7 +3,10 @@
 use sequoiaridge::log::LineWriter;
 use sequoiaridge::settings::{LogFormat, LogLevel};
 use std::io::{self, IsTerminal};
-use tracing_subscriber::EnvFilter;
+use tracing_subscriber::filter::{LevelFilter, Targets};
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::{EnvFilter, Layer};
 
 /// Writes log lines of the given format and level. Libraries only log warnings.
 pub(crate) fn start(format: LogFormat, level: LogLevel) {
@@ -28,11 +31,16 @@
 /// The thread that writes cannot be started.
 pub(crate) fn start_lines() -> io::Result<()> {
     let writer = LineWriter::start()?;
-    tracing_subscriber::fmt()
-        .with_env_filter(EnvFilter::new("warn,sequoiaridge_log=info"))
+    // A list of targets needs no regular expressions, whose memory counts on small instances.
+    let filter = Targets::new()
+        .with_default(LevelFilter::WARN)
+        .with_target("sequoiaridge_log", LevelFilter::INFO);
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(move || writer.clone())
         .json()
-        .with_target(false)
+        .with_target(false);
+    tracing_subscriber::registry()
+        .with(lines.with_filter(filter))
         .init();
     Ok(())
 }
