--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -31,7 +31,25 @@
     /// Reads the platform's settings file from SEQUOIARIDGE_BOOT; see docs/platform.md. Logs go to
     /// standard output. Exits like `run`.
     #[bpaf(command)]
-    Edge,
+    Edge {
+        /// Only read the settings file and say whether it is valid
+        #[bpaf(long)]
+        check: bool,
+    },
+    /// Show what the logs say of one request, in the order of time
+    ///
+    ///
+    /// Reads lines of JSON as `edge` writes them, of one router or of several, and prints time, event and
+    /// detail of those about the request. Exits with 1 if there are none.
+    #[bpaf(command)]
+    Explain {
+        /// Log file; standard input if it is not given
+        #[bpaf(long, argument("FILE"))]
+        log: Option<PathBuf>,
+        /// Id of the request's attempt
+        #[bpaf(positional("ID"))]
+        id: String,
+    },
     /// Read a settings file and report every mistake
     ///
     ///
--- a/src/cli/edge.rs
+++ b/src/cli/edge.rs
@@ -8,6 +8,20 @@
 use std::sync::Arc;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+/// Reads the platform's settings file and says whether it is valid.
+pub(crate) fn check() -> u8 {
+    match Boot::from_env() {
+        Ok(boot) => {
+            println!("valid, router {} in {}", boot.edge.id, boot.edge.domain);
+            exit::OK
+        }
+        Err(error) => {
+            eprintln!("error: {error}");
+            exit::INVALID
+        }
+    }
+}
+
 /// Runs a router on the users' platform until SIGTERM or SIGINT, then drains it.
 ///
 /// One thread serves everything: instances have a fraction of a core, and passing requests between
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -8,6 +8,7 @@
 mod check;
 mod dev;
 mod edge;
+mod explain;
 mod fake;
 mod logs;
 mod run;
@@ -52,7 +53,9 @@
     };
     let code = match command {
         Command::Run { config } => run::run(&config),
-        Command::Edge => edge::edge(),
+        Command::Edge { check: true } => edge::check(),
+        Command::Edge { check: false } => edge::edge(),
+        Command::Explain { log, id } => explain::explain(log.as_deref(), &id),
         Command::Check { config } => check::check(&config),
         Command::Targets(command) => admin::report(admin::targets(command)),
         Command::Customers(command) => admin::report(admin::customers(command)),
--- a/tests/platform_logs.rs
+++ b/tests/platform_logs.rs
@@ -81,6 +81,39 @@
     }
 }
 
+/// Guards against operators who must search the logs by hand: `explain` shows the lines of one request,
+/// in order, and says so if there are none.
+#[test]
+fn explain_shows_the_lines_of_one_request() {
+    let line = |time: u32, name: &str, id: &str| {
+        format!(
+            r#"r1 {{"timestamp":"2026-01-01T00:00:0{time}Z","fields":{{"message":"m{time}","code":1,"name":"{name}","request":"{id}"}}}}"#
+        )
+    };
+    let log = [
+        line(2, "call-refused", "a1"),
+        line(1, "call-placed", "a1"),
+        line(1, "call-placed", "a12"),
+        "no line of JSON about a1".to_string(),
+    ];
+    let path = std::path::Path::new(FOLDER).join("explain.log");
+    std::fs::write(&path, log.join("\n")).expect("the file");
+    let explain = |id: &str| {
+        let mut command = std::process::Command::new(PROGRAM);
+        command.args(["explain", id, "--log"]).arg(&path);
+        command.output().expect("the program runs")
+    };
+    let output = explain("a1");
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).expect("text");
+    let names: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.split_whitespace().nth(1))
+        .collect();
+    assert_eq!(names, ["call-placed", "call-refused"]);
+    assert_eq!(explain("a9").status.code(), Some(1));
+}
+
 /// Guards against a program that starts with settings it does not understand, or says so at length.
 #[test]
 fn bad_settings_end_the_program_with_one_line() {
