--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -26,8 +26,13 @@
 const FAN_OUT: usize = 16;
 /// Pause between messages that tell nothing new.
 const QUIET_PERIOD: Duration = Duration::from_millis(500);
-/// Pause between messages to a router that is not heard.
+/// Pause between messages to a router that is not heard, at first and after `RECENT`.
 const UNHEARD_PERIOD: Duration = Duration::from_secs(1);
+const SILENT_PERIOD: Duration = Duration::from_secs(10);
+const RECENT: Duration = Duration::from_secs(10);
+/// Time after which a router that is not heard is forgotten: it was replaced, and its row stays in the
+/// registry. Cuts between domains last minutes.
+const FORGET: Duration = Duration::from_secs(600);
 /// Pause between messages with news in a fleet of a given size; larger ones take longer in proportion.
 const NEWS_PERIOD: Duration = Duration::from_secs(1);
 const NEWS_FLEET: u32 = 80;
@@ -40,6 +45,8 @@
 struct Peer {
     address: SocketAddr,
     domain: DomainId,
+    /// When the router was last heard, or else became known.
+    since: Duration,
     heard: Option<Duration>,
     sent: Option<Duration>,
 }
@@ -107,9 +114,11 @@
 
 impl Links {
     fn introduce(&mut self, id: RouterId, address: SocketAddr, domain: &str) {
+        let now = self.shared.now();
         let peer = self.peers.entry(id).or_insert(Peer {
             address,
             domain: domain.to_string(),
+            since: now,
             heard: None,
             sent: None,
         });
@@ -139,7 +148,22 @@
                 .for_each(|address| send(&self.socket, &datagram, address));
         }
         self.tell_news(now);
-        let due = |peer: &Peer| peer.sent.is_none_or(|sent| now >= sent + UNHEARD_PERIOD);
+        self.tell_unheard(now, life);
+    }
+
+    /// Sends a sign of life to routers that are not heard, and forgets those that were not for long.
+    fn tell_unheard(&mut self, now: Duration, life: Duration) {
+        self.peers.retain(|_, peer| now < peer.since + FORGET);
+        let heard = |peer: &Peer| peer.heard.is_some_and(|heard| now < heard + life);
+        let due = |peer: &Peer| {
+            let recent = now < peer.since + RECENT;
+            let period = if recent {
+                UNHEARD_PERIOD
+            } else {
+                SILENT_PERIOD
+            };
+            peer.sent.is_none_or(|sent| now >= sent + period)
+        };
         if self.peers.values().any(|peer| !heard(peer) && due(peer)) {
             let Some(datagram) = self.seal(&self.base()) else {
                 return;
@@ -328,6 +352,7 @@
         if let Some(peer) = self.peers.get_mut(&id) {
             let was_heard = peer.heard.is_some_and(|heard| now < heard + life);
             peer.heard = Some(now);
+            peer.since = now;
             if !was_heard {
                 log(
                     Event::PeerUp,
