Repeat a feed only in one that follows on it

When two routers read in turn, the feed of one claimed the positions between its own two reads, though the rows there were told by the other one only. A router that had lost the other's datagram took them for known. Change: feeds are merged only if one ends where the next begins, and feeds of other routers are repeated as well. Ruled out: two datagrams lost in a row; the second feed would have held the row.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -27,6 +27,21 @@
 }
 
 impl Feed {
+    /// The feed with what `previous` told before it, so that a lost datagram leaves no gap. A feed that
+    /// does not follow on the previous one stays as it is: the rows between the two are in neither.
+    pub fn repeating(self, previous: &Feed) -> Feed {
+        if previous.table != self.table || previous.to != self.from {
+            return self;
+        }
+        let mut changed = previous.changed.clone();
+        changed.extend(self.changed);
+        Feed {
+            from: previous.from,
+            changed,
+            ..self
+        }
+    }
+
     /// The feed in parts that each fit a datagram and follow on each other. A hearer that misses one
     /// finds that the next does not follow on its own position, and reads for itself.
     pub fn into_parts(mut self) -> Vec<Feed> {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -44,6 +44,8 @@
     pub(crate) fresh: BTreeMap<Table, Duration>,
     /// When the registry was last back after it had been away from the whole fleet.
     pub(crate) returned: Option<Duration>,
+    /// The latest feed of each table, read here or heard.
+    pub(crate) recent: BTreeMap<Table, Feed>,
     /// Feeds that came before those that they follow on.
     pub(crate) early: VecDeque<Feed>,
     /// Routers that are known, with this one.
@@ -146,6 +148,7 @@
                 positions: BTreeMap::new(),
                 fresh: BTreeMap::new(),
                 returned: None,
+                recent: BTreeMap::new(),
                 early: VecDeque::new(),
                 fleet: 1,
                 behind: BTreeSet::new(),
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -4,7 +4,7 @@
 //! router's place in the order of names. So the first router that lives and reaches the registry
 //! reads, tells the others what changed, and they need not ask. docs/platform.md has the bounds.
 
-use crate::feed::{ChangedRow, Feed};
+use crate::feed::Feed;
 use crate::registry::{Entry, Registry, RegistryError, Row, Rows, Table};
 use crate::roster::Change;
 use crate::routes::RouteTable;
@@ -52,8 +52,6 @@
     last_hint: Duration,
     /// Pages of a whole table that is being read.
     pages: Option<Rows>,
-    /// Where the last read began, and what it found.
-    told: Option<(u64, Vec<ChangedRow>)>,
 }
 
 /// Follows one table until the process ends.
@@ -65,7 +63,6 @@
         failures: 0,
         last_hint: Duration::ZERO,
         pages: None,
-        told: None,
     };
     loop {
         reader.wait_until_due().await;
@@ -230,16 +227,19 @@
         let Some(from) = from else {
             return;
         };
-        let told = self.told.replace((from, changed.clone()));
-        let (first, mut all) = told.unwrap_or((from, Vec::new()));
-        all.extend(changed);
-        self.shared.publish(Feed {
+        let feed = Feed {
             table: self.table,
-            from: first,
+            from,
             to,
             version,
-            changed: all,
-        });
+            changed,
+        };
+        let previous = self.shared.board().recent.insert(self.table, feed.clone());
+        let feed = match previous {
+            Some(previous) => feed.repeating(&previous),
+            None => feed,
+        };
+        self.shared.publish(feed);
     }
 }
 
@@ -291,6 +291,7 @@
 fn take_over(board: &mut Board, shared: &Shared, feed: Feed, now: Duration) {
     let table = feed.table;
     let to = feed.to;
+    board.recent.insert(table, feed.clone());
     if table == Table::Endpoints {
         apply_endpoints(board, shared, feed.into_rows(), false, now);
     }
--- a/crates/edge/tests/tables.rs
+++ b/crates/edge/tests/tables.rs
@@ -204,6 +204,23 @@
     assert_eq!(changed, 20);
 }
 
+/// Guards against a feed that claims rows which it does not hold: two routers read in turn, and what one
+/// of them told got lost (found by the hunt on medida-gdl-grown: DRAIN, mix seed 123490881470).
+#[test]
+fn a_feed_repeats_only_what_it_follows_on() {
+    let feed = |from, to, id: &str| Feed {
+        table: Table::Endpoints,
+        from,
+        to,
+        version: 1,
+        changed: vec![(id.to_string(), to, None)],
+    };
+    let joined = feed(10, 20, "e2").repeating(&feed(1, 10, "e1"));
+    assert_eq!((joined.from, joined.to, joined.changed.len()), (1, 20, 2));
+    let alone = feed(10, 20, "e2").repeating(&feed(1, 5, "e1"));
+    assert_eq!(alone, feed(10, 20, "e2"));
+}
+
 /// Guards against messages that no datagram holds, and that are then never sent, when a router has work
 /// at many endpoints or their ids are long.
 #[test]
