Derive the bound on load, reads, lapses and the life of cached prefixes from the operators' bounds

Cause: these were fixed at what today's sites ask, and unseen sites may ask otherwise. Change: values for today's sites stay the same, but for sites that allow 3 s for leaving endpoints, where the store is read every 750 ms; the time to come back is drawn.

--- a/crates/edge/src/cache_map.rs
+++ b/crates/edge/src/cache_map.rs
@@ -8,9 +8,11 @@
 /// Names a prefix of a prompt: the model and the parts up to one of them.
 pub type PrefixKey = u64;
 
-/// Time after its last known use for which a prefix counts as cached. Memory of engines holds what
-/// they read in about a minute at the rates of today's sites, and the least recently used parts yield.
+/// Time after its last known use for which a prefix counts as cached, unless it is set. Memory of engines
+/// holds what they read in about a minute at the rates of today's sites.
 const LIFE: Duration = Duration::from_secs(40);
+/// The same in windows within which the operators count a part that is read again.
+const LIFE_WINDOWS: u32 = 4;
 /// Prefixes that are tracked; 64 bytes each with one holder.
 const MAX_PREFIXES: usize = 65_536;
 /// Time after which a use is told to the other routers again.
@@ -56,15 +58,33 @@
 }
 
 /// Endpoints by prefix.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CacheMap {
+    life: Duration,
     holders: BTreeMap<PrefixKey, BTreeMap<EndpointId, Use>>,
 }
 
+impl Default for CacheMap {
+    fn default() -> CacheMap {
+        CacheMap::new()
+    }
+}
+
 impl CacheMap {
     /// Creates an empty map.
     pub fn new() -> CacheMap {
-        CacheMap::default()
+        CacheMap {
+            life: LIFE,
+            holders: BTreeMap::new(),
+        }
+    }
+
+    /// Creates an empty map for the operators' window of reuse.
+    pub fn with_window(reuse: Duration) -> CacheMap {
+        CacheMap {
+            life: reuse * LIFE_WINDOWS,
+            ..CacheMap::new()
+        }
     }
 
     /// Leading tokens of a prompt that each endpoint has cached. Endpoints without any are left out.
@@ -75,7 +95,7 @@
                 continue;
             };
             for (id, used) in holders {
-                if now < used.last + LIFE {
+                if now < used.last + self.life {
                     cached.insert(id.as_str(), prefix.tokens);
                 }
             }
@@ -154,7 +174,7 @@
     /// Drops what was not used for too long.
     pub fn expire(&mut self, now: Duration) {
         for holders in self.holders.values_mut() {
-            holders.retain(|_, used| now < used.last + LIFE);
+            holders.retain(|_, used| now < used.last + self.life);
         }
         self.holders.retain(|_, holders| !holders.is_empty());
     }
--- a/crates/edge/src/place.rs
+++ b/crates/edge/src/place.rs
@@ -61,7 +61,7 @@
         if candidates.iter().all(|candidate| candidate.leaving) {
             return Err(RefusalReason::NoEndpoint);
         }
-        let placement = Placement::default();
+        let placement = Placement::with_bound(self.shared.settings.load_multiple);
         let choice = match &self.call.prompt {
             Some(prompt) => placement.for_prompt(&prompt.subject(), &candidates),
             None => {
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -58,12 +58,14 @@
     pub slack: f64,
 }
 
+/// Part of the operators' multiple that is used; the rest covers counts that are a little old.
+const MULTIPLE_PART: f64 = 0.875;
+/// The operators' multiple unless it is set.
+const MULTIPLE: f64 = 2.0;
+
 impl Default for Placement {
     fn default() -> Placement {
-        Placement {
-            multiple: 1.75,
-            slack: 2.0,
-        }
+        Placement::with_bound(MULTIPLE)
     }
 }
 
@@ -74,6 +76,14 @@
 const WORTH_MOVING: u64 = 256;
 
 impl Placement {
+    /// Rules that keep every endpoint within a multiple of the mean load, and 3 requests.
+    pub fn with_bound(multiple: f64) -> Placement {
+        Placement {
+            multiple: (multiple * MULTIPLE_PART).max(1.0),
+            slack: 2.0,
+        }
+    }
+
     /// Chooses an endpoint for a prompt: of those within the bound on load one that has the subject
     /// cached, and of these the one with most of the prompt, then the one with the least work. Where no
     /// such endpoint has the subject, the rank for it alone decides, so that routers that do not know
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use rand::RngExt;
 use sequoiaridge_core::{
     CustomerId, EndpointId, Event, Fingerprint, Refusal, RefusalReason, RetryReason, Verdict,
 };
@@ -20,7 +21,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time after which a caller comes back when no endpoint could take its request.
+/// Time after which a caller comes back when no endpoint could take its request, on average. Each is
+/// drawn between half and one and a half of it, so that callers do not come back together.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Last rank that engines know; the first is 0.
 const LAST_PRIORITY: u8 = 9;
@@ -173,7 +175,7 @@
         Err(Refusal {
             reason,
             verdict,
-            retry_after: RETRY_AFTER,
+            retry_after: RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5)),
         })
     }
 
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -7,10 +7,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Time for which an endpoint whose row vanished around an outage of the registry is still used. The
-/// rows of living endpoints are back within 2 s of the registry's return, and a request sent later
-/// than the bound on leaving (2 s today) after the row is known to be gone would be too late.
+/// Time for which an endpoint whose row vanished around an outage of the registry is still used, unless
+/// it is set. The rows of living endpoints are back within 2 s of the registry's return.
 const LAPSE: Duration = Duration::from_millis(1500);
+/// The same as a part of the bound on leaving endpoints: a request sent later than that bound after the
+/// row is known to be gone would be too late.
+const LAPSE_PART: f64 = 0.75;
 /// Removed rows whose positions are remembered, so that a stale read does not bring them back.
 const TOMBSTONES: usize = 4096;
 
@@ -40,17 +42,37 @@
 }
 
 /// All endpoints that the registry lists, by id.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Roster {
+    lapse: Duration,
     listed: BTreeMap<EndpointId, Listed>,
     removed: BTreeMap<EndpointId, Position>,
     position: Position,
 }
 
+impl Default for Roster {
+    fn default() -> Roster {
+        Roster::new()
+    }
+}
+
 impl Roster {
     /// Creates an empty roster.
     pub fn new() -> Roster {
-        Roster::default()
+        Roster {
+            lapse: LAPSE,
+            listed: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            position: 0,
+        }
+    }
+
+    /// Creates an empty roster for a bound on requests to leaving endpoints.
+    pub fn with_bound(leave: Duration) -> Roster {
+        Roster {
+            lapse: leave.mul_f64(LAPSE_PART),
+            ..Roster::new()
+        }
     }
 
     /// Position up to which the roster is complete.
@@ -116,7 +138,7 @@
 
     /// Drops endpoints whose rows lapsed and did not come back in time.
     pub fn expire(&mut self, now: Duration) -> Vec<Change> {
-        let over = |listed: &Listed| listed.lapsed.is_some_and(|since| now >= since + LAPSE);
+        let over = |listed: &Listed| listed.lapsed.is_some_and(|since| now >= since + self.lapse);
         let gone = self.listed.iter().filter(|(_, listed)| over(listed));
         let gone: Vec<EndpointId> = gone.map(|(id, _)| id.clone()).collect();
         for id in &gone {
@@ -140,8 +162,9 @@
         service: &'a str,
         now: Duration,
     ) -> impl Iterator<Item = &'a EndpointEntry> + 'a {
+        let lapse = self.lapse;
         let usable = move |listed: &&Listed| {
-            let lapsed = listed.lapsed.is_some_and(|since| now >= since + LAPSE);
+            let lapsed = listed.lapsed.is_some_and(|since| now >= since + lapse);
             listed.entry.service == service && !lapsed
         };
         let listed = self.listed.values().filter(usable);
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -144,7 +144,7 @@
             upstream: Upstream::default(),
             board: Mutex::new(Board {
                 routes: None,
-                roster: Roster::new(),
+                roster: Roster::with_bound(settings.leave),
                 positions: BTreeMap::new(),
                 fresh: BTreeMap::new(),
                 returned: None,
@@ -154,7 +154,7 @@
                 behind: BTreeSet::new(),
                 loads: Loads::new(),
                 health: Health::new(),
-                cache: CacheMap::new(),
+                cache: CacheMap::with_window(settings.reuse),
                 news: News::default(),
                 repeats,
                 quarantine: Quarantine::new(STRIKES, HOLD, FINGERPRINTS),
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -17,9 +17,9 @@
 
 /// Longest wait of a read for a change of the configuration.
 const CONFIG_WAIT: Duration = Duration::from_millis(1000);
-/// Age of the news about endpoints at which the first router reads again: a quarter of the bound on
-/// leaving endpoints, so that the next routers can take over within the bound.
-const ENDPOINT_PERIOD: Duration = Duration::from_millis(500);
+/// Age of the news about endpoints at which the first router reads again, as a part of the bound on
+/// leaving endpoints: the next routers can take over within the bound.
+const ENDPOINT_PART: f64 = 0.25;
 /// Time by which each router in the order of names waits longer than the one before it; several
 /// times as long as a read and a message take.
 const STEP: Duration = Duration::from_millis(150);
@@ -109,7 +109,9 @@
         let period = match (self.table, place) {
             (Table::Configuration, 0) => Duration::ZERO,
             (Table::Configuration, _) => CONFIG_WAIT,
-            (Table::Endpoints | Table::Routers, _) => ENDPOINT_PERIOD,
+            (Table::Endpoints | Table::Routers, _) => {
+                self.shared.settings.leave.mul_f64(ENDPOINT_PART)
+            }
         };
         *fresh + period + STEP * u32::try_from(place).unwrap_or(u32::MAX)
     }
