Pass on large answers, and fill a short queue before refusing a prompt

Cause: answers of plain services over 256 KB were dropped and answered as 502; a prompt was refused as soon as every slot was taken, though engines queue. Change: a longer answer is passed on as it arrives; a quarter of the slots may wait. The test of a full group now also asks that the queue is filled; beyond it nothing is placed, as before.

--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -58,6 +58,9 @@
     pub slack: f64,
 }
 
+/// Part of an endpoint's slots that may wait: requests last about a second, so the last one waits for a
+/// quarter of that, within the targets of all classes.
+const QUEUE_PART: u32 = 4;
 /// Part of the operators' multiple that is used; the rest covers counts that are a little old.
 const MULTIPLE_PART: f64 = 0.875;
 /// The operators' multiple unless it is set.
@@ -93,7 +96,7 @@
         let mean = mean(&usable);
         let bound = mean * self.multiple + self.slack;
         let within = |candidate: &&&Candidate<'_>| {
-            f64::from(candidate.requests) < bound && candidate.requests < candidate.slots
+            f64::from(candidate.requests) < bound && candidate.requests < room(candidate)
         };
         let order = |candidate: &&&Candidate<'_>| {
             let has = candidate.cached >= subject.tokens;
@@ -132,6 +135,11 @@
     }
 }
 
+/// Requests that an endpoint takes: those that it runs, and a short queue.
+fn room(candidate: &Candidate<'_>) -> u32 {
+    candidate.slots + candidate.slots.div_ceil(QUEUE_PART)
+}
+
 /// The endpoint from which the chosen one should copy what it lacks.
 fn source(choice: &Choice, candidates: &[Candidate<'_>]) -> Option<(EndpointId, u64)> {
     let reachable = candidates.iter().filter(|candidate| !candidate.avoid);
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use rand::RngExt;
 use sequoiaridge_core::{
     CustomerId, EndpointId, Event, Fingerprint, Refusal, RefusalReason, RetryReason, Verdict,
@@ -26,8 +26,11 @@
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Last rank that engines know; the first is 0.
 const LAST_PRIORITY: u8 = 9;
-/// Largest answer of a plain service that is held until it is whole.
+/// Largest answer of a known length that is held until it is whole; a longer one is passed on as it
+/// arrives and cannot be asked for again.
 const WHOLE_ANSWER: usize = 256 * 1024;
+/// Largest answer without a length.
+const LONGEST_ANSWER: usize = 4 << 20;
 
 /// A request of a caller with everything that its repeats need.
 pub(crate) struct Exchange {
@@ -296,7 +299,8 @@
             let now = self.shared.now();
             self.shared.board().loads.report(&entry.id, load, now);
         }
-        let streams = self.route.kind.streams() && status.is_success();
+        let large = body.size_hint().lower() > WHOLE_ANSWER as u64;
+        let streams = large || self.route.kind.streams() && status.is_success();
         let arriving = Arriving { body, link, ticket };
         let opened = |body| Opened {
             status,
@@ -327,7 +331,7 @@
         let read = async {
             while let Some(frame) = arriving.body.frame().await {
                 let data = frame.ok()?.into_data().unwrap_or_default();
-                if whole.len() + data.len() > WHOLE_ANSWER {
+                if whole.len() + data.len() > LONGEST_ANSWER {
                     return None;
                 }
                 whole.extend_from_slice(&data);
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -1,5 +1,6 @@
 //! Body of an answer to a caller.
 
+use crate::manifest::Kind;
 use crate::opened::{AnswerBody, Arriving, Opened};
 use crate::relay::Exchange;
 use crate::upstream::{SILENCE, is_reachable};
@@ -144,7 +145,7 @@
 
     fn resumable(&self) -> bool {
         let exchange = self.exchange.as_ref();
-        exchange.is_some_and(|exchange| exchange.route.kind.repeatable())
+        exchange.is_some_and(|exchange| may_resume(exchange.route.kind))
     }
 
     /// The bytes to pass on now. Of a resumable stream only whole events are passed on, so that it
@@ -222,7 +223,7 @@
             entry
         });
         let mut exchange = match self.exchange.take() {
-            Some(exchange) if exchange.route.kind.repeatable() => exchange,
+            Some(exchange) if may_resume(exchange.route.kind) => exchange,
             other => {
                 self.exchange = other;
                 return false;
@@ -274,6 +275,11 @@
     }
 }
 
+/// Whether an answer that was passed on in part can go on at another endpoint.
+fn may_resume(kind: Kind) -> bool {
+    kind.streams() && kind.repeatable()
+}
+
 impl Body for StreamBody {
     type Data = Bytes;
     type Error = BodyError;
