--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -88,6 +88,8 @@
     EndpointMalformed = 308, Warn, "endpoint-row-malformed";
     /// What endpoints have cached was taken over from the platform.
     CacheRestored = 309, Info, "cache-restored";
+    /// What endpoints have cached could not be saved.
+    CacheNotSaved = 310, Warn, "cache-not-saved";
     /// A call was refused or ended without its whole answer.
     CallRefused = 400, Info, "call-refused";
     /// A call was sent again.
--- a/crates/edge/src/join.rs
+++ b/crates/edge/src/join.rs
@@ -3,6 +3,7 @@
 use crate::manifest::RouterEntry;
 use crate::registry::{Entry, PeerKey, Registry, RegistryError, Row, Table};
 use crate::shared::Shared;
+use crate::sync::drawn;
 use rand::RngExt;
 use sequoiaridge_core::Event;
 use sequoiaridge_log::log;
@@ -51,8 +52,14 @@
             continue;
         }
         pause = (pause * 2).min(LONGEST_SEEK);
-        let Ok(rows) = read_routers(registry.as_ref()).await else {
-            continue;
+        let read = read_routers(registry.as_ref()).await;
+        shared.metrics.registry_call(Table::Routers, read.is_ok());
+        let rows = match read {
+            Ok(rows) => rows,
+            Err(error) => {
+                log(Event::PlatformDown, &format!("table=routers {error}"));
+                continue;
+            }
         };
         for row in rows {
             if let Entry::Router(router) = row.entry
@@ -65,33 +72,33 @@
     }
 }
 
-/// Saves what endpoints have cached, at the first router in the order of names, so that routers that
-/// start, or all of them after a power cut, know where prompts are cached.
+/// Saves what endpoints have cached, at the first router in their order, so that routers that start, or all of them after a power cut, know where prompts are cached.
 pub(crate) async fn save(shared: Arc<Shared>, registry: Arc<dyn Registry>) {
     let mut saved = Vec::new();
     loop {
         tokio::time::sleep(SAVE_PERIOD).await;
-        let (first, snapshot) = {
+        let snapshot = {
             let board = shared.board();
-            let first = board.place(&shared.settings) == 0;
-            (first, board.cache.snapshot())
+            if board.place(&shared.settings) > 0 {
+                continue;
+            }
+            board.cache.snapshot()
         };
-        let Ok(snapshot) = snapshot else {
-            continue;
+        let snapshot = match snapshot {
+            Ok(snapshot) if snapshot != saved => snapshot,
+            Ok(_) => continue,
+            Err(error) => {
+                log(Event::CacheNotSaved, &error.to_string());
+                continue;
+            }
         };
-        if !first || snapshot == saved {
-            continue;
-        }
         let outcome = registry.save_cache(snapshot.clone()).await;
-        let label = if outcome.is_ok() {
-            "answered"
-        } else {
-            "failed"
-        };
-        shared.metrics.registry_call(Table::Routers.as_str(), label);
+        let answered = outcome.is_ok();
+        shared.metrics.registry_call(Table::Routers, answered);
         // A save that failed is made up for by the next one.
-        if outcome.is_ok() {
-            saved = snapshot;
+        match outcome {
+            Ok(()) => saved = snapshot,
+            Err(error) => log(Event::CacheNotSaved, &error.to_string()),
         }
     }
 }
@@ -108,21 +115,15 @@
     };
     loop {
         let outcome = join_once(registry, &own).await;
-        let outcome_label = if outcome.is_ok() {
-            "answered"
-        } else {
-            "failed"
-        };
         shared
             .metrics
-            .registry_call(Table::Routers.as_str(), outcome_label);
+            .registry_call(Table::Routers, outcome.is_ok());
         match outcome {
             Ok(Some(joined)) => return joined,
             Ok(None) => {}
             Err(error) => {
                 log(Event::PlatformDown, &format!("table=routers {error}"));
-                let drawn = rand::rng().random_range(0.5..1.0);
-                tokio::time::sleep(RETRY.mul_f64(drawn)).await;
+                tokio::time::sleep(drawn(RETRY)).await;
             }
         }
     }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of one router on the platform, described in docs/metrics.md.
 
+use crate::registry::Table;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -143,8 +144,11 @@
     }
 
     /// Counts a call to the registry.
-    pub(crate) fn registry_call(&self, table: &'static str, outcome: &'static str) {
-        let label = TableLabel { table, outcome };
+    pub(crate) fn registry_call(&self, table: Table, answered: bool) {
+        let label = TableLabel {
+            table: table.as_str(),
+            outcome: if answered { "answered" } else { "failed" },
+        };
         self.registry_calls.get_or_create(&label).inc();
     }
 
@@ -163,7 +167,7 @@
 pub fn example_metrics() -> String {
     let metrics = Metrics::new();
     metrics.answered(200, Duration::ZERO);
-    metrics.registry_call("configuration", "answered");
+    metrics.registry_call(Table::Configuration, true);
     metrics.encode()
 }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -51,6 +51,13 @@
     sent: Option<Duration>,
 }
 
+impl Peer {
+    /// Whether the router was heard within `life`.
+    fn is_heard(&self, now: Duration, life: Duration) -> bool {
+        self.heard.is_some_and(|heard| now < heard + life)
+    }
+}
+
 /// Routers by name.
 struct Links {
     shared: Arc<Shared>,
@@ -131,13 +138,16 @@
         let now = self.shared.now();
         let pace = self.pace();
         let life = self.life();
-        let heard = |peer: &Peer| peer.heard.is_some_and(|heard| now < heard + life);
-        let count = self.peers.values().filter(|peer| heard(peer)).count();
+        let count = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_heard(now, life))
+            .count();
         let routers = i64::try_from(count + 1).unwrap_or(i64::MAX);
         self.shared.metrics.routers.set(routers);
         self.shared.board().loads.expire(now, life);
         if let Some(datagram) = self.round(now, pace) {
-            let to = self.peers.values().filter(|peer| heard(peer));
+            let to = self.peers.values().filter(|peer| peer.is_heard(now, life));
             let to: Vec<SocketAddr> = if self.is_large() {
                 to.map(|peer| peer.address)
                     .sample(&mut rand::rng(), FAN_OUT)
@@ -154,7 +164,6 @@
     /// Sends a sign of life to routers that are not heard, and forgets those that were not for long.
     fn tell_unheard(&mut self, now: Duration, life: Duration) {
         self.peers.retain(|_, peer| now < peer.since + FORGET);
-        let heard = |peer: &Peer| peer.heard.is_some_and(|heard| now < heard + life);
         let due = |peer: &Peer| {
             let recent = now < peer.since + RECENT;
             let period = if recent {
@@ -164,12 +173,16 @@
             };
             peer.sent.is_none_or(|sent| now >= sent + period)
         };
-        if self.peers.values().any(|peer| !heard(peer) && due(peer)) {
+        if self
+            .peers
+            .values()
+            .any(|peer| !peer.is_heard(now, life) && due(peer))
+        {
             let Some(datagram) = self.seal(&self.base()) else {
                 return;
             };
             for peer in self.peers.values_mut() {
-                if !heard(peer) && due(peer) {
+                if !peer.is_heard(now, life) && due(peer) {
                     peer.sent = Some(now);
                     send(&self.socket, &datagram, peer.address);
                 }
@@ -239,8 +252,10 @@
     /// One of the routers that are heard, drawn anew for each message.
     fn introduction(&self, now: Duration) -> Option<(RouterId, SocketAddr, DomainId)> {
         let life = self.life();
-        let heard = |peer: &Peer| peer.heard.is_some_and(|heard| now < heard + life);
-        let heard = self.peers.iter().filter(|(_, peer)| heard(peer));
+        let heard = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.is_heard(now, life));
         let drawn = heard.choose(&mut rand::rng());
         drawn.map(|(id, peer)| (id.clone(), peer.address, peer.domain.clone()))
     }
@@ -298,7 +313,7 @@
     /// Whether a router is heard, or was not heard yet.
     fn is_reached(&self, peer: &Peer) -> bool {
         let now = self.shared.now();
-        peer.heard.is_none_or(|heard| now < heard + self.life())
+        peer.heard.is_none() || peer.is_heard(now, self.life())
     }
 
     fn send_all(&self, tell: &Tell, to: &[SocketAddr]) {
@@ -350,7 +365,7 @@
         }
         let life = self.life();
         if let Some(peer) = self.peers.get_mut(&id) {
-            let was_heard = peer.heard.is_some_and(|heard| now < heard + life);
+            let was_heard = peer.is_heard(now, life);
             peer.heard = Some(now);
             peer.since = now;
             if !was_heard {
--- a/crates/edge/src/place.rs
+++ b/crates/edge/src/place.rs
@@ -1,10 +1,11 @@
 //! Choice of an endpoint for a request from what the router knows now.
 
 use crate::cache_map::prefixes;
+use crate::call::Prompt;
 use crate::load::Work;
 use crate::manifest::EndpointEntry;
 use crate::opened::Ticket;
-use crate::placement::{Candidate, Choice, Placement};
+use crate::placement::{Candidate, Choice, Placement, Subject};
 use crate::relay::Exchange;
 use sequoiaridge_core::{RefusalReason, hash_parts};
 use sequoiaridge_policy::Standing;
@@ -18,6 +19,8 @@
 pub(crate) struct Placed {
     pub(crate) entry: EndpointEntry,
     pub(crate) choice: Choice,
+    /// The prompt's subject; empty for a request of a plain service.
+    pub(crate) subject: Subject,
     /// Address from which the endpoint copies what it lacks of the prompt.
     pub(crate) fetch: Option<SocketAddr>,
     pub(crate) ticket: Ticket,
@@ -62,8 +65,9 @@
             return Err(RefusalReason::NoEndpoint);
         }
         let placement = Placement::with_bound(self.shared.settings.load_multiple);
-        let choice = match &self.call.prompt {
-            Some(prompt) => placement.for_prompt(&prompt.subject(), &candidates),
+        let subject = self.call.prompt.as_ref().map(Prompt::subject);
+        let choice = match &subject {
+            Some(subject) => placement.for_prompt(subject, &candidates),
             None => {
                 let draw = hash_parts(&[self.call.attempt.as_bytes()]);
                 placement.for_service(draw, SERVICE_WORK, &candidates)
@@ -93,6 +97,7 @@
         Ok(Placed {
             entry,
             choice,
+            subject: subject.unwrap_or_default(),
             fetch,
             ticket,
         })
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,6 +1,6 @@
 //! One request: choice of endpoints, sending, repeats, and the answer's head.
 
-use crate::call::{AnswerHead, Attempt, Call, Prompt};
+use crate::call::{AnswerHead, Attempt, Call};
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName};
 use crate::opened::{AnswerBody, Arriving, Opened, Ticket};
 use crate::place::Placed;
@@ -209,12 +209,7 @@
             Some(request) => request,
             None => return Outcome::NotRun(RefusalReason::BadRequest, RetryReason::ConnectFailed),
         };
-        let subject = self
-            .call
-            .prompt
-            .as_ref()
-            .map(Prompt::subject)
-            .unwrap_or_default();
+        let subject = placed.subject;
         log_request(
             Event::CallPlaced,
             &self.call.attempt,
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -17,7 +17,6 @@
 use sequoiaridge_log::log;
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -141,8 +140,8 @@
 async fn accept(listener: TcpListener, shared: Arc<Shared>, port: Port) {
     loop {
         match listener.accept().await {
-            Ok((stream, peer)) => {
-                tokio::spawn(serve(stream, peer, shared.clone(), port));
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, shared.clone(), port));
             }
             Err(error) => {
                 log(Event::AcceptFailed, &error.to_string());
@@ -153,7 +152,7 @@
 }
 
 /// Serves one connection. Its error only says that the caller has gone.
-async fn serve(stream: TcpStream, _peer: SocketAddr, shared: Arc<Shared>, port: Port) {
+async fn serve(stream: TcpStream, shared: Arc<Shared>, port: Port) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -1,7 +1,7 @@
 //! Reads configuration and endpoints from the registry, mostly once for the whole fleet.
 //!
 //! Each router may read a table when its last news of it is older than a period that grows with the
-//! router's place in the order of names. So the first router that lives and reaches the registry
+//! router's place among the others. So the first router that lives and reaches the registry
 //! reads, tells the others what changed, and they need not ask. docs/platform.md has the bounds.
 
 use crate::feed::Feed;
@@ -20,8 +20,8 @@
 /// Age of the news about endpoints at which the first router reads again, as a part of the bound on
 /// leaving endpoints: the next routers can take over within the bound.
 const ENDPOINT_PART: f64 = 0.25;
-/// Time by which each router in the order of names waits longer than the one before it; several
-/// times as long as a read and a message take.
+/// Time by which each router waits longer than the one before it in their order; several times as long
+/// as a read and a message take.
 const STEP: Duration = Duration::from_millis(150);
 /// Places in the order beyond which routers wait no longer, so that the age stays bounded.
 const MAX_PLACE: usize = 3;
@@ -33,8 +33,8 @@
 /// First and longest pause after a failed call; each is drawn between half and the whole.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// Age of the news beyond which the registry was away from the whole fleet: the last router in the
-/// order of names reads at an age of about a second. Rows of endpoints lapse after 3.6 s of silence.
+/// Age of the news beyond which the registry was away from the whole fleet: the last router in their
+/// order reads at an age of about a second. Rows of endpoints lapse after 3.6 s of silence.
 const AWAY: Duration = Duration::from_millis(2500);
 /// Time after the registry's return in which a row that vanished may only have lapsed.
 const RETURN: Duration = Duration::from_secs(2);
@@ -166,9 +166,7 @@
     }
 
     fn answered(&mut self) {
-        self.shared
-            .metrics
-            .registry_call(self.table.as_str(), "answered");
+        self.shared.metrics.registry_call(self.table, true);
         if self.failures > 0 {
             log(Event::PlatformUp, &format!("table={}", self.table.as_str()));
         }
@@ -176,9 +174,7 @@
     }
 
     async fn failed(&mut self, error: RegistryError) {
-        self.shared
-            .metrics
-            .registry_call(self.table.as_str(), "failed");
+        self.shared.metrics.registry_call(self.table, false);
         self.failures = self.failures.saturating_add(1);
         if self.failures == 1 {
             let detail = format!("table={} {error}", self.table.as_str());
@@ -246,7 +242,7 @@
 }
 
 /// A time between half and the whole of `longest`, so that routers do not call in step.
-fn drawn(longest: Duration) -> Duration {
+pub(crate) fn drawn(longest: Duration) -> Duration {
     longest.mul_f64(rand::rng().random_range(0.5..1.0))
 }
 
