Run copies of a suspect one after the other in the whole fleet

Cause: two owners could run copies of a request that crashes endpoints at the same time, and a copy that waited at an owner started on any free own endpoint, beyond the three ranked ones. Four copies at once thus crashed four endpoints before the first crash was known. Change: copies of a running request stay on the ranked endpoints; a suspect takes a turn at the arbiter of its fingerprint, which hears of each strike over TCP before the caller hears of the failure; a retry after a broken run counts as a suspect although the strike may not have arrived yet; a call that became a suspect while it waited takes a turn. The protocol between routers has a new version. Ruled out: an arbiter that only uses endpoints of its own (innocent suspects would wait for their restart), a fourth ranked endpoint (four crash at once, as before).

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -106,6 +106,8 @@
     CrashStrike = 402, Warn, "crash-strike";
     /// A request is held back because it crashed several endpoints.
     Quarantined = 403, Warn, "request-quarantined";
+    /// The router that gives turns to a suspect could not be reached.
+    ArbiterLost = 410, Warn, "arbiter-lost";
     /// A claim could not be resolved or released.
     ClaimUnresolved = 404, Warn, "claim-unresolved";
     /// A stored answer could not be written.
--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -45,6 +45,9 @@
         /// Time in milliseconds until a stand-in in one-process use listens again.
         #[serde(default = "default_restart")]
         restart_ms: u64,
+        /// Time in milliseconds from the start of the run to the crash.
+        #[serde(default)]
+        after_ms: u64,
     },
     /// The connections of the next requests are cut after the work was done.
     Cut {
--- a/crates/fakes/src/control/client.rs
+++ b/crates/fakes/src/control/client.rs
@@ -59,8 +59,23 @@
 
     /// See [`Order::CrashOn`].
     pub async fn crash_on(&self, text: &str, restart: Duration) -> io::Result<()> {
-        let (text, restart_ms) = (text.to_string(), millis(restart));
-        self.order(&Order::CrashOn { text, restart_ms }).await
+        self.crash_after(text, restart, Duration::ZERO).await
+    }
+
+    /// As [`Client::crash_on`], with the crash `after` the start of the run.
+    pub async fn crash_after(
+        &self,
+        text: &str,
+        restart: Duration,
+        after: Duration,
+    ) -> io::Result<()> {
+        let (text, restart_ms, after_ms) = (text.to_string(), millis(restart), millis(after));
+        let order = Order::CrashOn {
+            text,
+            restart_ms,
+            after_ms,
+        };
+        self.order(&order).await
     }
 
     /// See [`Order::Cut`].
--- a/crates/fakes/src/control/faults.rs
+++ b/crates/fakes/src/control/faults.rs
@@ -8,6 +8,8 @@
 pub(crate) struct Crash {
     pub(crate) text: String,
     pub(crate) restart: Duration,
+    /// Time from the start of the run to the crash.
+    pub(crate) after: Duration,
 }
 
 /// Failures of one request.
@@ -45,9 +47,17 @@
             Order::Slow { ms } => self.slow = Duration::from_millis(ms),
             Order::Silent { .. } => {}
             Order::Refuse { count } => self.refuse = count,
-            Order::CrashOn { text, restart_ms } => {
-                let restart = Duration::from_millis(restart_ms);
-                self.crash = (!text.is_empty()).then_some(Crash { text, restart });
+            Order::CrashOn {
+                text,
+                restart_ms,
+                after_ms,
+            } => {
+                let crash = Crash {
+                    restart: Duration::from_millis(restart_ms),
+                    after: Duration::from_millis(after_ms),
+                    text,
+                };
+                self.crash = (!crash.text.is_empty()).then_some(crash);
             }
             Order::Cut { stage, count } => self.cut = Some((stage, count)),
             Order::Leave => self.leaving = true,
--- a/crates/fakes/src/control/host.rs
+++ b/crates/fakes/src/control/host.rs
@@ -162,6 +162,7 @@
         if let Some(crash) = crash {
             let text = crash.text.as_bytes();
             if request.body.windows(text.len()).any(|part| part == text) {
+                tokio::time::sleep(crash.after).await;
                 if self.identity.abort {
                     std::process::abort();
                 }
--- a/crates/policy/src/owner/run.rs
+++ b/crates/policy/src/owner/run.rs
@@ -144,7 +144,8 @@
     }
 
     /// Own endpoint for the call: the best candidate with room, else the one with room that is used
-    /// least.
+    /// least. Copies of one request stay on the candidates, because each further endpoint is one more
+    /// that they could crash before the first crash is known.
     pub(super) fn choose_own(
         &self,
         call: &Call,
@@ -153,6 +154,9 @@
     ) -> Option<EndpointId> {
         let ranked = candidates.iter().find(|id| self.has_room(call, id, now));
         let other = || {
+            if self.is_running(call) {
+                return None;
+            }
             let own = self.groups.get(&call.group)?.own.iter();
             let roomy = own.filter(|id| self.has_room(call, id, now));
             roomy.min_by_key(|id| self.use_of(id, now))
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -109,6 +109,13 @@
         }
     }
 
+    /// When the request was last counted for a crash; `None` if it is clear.
+    pub fn last_strike(&self, fingerprint: Fingerprint, now: Duration) -> Option<Duration> {
+        let record = self.records.get(&fingerprint)?;
+        let counts = record.expires > now && record.strikes > 0;
+        counts.then(|| record.expires.saturating_sub(self.hold))
+    }
+
     /// Clears the fingerprint after a completed run.
     pub fn clear(&mut self, fingerprint: Fingerprint) {
         if let Some(record) = self.records.get_mut(&fingerprint) {
--- a/crates/policy/tests/owner.rs
+++ b/crates/policy/tests/owner.rs
@@ -318,3 +318,23 @@
     assert_eq!(owner.in_flight("a"), [(1, 1)]);
     assert_eq!(owner.finish(1, now)[0].ticket, 2);
 }
+
+/// Guards against copies of one request that take the own endpoints beyond those ranked for it: if the
+/// request crashes endpoints, each such copy crashes one more before the first crash is known.
+#[test]
+fn copies_of_a_running_request_stay_on_the_ranked_endpoints() {
+    let (mut owner, now) = owner(loose(), &["a", "d", "e"], &["b", "c"], 1);
+    let list = ids(&["a", "b", "c"]);
+    let copy = |ticket| Call {
+        fingerprint: 1,
+        ..call(ticket, "c", now)
+    };
+    assert_eq!(owner.place(&copy(1), &list, 0, now), admit("a"));
+    assert_eq!(owner.place(&copy(2), &list, 3, now), QUEUED);
+    // Other requests use what is free.
+    assert_eq!(owner.place(&call(3, "c", now), &list, 3, now), admit("d"));
+    // A slot elsewhere does not start the copy; the end of the running one does.
+    assert!(owner.finish(3, now + ms(10)).is_empty());
+    let started = owner.finish(1, now + ms(20));
+    assert_eq!((started[0].ticket, started[0].endpoint.as_str()), (2, "a"));
+}
--- a/crates/router/src/crash.rs
+++ b/crates/router/src/crash.rs
@@ -1,8 +1,8 @@
 //! Requests that may have crashed an endpoint. See section 4.3 of `docs/design.md`.
 
-use crate::probes;
 use crate::shared::{Shared, lock};
 use crate::upstream::Target;
+use crate::{probes, turns};
 use sequoiaridge_core::{Event, Fingerprint, Refusal, RefusalReason, Verdict};
 use sequoiaridge_log as event;
 use sequoiaridge_membership::{CrashKind, CrashNotice, Message};
@@ -18,15 +18,12 @@
     boot: Option<u64>,
     refusal: &Refusal,
 ) {
-    let broke = matches!(
-        refusal.reason,
-        RefusalReason::EndpointBroke | RefusalReason::EndpointSilent
-    );
-    if refusal.reason != RefusalReason::NoEndpoint && !broke {
+    let possible = is_possible(refusal);
+    if refusal.reason != RefusalReason::NoEndpoint && !possible {
         return;
     }
     let now_boot = probes::probe(shared, &target.id, target.address).await;
-    let crashed = broke && refusal.verdict == Verdict::MayHaveRun && now_boot != boot;
+    let crashed = possible && now_boot != boot;
     let (true, Some(boot)) = (crashed, boot) else {
         return;
     };
@@ -37,7 +34,17 @@
         kind: CrashKind::Strike,
     };
     strike(shared, &notice);
-    crate::gossip::broadcast(shared, Message::crash_notice(notice)).await;
+    crate::gossip::broadcast(shared, Message::crash_notice(notice.clone())).await;
+    turns::report(shared, &notice).await;
+}
+
+/// Whether an endpoint may have crashed on a request that was refused so.
+pub(crate) fn is_possible(refusal: &Refusal) -> bool {
+    let broke = matches!(
+        refusal.reason,
+        RefusalReason::EndpointBroke | RefusalReason::EndpointSilent
+    );
+    broke && refusal.verdict == Verdict::MayHaveRun
 }
 
 /// Counts a crash that this router saw or was told of.
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! A call at the router that received it: ranking, the walk over owners, retries.
 
 use crate::call::Call;
+use crate::crash;
 use crate::execute::execute;
 use crate::part::{Head, Part, PartReceiver};
 use crate::remote;
@@ -18,7 +19,8 @@
 use std::time::Duration;
 
 /// Endpoints that are ranked for a call. Of these the owner prefers the least used for a chat without
-/// cached context.
+/// cached context. Copies of one request run on no others while one of them runs, so that those sent at
+/// once crash at most as many endpoints as the default of `quarantine.strikes` allows.
 const RANKED: usize = 3;
 /// Asked this many owners, the first one is asked again and lets the call wait.
 const MAX_ASKED: u8 = 3;
@@ -82,6 +84,7 @@
         deadline,
         excluded: Vec::new(),
         uncertain: false,
+        suspect: false,
     };
     lock(&shared.budgets).deposit(&call.class, &call.customer);
     let mut attempts = 1;
@@ -91,6 +94,7 @@
             Err(failure) => failure,
         };
         walk.uncertain |= failure.refusal.verdict == Verdict::MayHaveRun;
+        walk.suspect |= crash::is_possible(&failure.refusal);
         let reason = retry_reason(&failure.refusal);
         let may_retry = policy.may_retry(failure.refusal.verdict, attempts);
         let (Some(reason), true) = (reason, may_retry) else {
@@ -138,6 +142,9 @@
     excluded: Vec<EndpointId>,
     /// Whether an earlier attempt may have run, or may still run at a router that was lost.
     uncertain: bool,
+    /// Whether an endpoint may have crashed on an earlier attempt. The strike may not have reached
+    /// this router or the next owner.
+    suspect: bool,
 }
 
 /// The owner to ask next.
@@ -249,9 +256,10 @@
             };
             return Err(Failure::not_run(reason));
         }
-        let suspect = lock(&self.shared.quarantine).state(call.fingerprint, self.shared.now());
-        let key = match (suspect, call.chat) {
-            (Standing::Clear, Some(chat)) => chat,
+        let standing = lock(&self.shared.quarantine).state(call.fingerprint, self.shared.now());
+        let clear = standing == Standing::Clear && !self.suspect;
+        let key = match (clear, call.chat) {
+            (true, Some(chat)) => chat,
             _ => hash_parts(&[b"fingerprint", &call.fingerprint.to_le_bytes()]),
         };
         let mut ranked = rank_top(
@@ -366,6 +374,7 @@
             lookup: step.lookup,
             substitute,
             excluded: self.excluded.clone(),
+            suspect: self.suspect,
         }
     }
 
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -4,6 +4,7 @@
 use crate::call::request_digest;
 use crate::part::{Part, PartReceiver, PartSender, channel};
 use crate::shared::{Shared, lock};
+use crate::turns::{self, Turn, TurnRequest};
 use crate::upstream::{self, Finish, Target, Work};
 use crate::{crash, probes};
 use sequoiaridge_core::{EndpointId, Event, Refusal, RefusalReason, Targets, Verdict};
@@ -66,13 +67,17 @@
     }
 
     async fn run(self) {
-        let part = match self.place().await {
-            Ok(Admission::Run(slot)) => self.serve(slot).await,
-            Ok(Admission::Forward {
-                endpoint,
-                next,
-                lookup,
-            }) => {
+        let placed = self.place().await;
+        let part = match placed {
+            Ok((Admission::Run(slot), _turn)) => self.serve(slot).await,
+            Ok((
+                Admission::Forward {
+                    endpoint,
+                    next,
+                    lookup,
+                },
+                _,
+            )) => {
                 self.note_forward(&endpoint, lookup);
                 Part::Forward {
                     endpoint,
@@ -80,8 +85,10 @@
                     lookup,
                 }
             }
-            Ok(Admission::Refused(refusal)) | Err(Ending::Refused(refusal)) => Part::Fail(refusal),
-            Ok(Admission::Moved) | Err(Ending::NotOwner) => Part::NotOwner,
+            Ok((Admission::Refused(refusal), _)) | Err(Ending::Refused(refusal)) => {
+                Part::Fail(refusal)
+            }
+            Ok((Admission::Moved, _)) | Err(Ending::NotOwner) => Part::NotOwner,
         };
         let _ = self.parts.send(part).await;
     }
@@ -90,22 +97,50 @@
         self.arrival + self.frame.remaining
     }
 
-    /// Checks that this router is to run the call, and finds a place for it.
-    async fn place(&self) -> Result<Admission, Ending> {
+    /// Checks that this router is to run the call, and finds a place for it. A suspect gets its turn
+    /// first, which lasts for as long as the returned [`Turn`].
+    async fn place(&self) -> Result<(Admission, Option<Turn>), Ending> {
         let targets = self.targets()?;
         let suspect = self.check_quarantine()?;
         self.check_owner().await?;
-        let call = self.call(&targets, suspect);
+        let admission = if suspect {
+            None
+        } else {
+            Some(self.admit(&targets, false).await)
+        };
+        match admission {
+            // The request may have crashed an endpoint while this call waited, so that it needs a
+            // turn now.
+            Some(Admission::Run(_)) if self.check_quarantine()? => {}
+            Some(admission) => return Ok((admission, None)),
+            None => {}
+        }
+        let turn = self.turn(&targets).await?;
+        let admission = self.admit(&targets, true).await;
+        self.check_quarantine()?;
+        Ok((admission, Some(turn)))
+    }
+
+    /// Waits for the turn to run a copy of a suspect.
+    async fn turn(&self, targets: &Targets) -> Result<Turn, Ending> {
+        let policy = ClassPolicy::from_targets(targets);
+        let request = TurnRequest {
+            fingerprint: self.frame.fingerprint,
+            wait: policy.allowed_wait.min(self.frame.remaining),
+            hold: self.frame.remaining,
+        };
+        turns::take(&self.shared, request)
+            .await
+            .map_err(Ending::Refused)
+    }
+
+    async fn admit(&self, targets: &Targets, suspect: bool) -> Admission {
+        let call = self.call(targets, suspect);
         let mut candidates = vec![self.frame.endpoint.clone()];
         candidates.extend(self.frame.next.iter().cloned());
         candidates.retain(|id| !self.frame.excluded.contains(id));
-        Ok(admit(
-            &self.shared,
-            &call,
-            &candidates,
-            u32::from(self.frame.asked),
-        )
-        .await)
+        let asked = u32::from(self.frame.asked);
+        admit(&self.shared, &call, &candidates, asked).await
     }
 
     fn targets(&self) -> Result<Targets, Ending> {
@@ -118,11 +153,16 @@
             .ok_or_else(|| Ending::Refused(Refusal::not_run(RefusalReason::UnknownClass, SOON)))
     }
 
+    /// Whether the call is a suspect.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a request that is held back.
     fn check_quarantine(&self) -> Result<bool, Ending> {
         let now = self.shared.now();
         let state = lock(&self.shared.quarantine).state(self.frame.fingerprint, now);
         match state {
-            Standing::Clear => Ok(false),
+            Standing::Clear => Ok(self.frame.suspect),
             Standing::Suspect => Ok(true),
             Standing::Held { retry_after } => Err(Ending::Refused(Refusal::not_run(
                 RefusalReason::Quarantined,
@@ -173,10 +213,6 @@
 
     /// Runs the admitted call and returns the last part of its answer.
     async fn serve(&self, slot: Slot) -> Part {
-        // The request may have crashed endpoints elsewhere while this call waited.
-        if let Err(Ending::Refused(refusal)) = self.check_quarantine() {
-            return Part::Fail(refusal);
-        }
         let Some(endpoint) = self.shared.view().endpoints.get(slot.endpoint()).cloned() else {
             return Part::Fail(Refusal::not_run(RefusalReason::NoEndpoint, SOON));
         };
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,7 +8,7 @@
 //! |---|---|
 //! | `callers`, `call`, `tokens`, `reply` | callers' HTTP: understanding requests, answering them |
 //! | `dispatch` | the receiving router: ranking, the walk over owners, retries |
-//! | `execute`, `admission`, `upstream`, `sse`, `crash` | the owning router: admission, claim, one run |
+//! | `execute`, `admission`, `upstream`, `sse`, `crash`, `turns` | the owning router: admission, claim, one run |
 //! | `remote`, `peer_server`, `gossip` | other routers |
 //! | `probes`, `maintain`, `refresh`, `view` | endpoints and the picture of the fleet |
 //! | `config_sync`, `recent`, `list_sync` | the platform: configuration and membership list |
@@ -22,7 +22,6 @@
 mod crash;
 mod dispatch;
 mod drain;
-
 mod execute;
 mod gossip;
 mod list_sync;
@@ -41,6 +40,7 @@
 mod sse;
 mod sums;
 mod tokens;
+mod turns;
 mod upstream;
 mod view;
 
--- a/crates/router/src/peer_server.rs
+++ b/crates/router/src/peer_server.rs
@@ -1,13 +1,16 @@
 //! Serves connections of other routers.
 
 use crate::config_sync;
+use crate::crash;
 use crate::execute::execute;
 use crate::metrics::Traffic;
 use crate::part::{Part, PartReceiver};
 use crate::remote::frame_of;
 use crate::shared::{Shared, lock};
+use crate::turns::TurnRequest;
 use sequoiaridge_core::Event;
 use sequoiaridge_log as event;
+use sequoiaridge_membership::{CrashKind, CrashNotice};
 use sequoiaridge_policy::ChatEntry;
 use sequoiaridge_wire::{Frame, FrameReader, FrameStream, FrameWriter, IndexEntry, LinkError};
 use std::sync::Arc;
@@ -90,11 +93,66 @@
                 merge_index(shared, &entries);
                 writer.send(&Frame::Ack).await?;
             }
+            Frame::Turn {
+                fingerprint,
+                wait,
+                hold,
+            } => {
+                let request = TurnRequest {
+                    fingerprint,
+                    wait,
+                    hold,
+                };
+                return serve_turn(shared, request, &mut reader, &mut writer).await;
+            }
+            Frame::Strike {
+                fingerprint,
+                endpoint,
+                boot,
+            } => {
+                let kind = CrashKind::Strike;
+                let notice = CrashNotice {
+                    fingerprint,
+                    endpoint,
+                    boot,
+                    kind,
+                };
+                crash::strike(shared, &notice);
+                writer.send(&Frame::Ack).await?;
+            }
             _ => return Ok(()),
         }
     }
 }
 
+/// Gives a peer its turn and keeps it until the peer closes the connection.
+async fn serve_turn(
+    shared: &Arc<Shared>,
+    request: TurnRequest,
+    reader: &mut Reader,
+    writer: &mut Writer,
+) -> Result<(), LinkError> {
+    let mut keepalive = tokio::time::interval(shared.settings.links.keepalive);
+    let turn = shared.turns.take(shared, request);
+    tokio::pin!(turn);
+    let turn = loop {
+        tokio::select! {
+            turn = &mut turn => break turn,
+            _ = keepalive.tick() => writer.send(&Frame::Keepalive).await?,
+            // A peer that waits sends nothing, so this is the end of the connection.
+            received = reader.recv() => return received.map(drop),
+        }
+    };
+    match turn {
+        Ok(_turn) => {
+            writer.send(&Frame::Ack).await?;
+            let ended = tokio::time::timeout(request.hold, reader.recv()).await;
+            ended.map_or(Ok(()), |received| received.map(drop))
+        }
+        Err(refusal) => writer.send(&Frame::Fail(refusal)).await,
+    }
+}
+
 /// Passes the parts of an answer on; `false` if the peer has gone.
 async fn serve_call(
     shared: &Shared,
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,13 +1,14 @@
 //! State of one router that its workers share.
 //!
-//! Lock order: `refreshed`, `members`, `detector`, `health`, `adopted`, `joined`, `owner`, `waiters`, `quarantine`, `budgets`,
-//! `opener`, `view`. A worker that holds one lock only takes later ones, and no lock is held across an
+//! Lock order: `refreshed`, `members`, `detector`, `health`, `adopted`, `joined`, `owner`, `waiters`, `quarantine`, `turns`,
+//! `budgets`, `opener`, `view`. A worker that holds one lock only takes later ones, and no lock is held across an
 //! `await`.
 
 use crate::metrics::Metrics;
 use crate::recent::RecentChanges;
 use crate::refresh::LastRefresh;
 use crate::tokens::TokenIndex;
+use crate::turns::Turns;
 use crate::view::View;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -96,6 +97,7 @@
     pub(crate) owner: Mutex<Owner>,
     pub(crate) waiters: Mutex<BTreeMap<TicketId, oneshot::Sender<Turn>>>,
     pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) turns: Turns,
     pub(crate) budgets: Mutex<RetryBudget>,
     pub(crate) opener: Mutex<Opener>,
     pub(crate) view: RwLock<Arc<View>>,
@@ -173,6 +175,7 @@
             health: Mutex::default(),
             adopted: Mutex::default(),
             joined: Mutex::default(),
+            turns: Turns::default(),
             waiters: Mutex::default(),
             view: RwLock::default(),
             outstanding: RwLock::default(),
--- /dev/null
+++ b/crates/router/src/turns.rs
@@ -0,0 +1,218 @@
+//! One copy of a suspect at a time in the whole fleet. See section 4.3 of `docs/design.md`.
+//!
+//! One router, the arbiter of the fingerprint, gives the turns, and it hears of each strike before the
+//! caller hears that the run failed. Routers that disagree about which of them are live may use two
+//! arbiters for the time of the disagreement.
+
+use crate::shared::{Shared, lock};
+use sequoiaridge_core::{Event, Fingerprint, Refusal, RefusalReason, RouterId};
+use sequoiaridge_log as event;
+use sequoiaridge_membership::CrashNotice;
+use sequoiaridge_policy::Standing;
+use sequoiaridge_wire::{Frame, Link, LinkError};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::OwnedMutexGuard;
+
+/// Pause after a strike before the next turn: two ticks of the detector, in which copies that ran at
+/// the same time and crashed other endpoints are counted as well.
+const SETTLE: Duration = Duration::from_millis(100);
+/// Arbiters that are tried after the first one when they cannot be reached.
+const MAX_SUBSTITUTES: usize = 2;
+/// Time after which a caller should come back when its request gets no turn.
+const SOON: Duration = Duration::from_secs(1);
+
+/// What an owner asks for a copy of a suspect.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TurnRequest {
+    pub(crate) fingerprint: Fingerprint,
+    /// Longest wait for the turn.
+    pub(crate) wait: Duration,
+    /// Time after which the turn ends in any case.
+    pub(crate) hold: Duration,
+}
+
+/// The right to run a copy of a suspect; dropping it ends the turn.
+pub(crate) enum Turn {
+    /// Given by this router.
+    Own(#[expect(dead_code, reason = "held for its drop")] OwnTurn),
+    /// Given by another one, for as long as the connection is open.
+    Peer(#[expect(dead_code, reason = "held for its drop")] Box<Link>),
+}
+
+type Queue = Arc<tokio::sync::Mutex<()>>;
+
+/// Turns that this router gives.
+#[derive(Debug, Default)]
+pub(crate) struct Turns {
+    /// Queues of the suspects that run or wait.
+    queues: Mutex<BTreeMap<Fingerprint, Queue>>,
+}
+
+/// A turn that this router gave. Fields are dropped in this order, so the queue is free before it is
+/// looked at whether it is still needed.
+pub(crate) struct OwnTurn {
+    _guard: OwnedMutexGuard<()>,
+    _entry: Entry,
+}
+
+/// Keeps the queue of a fingerprint in the table while it is used.
+struct Entry {
+    shared: Arc<Shared>,
+    fingerprint: Fingerprint,
+    queue: Option<Queue>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let mut queues = lock(&self.shared.turns.queues);
+        self.queue = None;
+        if let Some(queue) = queues.get(&self.fingerprint)
+            && Arc::strong_count(queue) == 1
+        {
+            queues.remove(&self.fingerprint);
+        }
+    }
+}
+
+impl Turns {
+    /// Waits for the turn at this router.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a request that is held back, or that got no turn in time.
+    pub(crate) async fn take(
+        &self,
+        shared: &Arc<Shared>,
+        request: TurnRequest,
+    ) -> Result<OwnTurn, Refusal> {
+        let fingerprint = request.fingerprint;
+        let queue = lock(&self.queues).entry(fingerprint).or_default().clone();
+        let entry = Entry {
+            shared: shared.clone(),
+            fingerprint,
+            queue: Some(queue.clone()),
+        };
+        let turn = async {
+            let guard = queue.lock_owned().await;
+            let last = lock(&shared.quarantine).last_strike(fingerprint, shared.now());
+            let settled = last.map_or(Duration::ZERO, |last| last + SETTLE);
+            tokio::time::sleep(settled.saturating_sub(shared.now())).await;
+            guard
+        };
+        let guard = tokio::time::timeout(request.wait, turn).await;
+        let guard = guard.map_err(|_| Refusal::not_run(RefusalReason::Overload, SOON))?;
+        if let Standing::Held { retry_after } =
+            lock(&shared.quarantine).state(fingerprint, shared.now())
+        {
+            return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
+        }
+        Ok(OwnTurn {
+            _guard: guard,
+            _entry: entry,
+        })
+    }
+}
+
+/// Waits for the turn to run a copy of a suspect, at the arbiter of its fingerprint.
+///
+/// # Errors
+///
+/// The refusal of a request that is held back, that got no turn in time, or whose arbiters cannot be
+/// reached.
+pub(crate) async fn take(shared: &Arc<Shared>, request: TurnRequest) -> Result<Turn, Refusal> {
+    let mut unreachable: Vec<RouterId> = Vec::new();
+    while let Some(arbiter) = arbiter(shared, request.fingerprint, &unreachable) {
+        let Some(address) = arbiter.1 else {
+            return shared.turns.take(shared, request).await.map(Turn::Own);
+        };
+        match ask(shared, address, request).await {
+            Ok(turn) => return turn.map(|link| Turn::Peer(Box::new(link))),
+            Err(error) => note_lost(&arbiter.0, &error),
+        }
+        unreachable.push(arbiter.0);
+        if unreachable.len() > MAX_SUBSTITUTES {
+            break;
+        }
+    }
+    Err(Refusal::not_run(RefusalReason::PeerBroke, SOON))
+}
+
+/// Tells the arbiter of a strike. The notice to all routers is a datagram, which may be lost.
+pub(crate) async fn report(shared: &Shared, notice: &CrashNotice) {
+    let Some((id, Some(address))) = arbiter(shared, notice.fingerprint, &[]) else {
+        return;
+    };
+    if let Err(error) = send_strike(shared, address, notice).await {
+        note_lost(&id, &error);
+    }
+}
+
+/// Arbiter of a fingerprint, with its address if it is not this router.
+fn arbiter(
+    shared: &Shared,
+    fingerprint: Fingerprint,
+    unreachable: &[RouterId],
+) -> Option<(RouterId, Option<SocketAddr>)> {
+    let view = shared.view();
+    let id = view.arbiter(fingerprint, unreachable)?;
+    let address = view.routers.get(&id).copied();
+    let address = address.filter(|_| id != *shared.id());
+    Some((id, address))
+}
+
+async fn ask(
+    shared: &Shared,
+    address: SocketAddr,
+    request: TurnRequest,
+) -> Result<Result<Link, Refusal>, LinkError> {
+    let mut link = shared.links.checkout(address).await?;
+    let turn = Frame::Turn {
+        fingerprint: request.fingerprint,
+        wait: request.wait,
+        hold: request.hold,
+    };
+    link.send(&turn).await?;
+    loop {
+        match link.recv().await?.ok_or(LinkError::Truncated)? {
+            Frame::Keepalive => {}
+            Frame::Fail(refusal) => return Ok(Err(refusal)),
+            Frame::Ack => return Ok(Ok(link)),
+            other => return Err(unexpected(&other)),
+        }
+    }
+}
+
+async fn send_strike(
+    shared: &Shared,
+    address: SocketAddr,
+    notice: &CrashNotice,
+) -> Result<(), LinkError> {
+    let mut link = shared.links.checkout(address).await?;
+    let strike = Frame::Strike {
+        fingerprint: notice.fingerprint,
+        endpoint: notice.endpoint.clone(),
+        boot: notice.boot,
+    };
+    link.send(&strike).await?;
+    match link.recv().await?.ok_or(LinkError::Truncated)? {
+        Frame::Ack => {
+            shared.links.checkin(link);
+            Ok(())
+        }
+        other => Err(unexpected(&other)),
+    }
+}
+
+fn unexpected(frame: &Frame) -> LinkError {
+    LinkError::Broken(format!("unexpected frame {}", frame.kind()))
+}
+
+fn note_lost(arbiter: &str, error: &LinkError) {
+    event::log(
+        Event::ArbiterLost,
+        &format!("turn or strike at {arbiter}: {error}"),
+    );
+}
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -1,6 +1,8 @@
 //! The routers and endpoints that a router currently knows, made from list, gossip and probes.
 
-use sequoiaridge_core::{DomainId, EndpointId, Member, ModelName, RouterId};
+use sequoiaridge_core::{
+    DomainId, EndpointId, Fingerprint, Member, ModelName, RouterId, hash_parts,
+};
 use sequoiaridge_membership::{EndpointState, LoadReport, PeerView};
 use sequoiaridge_policy::{Candidate, RouterInfo, owner_of};
 use std::collections::BTreeMap;
@@ -108,6 +110,20 @@
                 .any(|e| e.member.serves.iter().any(|name| name == group))
     }
 
+    /// Router that gives the turns to run copies of a suspect, by rendezvous hashing over the routers
+    /// that can be reached.
+    pub(crate) fn arbiter(
+        &self,
+        fingerprint: Fingerprint,
+        unreachable: &[RouterId],
+    ) -> Option<RouterId> {
+        let score = |id: &RouterId| hash_parts(&[id.as_bytes(), &fingerprint.to_le_bytes()]);
+        let ids = self.infos.iter().map(|info| &info.id);
+        ids.filter(|id| !unreachable.contains(id))
+            .max_by_key(|id| (score(id), *id))
+            .cloned()
+    }
+
     /// Owner of an endpoint when some routers cannot be reached.
     pub(crate) fn owner_without(
         &self,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -65,6 +65,9 @@
     pub substitute: bool,
     /// Endpoints that must not be used, because they failed this call before.
     pub excluded: Vec<EndpointId>,
+    /// The call is a suspect: an endpoint may have crashed on it, whether or not the receiver has
+    /// heard of that.
+    pub suspect: bool,
 }
 
 /// One change of the configuration with the version that it leads to.
@@ -135,8 +138,26 @@
         /// The entries.
         entries: Vec<IndexEntry>,
     },
-    /// The last push was taken over.
+    /// The last push was taken over, or the turn is granted.
     Ack,
+    /// Asks for the turn to run a copy of a suspect. The turn ends with the connection.
+    Turn {
+        /// Fingerprint of the suspect.
+        fingerprint: Fingerprint,
+        /// Longest wait for the turn.
+        wait: Duration,
+        /// Time after which the turn ends in any case.
+        hold: Duration,
+    },
+    /// An endpoint crashed on a request.
+    Strike {
+        /// Fingerprint of the request.
+        fingerprint: Fingerprint,
+        /// Endpoint that crashed.
+        endpoint: EndpointId,
+        /// Boot of the endpoint before the crash.
+        boot: u64,
+    },
 }
 
 impl Frame {
@@ -155,6 +176,8 @@
             Frame::ConfigPush { .. } => "config-push",
             Frame::IndexPush { .. } => "index-push",
             Frame::Ack => "ack",
+            Frame::Turn { .. } => "turn",
+            Frame::Strike { .. } => "strike",
         }
     }
 }
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// First bytes of each hello: name and version of the protocol.
-const MAGIC: [u8; 4] = *b"SRP1";
+const MAGIC: [u8; 4] = *b"SRP2";
 const NONCE_BYTES: usize = 32;
 const HELLO_BYTES: usize = MAGIC.len() + NONCE_BYTES + TAG_BYTES;
 
--- a/crates/wire/tests/stream.rs
+++ b/crates/wire/tests/stream.rs
@@ -48,6 +48,7 @@
         lookup: true,
         substitute: true,
         excluded: vec!["engine-2".to_string()],
+        suspect: true,
     }))
 }
 
