Take a long list of endpoints from a router of the own domain at the start

Change: a router reads a first page of 128 rows. If there are more, only the first router by name of each domain reads on; the others ask a router that says it knows the endpoints, over TCP, and read for themselves when their patience has ended. A router gives its list only while its news are fresh. Ruled out: choosing the readers by who is heard (right after a start nobody is, and all read).

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -90,6 +90,8 @@
     CacheRestored = 309, Info, "cache-restored";
     /// What endpoints have cached could not be saved.
     CacheNotSaved = 310, Warn, "cache-not-saved";
+    /// The list of endpoints came from another router.
+    ListReceived = 311, Info, "list-received";
     /// A call was refused or ended without its whole answer.
     CallRefused = 400, Info, "call-refused";
     /// A call was sent again.
--- a/crates/edge/src/join.rs
+++ b/crates/edge/src/join.rs
@@ -134,7 +134,7 @@
     let mut rows = Vec::new();
     let mut after = None;
     loop {
-        let page = registry.read(Table::Routers, after).await?;
+        let page = registry.read(Table::Routers, after, None).await?;
         rows.extend(page.rows);
         if page.next.is_none() {
             return Ok(rows);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod cache_map;
 mod call;
 mod feed;
+mod handover;
 mod health;
 mod ingress;
 mod join;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,12 +1,13 @@
 //! Exchange of messages between routers.
 
 use crate::feed::Feed;
+use crate::handover;
 use crate::join::{Joined, join, restore, save, seek};
 use crate::load::Work;
 use crate::registry::Registry;
-use crate::shared::{SMALL_FLEET, Shared};
+use crate::shared::{Contact, SMALL_FLEET, Shared};
 use crate::tell::Tell;
-use rand::seq::{IndexedRandom, IteratorRandom};
+use rand::seq::IteratorRandom;
 use sequoiaridge_core::{DomainId, EndpointId, Event, RouterId};
 use sequoiaridge_log::log;
 use sequoiaridge_wire::{MAX_DATAGRAM, Opener, PeerKeys, Sealer};
@@ -14,7 +15,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 
 /// Pause between messages to a router that is heard, in a small fleet. Requests last a second or so,
@@ -45,6 +46,8 @@
 struct Peer {
     address: SocketAddr,
     domain: DomainId,
+    /// Bandwidth of the router's link in Mbit/s; 0 before it is heard.
+    link: u32,
     /// When the router was last heard, or else became known.
     since: Duration,
     heard: Option<Duration>,
@@ -75,6 +78,7 @@
     shared: Arc<Shared>,
     registry: Arc<dyn Registry>,
     socket: UdpSocket,
+    listener: TcpListener,
     mut feeds: mpsc::UnboundedReceiver<Feed>,
 ) {
     let incarnation = shared.incarnation();
@@ -90,6 +94,8 @@
     let (found, mut newly_found) = mpsc::unbounded_channel();
     tokio::spawn(seek(shared.clone(), registry, found));
     let keys = PeerKeys::from_bytes(key, None);
+    shared.keys.get_or_init(|| keys.clone());
+    tokio::spawn(handover::serve(shared.clone(), keys.clone(), listener));
     let mut links = Links {
         sealer: Sealer::new(&keys, shared.settings.id.clone(), incarnation),
         opener: Opener::new(&keys),
@@ -122,15 +128,22 @@
 impl Links {
     fn introduce(&mut self, id: RouterId, address: SocketAddr, domain: &str) {
         let now = self.shared.now();
-        let peer = self.peers.entry(id).or_insert(Peer {
+        let peer = self.peers.entry(id.clone()).or_insert(Peer {
             address,
             domain: domain.to_string(),
+            link: 0,
             since: now,
             heard: None,
             sent: None,
         });
         peer.address = address;
-        self.shared.board().fleet = self.peers.len() + 1;
+        let mut board = self.shared.board();
+        let contact = board.contacts.entry(id).or_insert(Contact {
+            address,
+            domain: domain.to_string(),
+            informed: false,
+        });
+        contact.address = address;
     }
 
     /// Sends what is new to the routers that are heard, and a sign of life to the others.
@@ -163,7 +176,13 @@
 
     /// Sends a sign of life to routers that are not heard, and forgets those that were not for long.
     fn tell_unheard(&mut self, now: Duration, life: Duration) {
-        self.peers.retain(|_, peer| now < peer.since + FORGET);
+        let peers = &mut self.peers;
+        peers.retain(|_, peer| now < peer.since + FORGET);
+        let mut board = self.shared.board();
+        if board.contacts.len() > peers.len() {
+            board.contacts.retain(|id, _| peers.contains_key(id));
+        }
+        drop(board);
         let due = |peer: &Peer| {
             let recent = now < peer.since + RECENT;
             let period = if recent {
@@ -282,18 +301,17 @@
     /// one of each other domain, drawn anew each time, which passes it on.
     fn spread(&self, tell: Tell) {
         let own = &self.shared.settings.domain;
-        let mut far: BTreeMap<&DomainId, Vec<SocketAddr>> = BTreeMap::new();
+        let mut far: BTreeMap<&DomainId, Vec<&Peer>> = BTreeMap::new();
         let mut direct = Vec::new();
         for peer in self.peers.values().filter(|peer| self.is_reached(peer)) {
             if self.is_large() && peer.domain != *own {
-                far.entry(&peer.domain).or_default().push(peer.address);
+                far.entry(&peer.domain).or_default().push(peer);
             } else {
                 direct.push(peer.address);
             }
         }
         self.send_all(&tell, &direct);
-        let drawn = far.values().filter_map(|all| all.choose(&mut rand::rng()));
-        let relays: Vec<SocketAddr> = drawn.copied().collect();
+        let relays: Vec<SocketAddr> = far.values().filter_map(|all| draw_relay(all)).collect();
         let relayed = Tell {
             relay: true,
             ..tell
@@ -328,12 +346,14 @@
 
     /// What every message says.
     fn base(&self) -> Tell {
+        let informed = self.shared.is_informed();
         Tell {
             address: Some(self.shared.settings.peers),
             domain: self.shared.settings.domain.clone(),
             link: self.shared.settings.link,
             version: self.shared.board().version(),
             draining: self.shared.is_draining(),
+            informed,
             ..Tell::default()
         }
     }
@@ -368,6 +388,7 @@
             let was_heard = peer.is_heard(now, life);
             peer.heard = Some(now);
             peer.since = now;
+            peer.link = tell.link;
             if !was_heard {
                 log(
                     Event::PeerUp,
@@ -375,6 +396,9 @@
                 );
             }
         }
+        if let Some(contact) = self.shared.board().contacts.get_mut(&id) {
+            contact.informed = tell.informed;
+        }
         if tell.relay {
             self.relay(&tell);
         }
@@ -382,6 +406,14 @@
     }
 }
 
+/// Draws a relay among the routers of a domain that have the fastest links: one message to all routers
+/// of a domain fills a slow link for longer than the message may take.
+fn draw_relay(peers: &[&Peer]) -> Option<SocketAddr> {
+    let fastest = peers.iter().map(|peer| peer.link).max()?;
+    let fastest = peers.iter().filter(|peer| peer.link == fastest);
+    fastest.choose(&mut rand::rng()).map(|peer| peer.address)
+}
+
 /// Sends a datagram. One that the socket does not take is lost like one on the way; the next follows
 /// within a second.
 fn send(socket: &UdpSocket, datagram: &[u8], to: SocketAddr) {
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -103,12 +103,18 @@
 
 /// The platform's registry.
 pub trait Registry: Send + Sync {
-    /// Reads a page of a whole table: the first, or the one after the key `after`.
+    /// Reads a page of a whole table: the first, or the one after the key `after`. It has at most
+    /// `limit` rows, if that is set, and never more than the registry allows.
     ///
     /// # Errors
     ///
     /// The registry gave no usable answer.
-    fn read(&self, table: Table, after: Option<String>) -> RegistryFuture<'_, Rows>;
+    fn read(
+        &self,
+        table: Table,
+        after: Option<String>,
+        limit: Option<usize>,
+    ) -> RegistryFuture<'_, Rows>;
 
     /// Reads the rows of a table that changed after `position`, waiting up to `wait` for the first.
     ///
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -154,7 +154,7 @@
         }
         let now = self.shared.now();
         let mut board = self.shared.board();
-        let routers = board.fleet.max(board.loads.routers());
+        let routers = (board.contacts.len() + 1).max(board.loads.routers());
         board.repeats.take(&self.service, routers, now)
     }
 
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -80,6 +80,14 @@
         self.position
     }
 
+    /// All rows but those that vanished around an outage, for a router that starts.
+    pub fn listed(&self) -> Vec<ChangedRow> {
+        let listed = self.listed.iter().filter(|(_, row)| row.lapsed.is_none());
+        listed
+            .map(|(id, row)| (id.clone(), row.position, Some(row.entry.clone())))
+            .collect()
+    }
+
     /// The rows that say something new.
     pub fn news(&self, rows: &[Row]) -> Vec<ChangedRow> {
         let mut news = Vec::new();
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -17,6 +17,7 @@
 use sequoiaridge_log::log;
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,6 +42,8 @@
 /// Pause between checks of a drain, and between cleanings of idle connections.
 const CHECK: Duration = Duration::from_millis(100);
 const CLEAN: Duration = Duration::from_millis(500);
+/// Free ports that are tried where the settings leave the choice to the system.
+const FREE_PORT_TRIES: u32 = 8;
 /// Pause after an accept that failed, for instance because all descriptors are in use.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -64,7 +67,7 @@
     ) -> io::Result<EdgeRouter> {
         let callers = TcpListener::bind(settings.callers).await?;
         let readiness = TcpListener::bind(settings.readiness).await?;
-        let socket = UdpSocket::bind(settings.peers).await?;
+        let (socket, lists) = bind_peers(settings.peers).await?;
         // A port of 0 takes a free one.
         settings.callers = callers.local_addr()?;
         settings.readiness = readiness.local_addr()?;
@@ -76,7 +79,7 @@
         for table in [Table::Configuration, Table::Endpoints] {
             tokio::spawn(sync::follow(shared.clone(), registry.clone(), table));
         }
-        tokio::spawn(peers::run(shared.clone(), registry, socket, to_tell));
+        tokio::spawn(peers::run(shared.clone(), registry, socket, lists, to_tell));
         tokio::spawn(clean(shared.clone()));
         log(
             Event::RouterStarted,
@@ -130,6 +133,24 @@
     }
 }
 
+/// Binds the address for other routers, for datagrams and for connections.
+async fn bind_peers(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
+    let mut tries = if address.port() == 0 {
+        FREE_PORT_TRIES
+    } else {
+        1
+    };
+    loop {
+        let socket = UdpSocket::bind(address).await?;
+        // A port that is free for datagrams may be taken for connections.
+        match TcpListener::bind(socket.local_addr()?).await {
+            Ok(listener) => return Ok((socket, listener)),
+            Err(error) if tries == 1 => return Err(error),
+            Err(_) => tries -= 1,
+        }
+    }
+}
+
 /// What a listener serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Port {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -13,10 +13,12 @@
 use crate::sync;
 use crate::tell::{News, Tell};
 use crate::upstream::Upstream;
-use sequoiaridge_core::{Clock, RouterId, Version};
+use sequoiaridge_core::{Clock, DomainId, RouterId, Version};
 use sequoiaridge_policy::Quarantine;
+use sequoiaridge_wire::PeerKeys;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, UNIX_EPOCH};
@@ -48,8 +50,8 @@
     pub(crate) recent: BTreeMap<Table, Feed>,
     /// Feeds that came before those that they follow on.
     pub(crate) early: VecDeque<Feed>,
-    /// Routers that are known, with this one.
-    pub(crate) fleet: usize,
+    /// Routers that are known, but for this one.
+    pub(crate) contacts: BTreeMap<RouterId, Contact>,
     /// Tables of which another router has newer news.
     pub(crate) behind: BTreeSet<Table>,
     pub(crate) loads: Loads,
@@ -80,7 +82,7 @@
         let rank = (Reverse(settings.link), own);
         let before = self.loads.peers();
         let before = before.filter(|peer| (Reverse(peer.link), peer.id) < rank);
-        if self.fleet <= SMALL_FLEET {
+        if self.contacts.len() < SMALL_FLEET {
             return before.count();
         }
         let (mut all, mut near) = (0, 0);
@@ -92,6 +94,16 @@
     }
 }
 
+/// What all tasks know of another router.
+#[derive(Clone, Debug)]
+pub(crate) struct Contact {
+    /// Address at which it listens for other routers.
+    pub(crate) address: SocketAddr,
+    pub(crate) domain: DomainId,
+    /// Whether it says that it knows the endpoints.
+    pub(crate) informed: bool,
+}
+
 /// State of one router.
 ///
 /// Two locks exist, and neither is held while the other is taken or a task waits: the board's and
@@ -115,6 +127,8 @@
     incarnation: u64,
     hints: BTreeMap<Table, Notify>,
     feeds: mpsc::UnboundedSender<Feed>,
+    /// Keys of the fleet, once the router has joined.
+    pub(crate) keys: OnceLock<PeerKeys>,
 }
 
 impl Shared {
@@ -138,6 +152,7 @@
                 .map(|table| (table, Notify::new()))
                 .collect(),
             feeds,
+            keys: OnceLock::new(),
             clock,
             dialect,
             metrics: Metrics::new(),
@@ -150,7 +165,7 @@
                 returned: None,
                 recent: BTreeMap::new(),
                 early: VecDeque::new(),
-                fleet: 1,
+                contacts: BTreeMap::new(),
                 behind: BTreeSet::new(),
                 loads: Loads::new(),
                 health: Health::new(),
@@ -233,6 +248,12 @@
         board.routes.is_some() && endpoints && !self.is_draining()
     }
 
+    /// Whether the endpoints are known.
+    pub(crate) fn is_informed(&self) -> bool {
+        let board = self.board();
+        board.positions.contains_key(&Table::Endpoints)
+    }
+
     /// Notes that a table was read for the first time or again.
     pub(crate) fn check_informed(&self) {
         if !*self.informed.borrow() && self.is_ready() {
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -5,6 +5,7 @@
 //! reads, tells the others what changed, and they need not ask. docs/platform.md has the bounds.
 
 use crate::feed::Feed;
+use crate::handover;
 use crate::registry::{Entry, Registry, RegistryError, Row, Rows, Table};
 use crate::roster::Change;
 use crate::routes::RouteTable;
@@ -39,6 +40,8 @@
 /// Time after the registry's return in which a row that vanished may only have lapsed.
 const RETURN: Duration = Duration::from_secs(2);
 
+/// Endpoints up to which each router that starts reads the list itself, in one call: about 40 kB.
+const SHORT_LIST: usize = 128;
 /// Feeds that wait for what comes before them.
 const MAX_EARLY: usize = 32;
 
@@ -52,6 +55,8 @@
     last_hint: Duration,
     /// Pages of a whole table that is being read.
     pages: Option<Rows>,
+    /// Whether the other routers were asked for a table with more than one page.
+    asked: bool,
 }
 
 /// Follows one table until the process ends.
@@ -63,6 +68,7 @@
         failures: 0,
         last_hint: Duration::ZERO,
         pages: None,
+        asked: false,
     };
     loop {
         reader.wait_until_due().await;
@@ -151,7 +157,10 @@
     async fn read_whole(&mut self) -> Result<Rows, RegistryError> {
         loop {
             let after = self.pages.as_ref().and_then(|pages| pages.next.clone());
-            let mut page = self.registry.read(self.table, after).await?;
+            // Whether the list is long shows in a short first page.
+            let first = self.table == Table::Endpoints && after.is_none();
+            let limit = first.then_some(SHORT_LIST);
+            let mut page = self.registry.read(self.table, after, limit).await?;
             if let Some(mut pages) = self.pages.take() {
                 // Changes since the first page come again with those after its position.
                 page.position = pages.position;
@@ -159,12 +168,26 @@
                 page.rows = pages.rows;
             }
             if page.next.is_none() {
+                self.asked = false;
                 return Ok(page);
             }
             self.pages = Some(page);
+            if self.table == Table::Endpoints
+                && !self.asked
+                && let Some(rows) = self.list_of_others().await
+            {
+                self.pages = None;
+                return Ok(rows);
+            }
         }
     }
 
+    /// The list of endpoints from another router, once for each time that it is read whole.
+    async fn list_of_others(&mut self) -> Option<Rows> {
+        self.asked = true;
+        handover::wait(&self.shared).await
+    }
+
     fn answered(&mut self) {
         self.shared.metrics.registry_call(self.table, true);
         if self.failures > 0 {
--- a/crates/edge/src/tell.rs
+++ b/crates/edge/src/tell.rs
@@ -39,6 +39,8 @@
     pub version: Version,
     /// Whether the sender drains.
     pub draining: bool,
+    /// Whether the sender knows the endpoints.
+    pub informed: bool,
     /// Work that the sender has outstanding; `None` if the message does not tell it.
     pub work: Option<Vec<(EndpointId, Work)>>,
     /// Prefixes that endpoints read.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -149,6 +149,13 @@
         /// Time after which the turn ends in any case.
         hold: Duration,
     },
+    /// Asks for the list of endpoints.
+    EndpointsPull,
+    /// The list of endpoints, encoded by the sender; `None` if it has none to give now.
+    EndpointsPush {
+        /// The list.
+        list: Option<Bytes>,
+    },
     /// An endpoint crashed on a request.
     Strike {
         /// Fingerprint of the request.
@@ -177,6 +184,8 @@
             Frame::IndexPush { .. } => "index-push",
             Frame::Ack => "ack",
             Frame::Turn { .. } => "turn",
+            Frame::EndpointsPull => "endpoints-pull",
+            Frame::EndpointsPush { .. } => "endpoints-push",
             Frame::Strike { .. } => "strike",
         }
     }
