Slow down the rounds of messages in fleets beyond 80 routers

Change: the pause grows in proportion beyond 80 routers, like that between news. Ruled out: more messages within the domain and fewer to others (the time after which a router counts as gone would have to differ by domain). Fleets of up to 80 routers are as before.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -34,9 +34,11 @@
 /// Time after which a router that is not heard is forgotten: it was replaced, and its row stays in the
 /// registry. Cuts between domains last minutes.
 const FORGET: Duration = Duration::from_secs(600);
-/// Pause between messages with news in a fleet of a given size; larger ones take longer in proportion.
+/// Pause between messages with news in a large fleet.
 const NEWS_PERIOD: Duration = Duration::from_secs(1);
-const NEWS_FLEET: u32 = 80;
+/// Size of a fleet beyond which the pauses of large fleets grow in proportion, so that what a router
+/// hears and sends does not grow with the fleet.
+const PACED_FLEET: u32 = 80;
 /// Least time after which a router counts as not heard, and the same in messages that should have come.
 const LIFE: Duration = Duration::from_millis(1500);
 const LIFE_PACES: u32 = 4;
@@ -211,9 +213,7 @@
 
     /// Sends what is new through the domains, when it is due in a large fleet.
     fn tell_news(&mut self, now: Duration) {
-        let count = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
-        let period = NEWS_PERIOD.max(NEWS_PERIOD * count / NEWS_FLEET);
-        if !self.is_large() || now < self.news_at + period {
+        if !self.is_large() || now < self.news_at + self.paced(NEWS_PERIOD) {
             return;
         }
         self.news_at = now;
@@ -227,12 +227,18 @@
     /// Pause between rounds of messages.
     fn pace(&self) -> Duration {
         if self.is_large() {
-            LARGE_PERIOD
+            self.paced(LARGE_PERIOD)
         } else {
             PERIOD
         }
     }
 
+    /// A pause in a fleet of this size.
+    fn paced(&self, period: Duration) -> Duration {
+        let count = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
+        period.max(period * count / PACED_FLEET)
+    }
+
     /// Whether messages go to some routers only.
     fn is_large(&self) -> bool {
         self.peers.len() >= SMALL_FLEET
