--- a/crates/fakes/src/control/client.rs
+++ b/crates/fakes/src/control/client.rs
@@ -62,7 +62,7 @@
         self.crash_after(text, restart, Duration::ZERO).await
     }
 
-    /// As [`Client::crash_on`], with the crash `after` the start of the run.
+    /// As [`Control::crash_on`], with the crash `after` the start of the run.
     pub async fn crash_after(
         &self,
         text: &str,
