Serialize copies only of requests that crashed an endpoint

Change: such a retry only asks the arbiter, which hears of each crash first and lets requests without a strike pass at once; being alone on an endpoint follows from known strikes, as before.

--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -101,9 +101,9 @@
     /// first, which lasts for as long as the returned [`Turn`].
     async fn place(&self) -> Result<(Admission, Option<Turn>), Ending> {
         let targets = self.targets()?;
-        let suspect = self.check_quarantine()?;
+        let needs_turn = self.check_quarantine()? || self.frame.suspect;
         self.check_owner().await?;
-        let admission = if suspect {
+        let admission = if needs_turn {
             None
         } else {
             Some(self.admit(&targets, false).await)
@@ -116,7 +116,8 @@
             None => {}
         }
         let turn = self.turn(&targets).await?;
-        let admission = self.admit(&targets, true).await;
+        let suspect = self.check_quarantine()?;
+        let admission = self.admit(&targets, suspect).await;
         self.check_quarantine()?;
         Ok((admission, Some(turn)))
     }
@@ -153,7 +154,7 @@
             .ok_or_else(|| Ending::Refused(Refusal::not_run(RefusalReason::UnknownClass, SOON)))
     }
 
-    /// Whether the call is a suspect.
+    /// Whether the call is known as a suspect here.
     ///
     /// # Errors
     ///
@@ -162,7 +163,7 @@
         let now = self.shared.now();
         let state = lock(&self.shared.quarantine).state(self.frame.fingerprint, now);
         match state {
-            Standing::Clear => Ok(self.frame.suspect),
+            Standing::Clear => Ok(false),
             Standing::Suspect => Ok(true),
             Standing::Held { retry_after } => Err(Ending::Refused(Refusal::not_run(
                 RefusalReason::Quarantined,
--- a/crates/router/src/turns.rs
+++ b/crates/router/src/turns.rs
@@ -51,11 +51,11 @@
     queues: Mutex<BTreeMap<Fingerprint, Queue>>,
 }
 
-/// A turn that this router gave. Fields are dropped in this order, so the queue is free before it is
+/// A turn that this router gave; a request that is not a suspect needs no guard. Fields are dropped in this order, so the queue is free before it is
 /// looked at whether it is still needed.
 pub(crate) struct OwnTurn {
-    _guard: OwnedMutexGuard<()>,
-    _entry: Entry,
+    _guard: Option<OwnedMutexGuard<()>>,
+    _entry: Option<Entry>,
 }
 
 /// Keeps the queue of a fingerprint in the table while it is used.
@@ -89,6 +89,14 @@
         request: TurnRequest,
     ) -> Result<OwnTurn, Refusal> {
         let fingerprint = request.fingerprint;
+        // An owner asks after any broken run, and this router hears first of each crash.
+        let standing = lock(&shared.quarantine).state(fingerprint, shared.now());
+        if standing == Standing::Clear {
+            return Ok(OwnTurn {
+                _guard: None,
+                _entry: None,
+            });
+        }
         let queue = lock(&self.queues).entry(fingerprint).or_default().clone();
         let entry = Entry {
             shared: shared.clone(),
@@ -110,8 +118,8 @@
             return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
         }
         Ok(OwnTurn {
-            _guard: guard,
-            _entry: entry,
+            _guard: Some(guard),
+            _entry: Some(entry),
         })
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -65,8 +65,7 @@
     pub substitute: bool,
     /// Endpoints that must not be used, because they failed this call before.
     pub excluded: Vec<EndpointId>,
-    /// The call is a suspect: an endpoint may have crashed on it, whether or not the receiver has
-    /// heard of that.
+    /// An endpoint may have crashed on the call, whether or not the receiver has heard of that.
     pub suspect: bool,
 }
 
