Move the choice of relays and the pauses of large fleets to a module without I/O

Both were in the task that sends messages, where no test reached them without a network. No behaviour changes.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -6,6 +6,7 @@
 use crate::load::Work;
 use crate::registry::Registry;
 use crate::shared::{Contact, SMALL_FLEET, Shared};
+use crate::spread::{draw_relay, paced};
 use crate::tell::Tell;
 use rand::seq::IteratorRandom;
 use sequoiaridge_core::{DomainId, EndpointId, Event, RouterId};
@@ -36,9 +37,6 @@
 const FORGET: Duration = Duration::from_secs(600);
 /// Pause between messages with news in a large fleet.
 const NEWS_PERIOD: Duration = Duration::from_secs(1);
-/// Size of a fleet beyond which the pauses of large fleets grow in proportion, so that what a router
-/// hears and sends does not grow with the fleet.
-const PACED_FLEET: u32 = 80;
 /// Least time after which a router counts as not heard, and the same in messages that should have come.
 const LIFE: Duration = Duration::from_millis(1500);
 const LIFE_PACES: u32 = 4;
@@ -213,7 +211,7 @@
 
     /// Sends what is new through the domains, when it is due in a large fleet.
     fn tell_news(&mut self, now: Duration) {
-        if !self.is_large() || now < self.news_at + self.paced(NEWS_PERIOD) {
+        if !self.is_large() || now < self.news_at + paced(NEWS_PERIOD, self.peers.len()) {
             return;
         }
         self.news_at = now;
@@ -227,18 +225,12 @@
     /// Pause between rounds of messages.
     fn pace(&self) -> Duration {
         if self.is_large() {
-            self.paced(LARGE_PERIOD)
+            paced(LARGE_PERIOD, self.peers.len())
         } else {
             PERIOD
         }
     }
 
-    /// A pause in a fleet of this size.
-    fn paced(&self, period: Duration) -> Duration {
-        let count = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
-        period.max(period * count / PACED_FLEET)
-    }
-
     /// Whether messages go to some routers only.
     fn is_large(&self) -> bool {
         self.peers.len() >= SMALL_FLEET
@@ -307,11 +299,12 @@
     /// one of each other domain, drawn anew each time, which passes it on.
     fn spread(&self, tell: Tell) {
         let own = &self.shared.settings.domain;
-        let mut far: BTreeMap<&DomainId, Vec<&Peer>> = BTreeMap::new();
+        let mut far: BTreeMap<&DomainId, Vec<(SocketAddr, u32)>> = BTreeMap::new();
         let mut direct = Vec::new();
         for peer in self.peers.values().filter(|peer| self.is_reached(peer)) {
             if self.is_large() && peer.domain != *own {
-                far.entry(&peer.domain).or_default().push(peer);
+                let domain = far.entry(&peer.domain).or_default();
+                domain.push((peer.address, peer.link));
             } else {
                 direct.push(peer.address);
             }
@@ -412,14 +405,6 @@
     }
 }
 
-/// Draws a relay among the routers of a domain that have the fastest links: one message to all routers
-/// of a domain fills a slow link for longer than the message may take.
-fn draw_relay(peers: &[&Peer]) -> Option<SocketAddr> {
-    let fastest = peers.iter().map(|peer| peer.link).max()?;
-    let fastest = peers.iter().filter(|peer| peer.link == fastest);
-    fastest.choose(&mut rand::rng()).map(|peer| peer.address)
-}
-
 /// Sends a datagram. One that the socket does not take is lost like one on the way; the next follows
 /// within a second.
 fn send(socket: &UdpSocket, datagram: &[u8], to: SocketAddr) {
