--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -35,6 +35,10 @@
         /// Only read the settings file and say whether it is valid
         #[bpaf(long)]
         check: bool,
+        /// Only show what a running router counts, and whether it is ready; ADDRESS is the one for
+        /// readiness in its settings
+        #[bpaf(long, argument("ADDRESS"))]
+        status: Option<SocketAddr>,
     },
     /// Show what the logs say of one request, in the order of time
     ///
--- /dev/null
+++ b/src/cli/edge_status.rs
@@ -0,0 +1,76 @@
+//! `sequoiaridge edge --status`.
+
+use super::exit;
+use http::{HeaderMap, Method, StatusCode};
+use sequoiaridge::edge::Dialect;
+use sequoiaridge::http::{Client, ClientConfig, ClientError};
+use sequoiaridge::platform::Headers;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest wait for a connection and for each answer. A router that takes longer is overloaded.
+const WAIT: Duration = Duration::from_secs(2);
+/// Largest page of metrics in bytes; it has some hundred lines.
+const MAX_PAGE: usize = 1 << 20;
+/// Start of the names of the router's metrics.
+const PREFIX: &str = "sequoiaridge_edge_";
+/// Ends of the names of a histogram's parts, which are for programs.
+const HISTOGRAM: [&str; 3] = ["_bucket", "_sum", "_count"];
+
+/// Prints whether a running router is ready, and what it counts.
+pub(crate) async fn show(address: SocketAddr) -> u8 {
+    let client = Client::new(ClientConfig {
+        connect: WAIT,
+        head: WAIT,
+        silence: WAIT,
+        ..ClientConfig::default()
+    });
+    let ready = get(&client, address, Headers.readiness_path()).await;
+    let page = get(&client, address, "/metrics").await;
+    match (ready, page) {
+        (Ok((ready, _)), Ok((StatusCode::OK, page))) => {
+            println!("ready {}", if ready.is_success() { "yes" } else { "no" });
+            counts(&page).iter().for_each(|line| println!("{line}"));
+            exit::OK
+        }
+        (_, Ok((status, _))) => {
+            eprintln!("error: {address} answers {status} on /metrics");
+            exit::REFUSED
+        }
+        (_, Err(error)) => {
+            eprintln!("error: no status from {address}: {error}");
+            exit::UNREACHABLE
+        }
+    }
+}
+
+async fn get(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> Result<(StatusCode, String), ClientError> {
+    let headers = HeaderMap::new();
+    let answer = client.send(address, Method::GET, path, &headers, Default::default());
+    let answer = answer.await?;
+    let status = answer.status;
+    let body = answer.whole(MAX_PAGE).await?;
+    Ok((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// Counters and gauges of the page as lines of name, labels and value.
+fn counts(page: &str) -> Vec<String> {
+    let samples = page.lines().filter_map(|line| line.strip_prefix(PREFIX));
+    let lines = samples.filter_map(|sample| {
+        let (series, value) = sample.rsplit_once(' ')?;
+        let (name, labels) = series.split_once('{').unwrap_or((series, ""));
+        if HISTOGRAM.iter().any(|end| name.ends_with(end)) {
+            return None;
+        }
+        let name = name.strip_suffix("_total").unwrap_or(name);
+        let labels = labels.trim_end_matches('}').replace('"', "");
+        let words = [name, labels.as_str(), value];
+        let words = words.into_iter().filter(|word| !word.is_empty());
+        Some(words.collect::<Vec<_>>().join(" "))
+    });
+    lines.collect()
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -8,6 +8,7 @@
 mod check;
 mod dev;
 mod edge;
+mod edge_status;
 mod explain;
 mod fake;
 mod logs;
@@ -53,8 +54,12 @@
     };
     let code = match command {
         Command::Run { config } => run::run(&config),
-        Command::Edge { check: true } => edge::check(),
-        Command::Edge { check: false } => edge::edge(),
+        Command::Edge { check: true, .. } => edge::check(),
+        Command::Edge {
+            status: Some(address),
+            ..
+        } => block_on(edge_status::show(address)),
+        Command::Edge { .. } => edge::edge(),
         Command::Explain { log, id } => explain::explain(log.as_deref(), &id),
         Command::Check { config } => check::check(&config),
         Command::Targets(command) => admin::report(admin::targets(command)),
--- a/tests/platform_logs.rs
+++ b/tests/platform_logs.rs
@@ -25,6 +25,42 @@
         .collect()
 }
 
+fn status_of(address: &str) -> std::process::Output {
+    let mut command = std::process::Command::new(PROGRAM);
+    command.args(["edge", "--status", address]);
+    command.output().expect("the program runs")
+}
+
+/// Guards against an operator who cannot see from a running router what it serves and refuses.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_status_of_a_running_router_is_shown() {
+    let site = Site::start(1).await;
+    let program = Program::start(PROGRAM, FOLDER, "status", site.store.address);
+    program.ready().await;
+    site.servers[0].acts(&[Act::Refuse(503)]);
+    let refused = post(program.callers, "/order/1", "refused-1").await;
+    assert_eq!(refused.expect("an answer").status, 503);
+    let address = program.readiness.to_string();
+    let shown = status_of(&address);
+    let text = String::from_utf8(shown.stdout).expect("text");
+    for line in [
+        "ready yes",
+        "version 1",
+        "requests 1",
+        "answers status=503 1",
+        "refusals reason=endpoint-refused 1",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line}: {text}");
+    }
+    assert!(!text.contains("bucket"), "{text}");
+    drop(program);
+
+    let gone = status_of(&address);
+    assert_eq!(gone.status.code(), Some(6));
+    let error = String::from_utf8(gone.stderr).expect("text");
+    assert!(error.contains(&address), "{error}");
+}
+
 /// Guards against a refused, a broken and a late request whose cause nobody can find afterwards.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_lines_of_a_request_lead_to_its_cause() {
