--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -310,7 +310,10 @@
             }
         }
         self.send_all(&tell, &direct);
-        let relays: Vec<SocketAddr> = far.values().filter_map(|all| draw_relay(all)).collect();
+        let relays: Vec<SocketAddr> = far
+            .values()
+            .filter_map(|all| draw_relay(all, self.peers.len()))
+            .collect();
         let relayed = Tell {
             relay: true,
             ..tell
--- a/crates/edge/src/spread.rs
+++ b/crates/edge/src/spread.rs
@@ -11,14 +11,19 @@
 /// Size of a fleet beyond which the pauses between messages grow in proportion.
 const PACED_FLEET: u32 = 80;
 
-/// Draws a relay among the routers of one domain, given with the bandwidth of their links in Mbit/s: one
-/// of those with the fastest links. A bandwidth of 0 is not known yet.
-pub fn draw_relay(routers: &[(SocketAddr, u32)]) -> Option<SocketAddr> {
+/// Draws a relay among the routers of one domain, given with the bandwidth of their links in Mbit/s: in a
+/// fleet of more than 80 routers one of those with the fastest links. A bandwidth of 0 is not known yet.
+///
+/// In smaller fleets messages are short, and a router that is slow for a while is not drawn each time.
+pub fn draw_relay(routers: &[(SocketAddr, u32)], fleet: usize) -> Option<SocketAddr> {
     let fastest = routers.iter().map(|(_, link)| *link).max()?;
-    let fastest = routers.iter().filter(|(_, link)| *link == fastest);
-    fastest
-        .choose(&mut rand::rng())
-        .map(|(address, _)| *address)
+    let least = if fleet > PACED_FLEET as usize {
+        fastest
+    } else {
+        0
+    };
+    let drawn = routers.iter().filter(|(_, link)| *link >= least);
+    drawn.choose(&mut rand::rng()).map(|(address, _)| *address)
 }
 
 /// The pause between messages in a fleet of the given size, from the pause in a fleet that is not slowed
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -40,8 +40,9 @@
 /// Time after the registry's return in which a row that vanished may only have lapsed.
 const RETURN: Duration = Duration::from_secs(2);
 
-/// Endpoints up to which each router that starts reads the list itself, in one call: about 40 kB.
-const SHORT_LIST: usize = 128;
+/// Endpoints up to which each router that starts reads the list itself, in one call: a whole page.
+/// Routers that wait for others after a power cut of all refuse requests in the meantime.
+const SHORT_LIST: usize = 500;
 /// Feeds that wait for what comes before them.
 const MAX_EARLY: usize = 32;
 
--- a/crates/edge/tests/spread.rs
+++ b/crates/edge/tests/spread.rs
@@ -16,15 +16,24 @@
 fn feeds_pass_through_the_fastest_links() {
     let mut routers: Vec<(SocketAddr, u32)> = (0..73).map(|n| (address(n), 10)).collect();
     routers.extend([(address(100), 200), (address(101), 200)]);
-    let drawn: BTreeSet<SocketAddr> = (0..200).filter_map(|_| draw_relay(&routers)).collect();
+    let drawn: BTreeSet<SocketAddr> = (0..200).filter_map(|_| draw_relay(&routers, 300)).collect();
     assert_eq!(drawn, BTreeSet::from([address(100), address(101)]));
 }
 
+/// Pattern: a fleet of 74 routers, of which the one with the fastest link of its domain is slow for some
+/// seconds. Guards against a domain that hears nothing for that time.
+#[test]
+fn a_smaller_fleet_draws_every_router_as_relay() {
+    let routers = [(address(1), 10), (address(2), 200)];
+    let drawn: BTreeSet<SocketAddr> = (0..200).filter_map(|_| draw_relay(&routers, 74)).collect();
+    assert_eq!(drawn, BTreeSet::from([address(1), address(2)]));
+}
+
 /// Guards against a domain without a relay while no link is known yet.
 #[test]
 fn routers_that_were_not_heard_yet_are_relays_if_there_are_no_others() {
-    assert_eq!(draw_relay(&[(address(1), 0)]), Some(address(1)));
-    assert_eq!(draw_relay(&[]), None);
+    assert_eq!(draw_relay(&[(address(1), 0)], 300), Some(address(1)));
+    assert_eq!(draw_relay(&[], 300), None);
 }
 
 /// Pattern: 300 routers. Guards against messages that grow with the fleet: each router hears about as
