Give a place back before waiting for a turn, and answer without a frozen arbiter

Two faults of the turns for suspects, found by reading the change again: - A call that became a suspect while it waited kept the place that it had got, and then waited for a place on an endpoint without a copy of itself: it was refused as overload although the endpoint was free. - A final answer waited for the report of its strike, 2 s if the arbiter was frozen; a turn could be waited for longer than the call may wait. Change: the place is given back first; the report holds an answer up for at most 250 ms and goes on in the background; the whole search for a turn is bounded by the call's wait. Each has a test that failed before (503 overload; 2.05 s) and passes now.

--- a/crates/router/src/crash.rs
+++ b/crates/router/src/crash.rs
@@ -8,11 +8,12 @@
 use sequoiaridge_membership::{CrashKind, CrashNotice, Message};
 use sequoiaridge_policy::{Crash, Standing};
 use sequoiaridge_wire::CallFrame;
+use std::sync::Arc;
 
 /// Learns from a failed run: a connection that could not be opened or that broke leads to a probe,
 /// and if the endpoint's process is gone, to a strike.
 pub(crate) async fn after_failure(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     frame: &CallFrame,
     target: &Target,
     boot: Option<u64>,
@@ -35,7 +36,7 @@
     };
     strike(shared, &notice);
     crate::gossip::broadcast(shared, Message::crash_notice(notice.clone())).await;
-    turns::report(shared, &notice).await;
+    turns::report(shared, notice).await;
 }
 
 /// Whether an endpoint may have crashed on a request that was refused so.
@@ -71,7 +72,7 @@
 }
 
 /// A run that became whole clears the request of suspicion, here and at all other routers.
-pub(crate) fn clear(shared: &std::sync::Arc<Shared>, fingerprint: Fingerprint) {
+pub(crate) fn clear(shared: &Arc<Shared>, fingerprint: Fingerprint) {
     let mut quarantine = lock(&shared.quarantine);
     if quarantine.state(fingerprint, shared.now()) == Standing::Clear {
         return;
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -103,17 +103,13 @@
         let targets = self.targets()?;
         let needs_turn = self.check_quarantine()? || self.frame.suspect;
         self.check_owner().await?;
-        let admission = if needs_turn {
-            None
-        } else {
-            Some(self.admit(&targets, false).await)
-        };
-        match admission {
-            // The request may have crashed an endpoint while this call waited, so that it needs a
-            // turn now.
-            Some(Admission::Run(_)) if self.check_quarantine()? => {}
-            Some(admission) => return Ok((admission, None)),
-            None => {}
+        if !needs_turn {
+            let admission = self.admit(&targets, false).await;
+            // The request may have crashed an endpoint while this call waited. It needs a turn then,
+            // and gives its place back first, because a suspect does not run beside a copy of itself.
+            if !matches!(admission, Admission::Run(_)) || !self.check_quarantine()? {
+                return Ok((admission, None));
+            }
         }
         let turn = self.turn(&targets).await?;
         let suspect = self.check_quarantine()?;
--- a/crates/router/src/turns.rs
+++ b/crates/router/src/turns.rs
@@ -21,6 +21,9 @@
 const SETTLE: Duration = Duration::from_millis(100);
 /// Arbiters that are tried after the first one when they cannot be reached.
 const MAX_SUBSTITUTES: usize = 2;
+/// Longest time for which a final answer waits for the report of its strike: several round trips
+/// between regions.
+const REPORT_WAIT: Duration = Duration::from_millis(250);
 /// Time after which a caller should come back when its request gets no turn.
 const SOON: Duration = Duration::from_secs(1);
 
@@ -111,7 +114,7 @@
             guard
         };
         let guard = tokio::time::timeout(request.wait, turn).await;
-        let guard = guard.map_err(|_| Refusal::not_run(RefusalReason::Overload, SOON))?;
+        let guard = guard.map_err(|_| no_turn())?;
         if let Standing::Held { retry_after } =
             lock(&shared.quarantine).state(fingerprint, shared.now())
         {
@@ -131,6 +134,12 @@
 /// The refusal of a request that is held back, that got no turn in time, or whose arbiters cannot be
 /// reached.
 pub(crate) async fn take(shared: &Arc<Shared>, request: TurnRequest) -> Result<Turn, Refusal> {
+    // An arbiter that froze is noticed later than the call may wait.
+    let turn = tokio::time::timeout(request.wait, find(shared, request)).await;
+    turn.unwrap_or_else(|_| Err(no_turn()))
+}
+
+async fn find(shared: &Arc<Shared>, request: TurnRequest) -> Result<Turn, Refusal> {
     let mut unreachable: Vec<RouterId> = Vec::new();
     while let Some(arbiter) = arbiter(shared, request.fingerprint, &unreachable) {
         let Some(address) = arbiter.1 else {
@@ -148,14 +157,20 @@
     Err(Refusal::not_run(RefusalReason::PeerBroke, SOON))
 }
 
-/// Tells the arbiter of a strike. The notice to all routers is a datagram, which may be lost.
-pub(crate) async fn report(shared: &Shared, notice: &CrashNotice) {
+/// Tells the arbiter of a strike. The notice to all routers is a datagram, which may be lost. An arbiter
+/// that takes long is told in the background.
+pub(crate) async fn report(shared: &Arc<Shared>, notice: CrashNotice) {
     let Some((id, Some(address))) = arbiter(shared, notice.fingerprint, &[]) else {
         return;
     };
-    if let Err(error) = send_strike(shared, address, notice).await {
-        note_lost(&id, &error);
-    }
+    let shared = shared.clone();
+    let told = tokio::spawn(async move {
+        if let Err(error) = send_strike(&shared, address, &notice).await {
+            note_lost(&id, &error);
+        }
+    });
+    // Either end lets the answer go on.
+    let _ = tokio::time::timeout(REPORT_WAIT, told).await;
 }
 
 /// Arbiter of a fingerprint, with its address if it is not this router.
@@ -214,6 +229,11 @@
     }
 }
 
+/// The refusal of a call that got no turn in time.
+fn no_turn() -> Refusal {
+    Refusal::not_run(RefusalReason::Overload, SOON)
+}
+
 fn unexpected(frame: &Frame) -> LinkError {
     LinkError::Broken(format!("unexpected frame {}", frame.kind()))
 }
--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -4,7 +4,7 @@
 
 use sequoiaridge::core::Targets;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::fleet::Fleet;
 use support::{Caller, Reply, eventually};
 
@@ -221,3 +221,67 @@
         );
     }
 }
+
+/// Guards against a copy that waits for a slot while another copy is beside a crash, and then keeps the
+/// slot that it gets from itself: it is a suspect now, runs alone, and is answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_that_becomes_a_suspect_while_it_waits_is_answered() {
+    const SLOTS: usize = 8;
+    let mut fleet = Fleet::start(1, 1, 0).await;
+    // A call may wait for half of the first-token target, here longer than the engine's restart.
+    let targets = Targets {
+        first_token: 16.0,
+        deadline: 30.0,
+        ..Targets::default()
+    };
+    fleet.set_targets("chat", targets).await;
+    let (restart, after) = (Duration::from_millis(1), Duration::from_millis(500));
+    let engine = fleet.engine(0);
+    engine.crash_after(POISON, restart, after).await.unwrap();
+    // Long enough that no chat ends before the crash.
+    engine.slow(Duration::from_millis(2000)).await.unwrap();
+    let address = fleet.callers(0);
+    let send = |text: &str| {
+        let (caller, text) = (fleet.caller.clone(), text.to_string());
+        tokio::spawn(async move { caller.chat(address, &text, &[&text], true).await })
+    };
+    let mut running: Vec<_> = (1..SLOTS)
+        .map(|n| send(&format!("Innocent {n}.")))
+        .collect();
+    running.push(send(POISON));
+    eventually("the slots are taken", || async {
+        fleet.engine(0).counters().await.unwrap().runs == SLOTS as u64
+    })
+    .await;
+    let waiting = send("Innocent 1.");
+    for call in running {
+        let reply = call.await.expect("the call ends");
+        assert_ne!(reply.status, 200, "{}", reply.text());
+    }
+    assert_eq!(restart_crashed(&mut fleet).await, 1, "engines crashed");
+    let reply = waiting.await.expect("the call ends");
+    reply.assert_done();
+}
+
+/// Guards against a final answer that waits for a router which froze, because that router is the one to
+/// be told of the strike.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_router_does_not_delay_the_answer_to_a_crashing_request() {
+    // Whether the frozen router is the arbiter depends on the request.
+    for round in 0..4 {
+        let fleet = Fleet::start(2, 1, 0).await;
+        arm(&fleet, 0).await;
+        fleet.routers[1].signal("STOP");
+        let text = format!("{POISON}, round {round}");
+        let start = Instant::now();
+        let reply = fleet
+            .caller
+            .chat(fleet.callers(0), "poisoned", &[&text], true)
+            .await;
+        assert_ne!(reply.status, 200, "{}", reply.text());
+        // Less than the 2 s after which a handshake with a frozen peer is given up.
+        let elapsed = start.elapsed();
+        assert!(elapsed < Duration::from_secs(2), "{elapsed:?}");
+        fleet.routers[1].signal("CONT");
+    }
+}
