Describe a turn's request once, and drop state that follows from it

The fields of the request stood in the wire message, in a type of the router and in two conversions between them; now the message holds the type. A turn that needs no guard is none, where it was a turn of two empty options, and the entry of a queue needs no copy of the queue to be counted. The encoding on the wire is the same.

--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -4,14 +4,14 @@
 use crate::call::request_digest;
 use crate::part::{Part, PartReceiver, PartSender, channel};
 use crate::shared::{Shared, lock};
-use crate::turns::{self, Turn, TurnRequest};
+use crate::turns::{self, Turn};
 use crate::upstream::{self, Finish, Target, Work};
 use crate::{crash, probes};
 use sequoiaridge_core::{EndpointId, Event, Refusal, RefusalReason, Targets, Verdict};
 use sequoiaridge_log as event;
 use sequoiaridge_policy::{Call, ClassPolicy, Standing};
 use sequoiaridge_store::{Claim, HeldClaim, StoredAnswer};
-use sequoiaridge_wire::CallFrame;
+use sequoiaridge_wire::{CallFrame, TurnRequest};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/router/src/peer_server.rs
+++ b/crates/router/src/peer_server.rs
@@ -7,12 +7,14 @@
 use crate::part::{Part, PartReceiver};
 use crate::remote::frame_of;
 use crate::shared::{Shared, lock};
-use crate::turns::TurnRequest;
+use crate::turns;
 use sequoiaridge_core::Event;
 use sequoiaridge_log as event;
 use sequoiaridge_membership::{CrashKind, CrashNotice};
 use sequoiaridge_policy::ChatEntry;
-use sequoiaridge_wire::{Frame, FrameReader, FrameStream, FrameWriter, IndexEntry, LinkError};
+use sequoiaridge_wire::{
+    Frame, FrameReader, FrameStream, FrameWriter, IndexEntry, LinkError, TurnRequest,
+};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{ReadHalf, WriteHalf};
@@ -93,16 +95,7 @@
                 merge_index(shared, &entries);
                 writer.send(&Frame::Ack).await?;
             }
-            Frame::Turn {
-                fingerprint,
-                wait,
-                hold,
-            } => {
-                let request = TurnRequest {
-                    fingerprint,
-                    wait,
-                    hold,
-                };
+            Frame::Turn(request) => {
                 return serve_turn(shared, request, &mut reader, &mut writer).await;
             }
             Frame::Strike {
@@ -133,7 +126,7 @@
     writer: &mut Writer,
 ) -> Result<(), LinkError> {
     let mut keepalive = tokio::time::interval(shared.settings.links.keepalive);
-    let turn = shared.turns.take(shared, request);
+    let turn = turns::give(shared, request);
     tokio::pin!(turn);
     let turn = loop {
         tokio::select! {
--- a/crates/router/src/turns.rs
+++ b/crates/router/src/turns.rs
@@ -9,7 +9,7 @@
 use sequoiaridge_log as event;
 use sequoiaridge_membership::CrashNotice;
 use sequoiaridge_policy::Standing;
-use sequoiaridge_wire::{Frame, Link, LinkError};
+use sequoiaridge_wire::{Frame, Link, LinkError, TurnRequest};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -27,20 +27,10 @@
 /// Time after which a caller should come back when its request gets no turn.
 const SOON: Duration = Duration::from_secs(1);
 
-/// What an owner asks for a copy of a suspect.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct TurnRequest {
-    pub(crate) fingerprint: Fingerprint,
-    /// Longest wait for the turn.
-    pub(crate) wait: Duration,
-    /// Time after which the turn ends in any case.
-    pub(crate) hold: Duration,
-}
-
 /// The right to run a copy of a suspect; dropping it ends the turn.
 pub(crate) enum Turn {
-    /// Given by this router.
-    Own(#[expect(dead_code, reason = "held for its drop")] OwnTurn),
+    /// Given by this router, which asks for none if it knows of no crash.
+    Own(#[expect(dead_code, reason = "held for its drop")] Option<OwnTurn>),
     /// Given by another one, for as long as the connection is open.
     Peer(#[expect(dead_code, reason = "held for its drop")] Box<Link>),
 }
@@ -54,24 +44,22 @@
     queues: Mutex<BTreeMap<Fingerprint, Queue>>,
 }
 
-/// A turn that this router gave; a request that is not a suspect needs no guard. Fields are dropped in this order, so the queue is free before it is
+/// A turn that this router gave. Fields are dropped in this order, so the queue is free before it is
 /// looked at whether it is still needed.
 pub(crate) struct OwnTurn {
-    _guard: Option<OwnedMutexGuard<()>>,
-    _entry: Option<Entry>,
+    _guard: OwnedMutexGuard<()>,
+    _entry: Entry,
 }
 
-/// Keeps the queue of a fingerprint in the table while it is used.
+/// Removes the queue of a fingerprint from the table once nobody else holds it.
 struct Entry {
     shared: Arc<Shared>,
     fingerprint: Fingerprint,
-    queue: Option<Queue>,
 }
 
 impl Drop for Entry {
     fn drop(&mut self) {
         let mut queues = lock(&self.shared.turns.queues);
-        self.queue = None;
         if let Some(queue) = queues.get(&self.fingerprint)
             && Arc::strong_count(queue) == 1
         {
@@ -80,51 +68,45 @@
     }
 }
 
-impl Turns {
-    /// Waits for the turn at this router.
-    ///
-    /// # Errors
-    ///
-    /// The refusal of a request that is held back, or that got no turn in time.
-    pub(crate) async fn take(
-        &self,
-        shared: &Arc<Shared>,
-        request: TurnRequest,
-    ) -> Result<OwnTurn, Refusal> {
-        let fingerprint = request.fingerprint;
-        // An owner asks after any broken run, and this router hears first of each crash.
-        let standing = lock(&shared.quarantine).state(fingerprint, shared.now());
-        if standing == Standing::Clear {
-            return Ok(OwnTurn {
-                _guard: None,
-                _entry: None,
-            });
-        }
-        let queue = lock(&self.queues).entry(fingerprint).or_default().clone();
-        let entry = Entry {
-            shared: shared.clone(),
-            fingerprint,
-            queue: Some(queue.clone()),
-        };
-        let turn = async {
-            let guard = queue.lock_owned().await;
-            let last = lock(&shared.quarantine).last_strike(fingerprint, shared.now());
-            let settled = last.map_or(Duration::ZERO, |last| last + SETTLE);
-            tokio::time::sleep(settled.saturating_sub(shared.now())).await;
-            guard
-        };
-        let guard = tokio::time::timeout(request.wait, turn).await;
-        let guard = guard.map_err(|_| no_turn())?;
-        if let Standing::Held { retry_after } =
-            lock(&shared.quarantine).state(fingerprint, shared.now())
-        {
-            return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
-        }
-        Ok(OwnTurn {
-            _guard: Some(guard),
-            _entry: Some(entry),
-        })
+/// Waits for a turn that this router gives. An owner asks after any broken run, and this router hears
+/// first of each crash, so a request without a strike needs none.
+///
+/// # Errors
+///
+/// The refusal of a request that is held back, or that got no turn in time.
+pub(crate) async fn give(
+    shared: &Arc<Shared>,
+    request: TurnRequest,
+) -> Result<Option<OwnTurn>, Refusal> {
+    let fingerprint = request.fingerprint;
+    let standing = || lock(&shared.quarantine).state(fingerprint, shared.now());
+    if standing() == Standing::Clear {
+        return Ok(None);
     }
+    let queue = lock(&shared.turns.queues)
+        .entry(fingerprint)
+        .or_default()
+        .clone();
+    let entry = Entry {
+        shared: shared.clone(),
+        fingerprint,
+    };
+    let turn = async {
+        let guard = queue.lock_owned().await;
+        let last = lock(&shared.quarantine).last_strike(fingerprint, shared.now());
+        let settled = last.map_or(Duration::ZERO, |last| last + SETTLE);
+        tokio::time::sleep(settled.saturating_sub(shared.now())).await;
+        guard
+    };
+    let guard = tokio::time::timeout(request.wait, turn).await;
+    let guard = guard.map_err(|_| no_turn())?;
+    if let Standing::Held { retry_after } = standing() {
+        return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
+    }
+    Ok(Some(OwnTurn {
+        _guard: guard,
+        _entry: entry,
+    }))
 }
 
 /// Waits for the turn to run a copy of a suspect, at the arbiter of its fingerprint.
@@ -141,15 +123,15 @@
 
 async fn find(shared: &Arc<Shared>, request: TurnRequest) -> Result<Turn, Refusal> {
     let mut unreachable: Vec<RouterId> = Vec::new();
-    while let Some(arbiter) = arbiter(shared, request.fingerprint, &unreachable) {
-        let Some(address) = arbiter.1 else {
-            return shared.turns.take(shared, request).await.map(Turn::Own);
+    while let Some((id, address)) = arbiter(shared, request.fingerprint, &unreachable) {
+        let Some(address) = address else {
+            return give(shared, request).await.map(Turn::Own);
         };
         match ask(shared, address, request).await {
             Ok(turn) => return turn.map(|link| Turn::Peer(Box::new(link))),
-            Err(error) => note_lost(&arbiter.0, &error),
+            Err(error) => note_lost(&id, &error),
         }
-        unreachable.push(arbiter.0);
+        unreachable.push(id);
         if unreachable.len() > MAX_SUBSTITUTES {
             break;
         }
@@ -192,12 +174,7 @@
     request: TurnRequest,
 ) -> Result<Result<Link, Refusal>, LinkError> {
     let mut link = shared.links.checkout(address).await?;
-    let turn = Frame::Turn {
-        fingerprint: request.fingerprint,
-        wait: request.wait,
-        hold: request.hold,
-    };
-    link.send(&turn).await?;
+    link.send(&Frame::Turn(request)).await?;
     loop {
         match link.recv().await?.ok_or(LinkError::Truncated)? {
             Frame::Keepalive => {}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -89,6 +89,17 @@
     pub age: Duration,
 }
 
+/// What the owner of an endpoint asks for before it runs a copy of a suspect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnRequest {
+    /// Fingerprint of the suspect.
+    pub fingerprint: Fingerprint,
+    /// Longest wait for the turn.
+    pub wait: Duration,
+    /// Time after which the turn ends in any case.
+    pub hold: Duration,
+}
+
 /// A message on a TCP connection between routers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
@@ -140,14 +151,7 @@
     /// The last push was taken over, or the turn is granted.
     Ack,
     /// Asks for the turn to run a copy of a suspect. The turn ends with the connection.
-    Turn {
-        /// Fingerprint of the suspect.
-        fingerprint: Fingerprint,
-        /// Longest wait for the turn.
-        wait: Duration,
-        /// Time after which the turn ends in any case.
-        hold: Duration,
-    },
+    Turn(TurnRequest),
     /// Asks for the list of endpoints.
     EndpointsPull,
     /// The list of endpoints, encoded by the sender; `None` if it has none to give now.
@@ -182,7 +186,7 @@
             Frame::ConfigPush { .. } => "config-push",
             Frame::IndexPush { .. } => "index-push",
             Frame::Ack => "ack",
-            Frame::Turn { .. } => "turn",
+            Frame::Turn(_) => "turn",
             Frame::EndpointsPull => "endpoints-pull",
             Frame::EndpointsPush { .. } => "endpoints-push",
             Frame::Strike { .. } => "strike",
