Keep what belongs to the sender of a stream in one place

Five fields of a stream's body were set together in two places, two of them optional only because whole bodies have no sender. They are one value now, made by one function. The choice between whole and streamed bodies was made twice, and the header that closes a connection was written in two places. A comment named a flag that is no longer returned. No behaviour changes.

--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -2,7 +2,7 @@
 
 use crate::call::Call;
 use crate::manifest::{CallerLimits, Route};
-use crate::opened::{AnswerBody, Opened};
+use crate::opened::Opened;
 use crate::relay::Exchange;
 use crate::routes::RouteTable;
 use crate::shared::{InFlight, Shared};
@@ -231,11 +231,7 @@
     ] {
         headers.remove(name);
     }
-    let body = match opened.body {
-        AnswerBody::Whole(body) => StreamBody::whole(body),
-        AnswerBody::Arriving(_) => StreamBody::new(exchange, opened),
-    };
-    let mut response = Response::new(body);
+    let mut response = Response::new(StreamBody::new(exchange, opened));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     close_if_draining(shared, &mut response);
@@ -272,13 +268,13 @@
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
     }
+    // What is left of the request would be read as the next one.
     let unread = matches!(
         refusal.reason,
-        RefusalReason::TooLarge | RefusalReason::TooSlow
-    ) || refusal.reason == RefusalReason::BadRequest;
+        RefusalReason::TooLarge | RefusalReason::TooSlow | RefusalReason::BadRequest
+    );
     if unread {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        close(&mut response);
     }
     close_if_draining(shared, &mut response);
     response
@@ -301,7 +297,11 @@
 /// Asks the caller to open its next connection elsewhere.
 fn close_if_draining(shared: &Shared, response: &mut Response<StreamBody>) {
     if shared.is_draining() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        close(response);
     }
 }
+
+fn close(response: &mut Response<StreamBody>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -1,5 +1,6 @@
 //! Body of an answer to a caller.
 
+use crate::call::AnswerHead;
 use crate::manifest::Kind;
 use crate::opened::{AnswerBody, Arriving, Opened};
 use crate::relay::Exchange;
@@ -83,15 +84,33 @@
     }
 }
 
+/// The endpoint that sends a stream, and what its answer says of the connection.
+struct Sender {
+    endpoint: EndpointId,
+    address: SocketAddr,
+    watch: SilenceWatch,
+    idle: Option<Duration>,
+    close: bool,
+}
+
+impl Sender {
+    fn new(endpoint: EndpointId, address: SocketAddr, head: &AnswerHead) -> Sender {
+        Sender {
+            endpoint,
+            address,
+            watch: SilenceWatch::new(),
+            idle: head.idle,
+            close: head.close,
+        }
+    }
+}
+
 /// Body of an answer: whole, or a stream that may go on at another endpoint when one breaks off.
 pub(crate) struct StreamBody {
     source: Source,
     exchange: Option<Box<Exchange>>,
-    endpoint: EndpointId,
-    address: Option<SocketAddr>,
-    watch: Option<SilenceWatch>,
-    idle: Option<Duration>,
-    close: bool,
+    /// Set for streams.
+    sender: Option<Sender>,
     /// Bytes of an event that is not whole yet.
     partial: BytesMut,
     limit: Option<Pin<Box<Sleep>>>,
@@ -104,11 +123,7 @@
         StreamBody {
             source: Source::Whole(Some(body)),
             exchange: None,
-            endpoint: EndpointId::new(),
-            address: None,
-            watch: None,
-            idle: None,
-            close: false,
+            sender: None,
             partial: BytesMut::new(),
             limit: None,
             events: 0,
@@ -122,14 +137,11 @@
             AnswerBody::Arriving(arriving) => arriving,
         };
         let limit = Box::pin(tokio::time::sleep(exchange.left()));
+        let sender = Sender::new(opened.endpoint, opened.address, &opened.head);
         StreamBody {
             source: Source::Arriving(arriving),
             exchange: Some(exchange),
-            endpoint: opened.endpoint,
-            address: Some(opened.address),
-            watch: Some(SilenceWatch::new()),
-            idle: opened.head.idle,
-            close: opened.head.close,
+            sender: Some(sender),
             partial: BytesMut::new(),
             limit: Some(limit),
             events: 0,
@@ -137,9 +149,9 @@
     }
 
     fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        match (&mut self.watch, self.address) {
-            (Some(watch), Some(address)) => watch.poll_gone(address, cx),
-            _ => Poll::Pending,
+        match &mut self.sender {
+            Some(sender) => sender.watch.poll_gone(sender.address, cx),
+            None => Poll::Pending,
         }
     }
 
@@ -172,14 +184,15 @@
     /// Ends a body that is whole.
     fn finish(&mut self) {
         let source = std::mem::replace(&mut self.source, Source::Ended);
-        let Some(exchange) = self.exchange.take() else {
+        let (Some(exchange), Some(sender)) = (self.exchange.take(), &self.sender) else {
             return;
         };
         let now = exchange.shared.now();
         if let Source::Arriving(arriving) = source
-            && !self.close
+            && !sender.close
         {
-            exchange.shared.upstream.park(arriving.link, self.idle, now);
+            let upstream = &exchange.shared.upstream;
+            upstream.park(arriving.link, sender.idle, now);
         }
         exchange.ran_whole();
         log_request(
@@ -187,7 +200,7 @@
             &exchange.call.attempt,
             format_args!(
                 "outcome=whole endpoint={} chunks={} elapsed_ms={}",
-                self.endpoint,
+                sender.endpoint,
                 self.events,
                 now.saturating_sub(exchange.started).as_millis()
             ),
@@ -197,7 +210,7 @@
     /// Ends a body that is not whole.
     fn break_off(&mut self, error: BodyError) {
         self.source = Source::Ended;
-        let Some(exchange) = self.exchange.take() else {
+        let (Some(exchange), Some(sender)) = (self.exchange.take(), &self.sender) else {
             return;
         };
         let elapsed = exchange.shared.now().saturating_sub(exchange.started);
@@ -206,7 +219,7 @@
             &exchange.call.attempt,
             format_args!(
                 "outcome=broken cause={error} endpoint={} chunks={} elapsed_ms={}",
-                self.endpoint,
+                sender.endpoint,
                 self.events,
                 elapsed.as_millis()
             ),
@@ -215,26 +228,29 @@
 
     /// Starts to resume the stream at another endpoint, if that is allowed.
     fn resume(&mut self) -> bool {
-        let entry = self.exchange.as_ref().and_then(|exchange| {
-            let entry = exchange.shared.board().roster.get(&self.endpoint).cloned();
-            if let Some(entry) = &entry {
-                exchange.broke(entry);
-            }
-            entry
-        });
-        let mut exchange = match self.exchange.take() {
-            Some(exchange) if may_resume(exchange.route.kind) => exchange,
-            other => {
-                self.exchange = other;
-                return false;
-            }
+        let (Some(exchange), Some(sender)) = (&mut self.exchange, &self.sender) else {
+            return false;
         };
+        let entry = exchange
+            .shared
+            .board()
+            .roster
+            .get(&sender.endpoint)
+            .cloned();
+        if let Some(entry) = &entry {
+            exchange.broke(entry);
+        }
+        if !may_resume(exchange.route.kind) {
+            return false;
+        }
         exchange.may_have_run = true;
         exchange.tried.extend(entry.map(|entry| entry.id));
         if !exchange.may_repeat() {
-            self.exchange = Some(exchange);
             return false;
         }
+        let Some(mut exchange) = self.exchange.take() else {
+            return false;
+        };
         self.partial.clear();
         exchange.shared.metrics.retried(RetryReason::StreamResumed);
         log_request(
@@ -243,7 +259,7 @@
             format_args!(
                 "reason={} from={} after_event={:?}",
                 RetryReason::StreamResumed.as_str(),
-                self.endpoint,
+                sender.endpoint,
                 exchange.call.resume
             ),
         );
@@ -262,11 +278,8 @@
                 let AnswerBody::Arriving(arriving) = opened.body else {
                     return false;
                 };
-                self.endpoint = opened.endpoint;
-                self.address = Some(opened.address);
-                self.watch = Some(SilenceWatch::new());
-                self.idle = opened.head.idle;
-                self.close = opened.head.close;
+                let sender = Sender::new(opened.endpoint, opened.address, &opened.head);
+                self.sender = Some(sender);
                 self.source = Source::Arriving(arriving);
                 true
             }
@@ -326,8 +339,8 @@
                             continue;
                         }
                     };
-                    if let Some(watch) = &mut this.watch {
-                        watch.heard();
+                    if let Some(sender) = &mut this.sender {
+                        sender.watch.heard();
                     }
                     match frame {
                         None => {
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -82,7 +82,7 @@
 
 impl Upstream {
     /// A connection to an endpoint: the idle one that was used last, or a new one. `once` says that
-    /// the request must not be repeated. The flag says that a connection was opened.
+    /// the request must not be repeated.
     pub(crate) async fn link(
         &self,
         endpoint: &EndpointId,
