Use one growing pause for retries, left-out endpoints and reads for routers

Three places of the platform's path repeated the doubling and the limit of policy::Backoff, whose jitter they do not want; the upper end of its delays is a function of its own now. The pauses are the same. join() no longer gets a number that its first argument holds.

--- a/crates/edge/src/health.rs
+++ b/crates/edge/src/health.rs
@@ -1,13 +1,16 @@
 //! What a router's own requests show of an endpoint.
 
 use sequoiaridge_core::EndpointId;
+use sequoiaridge_policy::Backoff;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// First time for which an endpoint that failed is left out.
-const FIRST_PAUSE: Duration = Duration::from_millis(400);
-/// Longest such time; crashed endpoints are back within seconds.
-const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+/// Times for which an endpoint that failed again and again is left out; crashed endpoints are back
+/// within seconds.
+const PAUSE: Backoff = Backoff {
+    base: Duration::from_millis(400),
+    limit: Duration::from_secs(3),
+};
 /// Answers over which the share of errors is averaged.
 const ERROR_WINDOW: f64 = 12.0;
 /// Share of errors above that of the other endpoints from which an endpoint is avoided.
@@ -39,9 +42,8 @@
         if now < record.until {
             return record.until;
         }
+        record.until = now + PAUSE.ceiling(record.failures);
         record.failures = record.failures.saturating_add(1);
-        let pause = FIRST_PAUSE * 2u32.saturating_pow(record.failures.min(8) - 1);
-        record.until = now + pause.min(LONGEST_PAUSE);
         record.until
     }
 
@@ -49,7 +51,7 @@
     /// only, since the other router may be the one that is cut off.
     pub fn suspect(&mut self, id: &str, now: Duration) {
         let record = self.records.entry(id.to_string()).or_default();
-        record.until = record.until.max(now + FIRST_PAUSE);
+        record.until = record.until.max(now + PAUSE.base);
     }
 
     /// Counts an answer; `error` says that it was a failure of the endpoint's own.
--- a/crates/edge/src/join.rs
+++ b/crates/edge/src/join.rs
@@ -7,13 +7,16 @@
 use rand::RngExt;
 use sequoiaridge_core::Event;
 use sequoiaridge_log::log;
+use sequoiaridge_policy::Backoff;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// First and longest pause between reads of the other routers' rows while none is heard.
-const SEEK_PERIOD: Duration = Duration::from_secs(2);
-const LONGEST_SEEK: Duration = Duration::from_secs(30);
+/// Pauses between reads of the other routers' rows while none is heard.
+const SEEK: Backoff = Backoff {
+    base: Duration::from_secs(2),
+    limit: Duration::from_secs(30),
+};
 /// Pause between saves of what endpoints have cached: the time of some ten thousand requests at the
 /// target size, and a hundredth of the platform's calls today.
 const SAVE_PERIOD: Duration = Duration::from_secs(5);
@@ -44,14 +47,14 @@
     registry: Arc<dyn Registry>,
     found: mpsc::UnboundedSender<RouterEntry>,
 ) {
-    let mut pause = SEEK_PERIOD;
+    let mut reads = 0u32;
     loop {
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(SEEK.ceiling(reads)).await;
         if shared.board().loads.routers() > 1 {
-            pause = SEEK_PERIOD;
+            reads = 0;
             continue;
         }
-        pause = (pause * 2).min(LONGEST_SEEK);
+        reads = reads.saturating_add(1);
         let read = read_routers(registry.as_ref()).await;
         shared.metrics.registry_call(Table::Routers, read.is_ok());
         let rows = match read {
@@ -72,7 +75,8 @@
     }
 }
 
-/// Saves what endpoints have cached, at the first router in their order, so that routers that start, or all of them after a power cut, know where prompts are cached.
+/// Saves what endpoints have cached, at the first router in their order, so that routers that start, or
+/// all of them after a power cut, know where prompts are cached.
 pub(crate) async fn save(shared: Arc<Shared>, registry: Arc<dyn Registry>) {
     let mut saved = Vec::new();
     loop {
@@ -106,12 +110,12 @@
 /// Writes this router's row, creates the fleet's key if there is none, and returns the key with the
 /// other routers. Routers that start together and do not read each other's rows are introduced by a
 /// third; the first two of a fleet meet because one of them reads again for the key.
-pub(crate) async fn join(shared: &Shared, registry: &dyn Registry, incarnation: u64) -> Joined {
+pub(crate) async fn join(shared: &Shared, registry: &dyn Registry) -> Joined {
     let own = RouterEntry {
         id: shared.settings.id.clone(),
         address: shared.settings.peers,
         domain: shared.settings.domain.clone(),
-        incarnation,
+        incarnation: shared.incarnation(),
     };
     loop {
         let outcome = join_once(registry, &own).await;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -86,7 +86,7 @@
         key,
         routers,
         cache,
-    } = join(&shared, registry.as_ref(), incarnation).await;
+    } = join(&shared, registry.as_ref()).await;
     if let Some(cache) = cache {
         restore(&shared, &cache);
     }
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -13,6 +13,7 @@
 use rand::RngExt;
 use sequoiaridge_core::Event;
 use sequoiaridge_log::log;
+use sequoiaridge_policy::Backoff;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,9 +32,11 @@
 /// Least time between two such reads, as a part of the bound on applying a configuration: versions
 /// that come in quick succession are read together, and a read that fails can be made again in time.
 const HINT_PART: f64 = 0.35;
-/// First and longest pause after a failed call; each is drawn between half and the whole.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Pauses after calls that failed in a row; each is drawn between half and the whole.
+const RETRY: Backoff = Backoff {
+    base: Duration::from_millis(100),
+    limit: Duration::from_millis(800),
+};
 /// Age of the news beyond which the registry was away from the whole fleet: the last router in their
 /// order reads at an age of about a second. Rows of endpoints lapse after 3.6 s of silence.
 const AWAY: Duration = Duration::from_millis(2500);
@@ -199,17 +202,16 @@
 
     async fn failed(&mut self, error: RegistryError) {
         self.shared.metrics.registry_call(self.table, false);
-        self.failures = self.failures.saturating_add(1);
-        if self.failures == 1 {
+        let failures = self.failures;
+        self.failures = failures.saturating_add(1);
+        if failures == 0 {
             let detail = format!("table={} {error}", self.table.as_str());
             log(Event::PlatformDown, &detail);
         }
         if error == RegistryError::HistoryLost {
             self.shared.board().positions.remove(&self.table);
         }
-        let longest = FIRST_PAUSE * 2u32.saturating_pow(self.failures.min(8) - 1);
-        let longest = longest.min(LONGEST_PAUSE);
-        tokio::time::sleep(drawn(longest)).await;
+        tokio::time::sleep(drawn(RETRY.ceiling(failures))).await;
     }
 
     /// Waits until another router has newer news.
--- a/crates/policy/src/backoff.rs
+++ b/crates/policy/src/backoff.rs
@@ -15,12 +15,15 @@
 }
 
 impl Backoff {
-    /// Delay before retry number `retry`, counted from 0: uniform up to `base * 2^retry`, at most
-    /// `limit`.
+    /// Delay before retry number `retry`, counted from 0: uniform up to [`Backoff::ceiling`].
     pub fn delay(&self, retry: u32, rng: &mut dyn Rng) -> Duration {
+        self.ceiling(retry).mul_f64(rng.random_range(0.0..=1.0))
+    }
+
+    /// Longest delay before retry number `retry`: `base * 2^retry`, at most `limit`.
+    pub fn ceiling(&self, retry: u32) -> Duration {
         let factor = 2u32.saturating_pow(retry);
-        let ceiling = self.base.saturating_mul(factor).min(self.limit);
-        ceiling.mul_f64(rng.random_range(0.0..=1.0))
+        self.base.saturating_mul(factor).min(self.limit)
     }
 }
 
