Write lines of events and of requests by one function

The limit of lines, the note on those left out and the choice of the level stood twice, with and without the id of a request. Lines without a request have no such field, as before.

--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -30,36 +30,23 @@
 
 /// Logs an event. `detail` never holds request content or secrets.
 pub fn log(event: Event, detail: &str) {
-    let (written, left_out) = count(event, Instant::now());
-    if left_out > 0 {
-        write(
-            event,
-            &format!("{left_out} lines of this event were left out"),
-        );
-    }
-    if written {
-        write(event, detail);
-    }
+    limited(event, None, format_args!("{detail}"));
 }
 
 /// Logs an event about one request. `detail` is a list of `name=value` pairs with the inputs of the
 /// decision and its outcome; it never holds request content or secrets.
 pub fn log_request(event: Event, request: &str, detail: fmt::Arguments<'_>) {
+    limited(event, Some(request), detail);
+}
+
+fn limited(event: Event, request: Option<&str>, detail: fmt::Arguments<'_>) {
     let (written, left_out) = count(event, Instant::now());
     if left_out > 0 {
-        write(
-            event,
-            &format!("{left_out} lines of this event were left out"),
-        );
+        let note = format_args!("{left_out} lines of this event were left out");
+        write(event, None, note);
     }
-    if !written {
-        return;
-    }
-    let (code, name) = (event.code(), event.name());
-    match event.severity() {
-        Severity::Info => tracing::info!(code, name, request, "{detail}"),
-        Severity::Warn => tracing::warn!(code, name, request, "{detail}"),
-        Severity::Error => tracing::error!(code, name, request, "{detail}"),
+    if written {
+        write(event, request, detail);
     }
 }
 
@@ -82,11 +69,11 @@
     (window.lines <= LINES, left_out)
 }
 
-fn write(event: Event, detail: &str) {
+fn write(event: Event, request: Option<&str>, detail: fmt::Arguments<'_>) {
     let (code, name) = (event.code(), event.name());
     match event.severity() {
-        Severity::Info => tracing::info!(code, name, "{detail}"),
-        Severity::Warn => tracing::warn!(code, name, "{detail}"),
-        Severity::Error => tracing::error!(code, name, "{detail}"),
+        Severity::Info => tracing::info!(code, name, request, "{detail}"),
+        Severity::Warn => tracing::warn!(code, name, request, "{detail}"),
+        Severity::Error => tracing::error!(code, name, request, "{detail}"),
     }
 }
