--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -49,7 +49,7 @@
     servers: Vec<Server>,
     proxies: Vec<Proxy>,
     version: u64,
-    /// When a router was last harmed by anything but a planned stop.
+    /// Faults so far, in their order.
     trace: Vec<String>,
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,10 +4,13 @@
 
 pub mod fleet;
 pub mod history;
+#[path = "../../platform/tests/support/signal.rs"]
+mod signal;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use sequoiaridge_http::{Client, ClientConfig, ClientError};
+use signal::signal;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -63,11 +66,7 @@
 
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill")
-            .args([&format!("-{name}"), &id])
-            .status();
-        assert!(status.expect("kill runs").success());
+        signal(&self.child, name);
     }
 
     /// Waits for the end of the process.
