--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -92,6 +92,10 @@
     CacheNotSaved = 310, Warn, "cache-not-saved";
     /// The list of endpoints came from another router.
     ListReceived = 311, Info, "list-received";
+    /// News about a table are older than the bound within which they must be known.
+    NewsOld = 312, Warn, "news-old";
+    /// News about a table are fresh again.
+    NewsFresh = 313, Info, "news-fresh";
     /// A call was refused or ended without its whole answer.
     CallRefused = 400, Info, "call-refused";
     /// A call was sent again.
@@ -124,6 +128,8 @@
     ConfigUnknown = 503, Warn, "configuration-write-unknown";
     /// A configuration row could not be read.
     ConfigInvalid = 504, Error, "configuration-invalid";
+    /// The configuration came from another router.
+    ConfigReceived = 505, Info, "configuration-received";
     /// The platform does not answer.
     PlatformDown = 600, Warn, "platform-down";
     /// The platform answers again.
--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -1,18 +1,22 @@
-//! The list of endpoints from router to router, for routers that start.
+//! Configuration and list of endpoints from router to router.
 //!
-//! The registry is priced by the byte and has a limited rate, and a long list takes a router with a slow
-//! link a second to read. So only the first routers of each domain read a long list from the registry,
-//! and the others take it from a router of their own domain.
+//! The registry is priced by the call and the byte and has a limited rate, and a long list takes a router
+//! with a slow link a second to read. So a router that starts into a running fleet takes both from
+//! another one, and a new version spreads from the first routers of each domain to the others.
 
 use crate::feed::Feed;
-use crate::registry::{Rows, Table};
-use crate::shared::{Contact, Shared};
-use crate::sync::drawn;
+use crate::manifest::Manifest;
+use crate::registry::Position;
+use crate::schedule::drawn;
+use crate::shared::{Board, Contact, Shared};
+use crate::sync::{take_list, take_manifest};
 use bytes::Bytes;
 use rand::seq::IteratorRandom;
-use sequoiaridge_core::Event;
+use sequoiaridge_core::{Event, Version};
 use sequoiaridge_log::log;
 use sequoiaridge_wire::{Frame, FrameStream, LinkError, Links, LinksConfig, PeerKeys};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -25,14 +29,51 @@
 /// Time after which a router reads the registry itself; drawn between half and the whole. Lists reach
 /// all routers of a domain within three seconds.
 const PATIENCE: Duration = Duration::from_secs(6);
-/// Age of the news about endpoints up to which they are given away, as a part of the bound on leaving
-/// endpoints: the asker reads what changed since then within the other half.
+/// The same at the first start of the whole fleet, when no caller waits yet, but for the first routers
+/// of each domain.
+const FIRST_PATIENCE: Duration = Duration::from_secs(3);
+/// Age of the news up to which they are given away, as a part of the bounds on leaving endpoints and on
+/// applying a configuration: the asker hears what changed since then within the other half.
 const FRESH_PART: f64 = 0.5;
-/// Lists that are sent at the same time: two already fill a link of 10 Mbit/s.
-const GIVEN: usize = 2;
+/// Snapshots that are sent at the same time: few more fill a link of 10 Mbit/s.
+const GIVEN: usize = 4;
+/// Time in which another router of the fleet must open a connection, and in which it must answer.
+const CONNECT: Duration = Duration::from_millis(100);
+const ANSWER: Duration = Duration::from_millis(800);
 
-/// Gives the list to routers that ask for it.
-pub(crate) async fn serve(shared: Arc<Shared>, keys: PeerKeys, listener: TcpListener) {
+/// The list of endpoints in a snapshot.
+#[derive(Serialize, Deserialize)]
+struct GivenList {
+    /// Time since it was known to be complete, in ms.
+    age: u32,
+    list: Feed,
+}
+
+/// The configuration in a snapshot.
+#[derive(Serialize, Deserialize)]
+struct GivenManifest {
+    /// Time since it was known to be the newest, in ms.
+    age: u32,
+    position: Position,
+    manifest: Manifest,
+}
+
+/// What one router gives another.
+#[derive(Serialize, Deserialize)]
+struct Snapshot {
+    endpoints: Option<GivenList>,
+    configuration: Option<GivenManifest>,
+}
+
+/// Which parts of a snapshot are asked for.
+#[derive(Clone, Copy, Debug)]
+struct Wanted {
+    endpoints: bool,
+    version: Option<Version>,
+}
+
+/// Gives snapshots to routers that ask for them. Until this router has joined, connections are closed.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let places = Arc::new(Semaphore::new(GIVEN));
     loop {
         let stream = match listener.accept().await {
@@ -43,10 +84,13 @@
                 continue;
             }
         };
-        let (shared, keys, places) = (shared.clone(), keys.clone(), places.clone());
+        let Some(keys) = shared.keys.get().cloned() else {
+            continue;
+        };
+        let (shared, places) = (shared.clone(), places.clone());
         tokio::spawn(async move {
             if let Err(error) = give(&shared, stream, &keys, &places).await {
-                log(Event::PeerRejected, &format!("list of endpoints: {error}"));
+                log(Event::PeerRejected, &format!("snapshot: {error}"));
             }
         });
     }
@@ -59,58 +103,146 @@
     places: &Semaphore,
 ) -> Result<(), LinkError> {
     let mut stream = FrameStream::accept(stream, keys, &Default::default()).await?;
-    let Some(Frame::EndpointsPull) = stream.recv_within(PATIENCE).await? else {
+    let Some(Frame::SnapshotPull { endpoints, version }) = stream.recv_within(PATIENCE).await?
+    else {
         return Ok(());
     };
     let place = places.try_acquire();
-    let list = place.is_ok().then(|| list(shared)).flatten();
-    stream.send(&Frame::EndpointsPush { list }).await?;
-    // The asker closes the connection when it has the list, and the place is taken until then.
+    let wanted = Wanted { endpoints, version };
+    let snapshot = place.is_ok().then(|| snapshot(shared, wanted)).flatten();
+    stream.send(&Frame::SnapshotPush { snapshot }).await?;
+    // The asker closes the connection when it has all, and the place is taken until then.
     stream.recv_within(PATIENCE).await.map(drop)
 }
 
-/// The list as it is known now, if the news are fresh.
-fn list(shared: &Shared) -> Option<Bytes> {
+/// What is known now of what is wanted, if the news are fresh; `None` if that is nothing.
+fn snapshot(shared: &Shared, wanted: Wanted) -> Option<Bytes> {
+    let now = shared.now();
+    let settings = &shared.settings;
     let board = shared.board();
-    let fresh = *board.fresh.get(&Table::Endpoints)?;
-    if shared.now() > fresh + shared.settings.leave.mul_f64(FRESH_PART) {
+    let millis = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+    let age = board.endpoints.age(now);
+    let age = age.filter(|age| *age <= settings.leave.mul_f64(FRESH_PART));
+    let endpoints = age.filter(|_| wanted.endpoints).and_then(|age| {
+        Some(GivenList {
+            age: millis(age),
+            list: Feed {
+                from: 0,
+                to: board.endpoints.mark()?,
+                changed: board.roster.listed(),
+            },
+        })
+    });
+    let age = board.configuration.age(now);
+    let age = age.filter(|age| *age <= settings.apply.mul_f64(FRESH_PART));
+    let newer = wanted
+        .version
+        .is_some_and(|version| board.version() >= version);
+    let configuration = age.filter(|_| newer).and_then(|age| {
+        Some(GivenManifest {
+            age: millis(age),
+            position: board.config_position,
+            manifest: board.routes.as_ref()?.manifest().clone(),
+        })
+    });
+    drop(board);
+    if endpoints.is_none() && configuration.is_none() {
         return None;
     }
-    let feed = Feed {
-        table: Table::Endpoints,
-        from: 0,
-        to: *board.positions.get(&Table::Endpoints)?,
-        version: board.version(),
-        changed: board.roster.listed(),
+    let snapshot = Snapshot {
+        endpoints,
+        configuration,
     };
-    drop(board);
-    match postcard::to_allocvec(&feed) {
-        Ok(list) => Some(list.into()),
+    match postcard::to_allocvec(&snapshot) {
+        Ok(snapshot) => Some(snapshot.into()),
         Err(error) => {
-            log(Event::PeerRejected, &format!("own list: {error}"));
+            log(Event::PeerRejected, &format!("own snapshot: {error}"));
             None
         }
     }
 }
 
-/// Waits for the list from another router; `None` if this one is to read the registry itself.
-pub(crate) async fn wait(shared: &Shared) -> Option<Rows> {
+/// Takes both tables from another router, if one has them. A router that starts with callers waiting
+/// asks two of them and then reads the registry itself.
+pub(crate) async fn start(shared: &Shared) {
+    let started = shared.now();
+    let mut asked = 0;
+    loop {
+        if shared.is_ready() {
+            return;
+        }
+        let place = shared.board().place(&shared.settings);
+        let patient = shared.settings.first_start && !place.is_first();
+        let over = shared.now() >= started + FIRST_PATIENCE;
+        if asked >= 2 && (!patient || over) {
+            return;
+        }
+        asked += 1;
+        let wanted = Wanted {
+            endpoints: true,
+            version: Some(0),
+        };
+        let Some(address) = draw(&shared.board(), shared, |_| true) else {
+            return;
+        };
+        take(shared, address, wanted).await;
+        if patient {
+            tokio::time::sleep(drawn(PAUSE)).await;
+        }
+    }
+}
+
+/// Takes a configuration that is missing here from another router. Returns whether one had it.
+pub(crate) async fn update(shared: &Shared) -> bool {
+    let address = {
+        let board = shared.board();
+        let own = board.version();
+        let newer = |contact: &Contact| contact.configuration.is_some_and(|known| known > own);
+        let domain = &shared.settings.domain;
+        let mut near = board.contacts.values().filter(|c| c.domain == *domain);
+        // Others of the domain get it from the first ones.
+        let far = !near.any(newer) && board.place(&shared.settings).is_first();
+        draw(&board, shared, |contact| {
+            newer(contact) && (far || contact.domain == *domain)
+        })
+    };
+    let Some(address) = address else {
+        return false;
+    };
+    let version = shared.board().version() + 1;
+    let wanted = Wanted {
+        endpoints: false,
+        version: Some(version),
+    };
+    take(shared, address, wanted).await;
+    shared.board().version() >= version
+}
+
+/// Waits until another router gives the list of endpoints; false if this one is to read it itself.
+pub(crate) async fn wait(shared: &Shared) -> bool {
     let end = shared.now() + drawn(PATIENCE);
     if shared.board().loads.routers() == 1 {
         tokio::time::sleep(drawn(MEET)).await;
     }
+    let wanted = Wanted {
+        endpoints: true,
+        version: None,
+    };
     while shared.now() < end {
         if is_first(shared) {
-            return None;
+            return false;
         }
-        match fetch(shared).await {
-            Ok(Some(rows)) => return Some(rows),
-            Ok(None) => {}
-            Err(error) => log(Event::PeerRejected, &format!("list of endpoints: {error}")),
+        let informed = |contact: &Contact| contact.endpoints.is_some();
+        let address = draw(&shared.board(), shared, informed);
+        if let Some(address) = address {
+            take(shared, address, wanted).await;
+            if shared.board().endpoints.mark().is_some() {
+                return true;
+            }
         }
         tokio::time::sleep(drawn(PAUSE)).await;
     }
-    None
+    false
 }
 
 /// Whether this router is the first by name of those of its domain. It need not have heard the others:
@@ -122,35 +254,79 @@
     !contacts.any(|(id, contact)| contact.domain == own.domain && *id < own.id)
 }
 
-/// Asks one router for the list: one that has it, of the own domain if possible.
-async fn fetch(shared: &Shared) -> Result<Option<Rows>, LinkError> {
+/// One of the routers that `fits`, of the own domain if there is one.
+fn draw(board: &Board, shared: &Shared, fits: impl Fn(&Contact) -> bool) -> Option<SocketAddr> {
+    let own = &shared.settings.domain;
+    let fitting = || board.contacts.values().filter(|contact| fits(contact));
+    let near = fitting().filter(|contact| contact.domain == *own);
+    let near = near.choose(&mut rand::rng());
+    let drawn = near.or_else(|| fitting().choose(&mut rand::rng()));
+    drawn.map(|contact| contact.address)
+}
+
+/// Asks one router for a snapshot and takes over what it gives.
+async fn take(shared: &Shared, address: SocketAddr, wanted: Wanted) {
+    let sent = shared.now();
+    match fetch(shared, address, wanted).await {
+        Ok(Some(snapshot)) => take_over(shared, address, snapshot, sent),
+        Ok(None) => {}
+        Err(error) => log(
+            Event::PeerRejected,
+            &format!("snapshot from {address}: {error}"),
+        ),
+    }
+}
+
+fn take_over(shared: &Shared, address: SocketAddr, snapshot: Snapshot, sent: Duration) {
+    let fresh = |age: u32| sent.saturating_sub(Duration::from_millis(age.into()));
+    if let Some(GivenList { age, list }) = snapshot.endpoints {
+        let detail = format!(
+            "endpoints={} age_ms={age} from={address}",
+            list.changed.len()
+        );
+        log(Event::ListReceived, &detail);
+        take_list(shared, list.into_rows(), fresh(age));
+    }
+    if let Some(given) = snapshot.configuration {
+        let manifest = Arc::new(given.manifest);
+        let detail = format!(
+            "version={} age_ms={} from={address}",
+            manifest.version, given.age
+        );
+        log(Event::ConfigReceived, &detail);
+        take_manifest(shared, manifest, given.position, fresh(given.age));
+    }
+}
+
+async fn fetch(
+    shared: &Shared,
+    address: SocketAddr,
+    wanted: Wanted,
+) -> Result<Option<Snapshot>, LinkError> {
     let Some(keys) = shared.keys.get() else {
         return Ok(None);
     };
-    let chosen = {
-        let board = shared.board();
-        let own = &shared.settings.domain;
-        let rank = |contact: &Contact| (!contact.informed, contact.domain != *own);
-        let best = board.contacts.values().map(rank).min();
-        let equal = board.contacts.values().filter(|c| Some(rank(c)) == best);
-        equal.choose(&mut rand::rng()).map(|c| c.address)
+    let config = LinksConfig {
+        connect_limit: CONNECT,
+        silence: ANSWER,
+        ..LinksConfig::default()
     };
-    let Some(address) = chosen else {
-        return Ok(None);
+    let links = Links::new(keys.clone(), config);
+    let mut link = match tokio::time::timeout(CONNECT * 2, links.connect(address)).await {
+        Ok(link) => link?,
+        Err(_) => return Err(LinkError::Silent(CONNECT * 2)),
     };
-    let links = Links::new(keys.clone(), LinksConfig::default());
-    let mut link = links.connect(address).await?;
-    link.send(&Frame::EndpointsPull).await?;
-    let Some(Frame::EndpointsPush { list }) = link.recv().await? else {
+    let Wanted { endpoints, version } = wanted;
+    link.send(&Frame::SnapshotPull { endpoints, version })
+        .await?;
+    let Some(Frame::SnapshotPush { snapshot }) = link.recv().await? else {
         return Err(LinkError::Truncated);
     };
-    let Some(list) = list else { return Ok(None) };
-    match postcard::from_bytes::<Feed>(&list) {
-        Ok(feed) => {
-            let detail = format!("endpoints={} from={address}", feed.changed.len());
-            log(Event::ListReceived, &detail);
-            Ok(Some(feed.into_rows()))
-        }
-        Err(error) => Err(LinkError::Broken(error.to_string())),
-    }
+    let Some(snapshot) = snapshot else {
+        return Ok(None);
+    };
+    let snapshot = postcard::from_bytes(&snapshot);
+    snapshot
+        .map(Some)
+        .map_err(|error| LinkError::Broken(error.to_string()))
 }
--- a/crates/edge/src/join.rs
+++ b/crates/edge/src/join.rs
@@ -2,8 +2,8 @@
 
 use crate::manifest::RouterEntry;
 use crate::registry::{Entry, PeerKey, Registry, RegistryError, Row, Table};
+use crate::schedule::drawn;
 use crate::shared::Shared;
-use crate::sync::drawn;
 use rand::RngExt;
 use sequoiaridge_core::Event;
 use sequoiaridge_log::log;
@@ -22,6 +22,8 @@
 const SAVE_PERIOD: Duration = Duration::from_secs(5);
 /// Pause after a failed call to the registry; drawn between half and the whole.
 const RETRY: Duration = Duration::from_millis(500);
+/// The same for the own row, which only routers need that start later.
+const ANNOUNCE_RETRY: Duration = Duration::from_secs(4);
 
 /// What a router learns when it joins.
 pub(crate) struct Joined {
@@ -75,7 +77,7 @@
     }
 }
 
-/// Saves what endpoints have cached, at the first router in their order, so that routers that start, or
+/// Saves what endpoints have cached, at the router that reads for the fleet, so that routers that start, or
 /// all of them after a power cut, know where prompts are cached.
 pub(crate) async fn save(shared: Arc<Shared>, registry: Arc<dyn Registry>) {
     let mut saved = Vec::new();
@@ -83,7 +85,7 @@
         tokio::time::sleep(SAVE_PERIOD).await;
         let snapshot = {
             let board = shared.board();
-            if board.place(&shared.settings) > 0 {
+            if !board.endpoints.leads() {
                 continue;
             }
             board.cache.snapshot()
@@ -107,10 +109,11 @@
     }
 }
 
-/// Writes this router's row, creates the fleet's key if there is none, and returns the key with the
-/// other routers. Routers that start together and do not read each other's rows are introduced by a
-/// third; the first two of a fleet meet because one of them reads again for the key.
-pub(crate) async fn join(shared: &Shared, registry: &dyn Registry) -> Joined {
+/// Reads the key of the fleet and the rows of the other routers, and writes this router's row: at once
+/// if it creates the key, and meanwhile otherwise. Routers that start together and do not read each
+/// other's rows are introduced by a third; the first two of a fleet meet because one of them reads again
+/// for the key.
+pub(crate) async fn join(shared: &Arc<Shared>, registry: &Arc<dyn Registry>) -> Joined {
     let own = RouterEntry {
         id: shared.settings.id.clone(),
         address: shared.settings.peers,
@@ -118,13 +121,14 @@
         incarnation: shared.incarnation(),
     };
     loop {
-        let outcome = join_once(registry, &own).await;
-        shared
-            .metrics
-            .registry_call(Table::Routers, outcome.is_ok());
-        match outcome {
-            Ok(Some(joined)) => return joined,
-            Ok(None) => {}
+        match join_once(shared, registry.as_ref(), &own).await {
+            Ok((joined, true)) => return joined,
+            Ok((joined, false)) => {
+                tokio::spawn(announce(shared.clone(), registry.clone(), own));
+                return joined;
+            }
+            // Another router created the key first; the next read shows it.
+            Err(RegistryError::Conflict) => {}
             Err(error) => {
                 log(Event::PlatformDown, &format!("table=routers {error}"));
                 tokio::time::sleep(drawn(RETRY)).await;
@@ -133,6 +137,21 @@
     }
 }
 
+/// Writes this router's row, until the registry takes it.
+async fn announce(shared: Arc<Shared>, registry: Arc<dyn Registry>, own: RouterEntry) {
+    loop {
+        let outcome = registry.announce(own.clone(), None).await;
+        shared
+            .metrics
+            .registry_call(Table::Routers, outcome.is_ok());
+        let Err(error) = outcome else {
+            return;
+        };
+        log(Event::PlatformDown, &format!("table=routers {error}"));
+        tokio::time::sleep(drawn(ANNOUNCE_RETRY)).await;
+    }
+}
+
 /// All rows of the table of routers.
 async fn read_routers(registry: &dyn Registry) -> Result<Vec<Row>, RegistryError> {
     let mut rows = Vec::new();
@@ -147,14 +166,18 @@
     }
 }
 
+/// Reads the table of routers once. Returns what it holds and whether the own row is written.
 async fn join_once(
+    shared: &Shared,
     registry: &dyn Registry,
     own: &RouterEntry,
-) -> Result<Option<Joined>, RegistryError> {
+) -> Result<(Joined, bool), RegistryError> {
     let mut key = None;
     let mut cache = None;
     let mut routers = Vec::new();
-    for row in read_routers(registry).await? {
+    let rows = read_routers(registry).await;
+    shared.metrics.registry_call(Table::Routers, rows.is_ok());
+    for row in rows? {
         match row.entry {
             Entry::PeerKey(found) => key = Some(found),
             Entry::Cache(found) => cache = Some(found),
@@ -165,15 +188,19 @@
             _ => {}
         }
     }
-    let new_key: Option<PeerKey> = key.is_none().then(|| rand::rng().random());
-    match registry.announce(own.clone(), new_key).await {
-        Ok(()) => Ok(key.or(new_key).map(|key| Joined {
-            key,
-            routers,
-            cache,
-        })),
-        // Another router created the key first; the next read shows it.
-        Err(RegistryError::Conflict) => Ok(None),
-        Err(error) => Err(error),
+    let created = key.is_none();
+    let key = key.unwrap_or_else(|| rand::rng().random());
+    if created {
+        let outcome = registry.announce(own.clone(), Some(key)).await;
+        shared
+            .metrics
+            .registry_call(Table::Routers, outcome.is_ok());
+        outcome?;
     }
+    let joined = Joined {
+        key,
+        routers,
+        cache,
+    };
+    Ok((joined, created))
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod cache_map;
 mod call;
 mod feed;
+mod follower;
 mod handover;
 mod health;
 mod ingress;
@@ -32,12 +33,15 @@
 mod peers;
 mod place;
 mod placement;
+mod reader;
 mod registry;
 mod relay;
+mod reports;
 mod retry_window;
 mod roster;
 mod router;
 mod routes;
+pub mod schedule;
 mod settings;
 mod shared;
 mod spread;
@@ -49,6 +53,7 @@
 pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
 pub use call::{AnswerHead, Attempt, AttemptId, Call, EndpointLoad, Part, PartId, Prompt};
 pub use feed::{ChangedRow, Feed};
+pub use follower::{Follower, Known, Mark};
 pub use health::Health;
 pub use load::{Loads, Sender, Work};
 pub use manifest::{
@@ -61,10 +66,11 @@
     CallError, Dialect, Entry, PeerKey, Position, Registry, RegistryError, RegistryFuture, Row,
     Rows, Table,
 };
+pub use reports::{Reported, Reports, ToldReport};
 pub use retry_window::RetryWindow;
 pub use roster::{Change, Roster};
 pub use router::EdgeRouter;
 pub use routes::RouteTable;
 pub use settings::EdgeSettings;
-pub use spread::{draw_relay, paced};
+pub use spread::{draw_relay, draw_relays, paced};
 pub use tell::Tell;
--- a/crates/edge/src/load.rs
+++ b/crates/edge/src/load.rs
@@ -1,12 +1,14 @@
 //! Outstanding work by endpoint: what this router sent, and what the others tell.
 
 use crate::call::EndpointLoad;
+use crate::reports::{Reports, ToldReport};
 use sequoiaridge_core::{DomainId, EndpointId, RouterId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Time for which the load that an endpoint tells with an answer counts. Requests last about a second.
+/// Time for which the load that an endpoint tells with an answer counts beside the counts of all routers.
+/// Requests last about a second.
 const REPORT_LIFE: Duration = Duration::from_millis(700);
 
 /// Work outstanding at one endpoint.
@@ -52,14 +54,6 @@
     pub link: u32,
 }
 
-/// Load that an endpoint told, and this router's own requests there at that time.
-#[derive(Clone, Copy, Debug)]
-struct Report {
-    at: Duration,
-    requests: u32,
-    own: u32,
-}
-
 /// Work of all routers by endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
@@ -67,7 +61,9 @@
     peers: BTreeMap<RouterId, Peer>,
     /// Sum of the work of all other routers, so that a choice need not add it up.
     others: BTreeMap<EndpointId, Work>,
-    reports: BTreeMap<EndpointId, Report>,
+    reports: Reports,
+    /// Whether routers tell reports of endpoints in place of their own counts.
+    reported: bool,
 }
 
 impl Loads {
@@ -76,8 +72,15 @@
         Loads::default()
     }
 
+    /// Chooses whether the reports of endpoints alone say what other routers sent. In a large fleet no
+    /// router hears the counts of all others in time.
+    pub fn rely_on_reports(&mut self, reported: bool) {
+        self.reported = reported;
+    }
+
     /// Counts a request that is sent.
-    pub fn begin(&mut self, id: &str, unread: u32) {
+    pub fn begin(&mut self, id: &str, unread: u32, now: Duration) {
+        self.reports.begin(id, now);
         let work = self.own.entry(id.to_string()).or_default();
         work.add(Work {
             requests: 1,
@@ -108,12 +111,18 @@
 
     /// Takes over the load that an endpoint tells, of all callers.
     pub fn report(&mut self, id: &str, load: EndpointLoad, now: Duration) {
-        let report = Report {
-            at: now,
-            requests: load.running.saturating_add(load.waiting),
-            own: self.own.get(id).map_or(0, |work| work.requests),
-        };
-        self.reports.insert(id.to_string(), report);
+        let requests = load.running.saturating_add(load.waiting);
+        self.reports.note(id, requests, now);
+    }
+
+    /// The newest reports of endpoints, for the other routers.
+    pub fn reports(&self, now: Duration) -> Vec<ToldReport> {
+        self.reports.tell(now)
+    }
+
+    /// Takes over reports that another router tells.
+    pub fn hear_reports(&mut self, told: &[ToldReport], now: Duration) {
+        self.reports.hear(told, now);
     }
 
     /// Work of this router, for the others.
@@ -163,8 +172,7 @@
         for router in silent {
             self.forget(&router);
         }
-        self.reports
-            .retain(|_, report| now < report.at + REPORT_LIFE);
+        self.reports.expire(now);
     }
 
     /// Routers heard, with this one.
@@ -178,11 +186,10 @@
         let own = self.own.get(id).copied().unwrap_or_default();
         let mut sum = self.others.get(id).copied().unwrap_or_default();
         sum.add(own);
-        if let Some(report) = self.reports.get(id)
-            && now < report.at + REPORT_LIFE
+        if let Some(report) = self.reports.at(id, now)
+            && (self.reported || report.age < REPORT_LIFE)
         {
-            let since = own.requests.saturating_sub(report.own);
-            sum.requests = sum.requests.max(report.requests.saturating_add(since));
+            sum.requests = sum.requests.max(report.requests);
         }
         sum
     }
--- a/crates/edge/src/manifest.rs
+++ b/crates/edge/src/manifest.rs
@@ -10,7 +10,7 @@
 pub type ServiceName = String;
 
 /// How often a request of a route may run, and what its answer looks like.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// May run more than once.
     Idempotent,
@@ -36,7 +36,7 @@
 }
 
 /// A rule that leads requests to services.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route.
     pub name: String,
@@ -84,7 +84,7 @@
 }
 
 /// What the configuration says of a model engine.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
     /// Requests in one batch.
     pub slots: u32,
@@ -95,7 +95,7 @@
 }
 
 /// A group of endpoints.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Path of the health check.
     pub health: String,
@@ -106,7 +106,7 @@
 }
 
 /// Bounds on what callers may send.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest head of a request in bytes.
     pub head: usize,
@@ -119,7 +119,7 @@
 }
 
 /// A customer with its keys.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Customer {
     /// Name that endpoints are told.
     pub name: CustomerId,
@@ -130,7 +130,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Manifest {
     /// Version; it only grows.
     pub version: Version,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -22,6 +22,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct NewsLabel {
+    table: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct StatusLabel {
     status: u16,
@@ -34,6 +39,9 @@
     retries: Family<ReasonLabel, Counter>,
     answers: Family<StatusLabel, Counter>,
     registry_calls: Family<TableLabel, Counter>,
+    gaps: Family<NewsLabel, Counter>,
+    pub(crate) repairs: Counter,
+    pub(crate) news_age: Histogram,
     answer_time: Histogram,
     pub(crate) connections: Counter,
     pub(crate) requests: Counter,
@@ -54,6 +62,9 @@
             retries: Family::default(),
             answers: Family::default(),
             registry_calls: Family::default(),
+            gaps: Family::default(),
+            repairs: Counter::default(),
+            news_age: Histogram::new(exponential_buckets(0.05, 2.0, 9)),
             answer_time: Histogram::new(exponential_buckets(0.001, 2.0, 15)),
             connections: Counter::default(),
             requests: Counter::default(),
@@ -96,6 +107,21 @@
             "Calls to the registry, by table and outcome",
             self.registry_calls.clone(),
         );
+        registry.register(
+            "gaps",
+            "Changes that another router knew and this one lacked, by table",
+            self.gaps.clone(),
+        );
+        registry.register(
+            "repairs",
+            "Gaps of other routers that this one filled",
+            self.repairs.clone(),
+        );
+        registry.register(
+            "news_age_seconds",
+            "Age of the news about endpoints, once a second",
+            self.news_age.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time from a request to the head of its answer",
@@ -152,6 +178,14 @@
         self.registry_calls.get_or_create(&label).inc();
     }
 
+    /// Counts a change that is missing here.
+    pub(crate) fn gaps(&self, table: Table) {
+        let label = NewsLabel {
+            table: table.as_str(),
+        };
+        self.gaps.get_or_create(&label).inc();
+    }
+
     /// All metrics in the OpenMetrics text format.
     pub(crate) fn encode(&self) -> String {
         let lost = sequoiaridge_log::lines_lost();
@@ -168,6 +202,7 @@
     let metrics = Metrics::new();
     metrics.answered(200, Duration::ZERO);
     metrics.registry_call(Table::Configuration, true);
+    metrics.gaps(Table::Endpoints);
     metrics.encode()
 }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,18 +1,22 @@
 //! Exchange of messages between routers.
 
 use crate::feed::Feed;
+use crate::follower::{Known, Mark};
 use crate::handover;
 use crate::join::{Joined, join, restore, save, seek};
 use crate::load::Work;
-use crate::registry::Registry;
+use crate::registry::{Registry, Table};
 use crate::shared::{Contact, SMALL_FLEET, Shared};
-use crate::spread::{draw_relay, paced};
+use crate::spread::{draw_relays, paced};
+use crate::sync;
 use crate::tell::Tell;
 use rand::seq::IteratorRandom;
 use sequoiaridge_core::{DomainId, EndpointId, Event, RouterId};
 use sequoiaridge_log::log;
 use sequoiaridge_wire::{MAX_DATAGRAM, Opener, PeerKeys, Sealer};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,10 +26,12 @@
 /// Pause between messages to a router that is heard, in a small fleet. Requests last a second or so,
 /// and counts that are a tenth of that old keep the bound on load.
 const PERIOD: Duration = Duration::from_millis(100);
-/// Pause between messages in a large fleet, where each goes to some routers drawn anew, so that what a
-/// router sends does not grow with the fleet, while its part of the load shrinks.
-const LARGE_PERIOD: Duration = Duration::from_millis(400);
-const FAN_OUT: usize = 16;
+/// Pause between messages in a large fleet, where each goes to some routers drawn anew: to these of the
+/// own domain and to these of others. What a router sends does not grow with the fleet, and what one
+/// knows, hundreds know after four rounds.
+const LARGE_PERIOD: Duration = Duration::from_millis(250);
+const NEAR: usize = 3;
+const FAR: usize = 1;
 /// Pause between messages that tell nothing new.
 const QUIET_PERIOD: Duration = Duration::from_millis(500);
 /// Pause between messages to a router that is not heard, at first and after `RECENT`.
@@ -40,6 +46,12 @@
 /// Least time after which a router counts as not heard, and the same in messages that should have come.
 const LIFE: Duration = Duration::from_millis(1500);
 const LIFE_PACES: u32 = 4;
+/// Routers of each other domain, those heard last, among which relays are drawn.
+const RELAYS: usize = 12;
+/// Datagrams that are taken from the socket before other work gets its turn.
+const BATCH: usize = 128;
+/// Pause between observations of the age of the news.
+const OBSERVE: Duration = Duration::from_secs(1);
 
 /// A router as this one knows it.
 #[derive(Clone, Debug)]
@@ -71,6 +83,12 @@
     told: Option<(Duration, Tell)>,
     /// When news were last told in a large fleet.
     news_at: Duration,
+    /// When the socket last held no datagram: the earliest time at which the next one came.
+    empty_at: Duration,
+    /// When the age of the news was last observed.
+    observed_at: Duration,
+    /// Whether the news were too old then.
+    is_old: bool,
 }
 
 /// Announces this router, finds the others and exchanges messages with them until the process ends.
@@ -79,48 +97,50 @@
     registry: Arc<dyn Registry>,
     socket: UdpSocket,
     listener: TcpListener,
-    mut feeds: mpsc::UnboundedReceiver<Feed>,
+    mut feeds: mpsc::UnboundedReceiver<Option<Feed>>,
 ) {
+    tokio::spawn(handover::serve(shared.clone(), listener));
     let incarnation = shared.incarnation();
     let Joined {
         key,
         routers,
         cache,
-    } = join(&shared, registry.as_ref()).await;
+    } = join(&shared, &registry).await;
     if let Some(cache) = cache {
         restore(&shared, &cache);
     }
-    tokio::spawn(save(shared.clone(), registry.clone()));
-    let (found, mut newly_found) = mpsc::unbounded_channel();
-    tokio::spawn(seek(shared.clone(), registry, found));
     let keys = PeerKeys::from_bytes(key, None);
     shared.keys.get_or_init(|| keys.clone());
-    tokio::spawn(handover::serve(shared.clone(), keys.clone(), listener));
     let mut links = Links {
         sealer: Sealer::new(&keys, shared.settings.id.clone(), incarnation),
         opener: Opener::new(&keys),
-        shared,
+        empty_at: shared.now(),
+        observed_at: shared.now(),
+        shared: shared.clone(),
         socket,
         peers: BTreeMap::new(),
         told: None,
         news_at: Duration::ZERO,
+        is_old: false,
     };
     for router in routers {
         links.introduce(router.id, router.address, &router.domain);
     }
-    let mut buffer = [0; MAX_DATAGRAM];
+    shared.note_joined();
+    tokio::spawn(save(shared.clone(), registry.clone()));
+    let (found, mut newly_found) = mpsc::unbounded_channel();
+    tokio::spawn(seek(shared, registry, found));
     let mut period = tokio::time::interval(PERIOD);
     period.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            _ = period.tick() => links.tell(),
-            Some(router) = newly_found.recv() => links.introduce(router.id, router.address, &router.domain),
-            Some(feed) = feeds.recv() => feed.into_parts().into_iter().for_each(|part| links.pass_on(part)),
-            received = links.socket.recv_from(&mut buffer) => {
-                if let Ok((size, from)) = received {
-                    links.hear(&buffer[..size], from);
-                }
+            _ = period.tick() => {
+                links.receive();
+                links.tell();
             }
+            Some(router) = newly_found.recv() => links.introduce(router.id, router.address, &router.domain),
+            Some(feed) = feeds.recv() => links.pass_on(feed),
+            _ = links.socket.readable() => links.receive(),
         }
     }
 }
@@ -141,7 +161,9 @@
         let contact = board.contacts.entry(id).or_insert(Contact {
             address,
             domain: domain.to_string(),
-            informed: false,
+            link: 0,
+            endpoints: None,
+            configuration: None,
         });
         contact.address = address;
     }
@@ -158,22 +180,104 @@
             .count();
         let routers = i64::try_from(count + 1).unwrap_or(i64::MAX);
         self.shared.metrics.routers.set(routers);
-        self.shared.board().loads.expire(now, life);
+        let mut board = self.shared.board();
+        board.loads.expire(now, life);
+        board.loads.rely_on_reports(self.peers.len() >= SMALL_FLEET);
+        drop(board);
         if let Some(datagram) = self.round(now, pace) {
-            let to = self.peers.values().filter(|peer| peer.is_heard(now, life));
-            let to: Vec<SocketAddr> = if self.is_large() {
-                to.map(|peer| peer.address)
-                    .sample(&mut rand::rng(), FAN_OUT)
-            } else {
-                to.map(|peer| peer.address).collect()
-            };
-            to.into_iter()
+            self.partners(now, life)
+                .into_iter()
                 .for_each(|address| send(&self.socket, &datagram, address));
         }
+        self.ask(now);
+        self.observe(now);
         self.tell_news(now);
         self.tell_unheard(now, life);
     }
 
+    /// The routers that a round goes to: all that are heard in a small fleet, some of them in a large one.
+    fn partners(&self, now: Duration, life: Duration) -> Vec<SocketAddr> {
+        let own = &self.shared.settings.domain;
+        let heard = || self.peers.values().filter(|peer| peer.is_heard(now, life));
+        if !self.is_large() {
+            return heard().map(|peer| peer.address).collect();
+        }
+        let (mut rng, address) = (rand::rng(), |peer: &Peer| peer.address);
+        let near = heard().filter(|peer| peer.domain == *own);
+        let mut partners = near.map(address).sample(&mut rng, NEAR);
+        let far = heard().filter(|peer| peer.domain != *own);
+        partners.extend(far.map(address).sample(&mut rng, FAR));
+        partners
+    }
+
+    /// Asks a router for the changes of endpoints that are missing here.
+    fn ask(&self, now: Duration) {
+        let mut board = self.shared.board();
+        let Some(mark) = board.endpoints.ask(now) else {
+            return;
+        };
+        let own = &self.shared.settings.domain;
+        let ahead = || {
+            let contacts = board.contacts.values();
+            contacts.filter(|contact| contact.endpoints.is_some_and(|known| known > mark))
+        };
+        let near = ahead().filter(|contact| contact.domain == *own);
+        let near = near.choose(&mut rand::rng());
+        let drawn = near.or_else(|| ahead().choose(&mut rand::rng()));
+        let Some(address) = drawn.map(|contact| contact.address) else {
+            return;
+        };
+        drop(board);
+        let tell = Tell {
+            ask: Some(mark),
+            ..self.base()
+        };
+        self.send_all(&tell, &[address]);
+    }
+
+    /// Gives a router the changes of endpoints that it lacks.
+    fn give(&self, mark: Mark, to: SocketAddr) {
+        let feed = self.shared.board().endpoints.since(mark);
+        let Some(feed) = feed else {
+            return;
+        };
+        self.shared.metrics.repairs.inc();
+        for part in feed.into_parts() {
+            let tell = Tell {
+                feed: Some(part),
+                ..self.base()
+            };
+            self.send_all(&tell, &[to]);
+        }
+    }
+
+    /// Observes the age of the news about endpoints, and logs when they turn too old or fresh.
+    fn observe(&mut self, now: Duration) {
+        if now < self.observed_at + OBSERVE {
+            return;
+        }
+        self.observed_at = now;
+        let Some(age) = self.shared.board().endpoints.age(now) else {
+            return;
+        };
+        self.shared.metrics.news_age.observe(age.as_secs_f64());
+        let is_old = age > self.shared.settings.leave;
+        if is_old != self.is_old {
+            self.is_old = is_old;
+            let event = if is_old {
+                Event::NewsOld
+            } else {
+                Event::NewsFresh
+            };
+            let detail = format!(
+                "table={} age_ms={}",
+                Table::Endpoints.as_str(),
+                age.as_millis()
+            );
+            log(event, &detail);
+        }
+    }
+
     /// Sends a sign of life to routers that are not heard, and forgets those that were not for long.
     fn tell_unheard(&mut self, now: Duration, life: Duration) {
         let peers = &mut self.peers;
@@ -225,7 +329,7 @@
     /// Pause between rounds of messages.
     fn pace(&self) -> Duration {
         if self.is_large() {
-            paced(LARGE_PERIOD, self.peers.len())
+            LARGE_PERIOD
         } else {
             PERIOD
         }
@@ -239,7 +343,7 @@
     /// Time after which a router counts as not heard.
     fn life(&self) -> Duration {
         let rounds = if self.is_large() {
-            self.peers.len() / FAN_OUT + 1
+            self.peers.len() / FAR
         } else {
             1
         };
@@ -255,13 +359,19 @@
             return None;
         }
         let mut message = self.message();
+        // How old the news are, and up to which position, says nothing new by itself.
+        let mut compared = message.clone();
+        compared.endpoints = None;
+        compared.configuration = compared
+            .configuration
+            .map(|known| Known { age: 0, ..known });
         if let Some((at, told)) = &self.told
-            && *told == message
+            && *told == compared
             && now < *at + QUIET_PERIOD
         {
             return None;
         }
-        self.told = Some((now, message.clone()));
+        self.told = Some((now, compared));
         message.introduces = self.introduction(now);
         self.seal(&message)
     }
@@ -287,33 +397,41 @@
         }
     }
 
-    /// Sends what was read from the registry.
-    fn pass_on(&self, feed: Feed) {
-        self.spread(Tell {
-            feed: Some(feed),
-            ..self.base()
+    /// Sends what was read from the registry, or that nothing changed.
+    fn pass_on(&self, feed: Option<Feed>) {
+        let parts = feed.map_or(vec![None], |feed| {
+            feed.into_parts().into_iter().map(Some).collect()
         });
+        for feed in parts {
+            self.spread(Tell {
+                feed,
+                ..self.base()
+            });
+        }
     }
 
     /// Sends a message to every router: in a large fleet directly to those of the own domain, and to
-    /// one of each other domain, drawn anew each time, which passes it on.
+    /// two of each other domain, drawn anew each time, which pass it on.
     fn spread(&self, tell: Tell) {
         let own = &self.shared.settings.domain;
-        let mut far: BTreeMap<&DomainId, Vec<(SocketAddr, u32)>> = BTreeMap::new();
+        let mut far: BTreeMap<&DomainId, Vec<&Peer>> = BTreeMap::new();
         let mut direct = Vec::new();
         for peer in self.peers.values().filter(|peer| self.is_reached(peer)) {
             if self.is_large() && peer.domain != *own {
-                let domain = far.entry(&peer.domain).or_default();
-                domain.push((peer.address, peer.link));
+                far.entry(&peer.domain).or_default().push(peer);
             } else {
                 direct.push(peer.address);
             }
         }
         self.send_all(&tell, &direct);
-        let relays: Vec<SocketAddr> = far
-            .values()
-            .filter_map(|all| draw_relay(all, self.peers.len()))
-            .collect();
+        let relays = far.into_values().flat_map(|mut peers| {
+            peers.sort_by_key(|peer| Reverse(peer.heard));
+            let latest = peers.iter().take(RELAYS);
+            let latest: Vec<(SocketAddr, u32)> =
+                latest.map(|peer| (peer.address, peer.link)).collect();
+            draw_relays(&latest, self.peers.len())
+        });
+        let relays: Vec<SocketAddr> = relays.collect();
         let relayed = Tell {
             relay: true,
             ..tell
@@ -348,37 +466,63 @@
 
     /// What every message says.
     fn base(&self) -> Tell {
-        let informed = self.shared.is_informed();
+        let now = self.shared.now();
+        let board = self.shared.board();
         Tell {
             address: Some(self.shared.settings.peers),
             domain: self.shared.settings.domain.clone(),
             link: self.shared.settings.link,
-            version: self.shared.board().version(),
+            configuration: board.configuration.known(now),
+            endpoints: board.endpoints.known(now),
             draining: self.shared.is_draining(),
-            informed,
             ..Tell::default()
         }
     }
 
     fn message(&self) -> Tell {
         let base = self.base();
+        let now = self.shared.now();
         let mut board = self.shared.board();
+        if self.is_large() {
+            return Tell {
+                work: Some(Vec::new()),
+                reports: board.loads.reports(now),
+                ..base
+            };
+        }
         let work = board.loads.own().iter();
         let work: Vec<(EndpointId, Work)> = work.map(|(id, work)| (id.clone(), *work)).collect();
         let mut tell = base.with_work(work);
-        if !self.is_large() {
-            board.news.fill(&mut tell);
-        }
+        board.news.fill(&mut tell);
         tell
     }
 
-    fn hear(&mut self, datagram: &[u8], from: SocketAddr) {
+    /// Takes the datagrams that wait in the socket. Those that came while the process was paused are as
+    /// old as the pause.
+    fn receive(&mut self) {
+        let mut buffer = [0; MAX_DATAGRAM];
+        for _ in 0..BATCH {
+            let now = self.shared.now();
+            match self.socket.try_recv_from(&mut buffer) {
+                Ok((size, from)) => self.hear(&buffer[..size], from, self.empty_at),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.empty_at = now;
+                    return;
+                }
+                // The error of an earlier datagram, to a router that is gone.
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn hear(&mut self, datagram: &[u8], from: SocketAddr, at: Duration) {
         let (id, incarnation, tell) = match self.opener.open::<Tell>(datagram) {
             Ok(opened) => opened,
             Err(error) => return log(Event::PeerRejected, &format!("from={from} {error}")),
         };
         let now = self.shared.now();
-        self.introduce(id.clone(), tell.address.unwrap_or(from), &tell.domain);
+        let address = tell.address.unwrap_or(from);
+        self.introduce(id.clone(), address, &tell.domain);
         if let Some((other, address, domain)) = tell.introduces.clone()
             && other != self.shared.settings.id
             && !self.peers.contains_key(&other)
@@ -399,12 +543,19 @@
             }
         }
         if let Some(contact) = self.shared.board().contacts.get_mut(&id) {
-            contact.informed = tell.informed;
+            contact.link = tell.link;
+            contact.endpoints = tell.endpoints.map(|known| known.mark);
+            contact.configuration = tell.configuration.map(|known| known.mark);
+        }
+        if let Some(mark) = tell.ask {
+            self.give(mark, address);
         }
-        if tell.relay {
+        let relayed = tell.relay.then(|| tell.clone());
+        sync::hear(&self.shared, &id, tell, at);
+        // With what it says in force, so that its age is that of the sender's news.
+        if let Some(tell) = relayed {
             self.relay(&tell);
         }
-        self.shared.hear(&id, tell, now);
     }
 }
 
--- a/crates/edge/src/place.rs
+++ b/crates/edge/src/place.rs
@@ -86,7 +86,7 @@
         let unread = prompt.map_or(0, |prompt| prompt.input.saturating_sub(kept));
         let unread = u32::try_from(unread).unwrap_or(u32::MAX);
         self.count_prompt(kept);
-        board.loads.begin(&entry.id, unread);
+        board.loads.begin(&entry.id, unread, now);
         let told = board.cache.record(&prefixes, &entry.id, now);
         board.news.prefixes(told, &entry.id);
         let ticket = Ticket {
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -2,11 +2,11 @@
 
 use crate::ingress;
 use crate::peers;
-use crate::registry::{Dialect, Registry, Table};
+use crate::reader;
+use crate::registry::{Dialect, Registry};
 use crate::settings::EdgeSettings;
 use crate::shared::Shared;
 use crate::stream_body::StreamBody;
-use crate::sync;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -76,9 +76,7 @@
         let shared = Arc::new(Shared::new(settings, clock, dialect, feeds));
         tokio::spawn(accept(callers, shared.clone(), Port::Callers));
         tokio::spawn(accept(readiness, shared.clone(), Port::Readiness));
-        for table in [Table::Configuration, Table::Endpoints] {
-            tokio::spawn(sync::follow(shared.clone(), registry.clone(), table));
-        }
+        tokio::spawn(reader::run(shared.clone(), registry.clone()));
         tokio::spawn(peers::run(shared.clone(), registry, socket, lists, to_tell));
         tokio::spawn(clean(shared.clone()));
         log(
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -35,6 +35,8 @@
     pub reuse: Duration,
     /// Bandwidth of the instance's link in Mbit/s.
     pub link: u32,
+    /// Whether the whole fleet starts for the first time, so that no caller waits yet.
+    pub first_start: bool,
     /// Memory of the instance in bytes.
     pub memory: u64,
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -2,22 +2,23 @@
 
 use crate::cache_map::CacheMap;
 use crate::feed::Feed;
+use crate::follower::{Follower, Mark};
 use crate::health::Health;
-use crate::load::{Loads, Sender};
+use crate::load::Loads;
 use crate::metrics::Metrics;
 use crate::registry::{Dialect, Position, Table};
 use crate::retry_window::RetryWindow;
 use crate::roster::Roster;
 use crate::routes::RouteTable;
+use crate::schedule::Place;
 use crate::settings::EdgeSettings;
-use crate::sync;
-use crate::tell::{News, Tell};
+use crate::tell::News;
 use crate::upstream::Upstream;
 use sequoiaridge_core::{Clock, DomainId, RouterId, Version};
 use sequoiaridge_policy::Quarantine;
 use sequoiaridge_wire::PeerKeys;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -40,20 +41,14 @@
 pub(crate) struct Board {
     pub(crate) routes: Option<Arc<RouteTable>>,
     pub(crate) roster: Roster,
-    /// Positions up to which tables were read.
-    pub(crate) positions: BTreeMap<Table, Position>,
-    /// When the news of each table were last complete.
-    pub(crate) fresh: BTreeMap<Table, Duration>,
+    pub(crate) endpoints: Follower,
+    pub(crate) configuration: Follower,
+    /// Registry position at which the configuration was read.
+    pub(crate) config_position: Position,
     /// When the registry was last back after it had been away from the whole fleet.
     pub(crate) returned: Option<Duration>,
-    /// The latest feed of each table, read here or heard.
-    pub(crate) recent: BTreeMap<Table, Feed>,
-    /// Feeds that came before those that they follow on.
-    pub(crate) early: VecDeque<Feed>,
     /// Routers that are known, but for this one.
     pub(crate) contacts: BTreeMap<RouterId, Contact>,
-    /// Tables of which another router has newer news.
-    pub(crate) behind: BTreeSet<Table>,
     pub(crate) loads: Loads,
     pub(crate) health: Health,
     pub(crate) cache: CacheMap,
@@ -69,28 +64,45 @@
         routes.map_or(0, |routes| routes.manifest().version)
     }
 
-    /// Whether another router has newer news of a table.
-    pub(crate) fn is_behind(&self, table: Table) -> bool {
-        self.behind.contains(&table)
+    /// What is known of a table that routers follow.
+    pub(crate) fn follower(&mut self, table: Table) -> &mut Follower {
+        match table {
+            Table::Configuration => &mut self.configuration,
+            Table::Endpoints | Table::Routers => &mut self.endpoints,
+        }
     }
 
-    /// Place of this router among those that live. In a small fleet it is that in the order of their
-    /// links, the fastest first, and names. In a large one only the first of all has place 0; the
-    /// others count within their domains, so that one of each domain follows.
-    pub(crate) fn place(&self, settings: &EdgeSettings) -> usize {
-        let (own, domain) = (&settings.id, &settings.domain);
-        let rank = (Reverse(settings.link), own);
-        let before = self.loads.peers();
-        let before = before.filter(|peer| (Reverse(peer.link), peer.id) < rank);
-        if self.contacts.len() < SMALL_FLEET {
-            return before.count();
-        }
-        let (mut all, mut near) = (0, 0);
-        for peer in before {
-            all += 1;
-            near += usize::from(peer.domain == domain);
+    /// Whether messages go to some routers only, because the fleet is large.
+    pub(crate) fn is_large(&self) -> bool {
+        self.contacts.len() >= SMALL_FLEET
+    }
+
+    /// Routers of the fleet, with this one.
+    pub(crate) fn routers(&self) -> usize {
+        (self.contacts.len() + 1).max(self.loads.routers())
+    }
+
+    /// Place of this router in the order of links, the fastest first, and names: among those that are
+    /// heard in a small fleet, in its domain in a large one.
+    pub(crate) fn place(&self, settings: &EdgeSettings) -> Place {
+        let own = (Reverse(settings.link), &settings.id);
+        let large = self.is_large();
+        let before = if large {
+            let contacts = self.contacts.iter();
+            let near = contacts.filter(|(_, contact)| contact.domain == settings.domain);
+            near.filter(|(id, contact)| (Reverse(contact.link), *id) < own)
+                .count()
+        } else {
+            let heard = self.loads.peers();
+            heard
+                .filter(|peer| (Reverse(peer.link), peer.id) < own)
+                .count()
+        };
+        Place {
+            before,
+            routers: self.routers(),
+            large,
         }
-        if all == 0 { 0 } else { near + 1 }
     }
 }
 
@@ -100,8 +112,12 @@
     /// Address at which it listens for other routers.
     pub(crate) address: SocketAddr,
     pub(crate) domain: DomainId,
-    /// Whether it says that it knows the endpoints.
-    pub(crate) informed: bool,
+    /// Bandwidth of its link in Mbit/s; 0 before it is heard.
+    pub(crate) link: u32,
+    /// How far it knows the endpoints.
+    pub(crate) endpoints: Option<Mark>,
+    /// Version that it has in force.
+    pub(crate) configuration: Option<Version>,
 }
 
 /// State of one router.
@@ -126,7 +142,9 @@
     held: AtomicUsize,
     incarnation: u64,
     hints: BTreeMap<Table, Notify>,
-    feeds: mpsc::UnboundedSender<Feed>,
+    feeds: mpsc::UnboundedSender<Option<Feed>>,
+    /// Whether the other routers are known.
+    joined: watch::Sender<bool>,
     /// Keys of the fleet, once the router has joined.
     pub(crate) keys: OnceLock<PeerKeys>,
 }
@@ -137,7 +155,7 @@
         settings: EdgeSettings,
         clock: Arc<dyn Clock>,
         dialect: Arc<dyn Dialect>,
-        feeds: mpsc::UnboundedSender<Feed>,
+        feeds: mpsc::UnboundedSender<Option<Feed>>,
     ) -> Shared {
         let repeats = RetryWindow::new(
             settings.retry_share,
@@ -152,6 +170,7 @@
                 .map(|table| (table, Notify::new()))
                 .collect(),
             feeds,
+            joined: watch::Sender::new(false),
             keys: OnceLock::new(),
             clock,
             dialect,
@@ -160,13 +179,11 @@
             board: Mutex::new(Board {
                 routes: None,
                 roster: Roster::with_bound(settings.leave),
-                positions: BTreeMap::new(),
-                fresh: BTreeMap::new(),
+                endpoints: Follower::new(),
+                configuration: Follower::new(),
+                config_position: 0,
                 returned: None,
-                recent: BTreeMap::new(),
-                early: VecDeque::new(),
                 contacts: BTreeMap::new(),
-                behind: BTreeSet::new(),
                 loads: Loads::new(),
                 health: Health::new(),
                 cache: CacheMap::with_window(settings.reuse),
@@ -198,8 +215,9 @@
         &self.hints[&table]
     }
 
-    /// Tells the other routers what this one read. Nobody hears it before the router has joined.
-    pub(crate) fn publish(&self, feed: Feed) {
+    /// Tells the other routers what this one read, or that nothing changed. Nobody hears it before the
+    /// router has joined.
+    pub(crate) fn publish(&self, feed: Option<Feed>) {
         let _ = self.feeds.send(feed);
     }
 
@@ -208,50 +226,23 @@
         self.incarnation
     }
 
-    /// Takes over what another router tells.
-    pub(crate) fn hear(&self, router: &RouterId, tell: Tell, now: Duration) {
-        if let Some(feed) = tell.feed {
-            sync::hear(self, feed, now);
-        }
-        let mut board = self.board();
-        if tell.version > board.version() {
-            board.behind.insert(Table::Configuration);
-            self.hints(Table::Configuration).notify_one();
-        }
-        if let Some(work) = tell.work {
-            let work = work.into_iter().collect();
-            let from = Sender {
-                id: router,
-                domain: &tell.domain,
-                link: tell.link,
-            };
-            board.loads.hear(from, work, tell.draining, now);
-        }
-        for (key, id) in tell.prefixes {
-            board.cache.hear(key, &id, now);
-        }
-        for id in tell.failed {
-            board.health.suspect(&id, now);
-        }
-        for crash in tell.crashes {
-            board.quarantine.strike(&crash, now);
-        }
-        for fingerprint in tell.cleared {
-            board.quarantine.clear(fingerprint);
-        }
-    }
-
     /// Whether the router takes requests from the balancer.
     pub(crate) fn is_ready(&self) -> bool {
         let board = self.board();
-        let endpoints = board.positions.contains_key(&Table::Endpoints);
-        board.routes.is_some() && endpoints && !self.is_draining()
+        let known = board.routes.is_some() && board.endpoints.mark().is_some();
+        known && !self.is_draining()
     }
 
-    /// Whether the endpoints are known.
-    pub(crate) fn is_informed(&self) -> bool {
-        let board = self.board();
-        board.positions.contains_key(&Table::Endpoints)
+    /// Notes that the other routers are known.
+    pub(crate) fn note_joined(&self) {
+        self.joined.send_replace(true);
+    }
+
+    /// Waits until the other routers are known, for at most `time`.
+    pub(crate) async fn wait_joined(&self, time: Duration) {
+        let mut joined = self.joined.subscribe();
+        // Whether the wait ended in time shows in what is known afterwards.
+        let _ = tokio::time::timeout(time, joined.wait_for(|joined| *joined)).await;
     }
 
     /// Notes that a table was read for the first time or again.
--- a/crates/edge/src/spread.rs
+++ b/crates/edge/src/spread.rs
@@ -26,6 +26,17 @@
     drawn.choose(&mut rand::rng()).map(|(address, _)| *address)
 }
 
+/// Draws two relays apart, so that one router that is gone does not leave its domain without news.
+pub fn draw_relays(routers: &[(SocketAddr, u32)], fleet: usize) -> Vec<SocketAddr> {
+    let Some(first) = draw_relay(routers, fleet) else {
+        return Vec::new();
+    };
+    let others = routers.iter().filter(|(address, _)| *address != first);
+    let others: Vec<(SocketAddr, u32)> = others.copied().collect();
+    let second = draw_relay(&others, fleet);
+    [Some(first), second].into_iter().flatten().collect()
+}
+
 /// The pause between messages in a fleet of the given size, from the pause in a fleet that is not slowed
 /// down.
 pub fn paced(period: Duration, routers: usize) -> Duration {
--- a/crates/edge/src/tell.rs
+++ b/crates/edge/src/tell.rs
@@ -2,8 +2,10 @@
 
 use crate::cache_map::PrefixKey;
 use crate::feed::Feed;
+use crate::follower::{Known, Mark};
 use crate::load::Work;
-use sequoiaridge_core::{DomainId, EndpointId, Fingerprint, RouterId, Version};
+use crate::reports::ToldReport;
+use sequoiaridge_core::{DomainId, EndpointId, Fingerprint, RouterId};
 use sequoiaridge_policy::Crash;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -35,12 +37,12 @@
     pub link: u32,
     /// Another router that the sender hears, so that routers that started together meet.
     pub introduces: Option<(RouterId, SocketAddr, DomainId)>,
-    /// Configuration that the sender has in force.
-    pub version: Version,
+    /// How far the sender knows the configuration; `None` if it has none.
+    pub configuration: Option<Known>,
+    /// How far the sender knows the endpoints; `None` if it does not know them.
+    pub endpoints: Option<Known>,
     /// Whether the sender drains.
     pub draining: bool,
-    /// Whether the sender knows the endpoints.
-    pub informed: bool,
     /// Work that the sender has outstanding; `None` if the message does not tell it.
     pub work: Option<Vec<(EndpointId, Work)>>,
     /// Prefixes that endpoints read.
@@ -51,8 +53,12 @@
     pub cleared: Vec<Fingerprint>,
     /// Endpoints that the sender could not reach.
     pub failed: Vec<EndpointId>,
-    /// What the sender has just read from the registry.
+    /// Load that endpoints told, the newest reports that the sender knows.
+    pub reports: Vec<ToldReport>,
+    /// Changes of endpoints.
     pub feed: Option<Feed>,
+    /// Mark after which the sender lacks changes of endpoints.
+    pub ask: Option<Mark>,
     /// Whether the hearer passes feed and news on to the routers of its own domain.
     pub relay: bool,
 }
--- a/crates/edge/tests/tables.rs
+++ b/crates/edge/tests/tables.rs
@@ -2,8 +2,8 @@
 
 use proptest::prelude::*;
 use sequoiaridge_edge::{
-    CacheMap, EndpointLoad, Feed, Health, Loads, Part, Prompt, RetryWindow, Sender, Table, Tell,
-    Work, prefixes,
+    CacheMap, EndpointLoad, Feed, Health, Loads, Part, Prompt, RetryWindow, Sender, Tell, Work,
+    prefixes,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -100,8 +100,8 @@
 #[test]
 fn load_is_the_sum_of_what_living_routers_tell() {
     let mut loads = Loads::new();
-    loads.begin("e1", 100);
-    loads.begin("e1", 50);
+    loads.begin("e1", 100, Duration::ZERO);
+    loads.begin("e1", 50, Duration::ZERO);
     loads.read("e1", 100);
     let r2 = "r2".to_string();
     let work = |requests| Work {
@@ -130,7 +130,7 @@
 #[test]
 fn the_load_that_an_endpoint_tells_counts_for_a_short_time() {
     let mut loads = Loads::new();
-    loads.begin("e1", 0);
+    loads.begin("e1", 0, Duration::ZERO);
     let told = EndpointLoad {
         running: 9,
         waiting: 2,
@@ -138,7 +138,7 @@
     };
     loads.report("e1", told, NOW);
     assert_eq!(loads.at("e1", NOW).requests, 11);
-    loads.begin("e1", 0);
+    loads.begin("e1", 0, NOW + Duration::from_millis(1));
     assert_eq!(loads.at("e1", NOW).requests, 12);
     assert_eq!(loads.at("e1", NOW + Duration::from_secs(1)).requests, 2);
 }
@@ -187,10 +187,8 @@
 #[test]
 fn a_feed_with_many_changes_goes_in_parts_that_follow_on_each_other() {
     let feed = Feed {
-        table: Table::Endpoints,
         from: 1,
         to: 2,
-        version: 1,
         changed: (0..20)
             .rev()
             .map(|index| (format!("e{index}"), 100 + index, None))
@@ -209,10 +207,8 @@
 #[test]
 fn a_feed_repeats_only_what_it_follows_on() {
     let feed = |from, to, id: &str| Feed {
-        table: Table::Endpoints,
         from,
         to,
-        version: 1,
         changed: vec![(id.to_string(), to, None)],
     };
     let joined = feed(10, 20, "e2").repeating(&feed(1, 10, "e1"));
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -152,12 +152,17 @@
     Ack,
     /// Asks for the turn to run a copy of a suspect. The turn ends with the connection.
     Turn(TurnRequest),
-    /// Asks for the list of endpoints.
-    EndpointsPull,
-    /// The list of endpoints, encoded by the sender; `None` if it has none to give now.
-    EndpointsPush {
-        /// The list.
-        list: Option<Bytes>,
+    /// Asks for the list of endpoints, the configuration, or both.
+    SnapshotPull {
+        /// Whether the list is asked for.
+        endpoints: bool,
+        /// Oldest version of the configuration that is of use; `None` if it is not asked for.
+        version: Option<Version>,
+    },
+    /// What was asked for, encoded by the sender; `None` if it has nothing to give now.
+    SnapshotPush {
+        /// The snapshot.
+        snapshot: Option<Bytes>,
     },
     /// An endpoint crashed on a request.
     Strike {
@@ -187,8 +192,8 @@
             Frame::IndexPush { .. } => "index-push",
             Frame::Ack => "ack",
             Frame::Turn(_) => "turn",
-            Frame::EndpointsPull => "endpoints-pull",
-            Frame::EndpointsPush { .. } => "endpoints-push",
+            Frame::SnapshotPull { .. } => "snapshot-pull",
+            Frame::SnapshotPush { .. } => "snapshot-push",
             Frame::Strike { .. } => "strike",
         }
     }
