Play the fault soak with 12 routers in three domains, and more on request

Late copies of answers and bodies that are reset join its faults; SOAK_ROUTERS and SOAK_SERVERS set the size, so that the messages of a large fleet are played, too.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,7 +4,10 @@
 //!
 //! ```console
 //! $ SOAK_SEEDS=100..150 SOAK_SECONDS=12 cargo test --test soak -- --nocapture
+//! $ SOAK_SEEDS=1..3 SOAK_ROUTERS=100 SOAK_SERVERS=40 cargo test --test soak -- --nocapture
 //! ```
+//!
+//! From 25 routers on, messages go to some of them only, as in a large fleet.
 
 #[path = "../platform/tests/support/mod.rs"]
 mod support;
@@ -18,16 +21,18 @@
 use support::client::{Answer, Caller, post};
 use support::program::Program;
 use support::proxy::{Harm, Proxy};
-use support::server::{Act, Server};
+use support::server::{Act, Late, Server};
 use support::store::{Mode, StoreStandIn};
 use support::{config, eventually, row_at};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sequoiaridge");
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
-/// Routers, servers and callers of a run.
-const ROUTERS: usize = 3;
-const SERVERS: usize = 4;
-const CALLERS: usize = 12;
+/// Routers and servers of a run, unless `SOAK_ROUTERS` and `SOAK_SERVERS` say otherwise.
+const ROUTERS: usize = 12;
+const SERVERS: usize = 8;
+const CALLERS: usize = 24;
+/// Failure domains of the routers.
+const DOMAINS: usize = 3;
 /// Last event of each stream.
 const EVENTS: u64 = 8;
 /// Seeds that are played in CI.
@@ -37,6 +42,12 @@
 /// Length of a run in CI in seconds.
 const CI_SECONDS: u64 = 8;
 
+/// A size from the environment.
+fn size(name: &str, default: usize) -> usize {
+    let text = std::env::var(name).ok();
+    text.map_or(default, |text| text.parse().expect("a number"))
+}
+
 /// What callers saw, by attempt.
 type Seen = Arc<Mutex<BTreeMap<String, Option<Answer>>>>;
 
@@ -59,7 +70,7 @@
         store.put("op", "config", &config(1, "/read/"));
         let mut servers = Vec::new();
         let mut proxies = Vec::new();
-        for index in 0..SERVERS {
+        for index in 0..size("SOAK_SERVERS", SERVERS) {
             let server = Server::start(&format!("i-{index}")).await;
             let proxy = Proxy::start(server.address).await;
             store.put("servers", &server.id, &row_at(proxy.address, "ready"));
@@ -68,10 +79,12 @@
         }
         let mut routers = Vec::new();
         let mut store_proxies = Vec::new();
-        for index in 0..ROUTERS {
+        for index in 0..size("SOAK_ROUTERS", ROUTERS) {
             let proxy = Proxy::start(store.address).await;
             let name = format!("soak-{seed}-r{index}");
-            routers.push(Program::start(PROGRAM, FOLDER, &name, proxy.address));
+            let domain = format!("d{}", index % DOMAINS);
+            let router = Program::start_in(PROGRAM, FOLDER, &name, &domain, proxy.address);
+            routers.push(router);
             store_proxies.push(proxy);
         }
         for router in &routers {
@@ -94,8 +107,8 @@
     fn step(&mut self) {
         let kinds = 0..12u32;
         let kind = self.rng.random_range(kinds);
-        let router = self.rng.random_range(0..ROUTERS);
-        let server = self.rng.random_range(0..SERVERS);
+        let router = self.rng.random_range(0..self.routers.len());
+        let server = self.rng.random_range(0..self.servers.len());
         let harms = [
             Harm::None,
             Harm::Delay(Duration::from_millis(150)),
@@ -159,6 +172,9 @@
                     Act::Half,
                     Act::Refuse(503),
                     Act::Twice,
+                    Act::LateCopy(Late::Nameless),
+                    Act::LateCopy(Late::Refusal),
+                    Act::Reset,
                 ];
                 let act = acts.choose(&mut self.rng).expect("an act").clone();
                 let what = format!("server {server}: {act:?} once");
@@ -265,7 +281,7 @@
             let expected: Vec<u64> = (1..=EVENTS).collect();
             // A server that was told to answer in another way sends no events.
             assert!(ids.is_empty() || ids == expected, "broken stream: {what}");
-        } else if !["first", "fine"].contains(&answer.body.as_str()) {
+        } else if !["first", "fine", "mine"].contains(&answer.body.as_str()) {
             assert_eq!(answer.body, id, "another's answer: {what}");
         }
     }
