--- a/crates/edge/src/join.rs
+++ b/crates/edge/src/join.rs
@@ -109,8 +109,8 @@
     }
 }
 
-/// Reads the key of the fleet and the rows of the other routers, and writes this router's row: at once
-/// if it creates the key, and meanwhile otherwise. Routers that start together and do not read each
+/// Reads the key of the fleet and the rows of the other routers, and writes this router's row unless it is
+/// there from an earlier start: at once if it creates the key, and meanwhile otherwise. Routers that start together and do not read each
 /// other's rows are introduced by a third; the first two of a fleet meet because one of them reads again
 /// for the key.
 pub(crate) async fn join(shared: &Arc<Shared>, registry: &Arc<dyn Registry>) -> Joined {
@@ -166,7 +166,7 @@
     }
 }
 
-/// Reads the table of routers once. Returns what it holds and whether the own row is written.
+/// Reads the table of routers once. Returns what it holds and whether the own row is there.
 async fn join_once(
     shared: &Shared,
     registry: &dyn Registry,
@@ -174,6 +174,7 @@
 ) -> Result<(Joined, bool), RegistryError> {
     let mut key = None;
     let mut cache = None;
+    let mut listed = false;
     let mut routers = Vec::new();
     let rows = read_routers(registry).await;
     shared.metrics.registry_call(Table::Routers, rows.is_ok());
@@ -182,6 +183,7 @@
             Entry::PeerKey(found) => key = Some(found),
             Entry::Cache(found) => cache = Some(found),
             Entry::Router(router) if router.id != own.id => routers.push(router),
+            Entry::Router(row) => listed = row.address == own.address && row.domain == own.domain,
             Entry::Malformed(reason) => {
                 log(Event::PeerRejected, &format!("row {}: {reason}", row.key));
             }
@@ -202,5 +204,5 @@
         routers,
         cache,
     };
-    Ok((joined, created))
+    Ok((joined, created || listed))
 }
--- a/crates/edge/tests/load_model.rs
+++ b/crates/edge/tests/load_model.rs
@@ -165,7 +165,7 @@
         };
         let steps = (period.as_micros() / STEP.as_micros()) as usize;
         let tick = (now.as_micros() / STEP.as_micros()) as usize;
-        for router in (0..ROUTERS).filter(|router| (router + tick) % steps == 0) {
+        for router in (0..ROUTERS).filter(|router| (router + tick).is_multiple_of(steps)) {
             let others = (0..ROUTERS).filter(|other| *other != router);
             let others: Vec<usize> = others.sample(&mut self.rng, fan);
             let told = self.loads[router].reports(now);
