Spread the first start of a fleet, and make no reader of a router that starts

Change: first starts are drawn over 1.5 s, and the first read makes no reader. Test: the_first_read_makes_no_reader.

--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -134,11 +134,12 @@
     }
 
     /// Notes an own read, sent at `sent`, that brought the state at `fresh`. The router goes on reading
-    /// for all unless another one has read since then.
+    /// for all unless another one has read since then. The first read of a router that starts makes it no
+    /// reader: hundreds may start together.
     pub fn led(&mut self, sent: Duration, fresh: Duration) {
+        self.leads = self.others_at <= sent && !self.read_at.is_zero();
         self.read_at = self.read_at.max(fresh);
         self.fresh = self.fresh.max(fresh);
-        self.leads = self.others_at <= sent;
         self.failures = 0;
         self.not_before = Duration::ZERO;
     }
--- a/crates/edge/src/join.rs
+++ b/crates/edge/src/join.rs
@@ -3,7 +3,7 @@
 use crate::manifest::RouterEntry;
 use crate::registry::{Entry, PeerKey, Registry, RegistryError, Row, Table};
 use crate::schedule::drawn;
-use crate::shared::Shared;
+use crate::shared::{Contact, Shared};
 use rand::RngExt;
 use sequoiaridge_core::Event;
 use sequoiaridge_log::log;
@@ -17,6 +17,11 @@
     base: Duration::from_secs(2),
     limit: Duration::from_secs(30),
 };
+/// Time after which a router that was heard may be gone. In a large fleet each is heard now and then.
+const HEARD: Duration = Duration::from_secs(4);
+/// Time over which the first start of a fleet is spread, before callers come: the first router creates
+/// the key, and the others find it.
+const FIRST_START: Duration = Duration::from_millis(1500);
 /// Pause between saves of what endpoints have cached: the time of some ten thousand requests at the
 /// target size, and a hundredth of the platform's calls today.
 const SAVE_PERIOD: Duration = Duration::from_secs(5);
@@ -52,7 +57,9 @@
     let mut reads = 0u32;
     loop {
         tokio::time::sleep(SEEK.ceiling(reads)).await;
-        if shared.board().loads.routers() > 1 {
+        let now = shared.now();
+        let heard = |contact: &Contact| contact.heard.is_some_and(|heard| now < heard + HEARD);
+        if shared.board().contacts.values().any(heard) {
             reads = 0;
             continue;
         }
@@ -120,6 +127,10 @@
         domain: shared.settings.domain.clone(),
         incarnation: shared.incarnation(),
     };
+    if shared.settings.first_start {
+        let pause = FIRST_START.mul_f64(rand::rng().random_range(0.0..1.0));
+        tokio::time::sleep(pause).await;
+    }
     loop {
         match join_once(shared, registry.as_ref(), &own).await {
             Ok((joined, true)) => return joined,
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -137,6 +137,7 @@
             link: 0,
             endpoints: None,
             configuration: None,
+            heard: None,
         });
         contact.address = address;
     }
@@ -187,6 +188,7 @@
             }
         }
         if let Some(contact) = self.shared.board().contacts.get_mut(&id) {
+            contact.heard = Some(now);
             contact.link = tell.link;
             contact.endpoints = tell.endpoints.map(|known| known.mark);
             contact.configuration = tell.configuration.map(|known| known.mark);
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -22,6 +22,8 @@
 const ASK_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for the rows of the other routers before a router that starts reads the tables itself.
 const JOIN_WAIT: Duration = Duration::from_millis(100);
+/// The same at the first start of the fleet, when no caller waits.
+const FIRST_JOIN_WAIT: Duration = Duration::from_millis(2000);
 
 /// Endpoints up to which each router that starts reads the list itself, in one call: a whole page.
 /// Routers that wait for others after a power cut of all refuse requests in the meantime.
@@ -44,7 +46,13 @@
 
 /// Follows configuration and endpoints until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>, registry: Arc<dyn Registry>) {
-    shared.wait_joined(JOIN_WAIT).await;
+    let first_start = shared.settings.first_start;
+    let longest = if first_start {
+        FIRST_JOIN_WAIT
+    } else {
+        JOIN_WAIT
+    };
+    shared.wait_joined(longest).await;
     handover::start(&shared).await;
     for table in [Table::Configuration, Table::Endpoints] {
         tokio::spawn(follow(shared.clone(), registry.clone(), table));
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -120,6 +120,8 @@
     pub(crate) endpoints: Option<Mark>,
     /// Version that it has in force.
     pub(crate) configuration: Option<Version>,
+    /// When it was last heard.
+    pub(crate) heard: Option<Duration>,
 }
 
 /// State of one router.
--- a/crates/edge/tests/follower.rs
+++ b/crates/edge/tests/follower.rs
@@ -142,6 +142,8 @@
 #[test]
 fn the_router_that_read_last_reads_for_all() {
     let (mut first, mut second) = (follower(10, SECOND), follower(10, SECOND));
+    first.led(SECOND, SECOND);
+    second.led(SECOND, SECOND);
     first.changes(10, 20, &[]);
     first.led(ms(2000), ms(2000));
     second.changes(10, 21, &[]);
@@ -174,6 +176,18 @@
     assert!(!own.leads());
 }
 
+/// Guards against routers that start together and all read on for the others: 290 calls more at a power
+/// cut of 352 routers.
+#[test]
+fn the_first_read_makes_no_reader() {
+    let mut own = Follower::new();
+    own.version(1, SECOND);
+    own.led(SECOND, SECOND);
+    assert!(!own.leads());
+    own.led(ms(2500), ms(2500));
+    assert!(own.leads());
+}
+
 /// Guards against a registry that is asked again at once by a router that it refused.
 #[test]
 fn a_failed_read_waits() {
