Give lagging routers what they ask for, up to 120 changes, and pass news through one relay

Change: feeds hold what is new to the reader; who lags asks, and reads the registry beyond 120 changes. News of prefixes take one relay again. A failed read with a known gap waits as in a small fleet. A gap that a feed shows wakes the reader, too.

--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -19,6 +19,8 @@
 const TRANSIT: Duration = Duration::from_millis(50);
 /// Changes that are kept for routers with a gap; a hundred bytes each.
 const MAX_TAIL: usize = 1024;
+/// Changes that one router gives another: some twenty datagrams.
+const MAX_GIVEN: usize = 120;
 /// Feeds that wait for what comes before them.
 const MAX_EARLY: usize = 32;
 /// Least time between two questions for what is missing: an answer takes a round trip.
@@ -261,7 +263,8 @@
         self.mark
     }
 
-    /// The changes after a mark, for a router that lacks them; `None` if they are not known here.
+    /// The changes after a mark, for a router that lacks them; `None` if they are not known here, or are
+    /// so many that they fill a slow link: then they are read from the registry.
     pub fn since(&mut self, from: Mark) -> Option<Feed> {
         let mark = self.mark?;
         if from < self.floor {
@@ -274,10 +277,11 @@
         let after = (from + 1, EndpointId::new());
         let changed = self.tail.range(after..);
         let changed = changed.map(|((position, id), entry)| (id.clone(), *position, entry.clone()));
-        Some(Feed {
+        let changed: Vec<ChangedRow> = changed.collect();
+        (changed.len() <= MAX_GIVEN).then_some(Feed {
             from,
             to: mark,
-            changed: changed.collect(),
+            changed,
         })
     }
 
--- a/crates/edge/src/peers/rounds.rs
+++ b/crates/edge/src/peers/rounds.rs
@@ -287,7 +287,7 @@
     }
 
     /// Sends a message to every router: in a large fleet directly to those of the own domain, and to
-    /// two of each other domain, drawn anew each time, which pass it on.
+    /// two of each other domain, one for news, drawn anew each time, which pass it on.
     fn spread(&self, tell: Tell) {
         let own = &self.shared.settings.domain;
         let mut far: BTreeMap<&DomainId, Vec<&Peer>> = BTreeMap::new();
@@ -305,7 +305,12 @@
             let latest = peers.iter().take(RELAYS);
             let latest: Vec<(SocketAddr, u32)> =
                 latest.map(|peer| (peer.address, peer.link)).collect();
-            draw_relays(&latest, self.peers.len())
+            let mut relays = draw_relays(&latest, self.peers.len());
+            if tell.has_news() {
+                // News of cached prefixes are many and may be lost.
+                relays.truncate(1);
+            }
+            relays
         });
         let relays: Vec<SocketAddr> = relays.collect();
         let relayed = Tell {
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -247,7 +247,12 @@
                 self.lost = true;
                 return;
             }
-            _ => follower.failed(now, retry(failures, routers)),
+            _ => {
+                // Another router knows more, so the registry is there.
+                let missing = follower.missing_since().is_some();
+                let routers = if missing { 1 } else { routers };
+                follower.failed(now, retry(failures, routers));
+            }
         }
         drop(board);
         if failures == 0 {
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -24,22 +24,12 @@
 pub(crate) fn hear(shared: &Shared, router: &RouterId, tell: Tell, at: Duration) {
     let now = shared.now();
     let mut board = shared.board();
-    if let Some(known) = &tell.endpoints {
-        note_return(&mut board, known.age, now);
-    }
-    if let Some(feed) = tell.feed {
-        for feed in board.endpoints.hear_feed(feed, now) {
-            apply_endpoints(&mut board, shared, feed.into_rows(), false, now);
-        }
-    }
-    for (table, known) in [
-        (Table::Endpoints, &tell.endpoints),
-        (Table::Configuration, &tell.configuration),
-    ] {
-        if let Some(known) = known {
-            hear_known(&mut board, shared, table, known, at);
-        }
+    hear_endpoints(&mut board, shared, tell.endpoints.as_ref(), tell.feed, at);
+    let behind = board.configuration.missing_since();
+    if let Some(known) = &tell.configuration {
+        board.configuration.hear(known, at);
     }
+    hint(&mut board, shared, Table::Configuration, behind);
     if let Some(work) = tell.work {
         let work = work.into_iter().collect();
         let from = Sender {
@@ -65,11 +55,33 @@
     }
 }
 
-fn hear_known(board: &mut Board, shared: &Shared, table: Table, known: &Known, at: Duration) {
-    let follower = board.follower(table);
-    let missed = follower.missing_since().is_some();
-    follower.hear(known, at);
-    if !missed && follower.missing_since().is_some() {
+/// Takes over changes of endpoints, and how far their sender knows them.
+fn hear_endpoints(
+    board: &mut Board,
+    shared: &Shared,
+    known: Option<&Known>,
+    feed: Option<Feed>,
+    at: Duration,
+) {
+    let now = shared.now();
+    let behind = board.endpoints.missing_since();
+    if let Some(known) = known {
+        note_return(board, known.age, now);
+    }
+    if let Some(feed) = feed {
+        for feed in board.endpoints.hear_feed(feed, now) {
+            apply_endpoints(board, shared, feed.into_rows(), false, now);
+        }
+    }
+    if let Some(known) = known {
+        board.endpoints.hear(known, at);
+    }
+    hint(board, shared, Table::Endpoints, behind);
+}
+
+/// Wakes the reader of a table that has just fallen behind. `behind` is since when it was before.
+fn hint(board: &mut Board, shared: &Shared, table: Table, behind: Option<Duration>) {
+    if behind.is_none() && board.follower(table).missing_since().is_some() {
         shared.metrics.gaps(table);
         shared.hints(table).notify_one();
     }
@@ -105,16 +117,17 @@
         }
         (from, _) => from,
     };
-    // Rows that this router knows may be new to those for which it reads again.
+    // Rows that this router knows are for those that lag; they ask for them.
     let known = |row: &&Row| mark.is_some_and(|mark| row.position <= mark);
-    let mut changed: Vec<ChangedRow> = rows.rows.iter().filter(known).map(changed_row).collect();
+    let lagging: Vec<ChangedRow> = rows.rows.iter().filter(known).map(changed_row).collect();
     let new: Vec<Row> = rows
         .rows
         .iter()
         .filter(|row| !known(row))
         .cloned()
         .collect();
-    changed.extend(board.roster.news(&new));
+    let news = board.roster.news(&new);
+    let changed: Vec<ChangedRow> = lagging.into_iter().chain(news.iter().cloned()).collect();
     apply_endpoints(&mut board, shared, rows, from.is_none(), now);
     match from {
         Some(from) => board.endpoints.changes(from, to, &changed),
@@ -123,8 +136,12 @@
     board.endpoints.led(sent, sent);
     drop(board);
     shared.check_informed();
-    let from = from.filter(|_| !changed.is_empty())?;
-    Some(Feed { from, to, changed })
+    let from = mark.filter(|_| !news.is_empty())?;
+    Some(Feed {
+        from,
+        to,
+        changed: news,
+    })
 }
 
 fn changed_row(row: &Row) -> ChangedRow {
