Let one of several routers that read together go on, and bound what routers give each other

Cause, found by the model (news.rs): routers whose reads lay within the time of a message all went on reading (295 routers: 50 to 75 calls in 25 s, 25 are due), and a start of 100 routers before 1,000 endpoints made one router send 28,662 datagrams with changes in a second. Change: news name the router whose read they come from, and of reads within 250 ms the one with the smaller key goes on; a router gives at most 600 changes a second, and more than 120 are read from the registry.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -8,6 +8,10 @@
 /// Changes that one message holds; with a hundred bytes each they fit a datagram.
 const MAX_CHANGED: usize = 6;
 
+/// Changes that are told to all routers, or given to one: some twenty datagrams. More of them fill slow
+/// links, and are read from the registry by each router.
+pub const MAX_TOLD: usize = 120;
+
 /// A changed row of an endpoint; `None` if it was removed or cannot be read.
 pub type ChangedRow = (EndpointId, Position, Option<EndpointEntry>);
 
--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -4,9 +4,9 @@
 //! read serves the whole fleet, a router with a gap is repaired by a neighbour, and no message makes
 //! news look younger than the read that showed them. docs/platform.md has the rules and the bounds.
 
-use crate::feed::{ChangedRow, Feed};
+use crate::feed::{ChangedRow, Feed, MAX_TOLD};
 use crate::manifest::EndpointEntry;
-use sequoiaridge_core::EndpointId;
+use sequoiaridge_core::{EndpointId, hash_parts};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -14,13 +14,18 @@
 /// Point in the history of a table: the registry's position, or the version of the configuration.
 pub type Mark = u64;
 
+/// Names a router that reads: a hash of its id.
+pub type ReaderKey = u32;
+
 /// Time that a message may have been on its way. Links between domains take some ms, and a full link
 /// delays a datagram by several times that.
 const TRANSIT: Duration = Duration::from_millis(50);
+/// Time within which two reads count as made together: through a relay each seems some `TRANSIT` older.
+const TOGETHER: Duration = Duration::from_millis(250);
 /// Changes that are kept for routers with a gap; a hundred bytes each.
 const MAX_TAIL: usize = 1024;
-/// Changes that one router gives another: some twenty datagrams.
-const MAX_GIVEN: usize = 120;
+/// Changes that a router gives others in a second: a tenth of what a link of 10 Mbit/s carries.
+const GIVEN_A_SECOND: usize = 600;
 /// Feeds that wait for what comes before them.
 const MAX_EARLY: usize = 32;
 /// Least time between two questions for what is missing: an answer takes a round trip.
@@ -37,11 +42,14 @@
     pub mark: Mark,
     /// Time since the mark was known to be the newest, in ms.
     pub age: u32,
+    /// The router whose read showed that.
+    pub reader: ReaderKey,
 }
 
 /// Follows one table by own reads and by what other routers tell.
 #[derive(Clone, Debug, Default)]
 pub struct Follower {
+    own: ReaderKey,
     mark: Option<Mark>,
     floor: Mark,
     changed: Mark,
@@ -51,6 +59,8 @@
     read_at: Duration,
     /// The latest time whose state another router read.
     others_at: Duration,
+    /// The router whose read made the news fresh.
+    reader: ReaderKey,
     /// Whether no other router has read later than this one.
     leads: bool,
     /// Mark of a change that another router knows and this one does not, and since when.
@@ -64,14 +74,20 @@
     tail: BTreeMap<(Mark, EndpointId), Option<EndpointEntry>>,
     /// Feeds that came before those that they follow on.
     early: VecDeque<Feed>,
+    /// Start of a second, and the changes that were given to others in it.
+    given: (Duration, usize),
     failures: u32,
     not_before: Duration,
 }
 
 impl Follower {
-    /// Creates a follower that knows nothing.
-    pub fn new() -> Follower {
-        Follower::default()
+    /// Creates the follower of router `id`, which knows nothing.
+    pub fn new(id: &str) -> Follower {
+        let [a, b, c, d, ..] = hash_parts(&[id.as_bytes()]).to_le_bytes();
+        Follower {
+            own: ReaderKey::from_le_bytes([a, b, c, d]),
+            ..Follower::default()
+        }
     }
 
     /// Mark up to which the table is known; `None` if it is not known.
@@ -92,6 +108,7 @@
             changed: self.changed.max(self.floor),
             mark: self.mark?,
             age: u32::try_from(age).unwrap_or(u32::MAX),
+            reader: self.reader,
         })
     }
 
@@ -135,17 +152,24 @@
         self.settle();
     }
 
-    /// Notes an own read, sent at `sent`, that brought the state at `fresh`. The router goes on reading
-    /// for all unless another one has read since then. The first read of a router that starts makes it no
-    /// reader: hundreds may start together.
-    pub fn led(&mut self, sent: Duration, fresh: Duration) {
-        self.leads = self.others_at <= sent && !self.read_at.is_zero();
-        self.read_at = self.read_at.max(fresh);
-        self.fresh = self.fresh.max(fresh);
+    /// Notes that the registry answered an own read.
+    pub fn answered(&mut self) {
         self.failures = 0;
         self.not_before = Duration::ZERO;
     }
 
+    /// Notes an own read of changes, sent at `sent`, that brought the state at `fresh`. The router goes on
+    /// reading for all unless another one has read since then. A read of the whole table makes no reader:
+    /// hundreds of routers may start together.
+    pub fn led(&mut self, sent: Duration, fresh: Duration) {
+        self.leads = self.others_at <= sent;
+        self.read_at = self.read_at.max(fresh);
+        if fresh > self.fresh {
+            self.fresh = fresh;
+            self.reader = self.own;
+        }
+    }
+
     /// Takes over the changes between two marks, which an own read showed.
     pub fn changes(&mut self, from: Mark, to: Mark, changed: &[ChangedRow]) {
         if self.mark.is_none_or(|mark| from > mark) {
@@ -217,10 +241,17 @@
         self.mark = Some(known.mark);
         let age = Duration::from_millis(known.age.into()) + TRANSIT;
         let fresh = now.saturating_sub(age);
-        self.fresh = self.fresh.max(fresh);
-        self.others_at = self.others_at.max(fresh);
-        if fresh > self.read_at {
-            self.leads = false;
+        if fresh > self.fresh {
+            self.fresh = fresh;
+            self.reader = known.reader;
+        }
+        if known.reader != self.own {
+            self.others_at = self.others_at.max(fresh);
+            // Of two routers that read at about the same time, one goes on.
+            let same = fresh + TOGETHER > self.read_at && known.reader < self.own;
+            if fresh > self.read_at || same {
+                self.leads = false;
+            }
         }
         self.settle();
     }
@@ -264,8 +295,8 @@
     }
 
     /// The changes after a mark, for a router that lacks them; `None` if they are not known here, or are
-    /// so many that they fill a slow link: then they are read from the registry.
-    pub fn since(&mut self, from: Mark) -> Option<Feed> {
+    /// so many that they fill a slow link: then another router gives them, or the registry.
+    pub fn since(&mut self, from: Mark, now: Duration) -> Option<Feed> {
         let mark = self.mark?;
         if from < self.floor {
             self.note_lagging(from);
@@ -278,7 +309,17 @@
         let changed = self.tail.range(after..);
         let changed = changed.map(|((position, id), entry)| (id.clone(), *position, entry.clone()));
         let changed: Vec<ChangedRow> = changed.collect();
-        (changed.len() <= MAX_GIVEN).then_some(Feed {
+        let (second, given) = self.given;
+        let (second, given) = if now < second + Duration::from_secs(1) {
+            (second, given)
+        } else {
+            (now, 0)
+        };
+        if changed.len() > MAX_TOLD || given + changed.len() > GIVEN_A_SECOND {
+            return None;
+        }
+        self.given = (second, given + changed.len());
+        Some(Feed {
             from,
             to: mark,
             changed,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -53,7 +53,7 @@
 
 pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
 pub use call::{AnswerHead, Attempt, AttemptId, Call, EndpointLoad, Part, PartId, Prompt};
-pub use feed::{ChangedRow, Feed};
+pub use feed::{ChangedRow, Feed, MAX_TOLD};
 pub use follower::{Follower, Known, Mark};
 pub use health::Health;
 pub use heat::{Heat, HotSubject};
--- a/crates/edge/src/peers/rounds.rs
+++ b/crates/edge/src/peers/rounds.rs
@@ -113,7 +113,8 @@
 
     /// Gives a router the changes of endpoints that it lacks.
     pub(super) fn give(&self, mark: Mark, to: SocketAddr) {
-        let feed = self.shared.board().endpoints.since(mark);
+        let now = self.shared.now();
+        let feed = self.shared.board().endpoints.since(mark, now);
         let Some(feed) = feed else {
             return;
         };
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -183,8 +183,8 @@
             board: Mutex::new(Board {
                 routes: None,
                 roster: Roster::with_bound(settings.leave),
-                endpoints: Follower::new(),
-                configuration: Follower::new(),
+                endpoints: Follower::new(&settings.id),
+                configuration: Follower::new(&settings.id),
                 config_position: 0,
                 returned: None,
                 contacts: BTreeMap::new(),
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -1,6 +1,6 @@
 //! Puts news of configuration and endpoints in force, read here or heard from other routers.
 
-use crate::feed::{ChangedRow, Feed};
+use crate::feed::{ChangedRow, Feed, MAX_TOLD};
 use crate::follower::Known;
 use crate::load::Sender;
 use crate::manifest::Manifest;
@@ -97,7 +97,8 @@
 }
 
 /// Takes over endpoints that were read: the changes after `from`, or the whole table. Returns what the
-/// other routers are told: the changes since the position that was known before, if there is one.
+/// other routers are told: the changes since the position that was known before, if there is one and they
+/// are not too many.
 pub(crate) fn take_endpoints(
     shared: &Shared,
     mut rows: Rows,
@@ -129,14 +130,17 @@
     let news = board.roster.news(&new);
     let changed: Vec<ChangedRow> = lagging.into_iter().chain(news.iter().cloned()).collect();
     apply_endpoints(&mut board, shared, rows, from.is_none(), now);
+    board.endpoints.answered();
     match from {
-        Some(from) => board.endpoints.changes(from, to, &changed),
+        Some(from) => {
+            board.endpoints.changes(from, to, &changed);
+            board.endpoints.led(sent, sent);
+        }
         None => board.endpoints.whole(to, sent),
     }
-    board.endpoints.led(sent, sent);
     drop(board);
     shared.check_informed();
-    let from = mark.filter(|_| !news.is_empty())?;
+    let from = mark.filter(|_| !news.is_empty() && news.len() <= MAX_TOLD)?;
     Some(Feed {
         from,
         to,
@@ -178,8 +182,12 @@
     }
     board.config_position = board.config_position.max(position);
     let version = board.version();
+    board.configuration.answered();
+    let started = board.configuration.mark().is_none();
     board.configuration.version(version, fresh);
-    board.configuration.led(sent, fresh);
+    if !started {
+        board.configuration.led(sent, fresh);
+    }
     drop(board);
     shared.check_informed();
 }
--- a/crates/edge/tests/follower.rs
+++ b/crates/edge/tests/follower.rs
@@ -26,7 +26,11 @@
 }
 
 fn follower(mark: u64, fresh: Duration) -> Follower {
-    let mut follower = Follower::new();
+    named("own", mark, fresh)
+}
+
+fn named(id: &str, mark: u64, fresh: Duration) -> Follower {
+    let mut follower = Follower::new(id);
     follower.whole(mark, fresh);
     follower
 }
@@ -41,6 +45,7 @@
         changed: 10,
         mark: 10,
         age: 3000,
+        reader: 1,
     };
     own.hear(&old, ms(5000));
     assert!(own.age(ms(5000)) >= Some(ms(3000)));
@@ -66,6 +71,7 @@
         changed: 40,
         mark: 50,
         age: 0,
+        reader: 1,
     };
     own.hear(&behind, ms(9000));
     assert_eq!(own.mark(), Some(100));
@@ -87,7 +93,7 @@
     hearer.hear(&reader.known(now).expect("known"), now);
     assert_eq!(hearer.ask(now), None, "parts of feeds overtake each other");
     let mark = hearer.ask(now + ms(60)).expect("a question");
-    let given = reader.since(mark).expect("the changes");
+    let given = reader.since(mark, now).expect("the changes");
     let ready = hearer.hear_feed(given, now + ms(61));
     let applied: Vec<&str> = ready
         .iter()
@@ -133,17 +139,27 @@
     let known = reader.known(ms(1500)).expect("known");
     hearer.hear(&known, ms(1505));
     let mark = hearer.ask(ms(1600)).expect("a question");
-    let given = reader.since(mark).expect("the changes");
+    let given = reader.since(mark, ms(1600)).expect("the changes");
     assert_eq!(given.changed.len(), 2);
     assert_eq!(reader.read_from(), Some(60));
 }
 
+/// Guards against a neighbour whose slow link hundreds of changes fill.
+#[test]
+fn a_router_far_behind_is_not_given_hundreds_of_changes() {
+    let mut reader = follower(10, SECOND);
+    let rows: Vec<ChangedRow> = (11..400).map(|position| row("e", position)).collect();
+    reader.changes(10, 400, &rows);
+    assert_eq!(reader.since(10, SECOND), None);
+    let given = (0..100).filter(|_| reader.since(350, SECOND).is_some());
+    assert_eq!(given.count(), 12, "600 in a second");
+    assert!(reader.since(350, ms(2100)).is_some());
+}
+
 /// Guards against two readers: the one whose read is older leaves the reading to the other.
 #[test]
 fn the_router_that_read_last_reads_for_all() {
-    let (mut first, mut second) = (follower(10, SECOND), follower(10, SECOND));
-    first.led(SECOND, SECOND);
-    second.led(SECOND, SECOND);
+    let (mut first, mut second) = (named("a", 10, SECOND), named("b", 10, SECOND));
     first.changes(10, 20, &[]);
     first.led(ms(2000), ms(2000));
     second.changes(10, 21, &[]);
@@ -161,7 +177,7 @@
 /// others' reads while its own call waits (851 calls in 48 s of a quiet day with 23 routers).
 #[test]
 fn a_call_that_others_overtook_does_not_make_a_reader() {
-    let mut own = Follower::new();
+    let mut own = Follower::new("own");
     own.version(1, SECOND);
     own.led(SECOND, SECOND);
     let known = Known {
@@ -169,6 +185,7 @@
         changed: 1,
         mark: 1,
         age: 0,
+        reader: 1,
     };
     own.hear(&known, ms(1500));
     own.version(1, ms(2000));
@@ -179,15 +196,35 @@
 /// Guards against routers that start together and all read on for the others: 290 calls more at a power
 /// cut of 352 routers.
 #[test]
-fn the_first_read_makes_no_reader() {
-    let mut own = Follower::new();
-    own.version(1, SECOND);
-    own.led(SECOND, SECOND);
+fn a_read_of_the_whole_table_makes_no_reader() {
+    let mut own = follower(10, SECOND);
+    own.answered();
     assert!(!own.leads());
+    own.changes(10, 20, &[]);
     own.led(ms(2500), ms(2500));
     assert!(own.leads());
 }
 
+/// Guards against routers that read at the same moment, and each go on because the others' reads are not
+/// clearly later: 50 to 75 calls in 25 s of 295 routers, in place of 25.
+#[test]
+fn of_routers_that_read_together_one_goes_on() {
+    let mut routers: Vec<Follower> = (0..6)
+        .map(|index| named(&format!("r{index}"), 10, SECOND))
+        .collect();
+    for (index, router) in routers.iter_mut().enumerate() {
+        let sent = ms(2000 + 4 * index as u64);
+        router.changes(10, 20, &[]);
+        router.led(sent, sent);
+    }
+    let now = ms(2040);
+    let told: Vec<Known> = routers.iter().filter_map(|r| r.known(now)).collect();
+    for router in &mut routers {
+        told.iter().for_each(|known| router.hear(known, now));
+    }
+    assert_eq!(routers.iter().filter(|router| router.leads()).count(), 1);
+}
+
 /// Guards against a registry that is asked again at once by a router that it refused.
 #[test]
 fn a_failed_read_waits() {
@@ -200,7 +237,7 @@
 /// Guards against an older configuration that replaces a newer one.
 #[test]
 fn a_version_never_falls() {
-    let mut own = Follower::new();
+    let mut own = Follower::new("own");
     own.version(7, SECOND);
     own.version(6, ms(2000));
     assert_eq!(own.mark(), Some(7));
@@ -210,6 +247,7 @@
         changed: 9,
         mark: 9,
         age: 0,
+        reader: 1,
     };
     own.hear(&newer, ms(2500));
     assert_eq!(own.missing_since(), Some(ms(2500)));
@@ -249,7 +287,7 @@
                 2 if !lost => hearer.hear(&reader.known(now).expect("known"), now),
                 3 => {
                     if let Some(mark) = hearer.ask(now)
-                        && let Some(given) = reader.since(mark)
+                        && let Some(given) = reader.since(mark, now)
                         && !lost
                     {
                         for feed in hearer.hear_feed(given, now) {
--- a/crates/edge/tests/model/mod.rs
+++ b/crates/edge/tests/model/mod.rs
@@ -5,7 +5,7 @@
 use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::{RngExt, SeedableRng};
 use sequoiaridge_edge::schedule::{Place, Schedule, retry, wait};
-use sequoiaridge_edge::{ChangedRow, Feed, Follower, Known, Table, draw_relays};
+use sequoiaridge_edge::{ChangedRow, Feed, Follower, Known, MAX_TOLD, Table, draw_relays};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
@@ -16,6 +16,8 @@
 const STORE_TIME: Duration = Duration::from_millis(4);
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 const SMALL_FLEET: usize = 24;
+/// Position of the registry before the first change.
+const START: u64 = 100;
 
 /// What a site is like.
 #[derive(Clone, Debug)]
@@ -26,6 +28,8 @@
     pub loss: f64,
     /// Share of the routers with a fast link.
     pub fast: f64,
+    /// Endpoints that register while the routers start.
+    pub registering: u64,
 }
 
 /// A span in which some routers are harmed.
@@ -56,6 +60,8 @@
     pub delays: Vec<Duration>,
     /// Calls to the registry after the start, by second.
     pub calls: BTreeMap<u64, u64>,
+    /// Most datagrams with changes that one router sent in a second.
+    pub busiest: u64,
 }
 
 impl Outcome {
@@ -110,15 +116,21 @@
     steps: BTreeMap<u64, Step>,
     next: u64,
     calls: BTreeMap<u64, u64>,
+    /// Datagrams with changes by router and second.
+    feeds: BTreeMap<(usize, u64), u64>,
 }
 
 impl Fleet {
     pub fn new(site: Site, harms: &[Harm], seed: u64) -> Fleet {
         let mut rng = StdRng::seed_from_u64(seed);
+        let span = site.registering.max(10);
+        let changes = (1..=site.registering).map(|change| (START + change, Duration::ZERO));
+        let changes: Vec<(u64, Duration)> = changes.collect();
         let nodes = (0..site.routers).map(|index| {
-            let mut follower = Follower::new();
+            let mut follower = Follower::new(&format!("router-{index}"));
             // Routers that start together read the list at different moments.
-            follower.whole(100 + (index as u64 % 7), Duration::ZERO);
+            let read = rng.random_range(0..=site.registering.max(7));
+            follower.whole(START + read, Duration::ZERO);
             let fast = (index / site.domains) as f64 <= site.fast * site.routers as f64;
             Node {
                 domain: index % site.domains,
@@ -145,12 +157,13 @@
             rng,
             nodes,
             harms,
-            position: 110,
-            changes: Vec::new(),
+            position: START + span,
+            changes,
             queue: BinaryHeap::new(),
             steps: BTreeMap::new(),
             next: 0,
             calls: BTreeMap::new(),
+            feeds: BTreeMap::new(),
         }
     }
 
@@ -185,7 +198,8 @@
         let mut delays = Vec::new();
         // A change of the last seconds may still be on its way.
         let counted = time.saturating_sub(self.site.leave * 2);
-        for (position, at) in self.changes.iter().filter(|(_, at)| *at < counted) {
+        let changes = self.changes.iter();
+        for (position, at) in changes.filter(|(_, at)| !at.is_zero() && *at < counted) {
             for (index, node) in self.nodes.iter().enumerate() {
                 // The rules hold for routers that were unharmed for some seconds.
                 let near = |harm: &Harm| {
@@ -206,6 +220,7 @@
         Outcome {
             delays,
             calls: self.calls,
+            busiest: self.feeds.into_values().max().unwrap_or_default(),
         }
     }
 
@@ -325,19 +340,26 @@
         let routers = self.nodes.len();
         let own = &mut self.nodes[node];
         own.reading = false;
+        let mark = own.follower.mark().expect("a mark");
         let Some((to, changed)) = answer else {
             let failures = own.follower.failures();
             own.follower.failed(now, retry(failures, routers));
             return;
         };
+        own.follower.answered();
         own.follower.changes(from, to, &changed);
         own.follower.led(sent, sent);
         for (_, position, _) in &changed {
             own.known.entry(*position).or_insert(now);
         }
-        let parts = if changed.is_empty() {
+        let new = changed
+            .into_iter()
+            .filter(|(_, position, _)| *position > mark);
+        let changed: Vec<ChangedRow> = new.collect();
+        let parts = if changed.is_empty() || changed.len() > MAX_TOLD {
             vec![None]
         } else {
+            let from = mark;
             let parts = Feed { from, to, changed }.into_parts();
             parts.into_iter().map(Some).collect()
         };
@@ -405,6 +427,9 @@
 
     fn send(&mut self, to: usize, message: Message, now: Duration) {
         let from = message.from;
+        if message.feed.is_some() {
+            *self.feeds.entry((from, now.as_secs())).or_default() += 1;
+        }
         let cut = self.is(from, Kind::Cut, now) || self.is(to, Kind::Cut, now);
         if cut || self.rng.random_bool(self.site.loss) {
             return;
@@ -443,7 +468,7 @@
             own.follower.hear(known, at);
         }
         if let Some(mark) = message.ask
-            && let Some(feed) = self.nodes[node].follower.since(mark)
+            && let Some(feed) = self.nodes[node].follower.since(mark, now)
         {
             for part in feed.into_parts() {
                 let message = Message {
--- a/crates/edge/tests/news.rs
+++ b/crates/edge/tests/news.rs
@@ -16,6 +16,7 @@
         leave: seconds(leave),
         loss: 0.0015,
         fast: 0.06,
+        registering: 0,
     }
 }
 
@@ -113,6 +114,20 @@
     );
 }
 
+/// Pattern: 100 routers before 1,000 endpoints start together, and each reads the list while endpoints still
+/// register. Guards against a reader that sends all of that to everyone: a link of 10 Mbit/s takes some 1,000
+/// datagrams a second, and what is in force then is late (sweep at 100 routers: CONFIG).
+#[test]
+fn a_start_of_all_fills_no_link() {
+    let mut site = site(101, 4, 3.0);
+    site.registering = 1000;
+    let outcome = play(&site, &[], 7);
+    assert!(outcome.busiest < 500, "{} datagrams", outcome.busiest);
+    assert!(outcome.worst() < site.leave, "{:?}", outcome.worst());
+    let calls = outcome.calls_between(0, 30);
+    assert!(calls < 4 * 101, "{calls} calls");
+}
+
 /// Pattern: links that lose one datagram in 20. Guards against a gap that only the registry fills.
 #[test]
 fn lost_datagrams_cost_no_calls() {
