--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -99,47 +99,31 @@
 
     /// Chooses an endpoint for a prompt: of those within the bound on load one that has the subject
     /// cached, and of these the one with most of the prompt, then the one with the least work, of all or
-    /// of two that are drawn. Where no
-    /// such endpoint has the subject, the rank for it alone decides, so that routers that do not know
-    /// of each other's choices agree.
+    /// of two that are drawn. Where no such endpoint has the subject, the rank for it alone decides, so
+    /// that routers that do not know of each other's choices agree.
     pub fn for_prompt(&self, subject: &Subject, candidates: &[Candidate<'_>]) -> Option<Choice> {
         let usable = usable(candidates);
         let mean = mean(&usable);
         let bound = mean * self.multiple + self.slack;
-        let within = |candidate: &&&Candidate<'_>| {
-            f64::from(candidate.requests) < bound && candidate.requests < room(candidate)
-        };
-        let has = |candidate: &Candidate<'_>| candidate.cached >= subject.tokens;
-        let cached = |candidate: &Candidate<'_>| {
-            let cached = if has(candidate) { candidate.cached } else { 0 };
-            (has(candidate), cached / WORTH_MOVING)
-        };
-        let order = |candidate: &&&Candidate<'_>| {
-            let work = if has(candidate) {
-                candidate.requests
-            } else {
-                0
-            };
+        let open = usable.iter().copied();
+        let open: Vec<&Candidate<'_>> = open.filter(|c| is_open(c, bound)).collect();
+        let order = |candidate: &&Candidate<'_>| {
+            let has = candidate.cached >= subject.tokens;
+            let cached = if has { candidate.cached } else { 0 };
+            let work = if has { candidate.requests } else { 0 };
             let rank = rank(subject.key, candidate.id);
-            (cached(candidate), Reverse(work), rank)
+            (has, cached / WORTH_MOVING, Reverse(work), rank)
         };
-        let mut best = *usable.iter().filter(within).max_by_key(order)?;
+        let mut best = open.iter().copied().max_by_key(order)?;
         let mut needs = None;
         if let Some(draw) = self.draw {
             let homes = self.homes(subject, &usable);
             needs = self.needs(&homes, mean, bound);
             // An endpoint that also knows the chat is better than any other.
-            let knows_chat = best.cached >= subject.tokens + WORTH_MOVING;
-            let open = homes.iter().filter(within).copied();
-            let holders = usable.iter().filter(within).filter(|c| has(c)).copied();
-            let drawn = if knows_chat {
-                None
-            } else if self.spread > 1 {
-                less_loaded_of_two(draw, open)
-            } else {
-                less_loaded_of_two(draw, holders)
-            };
-            best = drawn.unwrap_or(best);
+            if best.cached < subject.tokens + WORTH_MOVING {
+                let drawn = self.draw_home(draw, subject, &homes, &open, bound);
+                best = drawn.unwrap_or(best);
+            }
         }
         let mut choice = choice(best, mean);
         choice.needs = needs;
@@ -147,6 +131,24 @@
         Some(choice)
     }
 
+    /// Draws one of the endpoints over which a hot subject is spread, or of those that have another one
+    /// cached; `None` if there is none.
+    fn draw_home<'a>(
+        &self,
+        draw: u64,
+        subject: &Subject,
+        homes: &[&'a Candidate<'a>],
+        open: &[&'a Candidate<'a>],
+        bound: f64,
+    ) -> Option<&'a Candidate<'a>> {
+        if self.spread > 1 {
+            let homes = homes.iter().copied();
+            return less_loaded_of_two(draw, homes.filter(|home| is_open(home, bound)));
+        }
+        let holders = open.iter().copied();
+        less_loaded_of_two(draw, holders.filter(|c| c.cached >= subject.tokens))
+    }
+
     /// The endpoints over which a subject is spread: the first by rank.
     fn homes<'a>(&self, subject: &Subject, usable: &[&'a Candidate<'a>]) -> Vec<&'a Candidate<'a>> {
         let mut ranked: Vec<(u64, &Candidate<'_>)> = usable
@@ -194,6 +196,11 @@
     }
 }
 
+/// Whether an endpoint takes one more request within a bound on load.
+fn is_open(candidate: &Candidate<'_>, bound: f64) -> bool {
+    f64::from(candidate.requests) < bound && candidate.requests < room(candidate)
+}
+
 /// Requests that an endpoint takes: those that it runs, and a short queue.
 fn room(candidate: &Candidate<'_>) -> u32 {
     candidate.slots + candidate.slots.div_ceil(QUEUE_PART)
