--- a/crates/edge/src/join.rs
+++ b/crates/edge/src/join.rs
@@ -116,10 +116,10 @@
     }
 }
 
-/// Reads the key of the fleet and the rows of the other routers, and writes this router's row unless it is
-/// there from an earlier start: at once if it creates the key, and meanwhile otherwise. Routers that start together and do not read each
-/// other's rows are introduced by a third; the first two of a fleet meet because one of them reads again
-/// for the key.
+/// Reads the key of the fleet and the rows of the other routers. Writes this router's row unless it is
+/// there from an earlier start: at once if it creates the key, and meanwhile otherwise. Routers that start
+/// together and do not read each other's rows are introduced by a third; the first two of a fleet meet
+/// because one of them reads again for the key.
 pub(crate) async fn join(shared: &Arc<Shared>, registry: &Arc<dyn Registry>) -> Joined {
     let own = RouterEntry {
         id: shared.settings.id.clone(),
