Log and count what is recorded of requests that crash endpoints

No line said which attempts are the same request, what another router told, what cleared a record, or when a request was held back and why.

Change: call-placed and crash-strike carry the request's fingerprint; a strike says the start of the endpoint, who saw it and how many count; request-quarantined is logged on this path as well; new are crash-cleared (411) and call-held (412), counters of strikes and clears by source, and a gauge of requests held. No decision changes: strikes are logged only when they count, where before each break was logged.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -112,6 +112,10 @@
     CrashStrike = 402, Warn, "crash-strike";
     /// A request is held back because it crashed several endpoints.
     Quarantined = 403, Warn, "request-quarantined";
+    /// A request that crashed endpoints ran to its end.
+    CrashCleared = 411, Info, "crash-cleared";
+    /// A call was not placed because it crashed endpoints.
+    CallHeld = 412, Info, "call-held";
     /// The router that gives turns to a suspect could not be reached.
     ArbiterLost = 410, Warn, "arbiter-lost";
     /// A claim could not be resolved or released.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod cache_map;
 mod call;
+mod crashes;
 mod feed;
 mod follower;
 mod handover;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of one router on the platform, described in docs/metrics.md.
 
+use crate::crashes::Source;
 use crate::registry::Table;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -27,6 +28,11 @@
     table: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct SourceLabel {
+    source: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct StatusLabel {
     status: u16,
@@ -40,6 +46,9 @@
     answers: Family<StatusLabel, Counter>,
     registry_calls: Family<TableLabel, Counter>,
     gaps: Family<NewsLabel, Counter>,
+    strikes: Family<SourceLabel, Counter>,
+    cleared: Family<SourceLabel, Counter>,
+    pub(crate) quarantined: Gauge,
     pub(crate) repairs: Counter,
     pub(crate) news_age: Histogram,
     answer_time: Histogram,
@@ -63,6 +72,9 @@
             answers: Family::default(),
             registry_calls: Family::default(),
             gaps: Family::default(),
+            strikes: Family::default(),
+            cleared: Family::default(),
+            quarantined: Gauge::default(),
             repairs: Counter::default(),
             news_age: Histogram::new(exponential_buckets(0.05, 2.0, 9)),
             answer_time: Histogram::new(exponential_buckets(0.001, 2.0, 15)),
@@ -112,6 +124,21 @@
             "Changes that another router knew and this one lacked, by table",
             self.gaps.clone(),
         );
+        registry.register(
+            "crash_strikes",
+            "Crashes recorded for a request, by who saw them",
+            self.strikes.clone(),
+        );
+        registry.register(
+            "crash_cleared",
+            "Requests with crashes that ran to their end, by who saw that",
+            self.cleared.clone(),
+        );
+        registry.register(
+            "quarantined",
+            "Requests that are held back because they crashed several endpoints",
+            self.quarantined.clone(),
+        );
         registry.register(
             "repairs",
             "Gaps of other routers that this one filled",
@@ -186,6 +213,18 @@
         self.gaps.get_or_create(&label).inc();
     }
 
+    /// Counts a crash that is recorded for a request.
+    pub(crate) fn struck(&self, source: Source) {
+        let source = source.as_str();
+        self.strikes.get_or_create(&SourceLabel { source }).inc();
+    }
+
+    /// Counts a request with crashes that ran to its end.
+    pub(crate) fn cleared(&self, source: Source) {
+        let source = source.as_str();
+        self.cleared.get_or_create(&SourceLabel { source }).inc();
+    }
+
     /// All metrics in the OpenMetrics text format.
     pub(crate) fn encode(&self) -> String {
         let lost = sequoiaridge_log::lines_lost();
@@ -203,6 +242,8 @@
     metrics.answered(200, Duration::ZERO);
     metrics.registry_call(Table::Configuration, true);
     metrics.gaps(Table::Endpoints);
+    metrics.struck(Source::Own);
+    metrics.cleared(Source::Own);
     metrics.encode()
 }
 
--- a/crates/edge/src/place.rs
+++ b/crates/edge/src/place.rs
@@ -7,7 +7,8 @@
 use crate::opened::Ticket;
 use crate::placement::{Candidate, Choice, Placement, Subject};
 use crate::relay::Exchange;
-use sequoiaridge_core::{RefusalReason, hash_parts};
+use sequoiaridge_core::{Event, RefusalReason, hash_parts};
+use sequoiaridge_log::log_request;
 use sequoiaridge_policy::Standing;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,8 +33,17 @@
         let now = self.shared.now();
         let mut board = self.shared.board();
         if let Some(fingerprint) = self.fingerprint
-            && let Standing::Held { .. } = board.quarantine.state(fingerprint, now)
+            && let Standing::Held { retry_after } = board.quarantine.state(fingerprint, now)
         {
+            let strikes = board.quarantine.strikes(fingerprint, now);
+            log_request(
+                Event::CallHeld,
+                &self.call.attempt,
+                format_args!(
+                    "fingerprint={fingerprint:016x} strikes={strikes} left_s={}",
+                    retry_after.as_secs()
+                ),
+            );
             return Err(RefusalReason::Quarantined);
         }
         let prefixes = self.call.prompt.as_ref().map(prefixes).unwrap_or_default();
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,6 +1,7 @@
 //! One request: choice of endpoints, sending, repeats, and the answer's head.
 
 use crate::call::{AnswerHead, Attempt, Call};
+use crate::crashes::{Source, clear, strike};
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName};
 use crate::opened::{AnswerBody, Arriving, Opened, Ticket};
 use crate::place::Placed;
@@ -15,7 +16,7 @@
     CustomerId, EndpointId, Event, Fingerprint, Refusal, RefusalReason, RetryReason, Verdict,
 };
 use sequoiaridge_log::log_request;
-use sequoiaridge_policy::{Crash, Standing};
+use sequoiaridge_policy::Crash;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -214,7 +215,7 @@
             Event::CallPlaced,
             &self.call.attempt,
             format_args!(
-                "endpoint={} requests={} mean={:.1} subject={:x} shared={} cached={} fetch={:?} route={} left_ms={}",
+                "endpoint={} requests={} mean={:.1} subject={:x} shared={} cached={} fetch={:?} route={} left_ms={} fingerprint={:016x}",
                 entry.id,
                 choice.requests,
                 choice.mean,
@@ -223,7 +224,8 @@
                 choice.cached,
                 choice.fetch,
                 self.route.name,
-                left.as_millis()
+                left.as_millis(),
+                self.fingerprint.unwrap_or(0)
             ),
         );
         self.sent += 1;
@@ -418,16 +420,10 @@
             endpoint: entry.id.clone(),
             boot: entry.born.map(|born| born.to_string()).unwrap_or_default(),
         };
-        let now = self.shared.now();
         let mut board = self.shared.board();
-        let standing = board.quarantine.strike(&crash, now);
+        let (shared, attempt) = (&self.shared, &self.call.attempt);
+        strike(&mut board, shared, attempt, &crash, Source::Own);
         board.news.crash(crash);
-        drop(board);
-        log_request(
-            Event::CrashStrike,
-            &self.call.attempt,
-            format_args!("endpoint={} standing={standing:?}", entry.id),
-        );
     }
 
     /// The request ran to its end, so it is not what crashes endpoints.
@@ -435,10 +431,9 @@
         let Some(fingerprint) = self.fingerprint else {
             return;
         };
-        let now = self.shared.now();
         let mut board = self.shared.board();
-        if board.quarantine.state(fingerprint, now) != Standing::Clear {
-            board.quarantine.clear(fingerprint);
+        let (shared, attempt) = (&self.shared, &self.call.attempt);
+        if clear(&mut board, shared, attempt, fingerprint, Source::Own) {
             board.news.cleared(fingerprint);
         }
     }
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -241,6 +241,11 @@
         tokio::time::sleep(CLEAN).await;
         let now = shared.now();
         shared.upstream.expire(now);
-        shared.board().cache.expire(now);
+        let mut board = shared.board();
+        board.cache.expire(now);
+        let held = board.quarantine.held(now);
+        drop(board);
+        let held = i64::try_from(held).unwrap_or(i64::MAX);
+        shared.metrics.quarantined.set(held);
     }
 }
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -1,5 +1,6 @@
 //! Puts news of configuration and endpoints in force, read here or heard from other routers.
 
+use crate::crashes::{Source, clear, strike};
 use crate::feed::{ChangedRow, Feed, MAX_TOLD};
 use crate::follower::Known;
 use crate::load::Sender;
@@ -48,10 +49,10 @@
         board.health.suspect(&id, now);
     }
     for crash in tell.crashes {
-        board.quarantine.strike(&crash, now);
+        strike(&mut board, shared, "", &crash, Source::Router);
     }
     for fingerprint in tell.cleared {
-        board.quarantine.clear(fingerprint);
+        clear(&mut board, shared, "", fingerprint, Source::Router);
     }
 }
 
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -109,6 +109,14 @@
         }
     }
 
+    /// Crashes that count against the request now.
+    pub fn strikes(&self, fingerprint: Fingerprint, now: Duration) -> u32 {
+        let record = self.records.get(&fingerprint);
+        record
+            .filter(|record| record.expires > now)
+            .map_or(0, |record| record.strikes)
+    }
+
     /// When the request was last counted for a crash; `None` if it is clear.
     pub fn last_strike(&self, fingerprint: Fingerprint, now: Duration) -> Option<Duration> {
         let record = self.records.get(&fingerprint)?;
@@ -123,6 +131,12 @@
         }
     }
 
+    /// Number of fingerprints that are held back now.
+    pub fn held(&self, now: Duration) -> usize {
+        let held = |record: &&Record| record.expires > now && record.strikes >= self.strikes;
+        self.records.values().filter(held).count()
+    }
+
     /// Number of fingerprints in the table.
     pub fn len(&self) -> usize {
         self.records.len()
