Show requests that crash servers and are sent on, with servers that end and come back

A stand-in server ends under marked requests, with resets or in silence, and is back after some time under its id.

--- /dev/null
+++ b/tests/platform_crashes.rs
@@ -0,0 +1,131 @@
+//! Requests under which servers end, at routers that are processes of their own and end as well.
+
+#[path = "../platform/tests/support/mod.rs"]
+mod support;
+
+use std::time::{Duration, Instant};
+use support::Site;
+use support::client::post;
+use support::crashing::{MARKER, MOST_AFTER, STRIKES, ends, sent_after};
+use support::program::Program;
+use support::server::{Crash, Ending};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_sequoiaridge");
+const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
+/// Pause between two attempts of the caller.
+const AGAIN: Duration = Duration::from_millis(150);
+
+struct Fleet {
+    site: Site,
+    routers: Vec<Program>,
+    attempts: usize,
+}
+
+impl Fleet {
+    /// Routers before servers that end under marked requests, and are back after `back`.
+    async fn start(name: &str, routers: usize, back: Duration) -> Fleet {
+        let site = Site::start(6).await;
+        for server in &site.servers {
+            server.crashes(Crash {
+                marker: MARKER,
+                ending: Ending::Reset,
+                back,
+            });
+        }
+        let names = (1..=routers).map(|number| format!("{name}-r{number}"));
+        let start = |name: String| Program::start(PROGRAM, FOLDER, &name, site.store.address);
+        let routers: Vec<Program> = names.map(start).collect();
+        for router in &routers {
+            router.ready().await;
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        Fleet {
+            site,
+            routers,
+            attempts: 0,
+        }
+    }
+
+    /// Sends the request through one router.
+    async fn send(&mut self, router: usize) {
+        self.attempts += 1;
+        let callers = self.routers[router].callers;
+        post(callers, "/order/poison", &format!("x{}", self.attempts)).await;
+        tokio::time::sleep(AGAIN).await;
+    }
+
+    /// Sends the request through one router after the other until it is held back everywhere, and until the
+    /// time from which attempts count.
+    async fn until_held(&mut self) {
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_millis(4500) {
+            for router in 0..self.routers.len() {
+                self.send(router).await;
+            }
+        }
+        let ends = ends(&self.site.servers);
+        assert!(ends >= STRIKES, "{ends} servers ended");
+        assert_eq!(sent_after(&self.site.servers), 0, "held back at first");
+    }
+
+    fn assert_held_back(&self) {
+        let (ends, after) = (ends(&self.site.servers), sent_after(&self.site.servers));
+        assert!(
+            after <= MOST_AFTER,
+            "sent {after} times more; {ends} servers ended in all"
+        );
+    }
+}
+
+/// Guards against routers that start and know no request that the others hold back: in a planned roll,
+/// each of them would let it end three more servers.
+#[tokio::test(flavor = "multi_thread")]
+async fn routers_that_start_know_which_requests_are_held_back() {
+    let mut fleet = Fleet::start("roll", 3, Duration::from_millis(400)).await;
+    fleet.until_held().await;
+    for router in 0..3 {
+        fleet.routers[router].restart();
+        fleet.routers[router].ready().await;
+        for _ in 0..4 {
+            fleet.send(router).await;
+        }
+    }
+    fleet.assert_held_back();
+}
+
+/// Guards against a power cut of all routers, after which nobody knows the request, more than once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_power_cut_of_all_routers_forgets_no_held_request() {
+    let mut fleet = Fleet::start("dark", 3, Duration::from_millis(400)).await;
+    fleet.until_held().await;
+    for _ in 0..2 {
+        fleet.routers.iter_mut().for_each(Program::kill);
+        fleet.routers.iter_mut().for_each(Program::restart);
+        for router in &fleet.routers {
+            router.ready().await;
+        }
+        for turn in 0..12 {
+            fleet.send(turn % 3).await;
+        }
+    }
+    fleet.assert_held_back();
+}
+
+/// Guards against a router that was paused while the others saw the crashes, and against copies that wait
+/// in its socket.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_wakes_knows_which_requests_are_held_back() {
+    let mut fleet = Fleet::start("wake", 3, Duration::from_millis(400)).await;
+    fleet.routers[2].signal("STOP");
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(4500) {
+        fleet.send(0).await;
+        fleet.send(1).await;
+    }
+    fleet.routers[2].signal("CONT");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for _ in 0..6 {
+        fleet.send(2).await;
+    }
+    fleet.assert_held_back();
+}
