--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -179,7 +179,7 @@
                     Act::LateCopy(Late::Refusal),
                     Act::Reset,
                 ];
-                let act = acts.choose(&mut self.rng).expect("an act").clone();
+                let act = *acts.choose(&mut self.rng).expect("an act");
                 let what = format!("server {server}: {act:?} once");
                 self.servers[server].acts(&[act, Act::Own]);
                 what
