Record crashes of requests without a body, too

What callers saw: each server that ran a certain lookup ended, one after the other, on and on.

Cause: a request without a body had no fingerprint, because nothing seemed to tell it from others of its route. Class of fault: an exception to a rule that rests on an assumption about traffic.

Change: every request has a fingerprint of customer, method, path with query, and body. A path that many callers ask for is protected by its successes, as any other request.

--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -77,7 +77,7 @@
         return refuse(&shared, Some(&call), &refusal, started);
     };
     shared.board().repeats.request(&service, started);
-    let fingerprint = fingerprint(&call, customer.as_ref(), &body);
+    let fingerprint = fingerprint(&parts, customer.as_ref(), &body);
     let mut exchange = Box::new(Exchange {
         shared: shared.clone(),
         call,
@@ -160,12 +160,17 @@
     }
 }
 
-/// Identifies a request that comes again under another attempt id. A request without a body has
-/// nothing that could tell it from others of its route.
-fn fingerprint(call: &Call, customer: Option<&CustomerId>, body: &Bytes) -> Option<Fingerprint> {
+/// Identifies a request that comes again under another attempt id.
+fn fingerprint(head: &Parts, customer: Option<&CustomerId>, body: &Bytes) -> Fingerprint {
     let customer = customer.map_or("", String::as_str);
-    let parts = [customer.as_bytes(), call.path.as_bytes(), body];
-    (!body.is_empty()).then(|| hash_parts(&parts))
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let method = head.method.as_str();
+    hash_parts(&[
+        customer.as_bytes(),
+        method.as_bytes(),
+        path.as_bytes(),
+        body,
+    ])
 }
 
 /// Bytes that a body will take; one without a length counts as what such bodies usually have.
--- a/crates/edge/src/place.rs
+++ b/crates/edge/src/place.rs
@@ -32,9 +32,8 @@
     pub(crate) fn place(&self) -> Result<Placed, RefusalReason> {
         let now = self.shared.now();
         let mut board = self.shared.board();
-        if let Some(fingerprint) = self.fingerprint
-            && let Standing::Held { retry_after } = board.quarantine.state(fingerprint, now)
-        {
+        let fingerprint = self.fingerprint;
+        if let Standing::Held { retry_after } = board.quarantine.state(fingerprint, now) {
             let strikes = board.quarantine.strikes(fingerprint, now);
             log_request(
                 Event::CallHeld,
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -50,7 +50,7 @@
     pub(crate) tried: Vec<EndpointId>,
     /// Whether an endpoint may have run the request.
     pub(crate) may_have_run: bool,
-    pub(crate) fingerprint: Option<Fingerprint>,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) _held: HeldBytes,
     pub(crate) _in_flight: InFlight,
 }
@@ -225,7 +225,7 @@
                 choice.fetch,
                 self.route.name,
                 left.as_millis(),
-                self.fingerprint.unwrap_or(0)
+                self.fingerprint
             ),
         );
         self.sent += 1;
@@ -415,11 +415,8 @@
     pub(crate) fn broke(&self, entry: &EndpointEntry) {
         self.shared.upstream.forget(&entry.id);
         self.shared.board().health.answered(&entry.id, true);
-        let Some(fingerprint) = self.fingerprint else {
-            return;
-        };
         let crash = Crash {
-            fingerprint,
+            fingerprint: self.fingerprint,
             endpoint: entry.id.clone(),
             boot: entry.born.map(|born| born.to_string()).unwrap_or_default(),
             earlier: 0,
@@ -433,14 +430,18 @@
 
     /// The request succeeded, so it is not what crashes endpoints.
     pub(crate) fn succeeded(&self) {
-        let Some(fingerprint) = self.fingerprint else {
-            return;
-        };
         let (shared, attempt) = (&self.shared, &self.call.attempt);
         let mut board = shared.board();
         let age = Duration::ZERO;
-        if ran(&mut board, shared, attempt, fingerprint, age, Source::Own) {
-            board.news.ran(fingerprint, shared.now());
+        if ran(
+            &mut board,
+            shared,
+            attempt,
+            self.fingerprint,
+            age,
+            Source::Own,
+        ) {
+            board.news.ran(self.fingerprint, shared.now());
         }
     }
 
