Count a crash when an endpoint ended, however its end shows

What callers saw: a request that ended servers in silence was sent on and on; a request whose connections were reset three times was refused although no server had ended.

Cause: a broken connection was taken for an end, and nothing else was. A server that falls silent, a time limit or a caller that leaves in between recorded nothing, and several ends of a server counted as one when it was back under its id before the list told its new start. Class of fault: a symptom taken for the event.

Change: ends.rs keeps the runs that were lost at an endpoint until something shows whether it ended: it cannot be reached (one connection is tried for all runs that broke together), another request finds it silent and gone, or the list tells a new start. A crash is named by endpoint, boot id and the number of ends known when the request was sent, so that copies at one endpoint count once and later ends again.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod cache_map;
 mod call;
 mod crashes;
+mod ends;
 mod feed;
 mod follower;
 mod handover;
@@ -54,6 +55,7 @@
 
 pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
 pub use call::{AnswerHead, Attempt, AttemptId, Call, EndpointLoad, Part, PartId, Prompt};
+pub use ends::{Ends, Finding, Loss, Run};
 pub use feed::{ChangedRow, Feed, MAX_TOLD};
 pub use follower::{Follower, Known, Mark};
 pub use health::Health;
--- a/crates/edge/src/manifest.rs
+++ b/crates/edge/src/manifest.rs
@@ -166,6 +166,11 @@
 }
 
 impl EndpointEntry {
+    /// Boot id: tells this start from others under the same id, where the registry says it.
+    pub fn boot(&self) -> String {
+        self.born.map(|born| born.to_string()).unwrap_or_default()
+    }
+
     /// Whether the other entry says the same but for the time since the start.
     pub fn says_same(&self, other: &EndpointEntry) -> bool {
         let other = EndpointEntry {
--- a/crates/edge/src/opened.rs
+++ b/crates/edge/src/opened.rs
@@ -1,6 +1,8 @@
 //! An answer that an endpoint has begun, and the work that it counts for.
 
 use crate::call::AnswerHead;
+use crate::crashes::{lost, lost_with};
+use crate::ends::{Loss, Run};
 use crate::shared::Shared;
 use crate::upstream::Link;
 use bytes::Bytes;
@@ -39,7 +41,10 @@
 pub(crate) struct Ticket {
     pub(crate) shared: Arc<Shared>,
     pub(crate) endpoint: EndpointId,
+    pub(crate) address: SocketAddr,
     pub(crate) unread: u32,
+    /// Set while the request may run there. A run that is dropped was left by its caller.
+    pub(crate) run: Option<Run>,
 }
 
 impl Ticket {
@@ -50,10 +55,25 @@
             self.unread = 0;
         }
     }
+
+    /// Notes that the run ended without an answer.
+    pub(crate) fn lost(&mut self, loss: Loss) {
+        if let Some(run) = self.run.take() {
+            lost(&self.shared, &run, self.address, loss);
+        }
+    }
+
+    /// Notes that the run ended without an answer and that its endpoint cannot be reached.
+    pub(crate) fn gone(&mut self) {
+        if let Some(run) = self.run.take() {
+            lost_with(&self.shared, &run);
+        }
+    }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
+        self.lost(Loss::Left);
         self.shared.board().loads.end(&self.endpoint, self.unread);
     }
 }
--- a/crates/edge/src/place.rs
+++ b/crates/edge/src/place.rs
@@ -109,7 +109,9 @@
         let ticket = Ticket {
             shared: self.shared.clone(),
             endpoint: entry.id.clone(),
+            address: entry.address,
             unread,
+            run: None,
         };
         Ok(Placed {
             entry,
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,7 +1,8 @@
 //! One request: choice of endpoints, sending, repeats, and the answer's head.
 
 use crate::call::{AnswerHead, Attempt, Call};
-use crate::crashes::{Source, ran, strike};
+use crate::crashes::{Source, gone, ran};
+use crate::ends::Loss;
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName};
 use crate::opened::{AnswerBody, Arriving, Opened, Ticket};
 use crate::place::Placed;
@@ -16,7 +17,6 @@
     CustomerId, EndpointId, Event, Fingerprint, Refusal, RefusalReason, RetryReason, Verdict,
 };
 use sequoiaridge_log::log_request;
-use sequoiaridge_policy::Crash;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -184,7 +184,7 @@
     }
 
     /// Sends the request to one endpoint.
-    async fn attempt(&mut self, placed: Placed) -> Outcome {
+    async fn attempt(&mut self, mut placed: Placed) -> Outcome {
         let entry = &placed.entry;
         let choice = &placed.choice;
         let once = !self.route.kind.repeatable();
@@ -195,7 +195,7 @@
         let mut link = match link.await {
             Ok(link) => link,
             Err(_) => {
-                self.endpoint_failed(&entry.id);
+                self.gone(entry);
                 return Outcome::NotRun(RefusalReason::NoEndpoint, RetryReason::ConnectFailed);
             }
         };
@@ -229,6 +229,14 @@
             ),
         );
         self.sent += 1;
+        let run = shared.board().ends.begin(
+            &self.call.attempt,
+            self.fingerprint,
+            &entry.id,
+            &entry.boot(),
+        );
+        let ticket = &mut placed.ticket;
+        ticket.run = Some(run);
         let silent =
             Outcome::MayHaveRun(RefusalReason::EndpointSilent, RetryReason::EndpointSilent);
         let answer = while_reachable(entry.address, link.send(request));
@@ -236,22 +244,25 @@
         let response = match answer {
             Ok(Some(Ok(response))) => response,
             Ok(Some(Err(SendError::Broke))) => {
-                self.broke(entry);
+                self.broke(&entry.id);
+                ticket.lost(Loss::Broke);
                 return Outcome::MayHaveRun(
                     RefusalReason::EndpointBroke,
                     RetryReason::EndpointBroke,
                 );
             }
             Ok(Some(Err(SendError::Unsent | SendError::Connect))) => {
+                ticket.run = None;
                 self.sent -= 1;
                 return Outcome::NotRun(RefusalReason::NoEndpoint, RetryReason::ConnectFailed);
             }
             Ok(None) => {
-                self.endpoint_failed(&entry.id);
+                ticket.gone();
                 return silent;
             }
             Err(_) => {
-                // The endpoint can be reached and only takes too long.
+                // The endpoint could be reached a moment ago and only takes too long.
+                ticket.lost(Loss::Left);
                 shared.board().health.answered(&entry.id, true);
                 return silent;
             }
@@ -265,10 +276,12 @@
         entry: &EndpointEntry,
         response: Response<Incoming>,
         link: Link,
-        ticket: Ticket,
+        mut ticket: Ticket,
     ) -> Outcome {
         let (parts, body) = response.into_parts();
         let head = self.shared.dialect.answer(&parts);
+        self.shared.board().ends.reached(&entry.id);
+        let run = ticket.run.take();
         // An answer that does not say whose it is may be a late copy of another one.
         if head.attempt.as_deref() != Some(self.call.attempt.as_str()) {
             self.invalid(&entry.id, "the answer belongs to another request");
@@ -295,6 +308,7 @@
         }
         let large = body.size_hint().lower() > WHOLE_ANSWER as u64;
         let streams = large || self.route.kind.streams() && status.is_success();
+        ticket.run = run;
         let arriving = Arriving { body, link, ticket };
         let opened = |body| Opened {
             status,
@@ -316,7 +330,7 @@
                 Outcome::Answer(Box::new(opened(body)))
             }
             None => {
-                self.broke(entry);
+                self.broke(&entry.id);
                 Outcome::MayHaveRun(RefusalReason::EndpointBroke, RetryReason::EndpointBroke)
             }
         }
@@ -324,23 +338,24 @@
 
     /// Reads a body up to the bound on whole answers; `None` if it breaks off.
     async fn collect(&self, head: &AnswerHead, mut arriving: Arriving) -> Option<AnswerBody> {
-        let mut whole = BytesMut::new();
-        let read = async {
-            while let Some(frame) = arriving.body.frame().await {
-                let data = frame.ok()?.into_data().unwrap_or_default();
-                if whole.len() + data.len() > LONGEST_ANSWER {
-                    return None;
-                }
-                whole.extend_from_slice(&data);
+        let read = read_whole(&mut arriving.body);
+        let whole = match tokio::time::timeout(self.left(), read).await {
+            Ok(Ok(whole)) => whole,
+            Ok(Err(Cut::Broke)) => {
+                arriving.ticket.lost(Loss::Broke);
+                return None;
+            }
+            Ok(Err(Cut::TooLong)) | Err(_) => {
+                arriving.ticket.lost(Loss::Left);
+                return None;
             }
-            Some(())
         };
-        tokio::time::timeout(self.left(), read).await.ok()??;
+        arriving.ticket.run = None;
         if !head.close {
             let now = self.shared.now();
             self.shared.upstream.park(arriving.link, head.idle, now);
         }
-        Some(AnswerBody::Whole(whole.freeze()))
+        Some(AnswerBody::Whole(whole))
     }
 
     /// An endpoint that says it did not run the request.
@@ -358,7 +373,7 @@
         }
         if head.misdirected {
             self.sent -= 1;
-            self.endpoint_failed(&entry.id);
+            self.gone(entry);
             self.shared.upstream.forget(&entry.id);
         }
         Outcome::NotRun(RefusalReason::EndpointRefused, RetryReason::EndpointRefused)
@@ -394,38 +409,15 @@
         Some(request)
     }
 
-    fn endpoint_failed(&self, id: &str) {
-        let now = self.shared.now();
-        let mut board = self.shared.board();
-        let until = board.health.failed(id, now);
-        board.news.failed(id);
-        drop(board);
-        log_request(
-            Event::EndpointDown,
-            &self.call.attempt,
-            format_args!(
-                "endpoint={id} paused_ms={}",
-                until.saturating_sub(now).as_millis()
-            ),
-        );
+    /// An endpoint that cannot be reached: it is left out for a while.
+    fn gone(&self, entry: &EndpointEntry) {
+        gone(&self.shared, &self.call.attempt, &entry.id, &entry.boot());
     }
 
-    /// A connection broke during a run: the request may be what crashed the endpoint.
-    /// Whether it did crash shows when the next connection is refused.
-    pub(crate) fn broke(&self, entry: &EndpointEntry) {
-        self.shared.upstream.forget(&entry.id);
-        self.shared.board().health.answered(&entry.id, true);
-        let crash = Crash {
-            fingerprint: self.fingerprint,
-            endpoint: entry.id.clone(),
-            boot: entry.born.map(|born| born.to_string()).unwrap_or_default(),
-            earlier: 0,
-        };
-        let (shared, attempt) = (&self.shared, &self.call.attempt);
-        let mut board = shared.board();
-        let age = Duration::ZERO;
-        strike(&mut board, shared, attempt, &crash, age, Source::Own);
-        board.news.crash(crash, shared.now());
+    /// A connection to an endpoint broke during a run.
+    pub(crate) fn broke(&self, endpoint: &str) {
+        self.shared.upstream.forget(endpoint);
+        self.shared.board().health.answered(endpoint, true);
     }
 
     /// The request succeeded, so it is not what crashes endpoints.
@@ -454,6 +446,28 @@
     }
 }
 
+/// Why a body was not read to its end.
+enum Cut {
+    /// The endpoint broke off.
+    Broke,
+    /// The body is longer than the bound.
+    TooLong,
+}
+
+/// Reads a body up to the bound on whole answers.
+async fn read_whole(body: &mut Incoming) -> Result<Bytes, Cut> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Cut::Broke)?;
+        let data = frame.into_data().unwrap_or_default();
+        if whole.len() + data.len() > LONGEST_ANSWER {
+            return Err(Cut::TooLong);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
+
 /// The output of `answer`, or `None` once the endpoint is silent and cannot be reached.
 async fn while_reachable<T>(address: SocketAddr, answer: impl Future<Output = T>) -> Option<T> {
     let mut answer = pin!(answer);
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -243,6 +243,7 @@
         shared.upstream.expire(now);
         let mut board = shared.board();
         board.cache.expire(now);
+        board.ends.expire(now);
         let ended = board.quarantine.expire(now);
         let held = board.quarantine.held(now).len();
         drop(board);
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of one router share.
 
 use crate::cache_map::CacheMap;
+use crate::ends::Ends;
 use crate::feed::Feed;
 use crate::follower::{Follower, Mark};
 use crate::health::Health;
@@ -59,6 +60,7 @@
     pub(crate) news: News,
     pub(crate) repeats: RetryWindow,
     pub(crate) quarantine: Quarantine,
+    pub(crate) ends: Ends,
 }
 
 impl Board {
@@ -197,6 +199,7 @@
                 news: News::default(),
                 repeats,
                 quarantine: Quarantine::new(STRIKES, HOLD, FINGERPRINTS).trusting(TRUST),
+                ends: Ends::new(),
             }),
             draining: OnceLock::new(),
             informed: watch::Sender::new(false),
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -1,6 +1,7 @@
 //! Body of an answer to a caller.
 
 use crate::call::AnswerHead;
+use crate::ends::Loss;
 use crate::manifest::Kind;
 use crate::opened::{AnswerBody, Arriving, Opened};
 use crate::relay::Exchange;
@@ -40,6 +41,14 @@
     Ended,
 }
 
+/// How an endpoint ended an answer that is not whole.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Broke,
+    /// It is silent and cannot be reached.
+    Gone,
+}
+
 /// Notices an endpoint that falls silent and is gone.
 struct SilenceWatch {
     timer: Pin<Box<Sleep>>,
@@ -193,11 +202,12 @@
             return;
         };
         let now = exchange.shared.now();
-        if let Source::Arriving(arriving) = source
-            && !sender.close
-        {
-            let upstream = &exchange.shared.upstream;
-            upstream.park(arriving.link, sender.idle, now);
+        if let Source::Arriving(mut arriving) = source {
+            arriving.ticket.run = None;
+            if !sender.close {
+                let upstream = &exchange.shared.upstream;
+                upstream.park(arriving.link, sender.idle, now);
+            }
         }
         if self.success {
             exchange.succeeded();
@@ -233,25 +243,31 @@
         );
     }
 
+    /// Takes over that the endpoint broke off, or is silent and cannot be reached.
+    fn lost(&mut self, end: End) {
+        if let Source::Arriving(arriving) = &mut self.source {
+            match end {
+                End::Broke => arriving.ticket.lost(Loss::Broke),
+                End::Gone => arriving.ticket.gone(),
+            }
+        }
+    }
+
     /// Starts to resume the stream at another endpoint, if that is allowed.
-    fn resume(&mut self) -> bool {
+    fn resume(&mut self, end: End) -> bool {
+        self.lost(end);
         let (Some(exchange), Some(sender)) = (&mut self.exchange, &self.sender) else {
             return false;
         };
-        let entry = exchange
-            .shared
-            .board()
-            .roster
-            .get(&sender.endpoint)
-            .cloned();
-        if let Some(entry) = &entry {
-            exchange.broke(entry);
+        match end {
+            End::Broke => exchange.broke(&sender.endpoint),
+            End::Gone => exchange.shared.upstream.forget(&sender.endpoint),
         }
         if !may_resume(exchange.route.kind) {
             return false;
         }
         exchange.may_have_run = true;
-        exchange.tried.extend(entry.map(|entry| entry.id));
+        exchange.tried.push(sender.endpoint.clone());
         if !exchange.may_repeat() {
             return false;
         }
@@ -339,7 +355,7 @@
                         Poll::Ready(frame) => frame,
                         Poll::Pending => {
                             ready!(this.poll_gone(cx));
-                            if !this.resume() {
+                            if !this.resume(End::Gone) {
                                 this.break_off(BodyError::Broke);
                                 return Poll::Ready(Some(Err(BodyError::Broke)));
                             }
@@ -370,7 +386,7 @@
                             }
                         }
                         Some(Err(_)) => {
-                            if !this.resume() {
+                            if !this.resume(End::Broke) {
                                 this.break_off(BodyError::Broke);
                                 return Poll::Ready(Some(Err(BodyError::Broke)));
                             }
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -1,10 +1,10 @@
 //! Puts news of configuration and endpoints in force, read here or heard from other routers.
 
-use crate::crashes::{Source, ran, strike};
+use crate::crashes::{Source, ran, strike, strike_own};
 use crate::feed::{ChangedRow, Feed, MAX_TOLD};
 use crate::follower::Known;
 use crate::load::Sender;
-use crate::manifest::Manifest;
+use crate::manifest::{EndpointEntry, Manifest};
 use crate::registry::{Entry, Position, Row, Rows, Table};
 use crate::roster::Change;
 use crate::routes::RouteTable;
@@ -47,10 +47,15 @@
     }
     for id in tell.failed {
         board.health.suspect(&id, now);
+        let runs = board.ends.doubted(&id, now);
+        strike_own(&mut board, shared, &runs);
     }
     let waited = now.saturating_sub(at);
     for crash in tell.crashes {
         let age = crash.age() + waited;
+        if board.roster.get(&crash.what.endpoint).is_some() {
+            board.ends.hear(&crash.what);
+        }
         strike(&mut board, shared, "", &crash.what, age, Source::Router);
         // The others may not know that the same request succeeded here.
         let fingerprint = crash.what.fingerprint;
@@ -258,12 +263,19 @@
                 log(Event::EndpointJoined, &detail);
             }
             Change::Restarted(id) => {
+                let boot = board
+                    .roster
+                    .get(&id)
+                    .map_or_else(String::new, EndpointEntry::boot);
+                let runs = board.ends.restarted(&id, &boot, shared.now());
+                strike_own(board, shared, &runs);
                 forget(board, shared, &id);
                 log(Event::EndpointRestarted, &format!("endpoint={id}"));
             }
             Change::Leaving(id) => log(Event::EndpointLeaving, &format!("endpoint={id}")),
             Change::Gone(id) => {
                 forget(board, shared, &id);
+                board.ends.forget(&id);
                 log(Event::EndpointLeaving, &format!("endpoint={id} gone=true"));
             }
             Change::Lapsed(id) => log(Event::EndpointLapsed, &format!("endpoint={id}")),
