Let every router know which requests are held back, also one that starts

What callers saw: during a planned roll, or after a power cut of all routers, a request that was held back ended three more servers at each router that had started.

Cause: a crash was told three times when it happened, and never again. A router that started, or was cut off then, knew nothing of it, and a power cut of all routers forgot everything. Class of fault: state that is only told when it changes, and has no way to those who missed it.

Change: each message carries a digest of the requests with two crashes or more; a router that finds another digest tells its crashes again, at most ten messages a second. A crash that makes a request grave is told at once in large fleets.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -96,6 +96,12 @@
     NewsOld = 312, Warn, "news-old";
     /// News about a table are fresh again.
     NewsFresh = 313, Info, "news-fresh";
+    /// Requests that are held back were saved on the platform.
+    CrashesSaved = 314, Info, "crashes-saved";
+    /// Requests that are held back could not be saved.
+    CrashesNotSaved = 315, Warn, "crashes-not-saved";
+    /// Requests that are held back were taken over from the platform.
+    CrashesRestored = 316, Info, "crashes-restored";
     /// A call was refused or ended without its whole answer.
     CallRefused = 400, Info, "call-refused";
     /// A call was sent again.
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -1,14 +1,15 @@
 //! Requests that crash endpoints: what is recorded, told, cleared and logged of them.
 
 use crate::ends::{Finding, Loss, Run};
+use crate::registry::{Registry, Saved, Table};
 use crate::shared::{Board, Shared};
 use crate::upstream::is_reachable;
 use sequoiaridge_core::{Event, Fingerprint};
-use sequoiaridge_log::log_request;
-use sequoiaridge_policy::{Crash, Standing};
+use sequoiaridge_log::{log, log_request};
+use sequoiaridge_policy::{Aged, Crash, GRAVE, Standing};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, UNIX_EPOCH};
 
 /// Who saw what is recorded of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,6 +18,8 @@
     Own,
     /// Another router told it.
     Router,
+    /// It was saved in the registry.
+    Registry,
 }
 
 impl Source {
@@ -25,6 +28,7 @@
         match self {
             Source::Own => "own",
             Source::Router => "router",
+            Source::Registry => "registry",
         }
     }
 }
@@ -95,7 +99,8 @@
             Duration::ZERO,
             Source::Own,
         );
-        board.news.crash(run.crash.clone(), now);
+        let grave = board.quarantine.strikes(run.crash.fingerprint, now) >= GRAVE;
+        board.news.crash(run.crash.clone(), now, grave);
     }
 }
 
@@ -161,3 +166,80 @@
     );
     true
 }
+
+/// Crashes of the requests that are held back, with the wall time of each in ms since the epoch.
+type SavedCrashes = Vec<(Crash, u64)>;
+
+/// Crashes that are saved: with some 50 bytes each a row has room for them.
+const MAX_SAVED: usize = 900;
+/// Pause between checks whether what is saved is still what is held back, and after a save that failed.
+const SAVE_PERIOD: Duration = Duration::from_millis(500);
+const SAVE_RETRY: Duration = Duration::from_secs(2);
+
+/// Saves which requests are held back, at the router that reads for the fleet, whenever that changes:
+/// routers that start, or all of them after a power cut, go on to hold them back.
+pub(crate) async fn save_crashes(shared: Arc<Shared>, registry: Arc<dyn Registry>) {
+    let mut saved = shared.board().quarantine.held(shared.now());
+    loop {
+        tokio::time::sleep(SAVE_PERIOD).await;
+        let now = shared.now();
+        let (held, crashes) = {
+            let board = shared.board();
+            let held = board.quarantine.held(now);
+            if held == saved || !board.endpoints.leads() {
+                continue;
+            }
+            let crashes = held.iter().flat_map(|f| board.quarantine.crashes(*f, now));
+            (held.clone(), crashes.collect::<Vec<_>>())
+        };
+        let outcome = match encode(&shared, crashes) {
+            Ok(bytes) => registry.save(Saved::Crashes, bytes).await,
+            Err(error) => return log(Event::CrashesNotSaved, &error.to_string()),
+        };
+        shared
+            .metrics
+            .registry_call(Table::Routers, outcome.is_ok());
+        match outcome {
+            Ok(()) => {
+                log(Event::CrashesSaved, &format!("requests={}", held.len()));
+                saved = held;
+            }
+            Err(error) => {
+                log(Event::CrashesNotSaved, &error.to_string());
+                tokio::time::sleep(SAVE_RETRY).await;
+            }
+        }
+    }
+}
+
+fn encode(shared: &Shared, mut crashes: Vec<Aged<Crash>>) -> Result<Vec<u8>, postcard::Error> {
+    crashes.sort_by_key(|crash| crash.age);
+    let wall = wall_ms(shared);
+    let crashes = crashes.into_iter().take(MAX_SAVED);
+    let saved: SavedCrashes = crashes
+        .map(|crash| (crash.what, wall.saturating_sub(crash.age.into())))
+        .collect();
+    postcard::to_allocvec(&saved)
+}
+
+/// Takes over which requests are held back, as it was saved last.
+pub(crate) fn restore_crashes(shared: &Shared, bytes: &[u8]) {
+    let saved: SavedCrashes = match postcard::from_bytes(bytes) {
+        Ok(saved) => saved,
+        Err(error) => return log(Event::CrashesRestored, &format!("crashes=0 {error}")),
+    };
+    let wall = wall_ms(shared);
+    let mut board = shared.board();
+    for (crash, at) in &saved {
+        let age = Duration::from_millis(wall.saturating_sub(*at));
+        strike(&mut board, shared, "", crash, age, Source::Registry);
+    }
+    drop(board);
+    log(Event::CrashesRestored, &format!("crashes={}", saved.len()));
+}
+
+fn wall_ms(shared: &Shared) -> u64 {
+    let wall = shared.clock.wall().duration_since(UNIX_EPOCH);
+    let wall = wall.unwrap_or_default().as_millis();
+    u64::try_from(wall).unwrap_or(u64::MAX)
+}
--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -4,6 +4,7 @@
 //! with a slow link a second to read. So a router that starts into a running fleet takes both from
 //! another one, and a new version spreads from the first routers of each domain to the others.
 
+use crate::crashes::{Source, strike};
 use crate::feed::Feed;
 use crate::manifest::Manifest;
 use crate::registry::Position;
@@ -14,6 +15,7 @@
 use rand::seq::IteratorRandom;
 use sequoiaridge_core::{Event, Version};
 use sequoiaridge_log::log;
+use sequoiaridge_policy::{Aged, Crash};
 use sequoiaridge_wire::{Frame, FrameStream, LinkError, Links, LinksConfig, PeerKeys};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -39,6 +41,8 @@
 const FRESH_PART: f64 = 0.5;
 /// Snapshots that are sent at the same time: few more fill a link of 10 Mbit/s.
 const GIVEN: usize = 4;
+/// Crashes in a snapshot; with some 50 bytes each they add a tenth to a list of 600 endpoints.
+const MAX_CRASHES: usize = 120;
 /// Routers that are asked by one that starts with callers waiting.
 const START_TRIES: u32 = 2;
 /// Time in which another router of the fleet must open a connection, and in which it must answer.
@@ -68,6 +72,8 @@
 struct Snapshot {
     endpoints: Option<GivenList>,
     configuration: Option<GivenManifest>,
+    /// Crashes that all routers must know.
+    crashes: Vec<Aged<Crash>>,
 }
 
 /// Which parts of a snapshot are asked for.
@@ -151,6 +157,9 @@
             .as_ref()
             .map(|routes| routes.manifest().clone()),
     });
+    let grave = board.quarantine.grave(now);
+    let crashes = grave.iter().flat_map(|f| board.quarantine.crashes(*f, now));
+    let crashes = crashes.take(MAX_CRASHES).collect();
     drop(board);
     if endpoints.is_none() && configuration.is_none() {
         return None;
@@ -158,6 +167,7 @@
     let snapshot = Snapshot {
         endpoints,
         configuration,
+        crashes,
     };
     match postcard::to_allocvec(&snapshot) {
         Ok(snapshot) => Some(snapshot.into()),
@@ -293,6 +303,12 @@
         log(Event::ListReceived, &detail);
         take_list(shared, list.into_rows(), fresh(age));
     }
+    let mut board = shared.board();
+    for crash in &snapshot.crashes {
+        let (crash, age) = (&crash.what, crash.age());
+        strike(&mut board, shared, "", crash, age, Source::Router);
+    }
+    drop(board);
     if let Some(given) = snapshot.configuration {
         let manifest = given.manifest.map(Arc::new);
         let version = manifest.as_ref().map_or(0, |manifest| manifest.version);
--- a/crates/edge/src/join.rs
+++ b/crates/edge/src/join.rs
@@ -1,7 +1,8 @@
 //! How a router joins the fleet through the registry, and what the fleet keeps there.
 
+use crate::crashes::restore_crashes;
 use crate::manifest::RouterEntry;
-use crate::registry::{Entry, PeerKey, Registry, RegistryError, Row, Table};
+use crate::registry::{Entry, PeerKey, Registry, RegistryError, Row, Saved, Table};
 use crate::schedule::drawn;
 use crate::shared::{Contact, Shared};
 use rand::RngExt;
@@ -34,11 +35,20 @@
 pub(crate) struct Joined {
     pub(crate) key: PeerKey,
     pub(crate) routers: Vec<RouterEntry>,
-    pub(crate) cache: Option<Vec<u8>>,
+    pub(crate) saved: Vec<(Saved, Vec<u8>)>,
 }
 
-/// Takes over what endpoints have cached, as it was saved last.
-pub(crate) fn restore(shared: &Shared, cache: &[u8]) {
+/// Takes over what the fleet saved last.
+pub(crate) fn restore(shared: &Shared, saved: &[(Saved, Vec<u8>)]) {
+    for (saved, bytes) in saved {
+        match saved {
+            Saved::Cache => restore_cache(shared, bytes),
+            Saved::Crashes => restore_crashes(shared, bytes),
+        }
+    }
+}
+
+fn restore_cache(shared: &Shared, cache: &[u8]) {
     let now = shared.now();
     let restored = shared.board().cache.restore(cache, now);
     match restored {
@@ -105,7 +115,7 @@
                 continue;
             }
         };
-        let outcome = registry.save_cache(snapshot.clone()).await;
+        let outcome = registry.save(Saved::Cache, snapshot.clone()).await;
         let answered = outcome.is_ok();
         shared.metrics.registry_call(Table::Routers, answered);
         // A save that failed is made up for by the next one.
@@ -184,7 +194,7 @@
     own: &RouterEntry,
 ) -> Result<(Joined, bool), RegistryError> {
     let mut key = None;
-    let mut cache = None;
+    let mut saved = Vec::new();
     let mut listed = false;
     let mut routers = Vec::new();
     let rows = read_routers(registry).await;
@@ -192,7 +202,7 @@
     for row in rows? {
         match row.entry {
             Entry::PeerKey(found) => key = Some(found),
-            Entry::Cache(found) => cache = Some(found),
+            Entry::Saved(what, bytes) => saved.push((what, bytes)),
             Entry::Router(router) if router.id != own.id => routers.push(router),
             Entry::Router(row) => listed = row.address == own.address && row.domain == own.domain,
             Entry::Malformed(reason) => {
@@ -213,7 +223,7 @@
     let joined = Joined {
         key,
         routers,
-        cache,
+        saved,
     };
     Ok((joined, created || listed))
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod cache_map;
 mod call;
+mod crash_sync;
 mod crashes;
 mod ends;
 mod feed;
@@ -55,6 +56,7 @@
 
 pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
 pub use call::{AnswerHead, Attempt, AttemptId, Call, EndpointLoad, Part, PartId, Prompt};
+pub use crash_sync::CrashSync;
 pub use ends::{Ends, Finding, Loss, Run};
 pub use feed::{ChangedRow, Feed, MAX_TOLD};
 pub use follower::{Follower, Known, Mark};
@@ -69,7 +71,7 @@
 pub use placement::{Candidate, Choice, Placement, Subject};
 pub use registry::{
     CallError, Dialect, Entry, PeerKey, Position, Registry, RegistryError, RegistryFuture, Row,
-    Rows, Table,
+    Rows, Saved, Table,
 };
 pub use reports::{Reported, Reports, ToldReport};
 pub use retry_window::RetryWindow;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -2,6 +2,8 @@
 
 mod rounds;
 
+use crate::crash_sync::CrashSync;
+use crate::crashes::save_crashes;
 use crate::feed::Feed;
 use crate::handover;
 use crate::join::{Joined, join, restore, save, seek};
@@ -62,6 +64,7 @@
     observed_at: Duration,
     /// Whether the news were too old then.
     is_old: bool,
+    crash_sync: CrashSync,
 }
 
 /// Announces this router, finds the others and exchanges messages with them until the process ends.
@@ -77,11 +80,9 @@
     let Joined {
         key,
         routers,
-        cache,
+        saved,
     } = join(&shared, &registry).await;
-    if let Some(cache) = cache {
-        restore(&shared, &cache);
-    }
+    restore(&shared, &saved);
     let keys = PeerKeys::from_bytes(key, None);
     shared.keys.get_or_init(|| keys.clone());
     let mut links = Links {
@@ -95,12 +96,14 @@
         told: None,
         news_at: Duration::ZERO,
         is_old: false,
+        crash_sync: CrashSync::new(),
     };
     for router in routers {
         links.introduce(router.id, router.address, &router.domain);
     }
     shared.note_joined();
     tokio::spawn(save(shared.clone(), registry.clone()));
+    tokio::spawn(save_crashes(shared.clone(), registry.clone()));
     let (found, mut newly_found) = mpsc::unbounded_channel();
     tokio::spawn(seek(shared, registry, found));
     let mut period = tokio::time::interval(PERIOD);
@@ -197,7 +200,10 @@
             self.give(mark, address);
         }
         let relayed = tell.relay.then(|| tell.clone());
+        let digest = tell.crash_digest;
         sync::hear(&self.shared, &id, tell, at);
+        let own = self.shared.board().quarantine.digest();
+        self.crash_sync.hear(&id, digest, own);
         // With what it says in force, so that its age is that of the sender's news.
         if let Some(tell) = relayed {
             self.relay(&tell, now.saturating_sub(at));
--- a/crates/edge/src/peers/rounds.rs
+++ b/crates/edge/src/peers/rounds.rs
@@ -68,6 +68,7 @@
         self.ask(now);
         self.observe(now);
         self.tell_news(now);
+        self.tell_crashes(now);
         self.tell_unheard(now, life);
     }
 
@@ -162,6 +163,7 @@
         let mut board = self.shared.board();
         if board.contacts.len() > peers.len() {
             board.contacts.retain(|id, _| peers.contains_key(id));
+            self.crash_sync.keep(|id| peers.contains_key(id));
         }
         drop(board);
         let due = |peer: &Peer| {
@@ -192,7 +194,9 @@
 
     /// Sends what is new through the domains, when it is due in a large fleet.
     fn tell_news(&mut self, now: Duration) {
-        if !self.is_large() || now < self.news_at + paced(NEWS_PERIOD, self.peers.len()) {
+        let due = now >= self.news_at + paced(NEWS_PERIOD, self.peers.len());
+        let urgent = self.shared.board().news.is_urgent();
+        if !self.is_large() || !due && !urgent {
             return;
         }
         self.news_at = now;
@@ -203,6 +207,28 @@
         }
     }
 
+    /// Tells crashes again to a router that does not know them.
+    fn tell_crashes(&mut self, now: Duration) {
+        let Some(id) = self.crash_sync.due(now, &mut rand::rng()) else {
+            return;
+        };
+        let crashes = {
+            let board = self.shared.board();
+            self.crash_sync.page(&board.quarantine, now)
+        };
+        if crashes.is_empty() {
+            return;
+        }
+        let Some(address) = self.peers.get(&id).map(|peer| peer.address) else {
+            return;
+        };
+        let tell = Tell {
+            crashes,
+            ..self.base()
+        };
+        self.send_all(&tell, &[address]);
+    }
+
     /// Pause between rounds of messages.
     fn pace(&self) -> Duration {
         if self.is_large() {
@@ -357,6 +383,7 @@
             configuration: board.configuration.known(now),
             endpoints: board.endpoints.known(now),
             draining: self.shared.is_draining(),
+            crash_digest: board.quarantine.digest(),
             ..Tell::default()
         }
     }
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -43,6 +43,15 @@
     }
 }
 
+/// What a fleet saves for routers that start, or for all of them after a power cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Saved {
+    /// What endpoints have cached.
+    Cache,
+    /// Requests that are held back because they crashed endpoints.
+    Crashes,
+}
+
 /// Content of a row.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Entry {
@@ -54,8 +63,8 @@
     Router(RouterEntry),
     /// The key of the fleet.
     PeerKey(PeerKey),
-    /// What endpoints have cached, as a router saved it.
-    Cache(Vec<u8>),
+    /// What a router saved for those that start.
+    Saved(Saved, Vec<u8>),
     /// A row that cannot be read, with the reason. It stands for nothing.
     Malformed(String),
     /// The row was removed.
@@ -132,12 +141,12 @@
     /// another error the rows may have been written.
     fn announce(&self, router: RouterEntry, key: Option<PeerKey>) -> RegistryFuture<'_, ()>;
 
-    /// Saves what endpoints have cached, for routers that start. A later save replaces it.
+    /// Saves something for routers that start. A later save replaces it.
     ///
     /// # Errors
     ///
     /// The registry gave no usable answer; the row may have been written.
-    fn save_cache(&self, cache: Vec<u8>) -> RegistryFuture<'_, ()>;
+    fn save(&self, saved: Saved, bytes: Vec<u8>) -> RegistryFuture<'_, ()>;
 }
 
 /// A request that cannot be understood.
--- a/crates/edge/src/tell.rs
+++ b/crates/edge/src/tell.rs
@@ -53,6 +53,8 @@
     pub crashes: Vec<Aged<Crash>>,
     /// Requests that succeeded about the time of a crash.
     pub ran: Vec<Aged<Fingerprint>>,
+    /// Stands for the crashes that all routers must know, as far as the sender does.
+    pub crash_digest: u32,
     /// Endpoints that the sender could not reach.
     pub failed: Vec<EndpointId>,
     /// Load that endpoints told, the newest reports that the sender knows.
@@ -108,6 +110,8 @@
     /// With the time at which each happened.
     crashes: VecDeque<((Crash, Duration), u8)>,
     ran: VecDeque<((Fingerprint, Duration), u8)>,
+    /// Whether a crash waits that must not wait for the next message.
+    urgent: bool,
     failed: VecDeque<(EndpointId, u8)>,
 }
 
@@ -119,10 +123,21 @@
         trim(&mut self.prefixes);
     }
 
-    /// Adds a crash.
-    pub(crate) fn crash(&mut self, crash: Crash, at: Duration) {
-        self.crashes.push_back(((crash, at), REPEATS));
+    /// Adds a crash. A grave one goes before the others.
+    pub(crate) fn crash(&mut self, crash: Crash, at: Duration, grave: bool) {
+        let item = ((crash, at), REPEATS);
         trim(&mut self.crashes);
+        if grave {
+            self.urgent = true;
+            self.crashes.push_front(item);
+        } else {
+            self.crashes.push_back(item);
+        }
+    }
+
+    /// Whether something must be told at once.
+    pub(crate) fn is_urgent(&self) -> bool {
+        self.urgent
     }
 
     /// Adds a request that succeeded.
@@ -154,6 +169,7 @@
             room = left;
             tell.prefixes.push((key, id));
         }
+        self.urgent = false;
         tell.crashes = aged(take(&mut self.crashes, MAX_CRASHES), now);
         tell.ran = aged(take(&mut self.ran, MAX_CRASHES), now);
         tell.failed = take(&mut self.failed, MAX_FAILED);
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -15,7 +15,7 @@
 const ORIGIN: Duration = Duration::from_secs(48 * 3600);
 /// Crashes from which a request is worth telling again to routers that may not know it. One crash is
 /// mostly that of a request beside the one that caused it.
-const GRAVE: usize = 2;
+pub const GRAVE: usize = 2;
 
 /// A crash of an endpoint while a request ran there; told to all routers.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
