--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -17,6 +17,7 @@
     CustomerId, EndpointId, Event, Fingerprint, Refusal, RefusalReason, RetryReason, Verdict,
 };
 use sequoiaridge_log::log_request;
+use sequoiaridge_policy::Standing;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -176,13 +177,26 @@
         } else {
             Verdict::NotRun
         };
+        let retry_after = match reason {
+            RefusalReason::Quarantined => self.hold(),
+            _ => RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5)),
+        };
         Err(Refusal {
             reason,
             verdict,
-            retry_after: RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5)),
+            retry_after,
         })
     }
 
+    /// Time for which the request is still held back.
+    fn hold(&self) -> Duration {
+        let now = self.shared.now();
+        match self.shared.board().quarantine.state(self.fingerprint, now) {
+            Standing::Held { retry_after } => retry_after,
+            Standing::Suspect | Standing::Clear => Duration::ZERO,
+        }
+    }
+
     /// Sends the request to one endpoint.
     async fn attempt(&mut self, mut placed: Placed) -> Outcome {
         let entry = &placed.entry;
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -29,8 +29,9 @@
 
 /// Crashes after which a request is held back.
 const STRIKES: u32 = 3;
-/// Time for which it is held back.
-const HOLD: Duration = Duration::from_secs(60);
+/// Time for which it is held back after the last of them. The operators' bound on further attempts has no
+/// end, so that each hold that ends may cost them; a day is what callers go on for.
+const HOLD: Duration = Duration::from_secs(24 * 3600);
 /// Time for which a request that succeeded is not taken for what crashes endpoints.
 const TRUST: Duration = Duration::from_secs(60);
 /// Routers up to which everyone tells everyone everything ten times a second. Beyond, each message of
