--- a/crates/router/src/probes.rs
+++ b/crates/router/src/probes.rs
@@ -113,7 +113,8 @@
     if !answer.status.is_success() {
         return Err(false);
     }
-    let body = answer.whole(MAX_REPORT).await.map_err(|_| false)?;
+    let body = tokio::time::timeout(limit, answer.whole(MAX_REPORT)).await;
+    let body = body.map_err(|_| false)?.map_err(|_| false)?;
     shared
         .metrics
         .received(Traffic::Probe, body.len() + PROBE_OVERHEAD / 2);
