End answers whose head, refusal or event does not end

What callers saw: a refused request hung until its caller left; one server that sent provisional heads without an end stopped all other work of its router for seconds.

Cause: the body of a refusal was read without a bound. Any number of provisional heads may precede an answer, and the parser takes them all before other tasks have their turn. A resumable stream keeps the beginning of an event until it is whole. Class of fault: input without a bound.

Change: at most 1 MiB may come before the head of an answer is whole (bounded_io.rs), the body of a refusal is read for 16 KiB or 100 ms and its connection dropped otherwise, and an event has 1 MiB at most.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 //! assert!(repeats.take("orders", 4, now));
 //! ```
 
+mod bounded_io;
 mod cache_map;
 mod call;
 mod crash_sync;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -34,6 +34,10 @@
 /// Largest answer without a length.
 const LONGEST_ANSWER: usize = 4 << 20;
 
+/// Longest body of a refusal that is read so that its connection can be used again, and the time for it.
+const LONGEST_REFUSAL: usize = 16 * 1024;
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
 /// A request of a caller with everything that its repeats need.
 pub(crate) struct Exchange {
     pub(crate) shared: Arc<Shared>,
@@ -292,7 +296,7 @@
         link: Link,
         mut ticket: Ticket,
     ) -> Outcome {
-        let (parts, body) = response.into_parts();
+        let (parts, mut body) = response.into_parts();
         let head = self.shared.dialect.answer(&parts);
         self.shared.board().ends.reached(&entry.id);
         let run = ticket.run.take();
@@ -302,7 +306,7 @@
             return Outcome::MayHaveRun(RefusalReason::EndpointInvalid, RetryReason::EndpointBroke);
         }
         if head.not_run {
-            return self.refused(entry, &head, body, link).await;
+            return self.refused(entry, &head, &mut body, link).await;
         }
         let (status, headers) = (parts.status, parts.headers);
         if head.encoded || !head.sealed {
@@ -352,7 +356,7 @@
 
     /// Reads a body up to the bound on whole answers; `None` if it breaks off.
     async fn collect(&self, head: &AnswerHead, mut arriving: Arriving) -> Option<AnswerBody> {
-        let read = read_whole(&mut arriving.body);
+        let read = read_whole(&mut arriving.body, LONGEST_ANSWER);
         let whole = match tokio::time::timeout(self.left(), read).await {
             Ok(Ok(whole)) => whole,
             Ok(Err(Cut::Broke)) => {
@@ -377,12 +381,14 @@
         &mut self,
         entry: &EndpointEntry,
         head: &AnswerHead,
-        body: Incoming,
+        body: &mut Incoming,
         link: Link,
     ) -> Outcome {
-        let now = self.shared.now();
-        let drained = body.collect().await;
-        if drained.is_ok() && !head.close {
+        // The head has said all; the body only matters for the connection.
+        let rest = read_whole(body, LONGEST_REFUSAL);
+        let rest = tokio::time::timeout(REFUSAL_TIME, rest).await;
+        if matches!(rest, Ok(Ok(_))) && !head.close {
+            let now = self.shared.now();
             self.shared.upstream.park(link, head.idle, now);
         }
         if head.misdirected {
@@ -468,13 +474,13 @@
     TooLong,
 }
 
-/// Reads a body up to the bound on whole answers.
-async fn read_whole(body: &mut Incoming) -> Result<Bytes, Cut> {
+/// Reads a body of at most `limit` bytes.
+async fn read_whole(body: &mut Incoming, limit: usize) -> Result<Bytes, Cut> {
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Cut::Broke)?;
         let data = frame.into_data().unwrap_or_default();
-        if whole.len() + data.len() > LONGEST_ANSWER {
+        if whole.len() + data.len() > limit {
             return Err(Cut::TooLong);
         }
         whole.extend_from_slice(&data);
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -17,6 +17,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, Sleep};
 
+/// Longest event of a resumable stream, which is passed on when it is whole.
+const LONGEST_EVENT: usize = 1 << 20;
+
 /// Why an answer breaks off. The connection to the caller is closed, so that the answer does not look
 /// complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -380,6 +383,10 @@
                             };
                             arriving.ticket.prompt_read();
                             let data = this.pass_on(data);
+                            if this.partial.len() > LONGEST_EVENT {
+                                this.break_off(BodyError::Broke);
+                                return Poll::Ready(Some(Err(BodyError::Broke)));
+                            }
                             if !data.is_empty() {
                                 this.events += 1;
                                 return Poll::Ready(Some(Ok(Frame::data(data))));
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Connections to endpoints.
 
+use crate::bounded_io::{BoundedIo, ReadBudget};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -50,6 +51,7 @@
 pub(crate) struct Link {
     endpoint: EndpointId,
     sender: SendRequest<Full<Bytes>>,
+    budget: ReadBudget,
     /// Whether the connection carried a request before.
     pub(crate) used: bool,
 }
@@ -60,7 +62,9 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.budget.expect_head();
         let sent = self.sender.try_send_request(request).await;
+        self.budget.lift();
         sent.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::Unsent,
             None => SendError::Broke,
@@ -171,6 +175,7 @@
 async fn connect(endpoint: &EndpointId, address: SocketAddr) -> Result<Link, SendError> {
     let stream = open(address).await.ok_or(SendError::Connect)?;
     bound_silence(&stream).map_err(|_| SendError::Connect)?;
+    let (stream, budget) = BoundedIo::new(stream);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|_| SendError::Connect)?;
@@ -179,6 +184,7 @@
     Ok(Link {
         endpoint: endpoint.clone(),
         sender,
+        budget,
         used: false,
     })
 }
