Close connections whose callers do not read their answers in time

What callers saw: servers that were full of streams nobody read.

Cause: the time limit of a stream was only looked at when the connection asked for more of its body, which it does not do while its caller does not read. The server worked on, and a planned stop waited for the stream. Class of fault: a limit that is only checked on progress.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -124,6 +124,8 @@
     CallHeld = 412, Info, "call-held";
     /// A request is no longer held back, because it crashed nothing for long.
     QuarantineEnded = 413, Info, "quarantine-ended";
+    /// A connection was closed because its caller did not read an answer.
+    CallerStalled = 414, Info, "caller-stalled";
     /// The router that gives turns to a suspect could not be reached.
     ArbiterLost = 410, Warn, "arbiter-lost";
     /// A claim could not be resolved or released.
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Requests of callers, from the first byte to the head of the answer.
 
 use crate::call::Call;
+use crate::due::Due;
 use crate::manifest::{CallerLimits, Route};
 use crate::opened::Opened;
 use crate::relay::Exchange;
@@ -34,6 +35,7 @@
 pub(crate) async fn answer(
     shared: Arc<Shared>,
     request: Request<Incoming>,
+    due: Due,
 ) -> Response<StreamBody> {
     let started = shared.now();
     let in_flight = InFlight::new(&shared);
@@ -98,7 +100,7 @@
         _in_flight: in_flight,
     });
     match exchange.open().await {
-        Ok(opened) => pass_on(&shared, exchange, opened),
+        Ok(opened) => pass_on(&shared, exchange, opened, due),
         Err(refusal) => refuse(&shared, Some(&exchange.call), &refusal, started),
     }
 }
@@ -212,7 +214,12 @@
 }
 
 /// The endpoint's answer for the caller.
-fn pass_on(shared: &Shared, exchange: Box<Exchange>, mut opened: Opened) -> Response<StreamBody> {
+fn pass_on(
+    shared: &Shared,
+    exchange: Box<Exchange>,
+    mut opened: Opened,
+    due: Due,
+) -> Response<StreamBody> {
     let status = opened.status;
     let elapsed = shared.now().saturating_sub(exchange.started);
     shared.metrics.answered(status.as_u16(), elapsed);
@@ -236,7 +243,7 @@
     ] {
         headers.remove(name);
     }
-    let mut response = Response::new(StreamBody::new(exchange, opened));
+    let mut response = Response::new(StreamBody::new(exchange, opened, due));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     close_if_draining(shared, &mut response);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod call;
 mod crash_sync;
 mod crashes;
+mod due;
 mod ends;
 mod feed;
 mod follower;
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -1,5 +1,6 @@
 //! The process: listeners, readers of the registry, and the planned stop.
 
+use crate::due::Due;
 use crate::ingress;
 use crate::peers;
 use crate::reader;
@@ -181,9 +182,11 @@
         (limits.head, limits.idle.max(limits.arrival))
     });
     let closing = shared.closing();
+    let due = Due::default();
+    let answered = due.clone();
     let service = service_fn(move |request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(answer(shared, request, port).await) }
+        let (shared, due) = (shared.clone(), answered.clone());
+        async move { Ok::<_, Infallible>(answer(shared, request, port, due).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -192,29 +195,34 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let mut closing = closing;
-    // A connection that opens while idle ones are closed still gets an answer, with which it closes.
-    if *closing.borrow() {
+    let served = async {
+        // A connection that opens while idle ones are closed still gets an answer, with which it closes.
+        if !*closing.borrow() {
+            tokio::select! {
+                _ = connection.as_mut() => return,
+                _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
+            }
+        }
         let _ = connection.await;
-        return;
-    }
+    };
     tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
+        () = served => {}
+        () = due.overdue() => log(Event::CallerStalled, "its answer is overdue"),
     }
-    let _ = connection.await;
 }
 
 async fn answer(
     shared: Arc<Shared>,
     request: Request<Incoming>,
     port: Port,
+    due: Due,
 ) -> Response<StreamBody> {
     let path = request.uri().path();
     if path == shared.dialect.readiness_path() {
         return plain(readiness(&shared), Bytes::new());
     }
     match port {
-        Port::Callers => ingress::answer(shared, request).await,
+        Port::Callers => ingress::answer(shared, request, due).await,
         Port::Readiness if path == "/metrics" => {
             plain(StatusCode::OK, shared.metrics.encode().into())
         }
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -1,6 +1,7 @@
 //! Body of an answer to a caller.
 
 use crate::call::AnswerHead;
+use crate::due::Due;
 use crate::ends::Loss;
 use crate::manifest::Kind;
 use crate::opened::{AnswerBody, Arriving, Opened};
@@ -126,6 +127,9 @@
     /// Bytes of an event that is not whole yet.
     partial: BytesMut,
     limit: Option<Pin<Box<Sleep>>>,
+    /// Tells the caller's connection until when the body ends, since nobody asks for more of a body
+    /// whose caller does not read.
+    due: Due,
     /// Whether the endpoint says that the request succeeded.
     success: bool,
     events: u64,
@@ -140,18 +144,21 @@
             sender: None,
             partial: BytesMut::new(),
             limit: None,
+            due: Due::default(),
             success: false,
             events: 0,
         }
     }
 
     /// The body of an answer that an endpoint has begun.
-    pub(crate) fn new(exchange: Box<Exchange>, opened: Opened) -> StreamBody {
+    pub(crate) fn new(exchange: Box<Exchange>, opened: Opened, due: Due) -> StreamBody {
         let arriving = match opened.body {
             AnswerBody::Whole(body) => return StreamBody::whole(body),
             AnswerBody::Arriving(arriving) => arriving,
         };
-        let limit = Box::pin(tokio::time::sleep(exchange.left()));
+        let limit = Instant::now() + exchange.left();
+        due.set(Some(limit));
+        let limit = Box::pin(tokio::time::sleep_until(limit));
         let sender = Sender::new(opened.endpoint, opened.address, &opened.head);
         let success = opened.status.is_success();
         StreamBody {
@@ -160,6 +167,7 @@
             sender: Some(sender),
             partial: BytesMut::new(),
             limit: Some(limit),
+            due,
             success,
             events: 0,
         }
@@ -200,6 +208,7 @@
 
     /// Ends a body that is whole.
     fn finish(&mut self) {
+        self.due.set(None);
         let source = std::mem::replace(&mut self.source, Source::Ended);
         let (Some(exchange), Some(sender)) = (self.exchange.take(), &self.sender) else {
             return;
@@ -229,6 +238,7 @@
 
     /// Ends a body that is not whole.
     fn break_off(&mut self, error: BodyError) {
+        self.due.set(None);
         self.source = Source::Ended;
         let (Some(exchange), Some(sender)) = (self.exchange.take(), &self.sender) else {
             return;
--- a/tests/platform_endless.rs
+++ b/tests/platform_endless.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use std::time::{Duration, Instant};
-use support::client::post;
+use support::client::{Caller, post};
 use support::program::Program;
 use support::server::{Act, Endless};
 use support::{Site, eventually};
@@ -87,3 +87,34 @@
     let status = ends("rest", Endless::Rest, "/order/1").await;
     assert_eq!(status, Some(200));
 }
+
+/// Guards against a caller that leaves, or stays and does not read, while its server sends without an end:
+/// the server works on for nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_does_not_read_holds_no_server() {
+    let site = Site::start(1).await;
+    let router = Program::start(PROGRAM, FOLDER, "unread", site.store.address);
+    router.ready().await;
+    let server = &site.servers[0];
+    server.acts(&[Act::Endless(Endless::Chunks)]);
+    for (number, path) in ["/talk/1", "/chat/1"].into_iter().enumerate() {
+        let mut caller = Caller::connect(router.callers).await.expect("a connection");
+        let start = Instant::now();
+        caller.send(path, "x1", "", "a body").await.expect("sent");
+        eventually("the server is free", || async { server.left() > number }).await;
+        let elapsed = start.elapsed();
+        assert!(elapsed < DEADLINE + SLACK, "{path}: {elapsed:?}");
+    }
+    let mut caller = Caller::connect(router.callers).await.expect("a connection");
+    caller
+        .send("/talk/1", "x2", "", "a body")
+        .await
+        .expect("sent");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    drop(caller);
+    let start = Instant::now();
+    eventually("the server is free", || async { server.left() > 2 }).await;
+    assert!(start.elapsed() < Duration::from_millis(500));
+    let memory = router.peak_memory();
+    assert!(memory < MEMORY, "{} MB", memory >> 20);
+}
