Heed endpoints that say that they leave, or ask to be left alone

Two new rules of the users: an endpoint says in all its answers that it leaves, and one that turns a request away may want nothing from that router for some time.

Change: a leaving counts from the answer on, for the start of the endpoint that the request was sent to, whatever rows of the same start say, also while the store is away; it is told to the other routers and to those that start, and ends with another start. A rest is kept by each router for itself, at most 300 s, and never by mistake: values that are no time are counted and ignored. An endpoint that rests is no candidate, also for requests that wait for a connection to it; its load counts in the mean, so that the others do not tip over, and plain services take two turns for each slot meanwhile. When all rest, callers are refused at once with the time until the first may be asked again, spread over as much time again.

Weighed: telling rests to all routers.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -102,6 +102,10 @@
     CrashesNotSaved = 315, Warn, "crashes-not-saved";
     /// Requests that are held back were taken over from the platform.
     CrashesRestored = 316, Info, "crashes-restored";
+    /// An endpoint asked to be left alone for a while.
+    EndpointResting = 317, Info, "endpoint-resting";
+    /// The rest of an endpoint has ended.
+    EndpointRested = 318, Info, "endpoint-rested";
     /// A call was refused or ended without its whole answer.
     CallRefused = 400, Info, "call-refused";
     /// A call was sent again.
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -1,6 +1,7 @@
 //! A caller's request and the answer of an endpoint, free of any wire format.
 
 use crate::placement::Subject;
+use crate::rest::RestAsked;
 use sequoiaridge_core::{ModelName, hash_parts};
 use std::time::Duration;
 
@@ -90,6 +91,10 @@
     pub not_run: bool,
     /// Whether another endpoint has the address.
     pub misdirected: bool,
+    /// Whether the endpoint says that it leaves and wants no new requests.
+    pub leaving: bool,
+    /// For how long the endpoint, which turns the request away, wants nothing from this router.
+    pub rest: Option<RestAsked>,
     /// Load that the endpoint tells.
     pub load: Option<EndpointLoad>,
     /// Time for which the endpoint keeps the idle connection open.
--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -5,6 +5,7 @@
 //! another one, and a new version spreads from the first routers of each domain to the others.
 
 use crate::crashes::{Source, strike};
+use crate::departures::hear_departed;
 use crate::feed::Feed;
 use crate::manifest::Manifest;
 use crate::registry::Position;
@@ -13,7 +14,7 @@
 use crate::sync::{take_list, take_manifest};
 use bytes::Bytes;
 use rand::seq::IteratorRandom;
-use sequoiaridge_core::{Event, Version};
+use sequoiaridge_core::{EndpointId, Event, Version};
 use sequoiaridge_log::log;
 use sequoiaridge_policy::{Aged, Crash};
 use sequoiaridge_wire::{Frame, FrameStream, LinkError, Links, LinksConfig, PeerKeys};
@@ -74,6 +75,8 @@
     configuration: Option<GivenManifest>,
     /// Crashes that all routers must know.
     crashes: Vec<Aged<Crash>>,
+    /// Endpoints that said that they leave, with their boot ids.
+    departing: Vec<(EndpointId, String)>,
 }
 
 /// Which parts of a snapshot are asked for.
@@ -160,6 +163,7 @@
     let grave = board.quarantine.grave(now);
     let crashes = grave.iter().flat_map(|f| board.quarantine.crashes(*f, now));
     let crashes = crashes.take(MAX_CRASHES).collect();
+    let departing = board.roster.departing();
     drop(board);
     if endpoints.is_none() && configuration.is_none() {
         return None;
@@ -168,6 +172,7 @@
         endpoints,
         configuration,
         crashes,
+        departing,
     };
     match postcard::to_allocvec(&snapshot) {
         Ok(snapshot) => Some(snapshot.into()),
@@ -308,6 +313,9 @@
         let (crash, age) = (&crash.what, crash.age());
         strike(&mut board, shared, "", crash, age, Source::Router);
     }
+    for (id, boot) in &snapshot.departing {
+        hear_departed(&mut board, id, boot, Duration::ZERO);
+    }
     drop(board);
     if let Some(given) = snapshot.configuration {
         let manifest = given.manifest.map(Arc::new);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod call;
 mod crash_sync;
 mod crashes;
+mod departures;
 mod due;
 mod ends;
 mod feed;
@@ -43,6 +44,7 @@
 mod registry;
 mod relay;
 mod reports;
+mod rest;
 mod retry_window;
 mod roster;
 mod router;
@@ -76,6 +78,7 @@
     Rows, Saved, Table,
 };
 pub use reports::{Reported, Reports, ToldReport};
+pub use rest::{RestAsked, RestGranted, Rests};
 pub use retry_window::RetryWindow;
 pub use roster::{Change, Roster};
 pub use router::EdgeRouter;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -38,6 +38,29 @@
     status: u16,
 }
 
+/// Why an endpoint got no request that it might have got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Spared {
+    /// It said itself that it leaves, and is not listed so.
+    Leaving,
+    /// It asked for a rest.
+    Rest,
+}
+
+impl Spared {
+    fn as_str(self) -> &'static str {
+        match self {
+            Spared::Leaving => "leaving",
+            Spared::Rest => "rest",
+        }
+    }
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
 /// Counters, gauges and histograms.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -49,6 +72,9 @@
     strikes: Family<SourceLabel, Counter>,
     cleared: Family<SourceLabel, Counter>,
     pub(crate) quarantined: Gauge,
+    spared: Family<CauseLabel, Counter>,
+    pub(crate) resting: Gauge,
+    pub(crate) rests_ignored: Counter,
     pub(crate) repairs: Counter,
     pub(crate) news_age: Histogram,
     answer_time: Histogram,
@@ -75,6 +101,9 @@
             strikes: Family::default(),
             cleared: Family::default(),
             quarantined: Gauge::default(),
+            spared: Family::default(),
+            resting: Gauge::default(),
+            rests_ignored: Counter::default(),
             repairs: Counter::default(),
             news_age: Histogram::new(exponential_buckets(0.05, 2.0, 9)),
             answer_time: Histogram::new(exponential_buckets(0.001, 2.0, 15)),
@@ -139,6 +168,21 @@
             "Requests that are held back because they crashed several endpoints",
             self.quarantined.clone(),
         );
+        registry.register(
+            "spared",
+            "Requests for which an endpoint was left out that leaves or rests, by cause",
+            self.spared.clone(),
+        );
+        registry.register(
+            "resting",
+            "Endpoints that asked this router for a rest that has not ended",
+            self.resting.clone(),
+        );
+        registry.register(
+            "rests_ignored",
+            "Rests that endpoints asked for in vain: unreadable, or longer than the bound",
+            self.rests_ignored.clone(),
+        );
         registry.register(
             "repairs",
             "Gaps of other routers that this one filled",
@@ -219,6 +263,12 @@
         self.strikes.get_or_create(&SourceLabel { source }).inc();
     }
 
+    /// Counts a request for which an endpoint was left out.
+    pub(crate) fn spared(&self, cause: Spared) {
+        let cause = cause.as_str();
+        self.spared.get_or_create(&CauseLabel { cause }).inc();
+    }
+
     /// Counts a request with crashes that ran to its end.
     pub(crate) fn cleared(&self, source: Source) {
         let source = source.as_str();
@@ -244,6 +294,7 @@
     metrics.gaps(Table::Endpoints);
     metrics.struck(Source::Own);
     metrics.cleared(Source::Own);
+    metrics.spared(Spared::Rest);
     metrics.encode()
 }
 
--- a/crates/edge/src/place.rs
+++ b/crates/edge/src/place.rs
@@ -4,6 +4,7 @@
 use crate::call::Prompt;
 use crate::load::Work;
 use crate::manifest::EndpointEntry;
+use crate::metrics::Spared;
 use crate::opened::Ticket;
 use crate::placement::{Candidate, Choice, Placement, Subject};
 use crate::relay::Exchange;
@@ -54,15 +55,20 @@
                 continue;
             }
             let Work { requests, unread } = board.loads.at(&entry.id, now);
+            let leaving = board.roster.is_leaving(entry);
+            if leaving && !entry.leaving {
+                self.shared.metrics.spared(Spared::Leaving);
+            }
             candidates.push(Candidate {
                 id: &entry.id,
                 slots: entry.slots,
                 requests,
                 unread,
                 cached: cached.get(entry.id.as_str()).copied().unwrap_or(0),
-                leaving: entry.leaving,
+                leaving,
                 near: entry.domain == self.shared.settings.domain,
                 avoid: board.health.is_paused(&entry.id, now),
+                resting: board.rests.until(&entry.id, now).is_some(),
             });
             errors += board.health.errors(&entry.id);
         }
@@ -70,6 +76,9 @@
         for candidate in &mut candidates {
             candidate.avoid |= board.health.is_failing(candidate.id, errors);
         }
+        if candidates.iter().any(|c| c.resting && !c.leaving) {
+            self.shared.metrics.spared(Spared::Rest);
+        }
         if candidates.iter().all(|candidate| candidate.leaving) {
             return Err(RefusalReason::NoEndpoint);
         }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -23,6 +23,8 @@
     pub near: bool,
     /// Whether it is left out while another one can run the request.
     pub avoid: bool,
+    /// Whether it asked to be left alone for now.
+    pub resting: bool,
 }
 
 /// What prompts share, so that they are best read by one endpoint.
@@ -69,6 +71,9 @@
 /// Part of an endpoint's slots that may wait: requests last about a second, so the last one waits for a
 /// quarter of that, within the targets of all classes.
 const QUEUE_PART: u32 = 4;
+/// Requests for each slot that may wait at a plain service while another of its endpoints rests: what was
+/// sent to that one would fill the next ones, which would then ask for a rest, too.
+const TURNS_WAITING: u32 = 1;
 /// Part of the operators' multiple that is used; the rest covers counts that are a little old.
 const MULTIPLE_PART: f64 = 0.875;
 /// The operators' multiple unless it is set.
@@ -103,7 +108,7 @@
     /// that routers that do not know of each other's choices agree.
     pub fn for_prompt(&self, subject: &Subject, candidates: &[Candidate<'_>]) -> Option<Choice> {
         let usable = usable(candidates);
-        let mean = mean(&usable);
+        let mean = mean(&staying(candidates, &usable));
         let bound = mean * self.multiple + self.slack;
         let open = usable.iter().copied();
         let open: Vec<&Candidate<'_>> = open.filter(|c| is_open(c, bound)).collect();
@@ -180,7 +185,8 @@
         candidates: &[Candidate<'_>],
     ) -> Option<Choice> {
         let usable = usable(candidates);
-        let mean = mean(&usable);
+        let others_rest = candidates.iter().any(|candidate| candidate.resting);
+        let mean = mean(&staying(candidates, &usable));
         let cost = |candidate: &Candidate<'_>| {
             let turns = f64::from(candidate.requests) / f64::from(candidate.slots.max(1));
             let far = if candidate.near {
@@ -192,7 +198,8 @@
             (cost, rank(draw, candidate.id))
         };
         let best = usable.iter().min_by_key(|candidate| cost(candidate))?;
-        Some(choice(best, mean))
+        let full = best.requests >= best.slots.saturating_mul(1 + TURNS_WAITING);
+        (!others_rest || !full).then(|| choice(best, mean))
     }
 }
 
@@ -214,9 +221,9 @@
     (more && best.id != choice.id).then(|| (best.id.to_string(), best.cached))
 }
 
-/// The candidates that are not avoided, or all if every one is.
+/// The candidates that take requests and are not avoided, or all that take requests if every one is.
 fn usable<'a>(candidates: &'a [Candidate<'a>]) -> Vec<&'a Candidate<'a>> {
-    let open = candidates.iter().filter(|candidate| !candidate.leaving);
+    let open = candidates.iter().filter(|c| !c.leaving && !c.resting);
     let open: Vec<&Candidate<'_>> = open.collect();
     if open.iter().all(|candidate| candidate.avoid) {
         return open;
@@ -226,6 +233,16 @@
         .collect()
 }
 
+/// The candidates whose load the mean is taken of: the usable ones, and those that rest. Without the latter
+/// the bound would rise by each endpoint that rests, and the load of the others with it.
+fn staying<'a>(
+    candidates: &'a [Candidate<'a>],
+    usable: &[&'a Candidate<'a>],
+) -> Vec<&'a Candidate<'a>> {
+    let resting = candidates.iter().filter(|c| c.resting && !c.leaving);
+    usable.iter().copied().chain(resting).collect()
+}
+
 /// Of two endpoints that are drawn, the one with fewer requests.
 fn less_loaded_of_two<'a>(
     draw: u64,
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -2,6 +2,7 @@
 
 use crate::call::{AnswerHead, Attempt, Call};
 use crate::crashes::{Source, gone, ran};
+use crate::departures::{depart, rest};
 use crate::ends::Loss;
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName};
 use crate::opened::{AnswerBody, Arriving, Opened, Ticket};
@@ -92,6 +93,9 @@
             }
             let placed = match self.place() {
                 Ok(placed) => placed,
+                Err(RefusalReason::Quarantined) => {
+                    return self.give_up(fallback, RefusalReason::Quarantined);
+                }
                 Err(reason) => return self.give_up(fallback, last.unwrap_or(reason)),
             };
             let entry = placed.entry.clone();
@@ -183,7 +187,7 @@
         };
         let retry_after = match reason {
             RefusalReason::Quarantined => self.hold(),
-            _ => RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5)),
+            _ => self.come_back(),
         };
         Err(Refusal {
             reason,
@@ -192,6 +196,23 @@
         })
     }
 
+    /// Time after which a caller is to come back. Where every endpoint rests, that is when the first of
+    /// them may be asked again; callers that came during the rest are spread over as much time again.
+    fn come_back(&self) -> Duration {
+        let mut rng = rand::rng();
+        let now = self.shared.now();
+        let usual = RETRY_AFTER.mul_f64(rng.random_range(0.5..1.5));
+        let board = self.shared.board();
+        let open = board.roster.open(&self.service, now);
+        let rests = open.map(|entry| board.rests.until(&entry.id, now));
+        // `None`, for an endpoint that does not rest, is the least.
+        let Some(Some(first)) = rests.min() else {
+            return usual;
+        };
+        let rest = first.saturating_sub(now);
+        rest + usual.max(rest.mul_f64(rng.random_range(0.0..1.0)))
+    }
+
     /// Time for which the request is still held back.
     fn hold(&self) -> Duration {
         let now = self.shared.now();
@@ -228,6 +249,9 @@
             Some(request) => request,
             None => return Outcome::NotRun(RefusalReason::BadRequest, RetryReason::ConnectFailed),
         };
+        if self.is_withdrawn(entry) {
+            return Outcome::NotRun(RefusalReason::EndpointRefused, RetryReason::EndpointRefused);
+        }
         let subject = placed.subject;
         log_request(
             Event::CallPlaced,
@@ -288,6 +312,17 @@
         self.read_answer(entry, response, link, placed.ticket).await
     }
 
+    /// Whether an endpoint that was chosen may no longer get the request: it was heard since then that it
+    /// leaves or rests, or that the request is held back.
+    fn is_withdrawn(&self, entry: &EndpointEntry) -> bool {
+        let now = self.shared.now();
+        let board = self.shared.board();
+        let standing = board.quarantine.state(self.fingerprint, now);
+        board.roster.is_leaving(entry)
+            || board.rests.until(&entry.id, now).is_some()
+            || matches!(standing, Standing::Held { .. })
+    }
+
     /// Checks the head of an answer and, for plain services, waits for the whole body.
     async fn read_answer(
         &mut self,
@@ -300,6 +335,7 @@
         let head = self.shared.dialect.answer(&parts);
         self.shared.board().ends.reached(&entry.id);
         let run = ticket.run.take();
+        self.heed(entry, &head);
         // An answer that does not say whose it is may be a late copy of another one.
         if head.attempt.as_deref() != Some(self.call.attempt.as_str()) {
             self.invalid(&entry.id, "the answer belongs to another request");
@@ -429,6 +465,20 @@
         Some(request)
     }
 
+    /// Takes over that an endpoint leaves, or for how long it wants to be left alone.
+    fn heed(&self, entry: &EndpointEntry, head: &AnswerHead) {
+        if head.attempt.as_deref() != Some(self.call.attempt.as_str()) || head.misdirected {
+            return;
+        }
+        let (shared, attempt) = (&self.shared, &self.call.attempt);
+        if head.leaving {
+            depart(&mut shared.board(), shared, attempt, entry);
+        }
+        if let Some(asked) = head.rest {
+            rest(&mut shared.board(), shared, attempt, &entry.id, asked);
+        }
+    }
+
     /// An endpoint that cannot be reached: it is left out for a while.
     fn gone(&self, entry: &EndpointEntry) {
         gone(&self.shared, &self.call.attempt, &entry.id, &entry.boot());
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -15,6 +15,8 @@
 const LAPSE_PART: f64 = 0.75;
 /// Removed rows whose positions are remembered, so that a stale read does not bring them back.
 const TOMBSTONES: usize = 4096;
+/// Endpoints that said that they leave and are remembered, also after their rows are gone.
+const DEPARTING: usize = 4096;
 
 /// What a change of the registry means for an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,6 +50,8 @@
     listed: BTreeMap<EndpointId, Listed>,
     removed: BTreeMap<EndpointId, Position>,
     position: Position,
+    /// Boot ids of the starts that said themselves that they leave.
+    departing: BTreeMap<EndpointId, BTreeSet<String>>,
 }
 
 impl Default for Roster {
@@ -64,6 +68,7 @@
             listed: BTreeMap::new(),
             removed: BTreeMap::new(),
             position: 0,
+            departing: BTreeMap::new(),
         }
     }
 
@@ -182,7 +187,8 @@
         service: &'a str,
         now: Duration,
     ) -> impl Iterator<Item = &'a EndpointEntry> + 'a {
-        self.of(service, now).filter(|entry| !entry.leaving)
+        self.of(service, now)
+            .filter(|entry| !self.is_leaving(entry))
     }
 
     /// Endpoints of a service, also those that leave.
@@ -205,6 +211,33 @@
         self.listed.get(id).map(|listed| &listed.entry)
     }
 
+    /// Takes over that an endpoint said that it leaves, before the registry may list it so. It takes no new
+    /// requests from then on, until it is listed with another start. Returns whether that is new.
+    pub fn depart(&mut self, id: &str, boot: &str) -> bool {
+        if self.get(id).is_none_or(|entry| entry.boot() != boot) {
+            return false;
+        }
+        while self.departing.len() >= DEPARTING {
+            self.departing.pop_first();
+        }
+        let starts = self.departing.entry(id.to_string()).or_default();
+        starts.insert(boot.to_string())
+    }
+
+    /// Whether an endpoint takes no new requests, as the registry or the endpoint itself says.
+    pub fn is_leaving(&self, entry: &EndpointEntry) -> bool {
+        let said = || self.departing.get(&entry.id);
+        entry.leaving || said().is_some_and(|starts| starts.contains(&entry.boot()))
+    }
+
+    /// Endpoints that said themselves that they leave, with their boot ids.
+    pub fn departing(&self) -> Vec<(EndpointId, String)> {
+        let listed = self.listed.values().map(|listed| &listed.entry);
+        let said = listed.filter(|entry| self.departing.contains_key(&entry.id));
+        let said = said.filter(|entry| self.is_leaving(entry));
+        said.map(|entry| (entry.id.clone(), entry.boot())).collect()
+    }
+
     /// Number of endpoints.
     pub fn len(&self) -> usize {
         self.listed.len()
@@ -240,6 +273,7 @@
             lapsed: None,
         };
         let (born, leaving) = (listed.entry.born, listed.entry.leaving);
+        self.forget_departed(&listed.entry);
         let Some(before) = self.listed.insert(id.clone(), listed) else {
             return Some(Change::Joined(id));
         };
@@ -249,6 +283,20 @@
         (leaving && !before.entry.leaving).then_some(Change::Leaving(id))
     }
 
+    /// Forgets that other starts of an endpoint left. Without a boot id, a row that comes anew is another
+    /// start.
+    fn forget_departed(&mut self, entry: &EndpointEntry) {
+        let anew = !self.listed.contains_key(&entry.id);
+        let Some(starts) = self.departing.get_mut(&entry.id) else {
+            return;
+        };
+        let boot = entry.boot();
+        starts.retain(|start| *start == boot && !(anew && boot.is_empty()));
+        if starts.is_empty() {
+            self.departing.remove(&entry.id);
+        }
+    }
+
     fn remove(
         &mut self,
         id: EndpointId,
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -1,5 +1,6 @@
 //! The process: listeners, readers of the registry, and the planned stop.
 
+use crate::departures::end_rests;
 use crate::due::Due;
 use crate::ingress;
 use crate::peers;
@@ -252,6 +253,7 @@
         let mut board = shared.board();
         board.cache.expire(now);
         board.ends.expire(now);
+        end_rests(&mut board, &shared);
         let ended = board.quarantine.expire(now);
         let held = board.quarantine.held(now).len();
         drop(board);
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -9,6 +9,7 @@
 use crate::load::Loads;
 use crate::metrics::Metrics;
 use crate::registry::{Dialect, Position, Table};
+use crate::rest::Rests;
 use crate::retry_window::RetryWindow;
 use crate::roster::Roster;
 use crate::routes::RouteTable;
@@ -62,6 +63,7 @@
     pub(crate) repeats: RetryWindow,
     pub(crate) quarantine: Quarantine,
     pub(crate) ends: Ends,
+    pub(crate) rests: Rests,
 }
 
 impl Board {
@@ -201,6 +203,7 @@
                 repeats,
                 quarantine: Quarantine::new(STRIKES, HOLD, FINGERPRINTS).trusting(TRUST),
                 ends: Ends::new(),
+                rests: Rests::new(),
             }),
             draining: OnceLock::new(),
             informed: watch::Sender::new(false),
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -1,6 +1,7 @@
 //! Puts news of configuration and endpoints in force, read here or heard from other routers.
 
 use crate::crashes::{Source, ran, strike, strike_own};
+use crate::departures::hear_departed;
 use crate::feed::{ChangedRow, Feed, MAX_TOLD};
 use crate::follower::Known;
 use crate::load::Sender;
@@ -63,6 +64,11 @@
             board.news.ran(fingerprint, now.saturating_sub(age));
         }
     }
+    for departed in tell.departed {
+        let age = departed.age() + waited;
+        let (id, boot) = departed.what;
+        hear_departed(&mut board, &id, &boot, age);
+    }
     for run in tell.ran {
         let age = run.age() + waited;
         ran(&mut board, shared, "", run.what, age, Source::Router);
--- a/crates/edge/src/tell.rs
+++ b/crates/edge/src/tell.rs
@@ -53,6 +53,8 @@
     pub crashes: Vec<Aged<Crash>>,
     /// Requests that succeeded about the time of a crash.
     pub ran: Vec<Aged<Fingerprint>>,
+    /// Endpoints that said to the sender that they leave, with their boot ids.
+    pub departed: Vec<Aged<(EndpointId, String)>>,
     /// Stands for the crashes that all routers must know, as far as the sender does.
     pub crash_digest: u32,
     /// Endpoints that the sender could not reach.
@@ -87,6 +89,7 @@
         !(self.prefixes.is_empty()
             && self.crashes.is_empty()
             && self.ran.is_empty()
+            && self.departed.is_empty()
             && self.failed.is_empty())
     }
 
@@ -96,6 +99,7 @@
             prefixes: self.prefixes.clone(),
             crashes: older(&self.crashes, waited),
             ran: older(&self.ran, waited),
+            departed: older(&self.departed, waited),
             failed: self.failed.clone(),
             feed: self.feed.clone(),
             ..base
@@ -103,6 +107,9 @@
     }
 }
 
+/// An endpoint that left, with its boot id.
+type Departed = (EndpointId, String);
+
 /// What waits to be told.
 #[derive(Debug, Default)]
 pub(crate) struct News {
@@ -110,7 +117,8 @@
     /// With the time at which each happened.
     crashes: VecDeque<((Crash, Duration), u8)>,
     ran: VecDeque<((Fingerprint, Duration), u8)>,
-    /// Whether a crash waits that must not wait for the next message.
+    departed: VecDeque<((Departed, Duration), u8)>,
+    /// Whether something waits that must not wait for the next message.
     urgent: bool,
     failed: VecDeque<(EndpointId, u8)>,
 }
@@ -135,6 +143,14 @@
         }
     }
 
+    /// Adds an endpoint that said that it leaves.
+    pub(crate) fn departed(&mut self, id: &str, boot: &str, at: Duration) {
+        let departed = (id.to_string(), boot.to_string());
+        self.departed.push_back(((departed, at), REPEATS));
+        trim(&mut self.departed);
+        self.urgent = true;
+    }
+
     /// Whether something must be told at once.
     pub(crate) fn is_urgent(&self) -> bool {
         self.urgent
@@ -172,6 +188,7 @@
         self.urgent = false;
         tell.crashes = aged(take(&mut self.crashes, MAX_CRASHES), now);
         tell.ran = aged(take(&mut self.ran, MAX_CRASHES), now);
+        tell.departed = aged(take(&mut self.departed, MAX_FAILED), now);
         tell.failed = take(&mut self.failed, MAX_FAILED);
     }
 }
--- a/crates/edge/tests/load_model.rs
+++ b/crates/edge/tests/load_model.rs
@@ -215,6 +215,7 @@
                 leaving: false,
                 near: false,
                 avoid: false,
+                resting: false,
             })
             .collect();
         let mut placement = Placement::with_bound(2.0);
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -25,6 +25,7 @@
             leaving: false,
             near: index % 4 == 0,
             avoid: false,
+            resting: false,
         })
         .collect()
 }
@@ -185,3 +186,63 @@
         "{counts:?}"
     );
 }
+
+/// Pattern: a third of a service rests under load. Their share must not fill the others, which would then
+/// ask for a rest, too: what is beyond the bound of the whole service is refused.
+#[test]
+fn endpoints_that_rest_do_not_tip_the_others_over() {
+    let mut all = candidates(18);
+    for candidate in &mut all {
+        candidate.requests = 40;
+    }
+    for candidate in &mut all[..6] {
+        candidate.resting = true;
+        candidate.requests = 0;
+    }
+    // 40 of 48 slots at two thirds: a mean of 27, and a bound that is below their slots.
+    let mut sent = 0;
+    while let Some(choice) = Placement::default().for_prompt(&SUBJECT, &all) {
+        let chosen = all.iter_mut().find(|c| c.id == choice.id);
+        let chosen = chosen.expect("a candidate");
+        assert!(!chosen.resting);
+        chosen.requests += 1;
+        sent += 1;
+        assert!(chosen.requests <= 60, "more than slots and a quarter");
+        assert!(sent < 1_000);
+    }
+    let fullest = all.iter().map(|c| c.requests).max();
+    assert!(fullest <= Some(60));
+
+    let mut apps = candidates(4);
+    for app in &mut apps {
+        (app.slots, app.requests) = (6, 6);
+    }
+    apps[0].resting = true;
+    let work = Duration::from_millis(50);
+    let mut sent = 0;
+    while let Some(choice) = Placement::default().for_service(sent, work, &apps) {
+        let chosen = apps.iter_mut().find(|c| c.id == choice.id);
+        chosen.expect("a candidate").requests += 1;
+        sent += 1;
+        assert!(sent < 1_000);
+    }
+    // Each of the others has one turn in its slots and one that waits.
+    assert_eq!(sent, 3 * 6);
+    // Without a rest the service decides itself what it takes.
+    apps[0].resting = false;
+    assert!(Placement::default().for_service(0, work, &apps).is_some());
+}
+
+/// Guards against requests to an endpoint that asked for a rest because all others are avoided.
+#[test]
+fn an_endpoint_that_rests_is_no_last_resort() {
+    let mut all = candidates(3);
+    all[0].resting = true;
+    all[1].avoid = true;
+    all[2].leaving = true;
+    assert_eq!(placed(&all), "e1");
+    all[1].resting = true;
+    assert!(Placement::default().for_prompt(&SUBJECT, &all).is_none());
+    let work = Duration::from_millis(50);
+    assert!(Placement::default().for_service(0, work, &all).is_none());
+}
--- a/crates/edge/tests/roster.rs
+++ b/crates/edge/tests/roster.rs
@@ -162,3 +162,48 @@
     let removed = [row("e1", 6, Entry::Removed)];
     assert_eq!(roster.news(&removed).len(), 1);
 }
+
+/// Guards against requests to an endpoint that said itself that it leaves, while rows that were written
+/// before, or that come late, list it as ready.
+#[test]
+fn an_endpoint_that_departs_is_closed_until_its_next_start() {
+    let mut roster = roster();
+    assert!(roster.depart("e1", "1"));
+    assert!(!roster.depart("e1", "1"), "nothing new");
+    assert_eq!(open(&roster, NOW), 0);
+    let ready = |position: u64| row("e1", position, Entry::Endpoint(entry("e1", false)));
+    roster.apply(rows(6, vec![ready(6)]), false, NOW);
+    roster.replace(rows(7, vec![ready(7)]), false, NOW);
+    assert_eq!(open(&roster, NOW), 0);
+    // Its row vanishes around an outage and is back.
+    roster.apply(rows(8, vec![row("e1", 8, Entry::Removed)]), true, NOW);
+    roster.apply(rows(9, vec![ready(9)]), false, NOW);
+    assert_eq!(open(&roster, NOW), 0);
+    let mut next = entry("e1", false);
+    next.born = Some(2);
+    roster.apply(
+        rows(10, vec![row("e1", 10, Entry::Endpoint(next))]),
+        false,
+        NOW,
+    );
+    assert_eq!(open(&roster, NOW), 1);
+    assert!(!roster.depart("e1", "1"), "the word of the start before");
+    assert_eq!(open(&roster, NOW), 1);
+    assert!(roster.departing().is_empty());
+}
+
+/// Guards against an endpoint without a boot id that is lost for good because it left once.
+#[test]
+fn an_endpoint_without_a_boot_id_starts_with_a_new_row() {
+    let mut roster = Roster::new();
+    let mut unborn = entry("e1", false);
+    unborn.born = None;
+    let ready = |position: u64| row("e1", position, Entry::Endpoint(unborn.clone()));
+    roster.apply(rows(5, vec![ready(5)]), false, NOW);
+    assert!(roster.depart("e1", ""));
+    roster.apply(rows(6, vec![ready(6)]), false, NOW);
+    assert_eq!(open(&roster, NOW), 0);
+    roster.apply(rows(7, vec![row("e1", 7, Entry::Removed)]), false, NOW);
+    roster.apply(rows(8, vec![ready(8)]), false, NOW);
+    assert_eq!(open(&roster, NOW), 1);
+}
