Play servers that end, leave and rest in the soak, and check it by what each server saw of each router

The soak sends a request that ends servers, in resets or in silence, through all routers, and checks after a power cut of all that each request that ended three is held back. Servers say that they leave, ask for a rest, and start again; no router may send a server what it took later than 2 s after it passed on that the server leaves, nor more than two requests in a rest, unless it was restarted, paused or cut meanwhile.

--- a/tests/platform_crashes.rs
+++ b/tests/platform_crashes.rs
@@ -12,6 +12,8 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sequoiaridge");
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
+/// The request that ends servers.
+const TARGET: &str = "/order/poison";
 /// Pause between two attempts of the caller.
 const AGAIN: Duration = Duration::from_millis(150);
 
@@ -50,7 +52,7 @@
     async fn send(&mut self, router: usize) {
         self.attempts += 1;
         let callers = self.routers[router].callers;
-        post(callers, "/order/poison", &format!("x{}", self.attempts)).await;
+        post(callers, TARGET, &format!("x{}", self.attempts)).await;
         tokio::time::sleep(AGAIN).await;
     }
 
@@ -63,13 +65,18 @@
                 self.send(router).await;
             }
         }
-        let ends = ends(&self.site.servers);
+        let ends = ends(&self.site.servers, TARGET).len();
         assert!(ends >= STRIKES, "{ends} servers ended");
-        assert_eq!(sent_after(&self.site.servers), 0, "held back at first");
+        assert_eq!(
+            sent_after(&self.site.servers, TARGET),
+            0,
+            "held back at first"
+        );
     }
 
     fn assert_held_back(&self) {
-        let (ends, after) = (ends(&self.site.servers), sent_after(&self.site.servers));
+        let ends = ends(&self.site.servers, TARGET).len();
+        let after = sent_after(&self.site.servers, TARGET);
         assert!(
             after <= MOST_AFTER,
             "sent {after} times more; {ends} servers ended in all"
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,6 +9,8 @@
 //!
 //! From 25 routers on, messages go to some of them only, as in a large fleet.
 
+#[path = "soak/rules.rs"]
+mod rules;
 #[path = "../platform/tests/support/mod.rs"]
 mod support;
 
@@ -18,10 +20,11 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::client::{Answer, Caller, post};
+use support::client::{Answer, Caller, post, send};
+use support::crashing::{CONTACT, MARKER, MOST_AFTER, STRIKES, ends};
 use support::program::Program;
 use support::proxy::{Harm, Proxy};
-use support::server::{Act, Late, Server};
+use support::server::{Act, Crash, Ending, Late, Server};
 use support::store::{Mode, StoreStandIn};
 use support::{config, eventually, row_at};
 
@@ -51,8 +54,17 @@
     text.map_or(default, |text| text.parse().expect("a number"))
 }
 
+/// An attempt as its caller saw it.
+#[derive(Clone, Debug)]
+struct Asked {
+    router: usize,
+    sent: Instant,
+    answered: Option<Instant>,
+    answer: Option<Answer>,
+}
+
 /// What callers saw, by attempt.
-type Seen = Arc<Mutex<BTreeMap<String, Option<Answer>>>>;
+type Seen = Arc<Mutex<BTreeMap<String, Asked>>>;
 
 struct Soak {
     seed: u64,
@@ -65,6 +77,25 @@
     version: u64,
     /// Faults so far, in their order.
     trace: Vec<String>,
+    /// What was done to routers and to the ways to servers.
+    harms: Vec<Done>,
+    /// Number of the start that is listed for each server.
+    listed: Vec<u64>,
+}
+
+/// What a fault was done to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Harmed {
+    Router(usize),
+    Server(usize),
+}
+
+/// A fault, and whether it lasts until the next one there.
+#[derive(Clone, Copy, Debug)]
+struct Done {
+    what: Harmed,
+    at: Instant,
+    lasts: bool,
 }
 
 impl Soak {
@@ -103,12 +134,14 @@
             proxies,
             version: 1,
             trace: Vec::new(),
+            harms: Vec::new(),
+            listed: vec![1; size("SOAK_SERVERS", SERVERS)],
         }
     }
 
     /// One fault or the end of one, drawn from the seed. They overlap and come in series.
     fn step(&mut self) {
-        let kinds = 0..12u32;
+        let kinds = 0..15u32;
         let kind = self.rng.random_range(kinds);
         let router = self.rng.random_range(0..self.routers.len());
         let server = self.rng.random_range(0..self.servers.len());
@@ -122,6 +155,7 @@
         let harm = *harms.choose(&mut self.rng).expect("a harm");
         let what = match kind {
             0 | 1 => {
+                self.harm(Harmed::Server(server), harm != Harm::None);
                 self.proxies[server].set(harm);
                 format!("server {server}: {harm:?}")
             }
@@ -136,18 +170,22 @@
                 format!("store: {mode:?}")
             }
             4 => {
+                self.harm(Harmed::Router(router), false);
                 self.routers[router].restart();
                 format!("router {router}: killed and started")
             }
             5 => {
+                self.harm(Harmed::Router(router), false);
                 self.routers[router].signal("STOP");
                 format!("router {router}: paused")
             }
             6 => {
+                (0..self.routers.len()).for_each(|router| self.harm(Harmed::Router(router), false));
                 self.routers.iter().for_each(|router| router.signal("CONT"));
                 "routers: woken".to_string()
             }
             7 => {
+                self.harm(Harmed::Router(router), false);
                 self.routers[router].signal("TERM");
                 format!("router {router}: stopped")
             }
@@ -164,16 +202,26 @@
             10 => {
                 let states = ["draining", "ready"];
                 let state = *states.choose(&mut self.rng).expect("a state");
-                let row = row_at(self.proxies[server].address, state);
-                self.store.put("servers", &self.servers[server].id, &row);
+                self.list(server, state);
                 format!("server {server}: {state}")
             }
+            11 => {
+                self.servers[server].leaves(true);
+                format!("server {server}: says that it leaves")
+            }
+            12 => {
+                self.harm(Harmed::Server(server), false);
+                self.servers[server].leaves(false);
+                self.servers[server].restart(Duration::from_millis(400));
+                format!("server {server}: starts again")
+            }
             _ => {
                 let acts = [
                     Act::Own,
                     Act::Break,
                     Act::Half,
                     Act::Refuse(503),
+                    Act::Rest("1.5"),
                     Act::Twice,
                     Act::LateCopy(Late::Nameless),
                     Act::LateCopy(Late::Refusal),
@@ -186,11 +234,68 @@
             }
         };
         self.trace.push(what);
+        for router in 0..self.routers.len() {
+            if self.routers[router].ended().is_some() {
+                self.harm(Harmed::Router(router), false);
+                self.routers[router].restart();
+            }
+        }
+        for server in 0..self.servers.len() {
+            if self.servers[server].born() > self.listed[server] {
+                self.list(server, "ready");
+            }
+        }
+    }
+
+    fn harm(&mut self, what: Harmed, lasts: bool) {
+        let at = Instant::now();
+        self.harms.push(Done { what, at, lasts });
+    }
+
+    /// Lists a server with its newest start.
+    fn list(&mut self, server: usize, state: &str) {
+        let (listed, born) = (&mut self.listed[server], self.servers[server].born());
+        *listed = born.max(*listed);
+        let row = row_at(self.proxies[server].address, state);
+        let row = row.replace(r#""born":1"#, &format!(r#""born":{listed}"#));
+        self.store.put("servers", &self.servers[server].id, &row);
+    }
+
+    /// Ends what is done to the store and to paused routers, and waits until the fleet has told and saved
+    /// what it knows: what a power cut of all routers may not take away.
+    async fn settle(&mut self) {
+        self.store.set(Mode::Up);
+        self.store_proxies
+            .iter()
+            .for_each(|proxy| proxy.set(Harm::None));
         for router in &mut self.routers {
+            router.signal("CONT");
             if router.ended().is_some() {
                 router.restart();
             }
         }
+        tokio::time::sleep(CONTACT + Duration::from_secs(2)).await;
+    }
+
+    /// Checks that the requests that ended enough servers are held back by all routers together.
+    async fn check_held(&self) {
+        for kind in ["order", "chat"] {
+            let path = format!("/{kind}/{MARKER}");
+            let before = ends(&self.servers, &path).len();
+            if before < STRIKES {
+                continue;
+            }
+            for (index, router) in self.routers.iter().enumerate() {
+                let id = format!("held-{kind}-{index}");
+                send(router.callers, &path, &id, "body of the same").await;
+            }
+            let after = ends(&self.servers, &path).len() - before;
+            assert!(
+                after <= MOST_AFTER,
+                "seed {}: {path} sent {after} times more after {before} ends",
+                self.seed
+            );
+        }
     }
 
     /// Ends every fault.
@@ -200,10 +305,10 @@
             .iter()
             .chain(&self.store_proxies)
             .for_each(|proxy| proxy.set(Harm::None));
-        for (server, proxy) in self.servers.iter().zip(&self.proxies) {
-            server.acts(&[Act::Own]);
-            self.store
-                .put("servers", &server.id, &row_at(proxy.address, "ready"));
+        for server in 0..self.servers.len() {
+            self.servers[server].acts(&[Act::Own]);
+            self.servers[server].leaves(false);
+            self.list(server, "ready");
         }
         for router in &mut self.routers {
             router.signal("CONT");
@@ -236,14 +341,14 @@
     }
 
     /// Checks what callers saw against what servers ran.
-    fn check(&self, seen: &BTreeMap<String, Option<Answer>>) {
+    fn check(&self, seen: &BTreeMap<String, Asked>) {
         let mut runs: BTreeMap<String, u32> = BTreeMap::new();
         for request in self.servers.iter().flat_map(Server::requests) {
             *runs
                 .entry(request.header("attempt-id").to_string())
                 .or_default() += 1;
         }
-        for (id, answer) in seen {
+        for (id, Asked { answer, .. }) in seen {
             let ran = runs.get(id).copied().unwrap_or(0);
             let what = format!("seed {}, attempt {id}: {ran} runs, {answer:?}", self.seed);
             if id.contains("order") || id.contains("talk") {
@@ -294,22 +399,36 @@
 async fn call(soak: u64, caller: usize, routers: Vec<std::net::SocketAddr>, seen: Seen) {
     let mut rng = StdRng::seed_from_u64(soak * 1000 + caller as u64);
     let mut connection: Option<Caller> = None;
+    let mut router = 0;
     for number in 0.. {
         let kinds = ["read", "order", "chat", "talk"];
         let kind = *kinds.choose(&mut rng).expect("a kind");
         let id = format!("{kind}-{caller}-{number}");
         if connection.is_none() || rng.random_bool(0.1) {
-            let router = *routers.choose(&mut rng).expect("a router");
-            connection = Caller::connect(router).await;
+            router = rng.random_range(0..routers.len());
+            connection = Caller::connect(routers[router]).await;
         }
         let Some(open) = &mut connection else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        seen.lock().expect("seen").insert(id.clone(), None);
-        let path = format!("/{kind}/{number}");
+        let mut asked = Asked {
+            router,
+            sent: Instant::now(),
+            answered: None,
+            answer: None,
+        };
+        seen.lock().expect("seen").insert(id.clone(), asked.clone());
+        // One caller goes on with a request that ends servers.
+        let path = if caller == 0 && (kind == "order" || kind == "chat") {
+            format!("/{kind}/{MARKER}")
+        } else {
+            format!("/{kind}/{number}")
+        };
+        let body = if caller == 0 { "the same" } else { &id };
         let talked = async {
-            open.send(&path, &id, "", &format!("body of {id}")).await?;
+            open.send(&path, &id, "", &format!("body of {body}"))
+                .await?;
             open.answer().await
         };
         let answer = tokio::time::timeout(Duration::from_secs(4), talked).await;
@@ -320,16 +439,23 @@
         if !kept {
             connection = None;
         }
-        seen.lock().expect("seen").insert(id, answer);
+        asked.answered = answer.is_some().then(Instant::now);
+        asked.answer = answer;
+        seen.lock().expect("seen").insert(id, asked);
         tokio::time::sleep(Duration::from_millis(rng.random_range(5..40))).await;
     }
 }
 
 async fn play(seed: u64, length: Duration) {
     let mut soak = Soak::start(seed).await;
-    for server in &soak.servers {
+    for (index, server) in soak.servers.iter().enumerate() {
         server.acts(&[Act::Own]);
         server.talks(EVENTS);
+        server.crashes(Crash {
+            marker: MARKER,
+            ending: [Ending::Reset, Ending::Silent][index % 2],
+            back: Duration::from_millis(600),
+        });
     }
     let seen = Seen::default();
     let addresses: Vec<_> = soak.routers.iter().map(|router| router.callers).collect();
@@ -348,13 +474,18 @@
         seen.lock().expect("seen").len(),
         soak.trace.join("; ")
     );
+    let harms = soak.harms.clone();
+    soak.settle().await;
     soak.calm();
     soak.check_recovery().await;
+    soak.check_held().await;
     let seen = seen.lock().expect("seen").clone();
     soak.check(&seen);
+    rules::check_leaving(&soak.servers, &seen, &harms);
+    rules::check_rests(&soak.servers, &seen, &harms);
     let served = seen
         .values()
-        .flatten()
+        .filter_map(|asked| asked.answer.as_ref())
         .filter(|answer| answer.status == 200)
         .count();
     assert!(served > 0, "seed {seed}: nothing was served");
