--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -48,6 +48,8 @@
 /// like a later one.
 /// 602: a proxy of the test accepted connections for a server that had ended, so that no end showed.
 const REGRESSIONS: [u64; 3] = [305, 600, 602];
+/// Seeds that are played at the same time.
+const TOGETHER: usize = 2;
 /// Length of a run in CI in seconds.
 const CI_SECONDS: u64 = 8;
 
@@ -511,7 +513,12 @@
         }
         Err(_) => CI_SEEDS.chain(REGRESSIONS).collect::<Vec<u64>>(),
     };
-    for seed in seeds {
-        play(seed, length).await;
+    for together in seeds.chunks(TOGETHER) {
+        let plays = together
+            .iter()
+            .map(|seed| tokio::spawn(play(*seed, length)));
+        for play in plays.collect::<Vec<_>>() {
+            play.await.expect("no promise is broken");
+        }
     }
 }
