--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -33,11 +33,16 @@
 }
 
 impl Prompt {
+    /// The parts that other requests may share: all except the last one.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// The group of prompts that share all parts except the last one.
     pub fn subject(&self) -> Subject {
-        let shared = match self.parts.split_last() {
-            Some((_, shared)) if !shared.is_empty() => shared,
-            _ => &self.parts,
+        let shared = match self.shared_parts() {
+            [] => self.parts.as_slice(),
+            shared => shared,
         };
         let id = shared.last().map_or(0, |part| part.id);
         let tokens: u64 = shared.iter().map(|part| part.tokens).sum();
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,6 +1,6 @@
 //! One request of a caller: endpoint selection, attempts, retries, and the head of the answer.
 
-use crate::call::{AnswerHead, Attempt, Call};
+use crate::call::{AnswerHead, Attempt, Call, Prompt};
 use crate::crashes::{CrashSource, endpoint_unreachable, request_succeeded};
 use crate::endpoint_notices::{endpoint_leaving, endpoint_rest};
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName};
@@ -276,7 +276,7 @@
             Event::CallPlaced,
             &self.call.attempt,
             format_args!(
-                "endpoint={} requests={} mean={:.1} subject={:x} shared={} cached={} fetch={:?} route={} left_ms={} fingerprint={:016x}",
+                "endpoint={} requests={} mean={:.1} subject={:x} shared={} cached={} fetch={:?} route={} left_ms={} fingerprint={:016x} parts={}",
                 entry.id,
                 choice.requests,
                 choice.mean,
@@ -286,7 +286,8 @@
                 choice.fetch,
                 self.route.name,
                 time_left.as_millis(),
-                self.fingerprint
+                self.fingerprint,
+                shared_parts(&self.call)
             ),
         );
         self.sent += 1;
@@ -571,6 +572,15 @@
     }
 }
 
+/// The ids of the prompt's parts that other requests may share, for logs.
+fn shared_parts(call: &Call) -> String {
+    let parts = call.prompt.as_ref().map(Prompt::shared_parts);
+    let ids = parts.unwrap_or_default().iter();
+    ids.map(|part| format!("{:x}", part.id))
+        .collect::<Vec<_>>()
+        .join(",")
+}
+
 /// Why a body was not read to its end.
 enum ReadError {
     /// The connection broke.
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -301,10 +301,11 @@
             Event::CallRetried,
             &exchange.call.attempt,
             format_args!(
-                "reason={} from={} after_event={:?}",
+                "reason={} from={} after_event={:?} chunks={}",
                 RetryReason::StreamResumed.as_str(),
                 origin.endpoint,
-                exchange.call.resume
+                exchange.call.resume,
+                self.frames
             ),
         );
         self.source = Source::Resuming(Box::pin(async move {
