--- a/tests/platform_crashes.rs
+++ b/tests/platform_crashes.rs
@@ -34,6 +34,8 @@
         for server in &site.servers {
             server.crash_on(Crash {
                 marker: CRASH_MARKER,
+                delay: Duration::ZERO,
+                delay: Duration::ZERO,
                 mode: CrashMode::Reset,
                 downtime: back,
             });
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -490,6 +490,7 @@
         // accept connections, which no real instance does.
         server.crash_on(Crash {
             marker: CRASH_MARKER,
+            delay: Duration::ZERO,
             mode: CrashMode::Reset,
             downtime: Duration::from_millis(600),
         });
