--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -126,6 +126,8 @@
     CrashCleared = 411, Info, "crash-cleared";
     /// A call was not placed because its request had crashed endpoints.
     CallHeld = 412, Info, "call-held";
+    /// A request was sent although a part of its prompt is quarantined, to test that part.
+    QuarantineProbe = 415, Info, "quarantine-probe";
     /// The quarantine of a request ended after a time without another crash.
     QuarantineEnded = 413, Info, "quarantine-ended";
     /// A connection was closed because its caller did not read the response.
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -57,7 +57,7 @@
         NoEndpoint => "no-endpoint",
         /// the retry budget of the class and customer is used up
         RetryBudget => "retry-budget",
-        /// the request crashed several endpoints and is held back
+        /// the request, or a part of its prompt, crashed several endpoints and is held back
         Quarantined => "quarantined",
         /// the endpoint refused before running
         EndpointRefused => "endpoint-refused",
--- a/crates/edge/src/crash_sync.rs
+++ b/crates/edge/src/crash_sync.rs
@@ -5,8 +5,8 @@
 
 use rand::Rng;
 use rand::seq::IteratorRandom;
-use sequoiaridge_core::{Fingerprint, RouterId};
-use sequoiaridge_policy::{Aged, Backoff, Crash, Quarantine};
+use sequoiaridge_core::RouterId;
+use sequoiaridge_policy::{Aged, Backoff, Crash, Quarantine, Suspect};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -36,8 +36,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashSync {
     peers: BTreeMap<RouterId, PeerState>,
-    /// Last fingerprint that was sent.
-    cursor: Option<Fingerprint>,
+    /// Last suspect that was sent.
+    cursor: Option<Suspect>,
 }
 
 impl CrashSync {
@@ -76,18 +76,20 @@
     pub fn next_page(&mut self, quarantine: &Quarantine, now: Duration) -> Vec<Aged<Crash>> {
         let repeated = quarantine.sync_set(now);
         let cursor = self.cursor;
-        let after = |f: &&Fingerprint| cursor.is_none_or(|cursor| **f > cursor);
+        let after = |suspect: &&Suspect| cursor.is_none_or(|cursor| **suspect > cursor);
         let rest = repeated.iter().filter(after);
-        let first = repeated.iter().filter(|f| !after(f));
+        let first = repeated.iter().filter(|suspect| !after(suspect));
         let mut page = Vec::new();
         let mut free_bytes = PAGE_BYTES;
-        for fingerprint in rest.chain(first) {
-            let crashes = quarantine.crashes(*fingerprint, now);
-            let Some(left) = free_bytes.checked_sub(crashes.iter().map(encoded_bytes).sum()) else {
+        for suspect in rest.chain(first) {
+            let crashes = quarantine.crashes(*suspect, now);
+            let Some(left) =
+                free_bytes.checked_sub(crashes.iter().map(|c| encoded_bytes(&c.value)).sum())
+            else {
                 break;
             };
             free_bytes = left;
-            self.cursor = Some(*fingerprint);
+            self.cursor = Some(*suspect);
             page.extend(crashes);
         }
         page
@@ -99,6 +101,7 @@
     }
 }
 
-fn encoded_bytes(crash: &Aged<Crash>) -> usize {
-    crash.value.endpoint.len() + crash.value.boot.len() + CRASH_ENTRY_BYTES
+/// Most bytes that a crash takes in a message.
+pub(crate) fn encoded_bytes(crash: &Crash) -> usize {
+    crash.endpoint.len() + crash.boot.len() + CRASH_ENTRY_BYTES
 }
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -1,12 +1,13 @@
-//! Requests that crash endpoints: recording, sharing, clearing, saving and logging.
+//! Requests and parts of prompts that crash endpoints: recording, sharing, clearing, saving and
+//! logging.
 
 use crate::registry::{Registry, Saved, Table};
 use crate::shared::{RoutingState, Shared};
 use crate::terminations::{Loss, LossOutcome, Run};
 use crate::upstream::is_reachable;
-use sequoiaridge_core::{Event, Fingerprint};
+use sequoiaridge_core::Event;
 use sequoiaridge_log::{log, log_request};
-use sequoiaridge_policy::{Aged, Crash, QuarantineState, SYNC_MIN_CRASHES};
+use sequoiaridge_policy::{Aged, Crash, QuarantineState, SYNC_MIN_CRASHES, Suspect};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
@@ -41,8 +42,8 @@
         LossOutcome::Pending => {}
         LossOutcome::Probe => {
             drop(state);
-            let (shared, crash) = (shared.clone(), run.crash.clone());
-            tokio::spawn(async move { probe(&shared, &crash, address).await });
+            let (shared, run) = (shared.clone(), run.clone());
+            tokio::spawn(async move { probe(&shared, &run, address).await });
         }
     }
 }
@@ -59,18 +60,18 @@
         record_own_crashes(&mut state, shared, std::slice::from_ref(run));
     }
     drop(state);
-    endpoint_unreachable(shared, &run.attempt, &run.crash.endpoint, &run.crash.boot);
+    endpoint_unreachable(shared, &run.attempt, &run.endpoint, &run.boot);
 }
 
-/// Probes whether an endpoint terminated: one that only lost a connection can be reached.
-async fn probe(shared: &Shared, crash: &Crash, address: SocketAddr) {
+/// Probes whether the endpoint of a run terminated: one that only lost a connection can be reached.
+async fn probe(shared: &Shared, run: &Run, address: SocketAddr) {
     if is_reachable(address).await {
         shared
             .lock_state()
             .terminations
-            .record_reachable(&crash.endpoint);
+            .record_reachable(&run.endpoint);
     } else {
-        endpoint_unreachable(shared, "", &crash.endpoint, &crash.boot);
+        endpoint_unreachable(shared, "", &run.endpoint, &run.boot);
     }
 }
 
@@ -97,22 +98,27 @@
 /// Records that endpoints crashed under attempts of this router, and queues the crashes for the
 /// other routers.
 pub(crate) fn record_own_crashes(state: &mut RoutingState, shared: &Shared, runs: &[Run]) {
-    for run in runs {
-        let now = shared.now();
-        record_crash(
-            state,
-            shared,
-            &run.attempt,
-            &run.crash,
-            Duration::ZERO,
-            CrashSource::Own,
-        );
-        let repeated = state.quarantine.strikes(run.crash.fingerprint, now) >= SYNC_MIN_CRASHES;
-        state.outbox.add_crash(run.crash.clone(), now, repeated);
+    let now = shared.now();
+    for (run, crash) in runs
+        .iter()
+        .flat_map(|run| run.crashes().map(move |crash| (run, crash)))
+    {
+        let is_part = matches!(crash.suspect, Suspect::Part(_));
+        let is_trusted = state
+            .quarantine
+            .recent_success(crash.suspect, now)
+            .is_some();
+        if state.quarantine.contains(&crash) || is_part && is_trusted {
+            continue;
+        }
+        let (age, source) = (Duration::ZERO, CrashSource::Own);
+        record_crash(state, shared, &run.attempt, &crash, age, source);
+        let repeated = state.quarantine.strikes(crash.suspect, now) >= SYNC_MIN_CRASHES;
+        state.outbox.add_crash(crash, now, is_part || repeated);
     }
 }
 
-/// Records that a request crashed an endpoint the given time ago.
+/// Records that a suspect crashed an endpoint the given time ago.
 pub(crate) fn record_crash(
     state: &mut RoutingState,
     shared: &Shared,
@@ -122,17 +128,17 @@
     source: CrashSource,
 ) {
     let now = shared.now();
-    let fingerprint = crash.fingerprint;
-    let old_state = state.quarantine.state(fingerprint, now);
-    let old_strikes = state.quarantine.strikes(fingerprint, now);
+    let suspect = crash.suspect;
+    let old_state = state.quarantine.state(suspect, now);
+    let old_strikes = state.quarantine.strikes(suspect, now);
     let new_state = state.quarantine.strike_aged(crash, age, now);
-    let new_strikes = state.quarantine.strikes(fingerprint, now);
+    let new_strikes = state.quarantine.strikes(suspect, now);
     if new_strikes == old_strikes {
         return;
     }
     shared.metrics.crash_recorded(source);
     let detail = format!(
-        "fingerprint={fingerprint:016x} endpoint={} boot={} earlier={} source={} age_ms={} strikes={new_strikes}",
+        "suspect={suspect} endpoint={} boot={} earlier={} source={} age_ms={} strikes={new_strikes}",
         crash.endpoint,
         crash.boot,
         crash.earlier,
@@ -146,20 +152,20 @@
     }
 }
 
-/// Records that a request succeeded the given time ago, so it is not what crashed endpoints around
+/// Records that a suspect succeeded the given time ago, so it is not what crashed endpoints around
 /// that time. Returns whether crashes counted against it.
-pub(crate) fn request_succeeded(
+pub(crate) fn suspect_succeeded(
     state: &mut RoutingState,
     shared: &Shared,
     attempt: &str,
-    fingerprint: Fingerprint,
+    suspect: Suspect,
     age: Duration,
     source: CrashSource,
 ) -> bool {
     let now = shared.now();
-    let strikes = state.quarantine.strikes(fingerprint, now);
-    state.quarantine.record_success(fingerprint, age, now);
-    if state.quarantine.strikes(fingerprint, now) == strikes {
+    let strikes = state.quarantine.strikes(suspect, now);
+    state.quarantine.record_success(suspect, age, now);
+    if state.quarantine.strikes(suspect, now) >= strikes {
         return false;
     }
     shared.metrics.crashes_cleared(source);
@@ -167,7 +173,7 @@
         Event::CrashCleared,
         attempt,
         format_args!(
-            "fingerprint={fingerprint:016x} source={} age_ms={} strikes={strikes}",
+            "suspect={suspect} source={} age_ms={} strikes={strikes}",
             source.as_str(),
             age.as_millis()
         ),
@@ -175,18 +181,18 @@
     true
 }
 
-/// Crashes of the requests that are held back, with the wall time of each in ms since the epoch.
+/// Crashes of the suspects that are held, with the wall time of each in ms since the epoch.
 type SavedCrashes = Vec<(Crash, u64)>;
 
 /// Most crashes that are saved: with about 50 bytes each they fit in a row.
 const MAX_SAVED_CRASHES: usize = 900;
-/// Interval between checks whether the held requests differ from the saved ones.
+/// Interval between checks whether the held suspects differ from the saved ones.
 const SAVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay before the next check after a save that failed, in addition to the interval.
 const SAVE_RETRY_DELAY: Duration = Duration::from_secs(2);
 
-/// Saves which requests are held back, whenever that changes, at the router that reads for the
-/// fleet. Routers that start, or all of them after a power cut, then keep holding them back.
+/// Saves which suspects are held, whenever that changes, at the router that reads for the fleet.
+/// Routers that start, or all of them after a power cut, then keep holding them.
 pub(crate) async fn save_crashes(shared: Arc<Shared>, registry: Arc<dyn Registry>) {
     let mut saved = shared.lock_state().quarantine.held(shared.now());
     loop {
@@ -198,7 +204,7 @@
             if held == saved || !state.endpoints.is_reader() {
                 continue;
             }
-            let crashes = held.iter().flat_map(|f| state.quarantine.crashes(*f, now));
+            let crashes = held.keys().flat_map(|s| state.quarantine.crashes(*s, now));
             (held.clone(), crashes.collect::<Vec<_>>())
         };
         let outcome = match encode(&shared, crashes) {
@@ -210,7 +216,7 @@
             .registry_call(Table::Routers, outcome.is_ok());
         match outcome {
             Ok(()) => {
-                log(Event::CrashesSaved, &format!("requests={}", held.len()));
+                log(Event::CrashesSaved, &format!("suspects={}", held.len()));
                 saved = held;
             }
             Err(error) => {
@@ -231,7 +237,7 @@
     postcard::to_allocvec(&saved)
 }
 
-/// Restores which requests are held back from what was saved last.
+/// Restores which suspects are held from what was saved last.
 pub(crate) fn restore_crashes(shared: &Shared, bytes: &[u8]) {
     let saved: SavedCrashes = match postcard::from_bytes(bytes) {
         Ok(saved) => saved,
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,7 +1,7 @@
 //! One request of a caller: endpoint selection, attempts, retries, and the head of the answer.
 
 use crate::call::{AnswerHead, Attempt, Call, Prompt};
-use crate::crashes::{CrashSource, endpoint_unreachable, request_succeeded};
+use crate::crashes::{CrashSource, endpoint_unreachable, suspect_succeeded};
 use crate::endpoint_notices::{endpoint_leaving, endpoint_rest};
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName};
 use crate::selection::Placed;
@@ -18,7 +18,7 @@
     CustomerId, EndpointId, Event, Fingerprint, Refusal, RefusalReason, RetryReason, Verdict,
 };
 use sequoiaridge_log::log_request;
-use sequoiaridge_policy::QuarantineState;
+use sequoiaridge_policy::Suspect;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -60,6 +60,8 @@
     /// Whether an endpoint may have run the request.
     pub(crate) may_have_run: bool,
     pub(crate) fingerprint: Fingerprint,
+    /// What may crash endpoints: the request, and the parts of its prompt that others may share.
+    pub(crate) suspects: Vec<Suspect>,
     pub(crate) _reservation: BodyReservation,
     pub(crate) _in_flight: InFlight,
 }
@@ -122,7 +124,7 @@
                 Outcome::MayHaveRun(reason, retry) => {
                     self.log_failure(&entry.id, reason, Verdict::MayHaveRun);
                     self.may_have_run = true;
-                    if !self.route.kind.repeatable() {
+                    if !self.route.kind.repeatable() || self.is_suspected() {
                         return self.give_up(fallback, reason);
                     }
                     (reason, retry)
@@ -230,15 +232,9 @@
     /// Time for which the request remains quarantined.
     fn quarantine_left(&self) -> Duration {
         let now = self.shared.now();
-        match self
-            .shared
-            .lock_state()
-            .quarantine
-            .state(self.fingerprint, now)
-        {
-            QuarantineState::Held { retry_after } => retry_after,
-            QuarantineState::Suspect | QuarantineState::Clear => Duration::ZERO,
-        }
+        let state = self.shared.lock_state();
+        let block = state.quarantine.block(&self.suspects, now);
+        block.map_or(Duration::ZERO, |block| block.retry_after)
     }
 
     /// Sends the request to one endpoint.
@@ -293,7 +289,7 @@
         self.sent += 1;
         let run = shared.lock_state().terminations.begin(
             &self.call.attempt,
-            self.fingerprint,
+            &self.suspects,
             &entry.id,
             &entry.boot(),
         );
@@ -338,10 +334,10 @@
     fn is_withdrawn(&self, entry: &EndpointEntry) -> bool {
         let now = self.shared.now();
         let state = self.shared.lock_state();
-        let quarantine = state.quarantine.state(self.fingerprint, now);
+        let block = state.quarantine.block(&self.suspects, now);
         state.roster.is_leaving(entry)
             || state.rests.until(&entry.id, now).is_some()
-            || matches!(quarantine, QuarantineState::Held { .. })
+            || block.is_some_and(|block| !state.probes.is_probe(&block, &self.call.attempt))
     }
 
     /// Validates the head of an answer and reads the whole body, unless the answer is a stream or
@@ -546,23 +542,37 @@
             .record_answer(endpoint, true);
     }
 
-    /// Reports that the request succeeded, which clears the crashes that were attributed to it.
+    /// Reports that the request succeeded, which clears the crashes that were attributed to it and
+    /// to the parts of its prompt.
     pub(crate) fn report_success(&self) {
+        self.report_suspects(|_| true);
+    }
+
+    /// Reports that the answer went on after its beginning, which clears the parts of the prompt.
+    pub(crate) fn report_progress(&self) {
+        self.report_suspects(|suspect| matches!(suspect, Suspect::Part(_)));
+    }
+
+    fn report_suspects(&self, succeeded: impl Fn(&Suspect) -> bool) {
         let (shared, attempt) = (&self.shared, &self.call.attempt);
         let mut state = shared.lock_state();
-        let age = Duration::ZERO;
-        if request_succeeded(
-            &mut state,
-            shared,
-            attempt,
-            self.fingerprint,
-            age,
-            CrashSource::Own,
-        ) {
-            state.outbox.add_succeeded(self.fingerprint, shared.now());
+        let (age, source) = (Duration::ZERO, CrashSource::Own);
+        for suspect in self.suspects.iter().copied().filter(succeeded) {
+            let is_cleared = suspect_succeeded(&mut state, shared, attempt, suspect, age, source);
+            // Successes of parts are in each round.
+            if is_cleared && matches!(suspect, Suspect::Request(_)) {
+                state.outbox.add_succeeded(suspect, shared.now());
+            }
         }
     }
 
+    /// Whether a part of the prompt is suspected of the crash that probably ended the last attempt.
+    pub(crate) fn is_suspected(&self) -> bool {
+        let now = self.shared.now();
+        let state = self.shared.lock_state();
+        state.quarantine.suspects_part(&self.suspects, now)
+    }
+
     fn log_invalid(&self, id: &str, what: &str) {
         log_request(
             Event::EndpointInvalid,
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -1,7 +1,7 @@
 //! Requests from callers, up to the head of the answer: admission, body, and refusals.
 
 use crate::answer_deadline::AnswerDeadline;
-use crate::call::Call;
+use crate::call::{Call, Prompt};
 use crate::exchange::Exchange;
 use crate::manifest::{CallerLimits, Route};
 use crate::routes::RouteTable;
@@ -17,6 +17,8 @@
     CustomerId, Event, Fingerprint, Refusal, RefusalReason, Verdict, hash_parts,
 };
 use sequoiaridge_log::log_request;
+use sequoiaridge_policy::Suspect;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,6 +30,8 @@
 /// Longest time for which a request waits for the first configuration after a router's start. The registry
 /// answers within milliseconds.
 const MAX_START_WAIT: Duration = Duration::from_millis(250);
+/// Largest number of parts of a prompt, counted from its end, that are suspected of a crash.
+const MAX_SUSPECT_PARTS: usize = 64;
 /// `Retry-After` of refusals after which the caller should try another router.
 const OTHER_ROUTER_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -83,6 +87,7 @@
         .retries
         .record_request(&service, started);
     let fingerprint = fingerprint(&parts, customer.as_ref(), &body);
+    let suspects = suspects(fingerprint, &call);
     let mut exchange = Box::new(Exchange {
         shared: shared.clone(),
         call,
@@ -99,6 +104,7 @@
         tried: Vec::new(),
         may_have_run: false,
         fingerprint,
+        suspects,
         _reservation: reservation,
         _in_flight: in_flight,
     });
@@ -185,6 +191,18 @@
     ])
 }
 
+/// What may crash the endpoints that run a request: itself, and the parts of its prompt that others
+/// may share. The last part is the request's own.
+fn suspects(fingerprint: Fingerprint, call: &Call) -> Vec<Suspect> {
+    let parts = call.prompt.as_ref().map(Prompt::shared_parts);
+    let parts = parts.unwrap_or_default().iter().rev();
+    let parts = parts.map(|part| Suspect::Part(part.id));
+    let parts: BTreeSet<Suspect> = parts.take(MAX_SUSPECT_PARTS).collect();
+    std::iter::once(Suspect::Request(fingerprint))
+        .chain(parts)
+        .collect()
+}
+
 /// Estimated size of a body in bytes; one without a known length counts as the usual size of such bodies.
 fn body_bytes(parts: &Parts, body: &Incoming) -> usize {
     const ASSUMED_BYTES: u64 = 64 * 1024;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -40,6 +40,7 @@
 mod peer_message;
 mod peers;
 mod placement;
+mod quarantine_probe;
 mod reader;
 mod registry;
 mod relays;
@@ -75,6 +76,7 @@
 pub use metrics::example_metrics;
 pub use peer_message::PeerMessage;
 pub use placement::{Candidate, Choice, Placement, Subject};
+pub use quarantine_probe::{QuarantineProbes, is_designated};
 pub use registry::{
     CallError, Dialect, Entry, PeerKey, Position, Registry, RegistryError, RegistryFuture, Row,
     Rows, Saved, Table,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -155,17 +155,17 @@
         );
         registry.register(
             "crash_strikes",
-            "Crashes recorded for a request, by who saw them",
+            "Crashes recorded for a request or a part, by who saw them",
             self.strikes.clone(),
         );
         registry.register(
             "crash_cleared",
-            "Requests with crashes that ran to their end, by who saw that",
+            "Requests and parts with crashes that succeeded, by who saw that",
             self.cleared.clone(),
         );
         registry.register(
             "quarantined",
-            "Requests that are held back because they crashed several endpoints",
+            "Requests and parts that are held because they crashed several endpoints",
             self.quarantined.clone(),
         );
         registry.register(
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -1,13 +1,14 @@
 //! Messages between routers, and the queue of events that later messages carry.
 
 use crate::cache_map::PrefixKey;
+use crate::crash_sync::encoded_bytes;
 use crate::feed::Feed;
 use crate::follower::{Revision, TableDigest};
 use crate::hot_subjects::HotSubject;
 use crate::load::Work;
 use crate::load_reports::ReportEntry;
-use sequoiaridge_core::{DomainId, EndpointId, Fingerprint, RouterId};
-use sequoiaridge_policy::{Aged, Crash};
+use sequoiaridge_core::{DomainId, EndpointId, RouterId};
+use sequoiaridge_policy::{Aged, Crash, Suspect};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -20,9 +21,14 @@
 /// Most bytes of an entry of each kind, without the endpoint's id.
 const WORK_ENTRY_BYTES: usize = 11;
 const PREFIX_ENTRY_BYTES: usize = 11;
-/// Limits per message: crashes (and successes), and endpoints (leaving or unreachable).
-const MAX_CRASHES: usize = 2;
+/// Bytes of a message for crashes, ahead of prefixes; two crashes fit in any message.
+const MAX_CRASH_BYTES: usize = 400;
+const MIN_CRASHES: usize = 2;
+/// Limits per message: successes of requests, and endpoints (leaving or unreachable).
+const MAX_SUCCESSES: usize = 2;
 const MAX_ENDPOINTS: usize = 4;
+/// Load reports that make room for the success of a part.
+const REPORTS_PER_SUCCESS: usize = 2;
 /// Messages that carry each event other than a prefix, because datagrams get lost.
 const SENDS_PER_EVENT: u8 = 3;
 /// Most items of each kind in the queue; beyond that, the oldest are dropped.
@@ -50,10 +56,10 @@
     pub work: Option<Vec<(EndpointId, Work)>>,
     /// Prompt prefixes with the endpoints that cached them.
     pub prefixes: Vec<(PrefixKey, EndpointId)>,
-    /// Crashes of endpoints, with the requests that ran there.
+    /// Crashes of endpoints, each with one suspect.
     pub crashes: Vec<Aged<Crash>>,
-    /// Requests that succeeded around the time of a crash.
-    pub succeeded: Vec<Aged<Fingerprint>>,
+    /// Suspects that succeeded around the time of a crash.
+    pub succeeded: Vec<Aged<Suspect>>,
     /// Endpoints, with their boot ids, that announced in an answer that they are leaving.
     pub leaving: Vec<Aged<(EndpointId, String)>>,
     /// Digest of the crashes that all routers must know, as far as the sender knows them.
@@ -86,6 +92,15 @@
         self
     }
 
+    /// Adds successes of parts of prompts, in place of a few load reports.
+    pub(crate) fn with_part_successes(mut self, successes: Vec<Aged<Suspect>>) -> PeerMessage {
+        let reports = self.load_reports.len();
+        let dropped = successes.len() * REPORTS_PER_SUCCESS;
+        self.load_reports.truncate(reports.saturating_sub(dropped));
+        self.succeeded.extend(successes);
+        self
+    }
+
     /// Whether the message carries events that all routers should know.
     pub(crate) fn has_events(&self) -> bool {
         !(self.prefixes.is_empty()
@@ -119,7 +134,7 @@
     prefixes: VecDeque<(PrefixKey, EndpointId)>,
     /// Each crash with the time at which it happened, and the number of messages still to carry it.
     crashes: VecDeque<((Crash, Duration), u8)>,
-    succeeded: VecDeque<((Fingerprint, Duration), u8)>,
+    succeeded: VecDeque<((Suspect, Duration), u8)>,
     leaving: VecDeque<((LeavingStart, Duration), u8)>,
     /// Whether an event must be sent at once, ahead of the next regular message.
     is_urgent: bool,
@@ -134,11 +149,11 @@
         trim(&mut self.prefixes);
     }
 
-    /// Queues a crash. A crash of a request with repeated crashes goes first and is urgent.
-    pub(crate) fn add_crash(&mut self, crash: Crash, at: Duration, repeated: bool) {
+    /// Queues a crash. An urgent one goes first, and at once.
+    pub(crate) fn add_crash(&mut self, crash: Crash, at: Duration, is_urgent: bool) {
         let item = ((crash, at), SENDS_PER_EVENT);
         trim(&mut self.crashes);
-        if repeated {
+        if is_urgent {
             self.is_urgent = true;
             self.crashes.push_front(item);
         } else {
@@ -160,11 +175,10 @@
     }
 
     /// Queues a request that succeeded.
-    pub(crate) fn add_succeeded(&mut self, fingerprint: Fingerprint, at: Duration) {
-        let queued = |((known, _), _): &((Fingerprint, Duration), u8)| *known == fingerprint;
+    pub(crate) fn add_succeeded(&mut self, suspect: Suspect, at: Duration) {
+        let queued = |((known, _), _): &((Suspect, Duration), u8)| *known == suspect;
         if !self.succeeded.iter().any(queued) {
-            self.succeeded
-                .push_back(((fingerprint, at), SENDS_PER_EVENT));
+            self.succeeded.push_back(((suspect, at), SENDS_PER_EVENT));
             trim(&mut self.succeeded);
         }
     }
@@ -182,6 +196,10 @@
     pub(crate) fn fill(&mut self, message: &mut PeerMessage, now: Duration) {
         let work = message.work.as_deref().map_or(0, work_bytes);
         let mut free_bytes = MAX_ENTRY_BYTES.saturating_sub(work);
+        let crashes = self.next_crashes(free_bytes.min(MAX_CRASH_BYTES));
+        let crash_bytes = crashes.iter().map(|(crash, _)| encoded_bytes(crash)).sum();
+        free_bytes = free_bytes.saturating_sub(crash_bytes);
+        message.crashes = aged(crashes, now);
         while let Some((key, id)) = self.prefixes.pop_front() {
             let Some(left) = free_bytes.checked_sub(id.len() + PREFIX_ENTRY_BYTES) else {
                 self.prefixes.push_front((key, id));
@@ -191,11 +209,21 @@
             message.prefixes.push((key, id));
         }
         self.is_urgent = false;
-        message.crashes = aged(take_next(&mut self.crashes, MAX_CRASHES), now);
-        message.succeeded = aged(take_next(&mut self.succeeded, MAX_CRASHES), now);
+        message.succeeded = aged(take_next(&mut self.succeeded, MAX_SUCCESSES), now);
         message.leaving = aged(take_next(&mut self.leaving, MAX_ENDPOINTS), now);
         message.unreachable = take_next(&mut self.unreachable, MAX_ENDPOINTS);
     }
+
+    /// Takes the next crashes, as many as fit in a number of bytes.
+    fn next_crashes(&mut self, max_bytes: usize) -> Vec<(Crash, Duration)> {
+        let mut bytes = 0;
+        let fits = |((crash, _), _): &&((Crash, Duration), u8)| {
+            bytes += encoded_bytes(crash);
+            bytes <= max_bytes
+        };
+        let count = self.crashes.iter().take_while(fits).count();
+        take_next(&mut self.crashes, count.max(MIN_CRASHES))
+    }
 }
 
 fn aged<T>(items: Vec<(T, Duration)>, now: Duration) -> Vec<Aged<T>> {
--- a/crates/edge/src/peers/rounds.rs
+++ b/crates/edge/src/peers/rounds.rs
@@ -41,6 +41,10 @@
 const MISSED_ROUNDS: u32 = 4;
 /// Routers of each other failure domain, those heard last, among which relays are drawn.
 const RELAY_CANDIDATES: usize = 12;
+/// Time after a crash for which the successes of its suspects are sent in each round, and the number
+/// of them.
+const SUCCESS_WINDOW: Duration = Duration::from_secs(20);
+const MAX_PART_SUCCESSES: usize = 8;
 /// Interval between observations of the age of the endpoint table.
 const AGE_SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -407,19 +411,23 @@
         let base = self.base_message();
         let now = self.shared.now();
         let mut state = self.shared.lock_state();
+        let successes = state
+            .quarantine
+            .part_successes(SUCCESS_WINDOW, MAX_PART_SUCCESSES, now);
         if self.is_large() {
-            return PeerMessage {
+            let message = PeerMessage {
                 work: Some(Vec::new()),
                 load_reports: state.loads.newest_reports(now),
                 hot_subjects: state.hot_subjects.hottest(now),
                 ..base
             };
+            return message.with_part_successes(successes);
         }
         let work = state.loads.own_work().iter();
         let work: Vec<(EndpointId, Work)> = work.map(|(id, work)| (id.clone(), *work)).collect();
         let mut message = base.with_work(work);
         state.outbox.fill(&mut message, now);
-        message
+        message.with_part_successes(successes)
     }
 }
 
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -259,9 +259,8 @@
         let ended = state.quarantine.expire(now);
         let held = state.quarantine.held(now).len();
         drop(state);
-        for fingerprint in ended {
-            let detail = format!("fingerprint={fingerprint:016x}");
-            log(Event::QuarantineEnded, &detail);
+        for suspect in ended {
+            log(Event::QuarantineEnded, &format!("suspect={suspect}"));
         }
         let held = i64::try_from(held).unwrap_or(i64::MAX);
         shared.metrics.quarantined.set(held);
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -7,10 +7,12 @@
 use crate::manifest::EndpointEntry;
 use crate::metrics::Exclusion;
 use crate::placement::{Candidate, Choice, Placement, Subject};
+use crate::quarantine_probe::is_designated;
+use crate::shared::RoutingState;
 use crate::started_answer::LoadGuard;
 use sequoiaridge_core::{Event, RefusalReason, hash_parts};
 use sequoiaridge_log::log_request;
-use sequoiaridge_policy::QuarantineState;
+use sequoiaridge_policy::Block;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,18 +39,8 @@
     pub(crate) fn select_endpoint(&self) -> Result<Placed, RefusalReason> {
         let now = self.shared.now();
         let mut state = self.shared.lock_state();
-        let fingerprint = self.fingerprint;
-        if let QuarantineState::Held { retry_after } = state.quarantine.state(fingerprint, now) {
-            let strikes = state.quarantine.strikes(fingerprint, now);
-            log_request(
-                Event::CallHeld,
-                &self.call.attempt,
-                format_args!(
-                    "fingerprint={fingerprint:016x} strikes={strikes} left_s={}",
-                    retry_after.as_secs()
-                ),
-            );
-            return Err(RefusalReason::Quarantined);
+        if let Some(block) = state.quarantine.block(&self.suspects, now) {
+            self.probe_or_hold(&mut state, &block)?;
         }
         let prefixes = self.call.prompt.as_ref().map(prefixes).unwrap_or_default();
         let cached = state.cache.cached(&prefixes, now);
@@ -135,6 +127,34 @@
         })
     }
 
+    /// Lets the request through if it is the one that tests what is held.
+    ///
+    /// # Errors
+    ///
+    /// The request is quarantined.
+    fn probe_or_hold(&self, state: &mut RoutingState, block: &Block) -> Result<(), RefusalReason> {
+        let (now, attempt) = (self.shared.now(), &self.call.attempt);
+        let own = &self.shared.settings.id;
+        let is_designated = is_designated(own, state.contacts.keys(), block.suspect);
+        let is_probe = is_designated && state.probes.start(block, attempt, now);
+        let event = if is_probe {
+            Event::QuarantineProbe
+        } else {
+            Event::CallHeld
+        };
+        log_request(
+            event,
+            attempt,
+            format_args!(
+                "suspect={} strikes={} retry_after_s={}",
+                block.suspect,
+                block.strikes,
+                block.retry_after.as_secs()
+            ),
+        );
+        is_probe.then_some(()).ok_or(RefusalReason::Quarantined)
+    }
+
     /// Counts the tokens of a prompt, and those that an endpoint already has cached.
     fn count_prompt(&self, cached_tokens: u64) {
         if let Some(prompt) = &self.call.prompt {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -8,6 +8,7 @@
 use crate::load::Loads;
 use crate::metrics::Metrics;
 use crate::peer_message::Outbox;
+use crate::quarantine_probe::QuarantineProbes;
 use crate::registry::{Dialect, Position, Table};
 use crate::rest::Rests;
 use crate::retry_window::RetryWindow;
@@ -28,13 +29,16 @@
 use std::time::{Duration, UNIX_EPOCH};
 use tokio::sync::{Notify, mpsc, watch};
 
-/// Crashes after which a request is quarantined.
+/// Crashes after which a request, or a part of prompts, is quarantined.
 const QUARANTINE_STRIKES: u32 = 3;
 /// Length of a quarantine after the last crash. The operators' limit on further attempts never resets, so
 /// each quarantine that ends may count against it; callers keep retrying for up to a day.
 const QUARANTINE_TIME: Duration = Duration::from_secs(24 * 3600);
 /// Time for which crashes are not attributed to a request that succeeded.
 const TRUST_TIME: Duration = Duration::from_secs(60);
+/// Time for which crashes are not attributed to a part that succeeded. A success reaches hundreds of
+/// routers within it; a part that crashes endpoints from some moment on is held that much later.
+const PART_TRUST_TIME: Duration = Duration::from_secs(2);
 /// Number of other routers from which on a fleet counts as large. In smaller fleets every router sends its
 /// full state to every other one ten times a second; in larger ones such messages cost more than they are
 /// worth.
@@ -42,8 +46,8 @@
 /// Request bodies may take one part in this many of the memory, which is a quarter. The rest is for
 /// connection buffers and everything else.
 const BODY_MEMORY_DIVISOR: usize = 4;
-/// Largest number of fingerprints that the quarantine tracks.
-const MAX_FINGERPRINTS: usize = 4096;
+/// Largest number of requests and parts that the quarantine tracks.
+const MAX_SUSPECTS: usize = 4096;
 
 /// Everything that routing decisions read, behind one lock.
 pub(crate) struct RoutingState {
@@ -64,6 +68,7 @@
     pub(crate) outbox: Outbox,
     pub(crate) retries: RetryWindow,
     pub(crate) quarantine: Quarantine,
+    pub(crate) probes: QuarantineProbes,
     pub(crate) terminations: Terminations,
     pub(crate) rests: Rests,
 }
@@ -203,8 +208,10 @@
                 cache: CacheMap::with_window(settings.reuse_window),
                 outbox: Outbox::default(),
                 retries,
-                quarantine: Quarantine::new(QUARANTINE_STRIKES, QUARANTINE_TIME, MAX_FINGERPRINTS)
-                    .with_trust_window(TRUST_TIME),
+                quarantine: Quarantine::new(QUARANTINE_STRIKES, QUARANTINE_TIME, MAX_SUSPECTS)
+                    .with_trust_window(TRUST_TIME)
+                    .with_part_trust_window(PART_TRUST_TIME),
+                probes: QuarantineProbes::new(),
                 terminations: Terminations::new(),
                 rests: Rests::new(),
             }),
--- a/crates/edge/src/started_answer.rs
+++ b/crates/edge/src/started_answer.rs
@@ -60,6 +60,14 @@
         }
     }
 
+    /// Records that the answer went on after its beginning, so that no part of the prompt crashes
+    /// endpoints.
+    pub(crate) fn progressed(&mut self) {
+        if let Some(run) = &mut self.run {
+            run.progressed = true;
+        }
+    }
+
     /// Records that the run ended without a complete answer.
     pub(crate) fn lost(&mut self, loss: Loss) {
         if let Some(run) = self.run.take() {
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -22,6 +22,11 @@
 /// complete.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// End of an event of a stream.
+const EVENT_END: &[u8] = b"\n\n";
+/// Number of events from which an answer has progressed.
+const PROGRESS_EVENTS: usize = 2;
+
 /// Why an answer ends early. The connection to the caller is closed, so that the answer does not look
 /// complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -107,6 +112,8 @@
     watch: SilenceWatch,
     idle: Option<Duration>,
     close: bool,
+    /// Ends of events that arrived, until the answer has progressed.
+    events: usize,
 }
 
 impl Origin {
@@ -117,6 +124,7 @@
             watch: SilenceWatch::new(),
             idle: head.idle,
             close: head.close,
+            events: 0,
         }
     }
 }
@@ -199,11 +207,11 @@
         if !self.resumable() {
             return data;
         }
-        let data = if self.partial.is_empty() && data.ends_with(b"\n\n") {
+        let data = if self.partial.is_empty() && data.ends_with(EVENT_END) {
             data
         } else {
             self.partial.extend_from_slice(&data);
-            let end = self.partial.windows(2).rposition(|pair| pair == b"\n\n");
+            let end = self.partial.windows(2).rposition(|pair| pair == EVENT_END);
             self.partial.split_to(end.map_or(0, |end| end + 2)).freeze()
         };
         if let Some(exchange) = &mut self.exchange
@@ -214,6 +222,24 @@
         data
     }
 
+    /// Counts the events that arrived. An endpoint that crashes on a part of the prompt may still
+    /// send the first one.
+    fn count_events(&mut self, data: &[u8]) {
+        let (Some(origin), Some(exchange)) = (&mut self.origin, &self.exchange) else {
+            return;
+        };
+        if origin.events >= PROGRESS_EVENTS {
+            return;
+        }
+        origin.events += data.windows(2).filter(|pair| *pair == EVENT_END).count();
+        if origin.events >= PROGRESS_EVENTS {
+            exchange.report_progress();
+            if let Source::Arriving(arriving) = &mut self.source {
+                arriving.guard.progressed();
+            }
+        }
+    }
+
     /// Ends a body that is complete.
     fn finish(&mut self) {
         self.due.set(None);
@@ -289,7 +315,7 @@
         }
         exchange.may_have_run = true;
         exchange.tried.push(origin.endpoint.clone());
-        if !exchange.may_retry() {
+        if exchange.is_suspected() || !exchange.may_retry() {
             return false;
         }
         let Some(mut exchange) = self.exchange.take() else {
@@ -401,6 +427,7 @@
                                 continue;
                             };
                             arriving.guard.prompt_read();
+                            this.count_events(&data);
                             let data = this.pass_on(data);
                             if this.partial.len() > MAX_EVENT_BYTES {
                                 this.end_early(BodyError::Broke);
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -1,6 +1,6 @@
 //! Applies configuration and endpoints that this router read or received from other routers.
 
-use crate::crashes::{CrashSource, record_crash, record_own_crashes, request_succeeded};
+use crate::crashes::{CrashSource, record_crash, record_own_crashes, suspect_succeeded};
 use crate::endpoint_notices::peer_reported_leaving;
 use crate::feed::{ChangedRow, Feed, MAX_FEED_CHANGES};
 use crate::follower::TableDigest;
@@ -13,6 +13,7 @@
 use crate::shared::{RoutingState, Shared};
 use sequoiaridge_core::{Event, RouterId};
 use sequoiaridge_log::log;
+use sequoiaridge_policy::Suspect;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -77,12 +78,14 @@
             age,
             CrashSource::Router,
         );
-        // The other routers may not know that the same request succeeded here.
-        let fingerprint = crash.value.fingerprint;
-        if let Some(age) = state.quarantine.recent_success(fingerprint, now) {
-            state
-                .outbox
-                .add_succeeded(fingerprint, now.saturating_sub(age));
+        // The other routers may not know that the same request succeeded here. Successes of parts
+        // are in each round.
+        let suspect = crash.value.suspect;
+        if matches!(suspect, Suspect::Request(_))
+            && let Some(age) = state.quarantine.recent_success(suspect, now)
+        {
+            let at = now.saturating_sub(age);
+            state.outbox.add_succeeded(suspect, at);
         }
     }
     for leaving in message.leaving {
@@ -92,7 +95,7 @@
     }
     for success in message.succeeded {
         let age = success.age() + delay;
-        request_succeeded(
+        suspect_succeeded(
             &mut state,
             shared,
             "",
--- a/crates/edge/src/terminations.rs
+++ b/crates/edge/src/terminations.rs
@@ -4,8 +4,8 @@
 //! way, or an answer may have been lost. A request counts as having crashed an endpoint only if the
 //! endpoint then cannot be reached, or turns out to have restarted.
 
-use sequoiaridge_core::{EndpointId, Fingerprint};
-use sequoiaridge_policy::Crash;
+use sequoiaridge_core::EndpointId;
+use sequoiaridge_policy::{Crash, Suspect};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -24,8 +24,31 @@
 pub struct Run {
     /// Id of the caller's attempt.
     pub attempt: String,
-    /// The crash that is recorded if the run crashed the endpoint.
-    pub crash: Crash,
+    /// Endpoint that runs it.
+    pub endpoint: EndpointId,
+    /// Boot id of the endpoint.
+    pub boot: String,
+    /// Known crashes of the endpoint under this boot id when the attempt was sent.
+    pub earlier: u32,
+    /// The request, and the parts of its prompt that others may share.
+    pub suspects: Vec<Suspect>,
+    /// Whether the answer went on after its beginning. A part that crashes endpoints does so when
+    /// they begin to write.
+    pub progressed: bool,
+}
+
+impl Run {
+    /// The crashes that are recorded if the endpoint ended under the run.
+    pub fn crashes(&self) -> impl Iterator<Item = Crash> {
+        let suspects = self.suspects.iter();
+        let suspects = suspects.filter(|s| !self.progressed || matches!(s, Suspect::Request(_)));
+        suspects.map(|suspect| Crash {
+            suspect: *suspect,
+            endpoint: self.endpoint.clone(),
+            boot: self.boot.clone(),
+            earlier: self.earlier,
+        })
+    }
 }
 
 /// How a run ended without an answer.
@@ -81,24 +104,16 @@
     }
 
     /// Returns the run of an attempt that is sent now to an endpoint with a boot id.
-    pub fn begin(
-        &self,
-        attempt: &str,
-        fingerprint: Fingerprint,
-        endpoint: &str,
-        boot: &str,
-    ) -> Run {
+    pub fn begin(&self, attempt: &str, suspects: &[Suspect], endpoint: &str, boot: &str) -> Run {
         let known = self.endpoints.get(endpoint);
         let known = known.filter(|state| state.boot == boot);
-        let crash = Crash {
-            fingerprint,
+        Run {
+            attempt: attempt.to_string(),
             endpoint: endpoint.to_string(),
             boot: boot.to_string(),
             earlier: known.map_or(0, |state| state.terminations),
-        };
-        Run {
-            attempt: attempt.to_string(),
-            crash,
+            suspects: suspects.to_vec(),
+            progressed: false,
         }
     }
 
@@ -106,8 +121,8 @@
     /// [`LossOutcome::Probe`], until [`record_end`](Self::record_end) or
     /// [`record_reachable`](Self::record_reachable) reports the result of the probe.
     pub fn record_loss(&mut self, run: &Run, loss: Loss, now: Duration) -> LossOutcome {
-        let state = self.state(&run.crash.endpoint, &run.crash.boot);
-        let known = state.terminations > run.crash.earlier || state.boot != run.crash.boot;
+        let state = self.state(&run.endpoint, &run.boot);
+        let known = state.terminations > run.earlier || state.boot != run.boot;
         if known && (state.unreachable || loss == Loss::ConnectionLost) {
             return LossOutcome::Crashed;
         }
@@ -167,7 +182,7 @@
             }
         };
         let runs = take_matching(&mut state.pending, |pending| {
-            pending.run.crash.boot != boot && now < pending.at + ttl(pending.loss)
+            pending.run.boot != boot && now < pending.at + ttl(pending.loss)
         });
         *state = EndpointState {
             boot: boot.to_string(),
--- a/crates/edge/tests/crash_model.rs
+++ b/crates/edge/tests/crash_model.rs
@@ -7,7 +7,7 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use sequoiaridge_edge::CrashSync;
-use sequoiaridge_policy::{Aged, Crash, Quarantine, QuarantineState};
+use sequoiaridge_policy::{Aged, Crash, Quarantine, QuarantineState, Suspect};
 use std::time::Duration;
 
 /// Largest fleet in which each router sends its messages to all others.
@@ -128,7 +128,9 @@
     /// Sends the crashes of a request when they happen: to all routers of the sender's failure
     /// domain, and through one relay in each other domain.
     fn announce(&mut self, from: usize, fingerprint: u64) {
-        let page = self.routers[from].quarantine.crashes(fingerprint, self.now);
+        let page = self.routers[from]
+            .quarantine
+            .crashes(Suspect::Request(fingerprint), self.now);
         for domain in 0..DOMAINS {
             let mut sender = from;
             if domain != from % DOMAINS {
@@ -158,7 +160,7 @@
 
     fn crash(&mut self, router: usize, fingerprint: u64, endpoint: usize) {
         let crash = Crash {
-            fingerprint,
+            suspect: Suspect::Request(fingerprint),
             endpoint: format!("i-{endpoint:010}"),
             boot: "1781639404012".to_string(),
             earlier: 0,
@@ -169,7 +171,9 @@
     /// Number of routers that do not hold the request.
     fn not_holding(&self) -> usize {
         let held = |router: &&Router| {
-            let state = router.quarantine.state(CRASHING_REQUEST, self.now);
+            let state = router
+                .quarantine
+                .state(Suspect::Request(CRASHING_REQUEST), self.now);
             matches!(state, QuarantineState::Held { .. })
         };
         self.routers.len() - self.routers.iter().filter(held).count()
--- a/crates/edge/tests/ends.rs
+++ b/crates/edge/tests/ends.rs
@@ -1,6 +1,7 @@
 //! Attribution of endpoint terminations to the requests that ran there.
 
 use sequoiaridge_edge::{Loss, LossOutcome, Run, Terminations};
+use sequoiaridge_policy::{Crash, Suspect};
 use std::time::Duration;
 
 fn ms(ms: u64) -> Duration {
@@ -8,11 +9,21 @@
 }
 
 fn begin(terminations: &Terminations, fingerprint: u64) -> Run {
-    terminations.begin("x", fingerprint, "e", "1")
+    terminations.begin("x", &[Suspect::Request(fingerprint)], "e", "1")
+}
+
+fn crash_of(run: &Run) -> Crash {
+    run.crashes().next().expect("a suspect")
 }
 
 fn fingerprints(runs: &[Run]) -> Vec<u64> {
-    runs.iter().map(|run| run.crash.fingerprint).collect()
+    runs.iter()
+        .flat_map(Run::crashes)
+        .map(|crash| match crash.suspect {
+            Suspect::Request(fingerprint) => fingerprint,
+            Suspect::Part(id) => panic!("part {id}"),
+        })
+        .collect()
 }
 
 /// Guards against a request that counts as a crash although only its connection was lost.
@@ -94,15 +105,20 @@
     let mut terminations = Terminations::new();
     for earlier in 0..3 {
         let (run, copy) = (begin(&terminations, 1), begin(&terminations, 1));
-        assert_eq!(run.crash.earlier, earlier);
-        assert_eq!(run.crash, copy.crash);
+        assert_eq!(run.earlier, earlier);
+        assert!(run.crashes().eq(copy.crashes()));
         terminations.record_loss(&run, Loss::ConnectionLost, ms(0));
         assert_eq!(terminations.record_end("e", "1", ms(1)).len(), 1);
         // Further refused connections show the same termination.
         assert!(terminations.record_end("e", "1", ms(200)).is_empty());
         terminations.record_reachable("e");
     }
-    assert_eq!(terminations.begin("x", 1, "e", "2").crash.earlier, 0);
+    assert_eq!(
+        terminations
+            .begin("x", &[Suspect::Request(1)], "e", "2")
+            .earlier,
+        0
+    );
 }
 
 /// Guards against routers that count one termination twice: one that another router saw is known
@@ -113,10 +129,10 @@
     let run = begin(&one, 1);
     one.record_loss(&run, Loss::ConnectionLost, ms(0));
     one.record_end("e", "1", ms(1));
-    other.apply_crash(&run.crash);
+    other.apply_crash(&crash_of(&run));
     assert!(other.record_end("e", "1", ms(100)).is_empty());
     other.record_reachable("e");
-    assert_eq!(begin(&other, 2).crash.earlier, 1);
+    assert_eq!(begin(&other, 2).earlier, 1);
 }
 
 /// Guards against a crash that does not count because the endpoint restarted so fast that it was
@@ -136,7 +152,7 @@
         terminations.record_loss(&run, Loss::ConnectionLost, ms(1600)),
         LossOutcome::Crashed
     );
-    let later = terminations.begin("x", 2, "e", "2");
+    let later = terminations.begin("x", &[Suspect::Request(2)], "e", "2");
     terminations.record_loss(&later, Loss::ConnectionLost, ms(2000));
     assert!(terminations.record_restart("e", "2", ms(2100)).is_empty());
 }
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -1,78 +1,99 @@
-//! Quarantine of requests that crash the endpoints that run them. See section 4.3 of
-//! `docs/design.md`.
+//! Quarantine of requests, and of parts of prompts, that crash the endpoints that run them. See
+//! section 4.3 of `docs/design.md`.
 //!
 //! Each router keeps its own table. Tables that received the same crashes and successful runs, in
 //! any order and any number of times, agree: a crash is identified by the endpoint process that
 //! ended, and a successful run counts by its time.
-
-use sequoiaridge_core::{EndpointId, Fingerprint, hash_parts};
-use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+//!
+//! A crash has many suspects: all requests that ran there, and the parts of their prompts. It counts
+//! against those that have the most crashes, since these explain it best; the others only happened to
+//! run beside them.
+
+use crate::crash::{Aged, Crash, CrashKey, Suspect};
+use crate::successes::{RESOLUTION, Successes};
+use sequoiaridge_core::hash_parts;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Most crashes stored for one fingerprint. Requests are held long before that; the bound only
-/// limits what a peer can make a router store.
+/// Most crashes stored for one suspect. Suspects are held long before that; the bound only limits
+/// what a peer can make a router store.
 const MAX_CRASHES: usize = 16;
 /// Offset added to all stored times, so that events that peers report may be older than this
 /// process.
 const STORED_OFFSET: Duration = Duration::from_secs(48 * 3600);
-/// Number of crashes from which a request's record is synchronized with routers that may lack it.
-/// With a single crash, the request mostly just ran beside the one that caused it.
+/// Number of crashes from which a suspect's record is synchronized with routers that may lack it.
+/// With a single crash, it mostly just ran beside the cause.
 pub const SYNC_MIN_CRASHES: usize = 2;
-
-/// A crash of an endpoint while a request ran there; sent to all routers.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Crash {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// Endpoint that crashed.
-    pub endpoint: EndpointId,
-    /// Boot id that the endpoint had before the crash.
-    pub boot: String,
-    /// Number of earlier crashes under the same boot id that were known when the request was sent:
-    /// an endpoint may be back under its id before its new boot id is known.
-    pub earlier: u32,
-}
-
-/// How a request is treated.
+/// Crashes by which a part that has ever succeeded needs more than one that never has. The requests
+/// with a crashing part share their other parts with sound ones.
+const PROVEN_HANDICAP: usize = 2;
+/// Time for which the success of a part is remembered, and the number of parts.
+const PART_MEMORY: Duration = Duration::from_secs(3600);
+const MAX_PART_SUCCESSES: usize = 16_384;
+/// Time after the last crash of a held part from which one request may test it. Crashed endpoints are
+/// back by then.
+const PROBE_DELAY: Duration = Duration::from_secs(5);
+/// Time between two crashes of a part from which they have no other common cause, such as the loss of
+/// a rack, so that the part need not be tested. It is shorter than [`PROBE_DELAY`], so that a failed
+/// test confirms the part.
+const CONFIRM_GAP: Duration = Duration::from_secs(4);
+/// Shortest time after which a caller may ask again for a part that is to be tested.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// How a suspect is treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuarantineState {
     /// No known crash.
     Clear,
-    /// At least one crash: at most one such request runs on an endpoint at a time.
+    /// At least one crash.
     Suspect,
-    /// As many crashes as the limit or more: the request is refused.
+    /// As many crashes as the limit or more: requests are refused.
     Held {
         /// Time until the request may be sent again.
         retry_after: Duration,
     },
 }
 
-/// An event with its age, in the form in which routers send it: a crash, a successful run or the
-/// departure of an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Aged<T> {
-    /// The event.
-    pub value: T,
-    /// Time since the event, in ms.
-    pub age: u32,
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Block {
+    /// The suspect that is held.
+    pub suspect: Suspect,
+    /// Crashes that count against it.
+    pub strikes: usize,
+    /// Time after which the request may be sent again.
+    pub retry_after: Duration,
+    /// Whether one request of the fleet may test it.
+    pub may_probe: bool,
+}
+
+/// How well a suspect explains its crashes: the crashes that count, then whether it is a request,
+/// which is narrower than the parts that it shares with others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    score: usize,
+    is_request: bool,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Record {
-    /// Stored time of each crash, by endpoint, boot id and number of earlier crashes.
-    crashes: BTreeMap<(EndpointId, String, u32), Duration>,
+    /// Stored time of each crash.
+    crashes: BTreeMap<CrashKey, Duration>,
     /// Stored time of the last successful run.
     last_success: Option<Duration>,
     expires: Duration,
+    rank: Rank,
+    /// Crashes that count and that no other suspect explains better.
+    strikes: usize,
 }
 
 impl Record {
-    /// Number of crashes that count: those after the trust window of the last successful run.
-    fn strikes(&self, trust_window: Duration) -> usize {
-        let after = self.last_success.map(|success| success + trust_window);
-        let counts = |at: &&Duration| after.is_none_or(|after| **at > after);
-        self.crashes.values().filter(counts).count()
+    /// The crashes after the trust window of the last successful run.
+    fn counted(&self, trust: Duration) -> impl Iterator<Item = (&CrashKey, Duration)> {
+        let after = self.last_success.map(|success| success + trust);
+        let crashes = self.crashes.iter().map(|(key, at)| (key, *at));
+        crashes.filter(move |(_, at)| after.is_none_or(|after| *at > after))
     }
 
     fn forget_oldest(&mut self) {
@@ -83,7 +104,15 @@
     }
 }
 
-/// Bounded table of crashes by fingerprint.
+/// The suspects of one crash.
+#[derive(Clone, Debug, Default)]
+struct Suspects {
+    all: BTreeSet<Suspect>,
+    /// Highest rank among those against whom the crash counts.
+    best: Rank,
+}
+
+/// Bounded table of crashes by suspect.
 ///
 /// When the table is full, the entry with the fewest counted crashes is evicted, among equals the
 /// one that expires first.
@@ -92,27 +121,35 @@
     strikes: usize,
     hold: Duration,
     limit: usize,
-    trust_window: Duration,
-    records: BTreeMap<Fingerprint, Record>,
-    /// Stored times of the successful runs, within `trust_window`, of requests without a record.
-    successes: BTreeMap<Fingerprint, Duration>,
-    success_order: VecDeque<(Fingerprint, Duration)>,
-    /// Wrapping sum of [`Quarantine::digest_term`] over all records.
+    request_trust: Duration,
+    part_trust: Duration,
+    records: BTreeMap<Suspect, Record>,
+    crashes: BTreeMap<CrashKey, Suspects>,
+    /// Successful runs of suspects without a record.
+    request_successes: Successes,
+    part_successes: Successes,
+    /// Stored time of the last successful run of any prompt.
+    last_progress: Option<Duration>,
+    /// Wrapping sum of [`digest_term`] over all records.
     digest: u32,
 }
 
 impl Quarantine {
-    /// Creates an empty table. `strikes` crashes hold a request back for `hold`; at most `limit`
-    /// fingerprints are tracked.
+    /// Creates an empty table. `strikes` crashes hold a suspect back for `hold`; at most `limit`
+    /// suspects are tracked.
     pub fn new(strikes: u32, hold: Duration, limit: usize) -> Quarantine {
+        let limit = limit.max(1);
         Quarantine {
             strikes: usize::try_from(strikes).unwrap_or(usize::MAX),
             hold: hold.min(STORED_OFFSET),
-            limit: limit.max(1),
-            trust_window: Duration::ZERO,
+            limit,
+            request_trust: Duration::ZERO,
+            part_trust: Duration::ZERO,
             records: BTreeMap::new(),
-            successes: BTreeMap::new(),
-            success_order: VecDeque::new(),
+            crashes: BTreeMap::new(),
+            request_successes: Successes::new(Duration::ZERO, limit),
+            part_successes: Successes::new(PART_MEMORY, MAX_PART_SUCCESSES),
+            last_progress: None,
             digest: 0,
         }
     }
@@ -122,7 +159,17 @@
     /// runs on many endpoints when several of them crash at once.
     pub fn with_trust_window(self, trust_window: Duration) -> Quarantine {
         Quarantine {
-            trust_window,
+            request_trust: trust_window,
+            request_successes: Successes::new(trust_window, self.limit),
+            ..self
+        }
+    }
+
+    /// Sets the same time for parts of prompts. It covers the time in which routers learn of a
+    /// success at another one.
+    pub fn with_part_trust_window(self, trust_window: Duration) -> Quarantine {
+        Quarantine {
+            part_trust: trust_window,
             ..self
         }
     }
@@ -137,18 +184,18 @@
     /// Counts a crash of the given age, as other routers report it, and returns the resulting
     /// state.
     pub fn strike_aged(&mut self, crash: &Crash, age: Duration, now: Duration) -> QuarantineState {
-        let (at, fingerprint) = (stored_time(now, age), crash.fingerprint);
+        let (at, suspect) = (stored_time(now, age), crash.suspect);
         let expires = at + self.hold;
         if expires <= stored_time(now, Duration::ZERO) {
-            return self.state(fingerprint, now);
+            return self.state(suspect, now);
         }
-        if !self.records.contains_key(&fingerprint) {
+        if !self.records.contains_key(&suspect) {
             self.evict();
         }
-        let success = self.successes.get(&fingerprint).copied();
-        let key = (crash.endpoint.clone(), crash.boot.clone(), crash.earlier);
-        self.update_record(fingerprint, |record| {
+        let success = self.successes(suspect).get(suspect);
+        self.update_record(suspect, |record| {
             record.last_success = record.last_success.max(success);
+            let key = crash.key();
             if record.crashes.contains_key(&key) {
                 return;
             }
@@ -158,7 +205,7 @@
             record.crashes.insert(key, at);
             record.expires = record.expires.max(expires);
         });
-        self.state(fingerprint, now)
+        self.state(suspect, now)
     }
 
     /// Counts crashes that another router reports as having happened now.
@@ -168,124 +215,201 @@
         }
     }
 
-    /// Records that a run of the request succeeded the given time ago. Earlier crashes no longer
-    /// count against it.
-    pub fn record_success(&mut self, fingerprint: Fingerprint, age: Duration, now: Duration) {
+    /// Returns whether a crash is in the table.
+    pub fn contains(&self, crash: &Crash) -> bool {
+        let record = self.records.get(&crash.suspect);
+        record.is_some_and(|record| record.crashes.contains_key(&crash.key()))
+    }
+
+    /// Records that a run succeeded the given time ago. Earlier crashes no longer count against the
+    /// suspect.
+    pub fn record_success(&mut self, suspect: Suspect, age: Duration, now: Duration) {
         let at = stored_time(now, age);
-        if self.records.contains_key(&fingerprint) {
-            self.update_record(fingerprint, |record| {
-                record.last_success = record.last_success.max(Some(at))
-            });
-            return;
+        if matches!(suspect, Suspect::Part(_)) {
+            self.last_progress = self.last_progress.max(Some(at));
         }
-        if self.trust_window.is_zero() {
+        if let Some(record) = self.records.get(&suspect) {
+            let nothing_counts = record.counted(self.trust(suspect)).next().is_none();
+            let resolution = if nothing_counts {
+                RESOLUTION
+            } else {
+                Duration::ZERO
+            };
+            if record
+                .last_success
+                .is_none_or(|known| at > known + resolution)
+            {
+                self.update_record(suspect, |record| record.last_success = Some(at));
+            }
             return;
         }
-        let known = self.successes.entry(fingerprint).or_insert(at);
-        *known = at.max(*known);
-        self.success_order.push_back((fingerprint, at));
-        while self.success_order.len() > self.limit {
-            self.forget_success();
+        match suspect {
+            Suspect::Request(_) => self.request_successes.record(suspect, at),
+            Suspect::Part(_) => self.part_successes.record(suspect, at),
         }
     }
 
-    /// Records that a run of the request succeeded now, which clears its fingerprint.
-    pub fn clear(&mut self, fingerprint: Fingerprint, now: Duration) {
-        self.record_success(fingerprint, Duration::ZERO, now);
+    /// Records that a run succeeded now, which clears the suspect.
+    pub fn clear(&mut self, suspect: Suspect, now: Duration) {
+        self.record_success(suspect, Duration::ZERO, now);
     }
 
     /// Returns the age of the last successful run if it is within the trust window, so that a crash
     /// that happened now would not count.
-    pub fn recent_success(&self, fingerprint: Fingerprint, now: Duration) -> Option<Duration> {
-        let record = self
-            .records
-            .get(&fingerprint)
-            .and_then(|record| record.last_success);
-        let success = record.max(self.successes.get(&fingerprint).copied())?;
-        let age = stored_time(now, Duration::ZERO).saturating_sub(success);
-        (age <= self.trust_window).then_some(age)
-    }
-
-    /// Returns how the request is treated now.
-    pub fn state(&self, fingerprint: Fingerprint, now: Duration) -> QuarantineState {
-        let strikes = self.strikes(fingerprint, now);
+    pub fn recent_success(&self, suspect: Suspect, now: Duration) -> Option<Duration> {
+        let age = self.last_success(suspect, now)?;
+        (age <= self.trust(suspect)).then_some(age)
+    }
+
+    /// Returns the age of the last successful run that is known.
+    fn last_success(&self, suspect: Suspect, now: Duration) -> Option<Duration> {
+        let record = self.records.get(&suspect);
+        let record = record.and_then(|record| record.last_success);
+        let success = record.max(self.successes(suspect).get(suspect))?;
+        Some(stored_time(now, Duration::ZERO).saturating_sub(success))
+    }
+
+    /// Returns the successes of the parts that crashes of the last `window` are attributed to, at
+    /// most `count`, those with the latest crashes first: other routers may not know of them.
+    pub fn part_successes(
+        &self,
+        window: Duration,
+        count: usize,
+        now: Duration,
+    ) -> Vec<Aged<Suspect>> {
+        let stored_now = stored_time(now, Duration::ZERO);
+        let parts = self.records.range(Suspect::Part(0)..);
+        let struck = parts.filter_map(|(suspect, record)| {
+            let last = *record.crashes.values().max()?;
+            let success = record.last_success?;
+            (last + window > stored_now).then_some((Reverse(last), *suspect, success))
+        });
+        let mut struck: Vec<_> = struck.collect();
+        struck.sort();
+        let struck = struck.into_iter().take(count);
+        struck
+            .map(|(_, suspect, success)| Aged::new(suspect, stored_now.saturating_sub(success)))
+            .collect()
+    }
+
+    /// Returns how a suspect is treated now, regardless of others.
+    pub fn state(&self, suspect: Suspect, now: Duration) -> QuarantineState {
+        let Some(record) = self.records.get(&suspect) else {
+            return QuarantineState::Clear;
+        };
+        let strikes = self.strikes(suspect, now);
         if strikes == 0 {
             return QuarantineState::Clear;
         }
-        if strikes < self.strikes {
+        if strikes < self.required(suspect, record) || !self.others_progress(suspect, record) {
             return QuarantineState::Suspect;
         }
-        let expires = self.records.get(&fingerprint).map(|record| record.expires);
         let now = stored_time(now, Duration::ZERO);
         QuarantineState::Held {
-            retry_after: expires.unwrap_or(now).saturating_sub(now),
+            retry_after: record.expires.saturating_sub(now),
         }
     }
 
-    /// Returns the number of crashes that count against the request now.
-    pub fn strikes(&self, fingerprint: Fingerprint, now: Duration) -> usize {
-        let record = self.records.get(&fingerprint);
+    /// Returns why a request with these suspects is refused, if it is.
+    ///
+    /// Suspects that all their crashes have in common cannot be told apart. A request is refused if
+    /// it has all of them; one that has only some shows which of them is sound.
+    pub fn block(&self, suspects: &[Suspect], now: Duration) -> Option<Block> {
+        suspects.iter().find_map(|suspect| {
+            let QuarantineState::Held { retry_after } = self.state(*suspect, now) else {
+                return None;
+            };
+            let inseparable = self.inseparable(*suspect);
+            let has_all = inseparable.iter().all(|other| suspects.contains(other));
+            if !has_all {
+                return None;
+            }
+            let until_probe = self.until_probe(*suspect, now);
+            let retry_after = until_probe.map_or(retry_after, |time| time.max(MIN_RETRY_AFTER));
+            Some(Block {
+                suspect: *suspect,
+                strikes: self.strikes(*suspect, now),
+                retry_after,
+                may_probe: until_probe.is_some_and(|time| time.is_zero()),
+            })
+        })
+    }
+
+    /// Returns whether a crash counts against one of these parts, so that another attempt after a
+    /// lost one would probably crash another endpoint.
+    pub fn suspects_part(&self, suspects: &[Suspect], now: Duration) -> bool {
+        let parts = suspects.iter().filter(|s| matches!(s, Suspect::Part(_)));
+        parts
+            .filter(|part| self.strikes(**part, now) > 0)
+            .any(|part| {
+                let record = self.records.get(part);
+                record.is_some_and(|record| record.last_success.is_none())
+            })
+    }
+
+    /// Returns the number of crashes that count against the suspect now and that no other suspect
+    /// explains better.
+    pub fn strikes(&self, suspect: Suspect, now: Duration) -> usize {
+        let record = self.records.get(&suspect);
         let record = record.filter(|record| record.expires > stored_time(now, Duration::ZERO));
-        record.map_or(0, |record| record.strikes(self.trust_window))
+        record.map_or(0, |record| record.strikes)
     }
 
-    /// Returns the time of the latest recorded crash of the request; `None` if no crash counts.
-    pub fn last_strike(&self, fingerprint: Fingerprint, now: Duration) -> Option<Duration> {
-        if self.strikes(fingerprint, now) == 0 {
+    /// Returns the time of the latest recorded crash of the suspect; `None` if no crash counts.
+    pub fn last_strike(&self, suspect: Suspect, now: Duration) -> Option<Duration> {
+        if self.strikes(suspect, now) == 0 {
             return None;
         }
-        let last = self.records.get(&fingerprint)?.crashes.values().max()?;
+        let last = self.records.get(&suspect)?.crashes.values().max()?;
         Some(last.saturating_sub(STORED_OFFSET))
     }
 
-    /// Returns the fingerprints that are held now.
-    pub fn held(&self, now: Duration) -> BTreeSet<Fingerprint> {
-        let all = self.records.keys().copied();
-        all.filter(|fingerprint| self.strikes(*fingerprint, now) >= self.strikes)
-            .collect()
+    /// Returns the suspects that are held now, and whether more than one event shows it.
+    pub fn held(&self, now: Duration) -> BTreeMap<Suspect, bool> {
+        let all = self.records.iter();
+        all.filter(|(suspect, _)| {
+            matches!(self.state(**suspect, now), QuarantineState::Held { .. })
+        })
+        .map(|(suspect, record)| (*suspect, self.is_confirmed(*suspect, record)))
+        .collect()
     }
 
-    /// Returns the latest crashes that count against a fingerprint, at most as many as suffice to
-    /// hold it.
-    pub fn crashes(&self, fingerprint: Fingerprint, now: Duration) -> Vec<Aged<Crash>> {
-        let Some(record) = self.records.get(&fingerprint) else {
+    /// Returns the latest crashes that count against a suspect, at most as many as suffice to hold
+    /// it.
+    pub fn crashes(&self, suspect: Suspect, now: Duration) -> Vec<Aged<Crash>> {
+        let Some(record) = self.records.get(&suspect) else {
             return Vec::new();
         };
-        let after = record
-            .last_success
-            .map(|success| success + self.trust_window);
-        let counts = |at: &Duration| after.is_none_or(|after| *at > after);
-        let mut crashes: Vec<_> = record.crashes.iter().filter(|(_, at)| counts(at)).collect();
-        crashes.sort_by_key(|(_, at)| std::cmp::Reverse(**at));
-        let aged = |((endpoint, boot, earlier), at): (&(EndpointId, String, u32), &Duration)| {
-            let age = stored_time(now, Duration::ZERO).saturating_sub(*at);
+        let mut crashes: Vec<_> = record.counted(self.trust(suspect)).collect();
+        crashes.sort_by_key(|(_, at)| Reverse(*at));
+        let aged = |((endpoint, boot, earlier), at): (&CrashKey, Duration)| {
+            let age = stored_time(now, Duration::ZERO).saturating_sub(at);
             let value = Crash {
-                fingerprint,
+                suspect,
                 endpoint: endpoint.clone(),
                 boot: boot.clone(),
                 earlier: *earlier,
             };
             Aged::new(value, age)
         };
-        crashes.into_iter().take(self.strikes).map(aged).collect()
+        let enough = self.required(suspect, record);
+        crashes.into_iter().take(enough).map(aged).collect()
     }
 
-    /// Returns the fingerprints whose crashes all routers must know, in ascending order.
-    pub fn sync_set(&self, now: Duration) -> BTreeSet<Fingerprint> {
+    /// Returns the suspects whose crashes all routers must know, in ascending order.
+    pub fn sync_set(&self, now: Duration) -> BTreeSet<Suspect> {
         let all = self.records.keys().copied();
-        all.filter(|fingerprint| {
-            self.strikes(*fingerprint, now) >= SYNC_MIN_CRASHES.min(self.strikes)
-        })
-        .collect()
+        all.filter(|suspect| self.strikes(*suspect, now) >= SYNC_MIN_CRASHES.min(self.strikes))
+            .collect()
     }
 
-    /// Returns a digest of the fingerprints in [`sync_set`](Self::sync_set) and their strikes.
-    /// Tables that differ there have, with high probability, different digests.
+    /// Returns a digest of the suspects in [`sync_set`](Self::sync_set) and their strikes. Tables
+    /// that differ there have, with high probability, different digests.
     pub fn digest(&self) -> u32 {
         self.digest
     }
 
-    /// Returns the number of fingerprints in the table.
+    /// Returns the number of suspects in the table.
     pub fn len(&self) -> usize {
         self.records.len()
     }
@@ -295,83 +419,216 @@
         self.records.is_empty()
     }
 
-    /// Drops expired records and runs. Returns the fingerprints that were held until now.
-    pub fn expire(&mut self, now: Duration) -> Vec<Fingerprint> {
+    /// Drops expired records and runs. Returns the suspects that were held until now.
+    pub fn expire(&mut self, now: Duration) -> Vec<Suspect> {
         let now = stored_time(now, Duration::ZERO);
-        while let Some((_, at)) = self.success_order.front()
-            && now > *at + self.trust_window
-        {
-            self.forget_success();
-        }
+        self.request_successes.expire(now);
+        self.part_successes.expire(now);
         let expired = self.records.iter().filter(|(_, r)| r.expires <= now);
-        let expired: Vec<Fingerprint> = expired.map(|(fingerprint, _)| *fingerprint).collect();
+        let expired: Vec<Suspect> = expired.map(|(suspect, _)| *suspect).collect();
         let mut ended = Vec::new();
-        for fingerprint in expired {
-            let record = self.remove(fingerprint);
-            if record.map_or(0, |record| record.strikes(self.trust_window)) >= self.strikes {
-                ended.push(fingerprint);
+        for suspect in expired {
+            let record = self.remove(suspect);
+            if record.is_some_and(|record| record.strikes >= self.required(suspect, &record)) {
+                ended.push(suspect);
             }
         }
         ended
     }
 
-    /// Changes the record of a fingerprint and updates the digest.
-    fn update_record(&mut self, fingerprint: Fingerprint, change: impl FnOnce(&mut Record)) {
-        let before = self.digest_term(fingerprint);
-        change(self.records.entry(fingerprint).or_default());
-        let after = self.digest_term(fingerprint);
-        self.digest = self.digest.wrapping_sub(before).wrapping_add(after);
+    /// Number of crashes that hold a suspect.
+    fn required(&self, suspect: Suspect, record: &Record) -> usize {
+        self.strikes + handicap(suspect, record)
+    }
+
+    /// Whether other prompts succeeded since the crashes began, if the suspect ever did: a part that
+    /// is in nearly every request has no success while all endpoints are lost.
+    fn others_progress(&self, suspect: Suspect, record: &Record) -> bool {
+        if handicap(suspect, record) == 0 {
+            return true;
+        }
+        let first = record.counted(self.trust(suspect)).map(|(_, at)| at).min();
+        self.last_progress
+            .is_some_and(|progress| first.is_some_and(|first| progress > first))
+    }
+
+    /// Whether crashes of a held suspect are so far apart that they have no other common cause.
+    /// Requests need no test: what they hold back is only themselves.
+    fn is_confirmed(&self, suspect: Suspect, record: &Record) -> bool {
+        if matches!(suspect, Suspect::Request(_)) {
+            return true;
+        }
+        let crashes = record.counted(self.trust(suspect));
+        let mut times: Vec<Duration> = crashes.map(|(_, at)| at).collect();
+        times.sort();
+        times
+            .windows(2)
+            .any(|pair| pair[1] >= pair[0] + CONFIRM_GAP)
+    }
+
+    /// Time until a request may test a suspect; `None` if none may.
+    fn until_probe(&self, suspect: Suspect, now: Duration) -> Option<Duration> {
+        let record = self.records.get(&suspect)?;
+        let last = *record.crashes.values().max()?;
+        let now = stored_time(now, Duration::ZERO);
+        let until = (last + PROBE_DELAY).saturating_sub(now);
+        (!self.is_confirmed(suspect, record)).then_some(until)
+    }
+
+    /// The other parts that have the same crashes as a part and explain them as well.
+    fn inseparable(&self, suspect: Suspect) -> Vec<Suspect> {
+        let Some(record) = self.records.get(&suspect) else {
+            return Vec::new();
+        };
+        let keys: Vec<&CrashKey> = record
+            .counted(self.trust(suspect))
+            .map(|(key, _)| key)
+            .collect();
+        let Some(first) = keys.first().and_then(|key| self.crashes.get(*key)) else {
+            return Vec::new();
+        };
+        let is_same = |other: &&Suspect| {
+            let other_record = self.records.get(other);
+            **other != suspect
+                && other_record.is_some_and(|other_record| {
+                    let counted = other_record.counted(self.trust(**other));
+                    other_record.rank == record.rank
+                        && counted.map(|(key, _)| key).eq(keys.iter().copied())
+                })
+        };
+        first.all.iter().filter(is_same).copied().collect()
+    }
+
+    fn trust(&self, suspect: Suspect) -> Duration {
+        match suspect {
+            Suspect::Request(_) => self.request_trust,
+            Suspect::Part(_) => self.part_trust,
+        }
     }
 
-    fn remove(&mut self, fingerprint: Fingerprint) -> Option<Record> {
-        self.digest = self.digest.wrapping_sub(self.digest_term(fingerprint));
-        self.records.remove(&fingerprint)
+    fn successes(&self, suspect: Suspect) -> &Successes {
+        match suspect {
+            Suspect::Request(_) => &self.request_successes,
+            Suspect::Part(_) => &self.part_successes,
+        }
+    }
+
+    /// Changes the record of a suspect, and updates what depends on it.
+    fn update_record(&mut self, suspect: Suspect, change: impl FnOnce(&mut Record)) {
+        let trust = self.trust(suspect);
+        let record = self.records.entry(suspect).or_default();
+        let mut touched: BTreeSet<CrashKey> = record.crashes.keys().cloned().collect();
+        change(record);
+        record.rank = Rank {
+            score: record
+                .counted(trust)
+                .count()
+                .saturating_sub(handicap(suspect, record)),
+            is_request: matches!(suspect, Suspect::Request(_)),
+        };
+        let now: BTreeSet<CrashKey> = record.crashes.keys().cloned().collect();
+        for key in touched.difference(&now) {
+            if let Some(suspects) = self.crashes.get_mut(key) {
+                suspects.all.remove(&suspect);
+            }
+        }
+        for key in &now {
+            let suspects = self.crashes.entry(key.clone()).or_default();
+            suspects.all.insert(suspect);
+        }
+        touched.extend(now);
+        self.update_strikes(suspect, &touched);
+    }
+
+    fn remove(&mut self, suspect: Suspect) -> Option<Record> {
+        let record = self.records.remove(&suspect)?;
+        self.digest = self.digest.wrapping_sub(self.digest_term(suspect, &record));
+        let keys: BTreeSet<CrashKey> = record.crashes.keys().cloned().collect();
+        for key in &keys {
+            if let Some(suspects) = self.crashes.get_mut(key) {
+                suspects.all.remove(&suspect);
+            }
+        }
+        self.update_strikes(suspect, &keys);
+        Some(record)
+    }
+
+    /// Updates the strikes of a suspect and of all others that share one of the given crashes.
+    fn update_strikes(&mut self, suspect: Suspect, keys: &BTreeSet<CrashKey>) {
+        let mut affected = BTreeSet::from([suspect]);
+        for key in keys {
+            let Some(suspects) = self.crashes.get(key) else {
+                continue;
+            };
+            if suspects.all.is_empty() {
+                self.crashes.remove(key);
+                continue;
+            }
+            let ranks = suspects.all.iter().filter_map(|other| {
+                let record = self.records.get(other)?;
+                let counts = record.counted(self.trust(*other)).any(|(k, _)| k == key);
+                counts.then_some(record.rank)
+            });
+            let best = ranks.max().unwrap_or_default();
+            affected.extend(&suspects.all);
+            if let Some(suspects) = self.crashes.get_mut(key) {
+                suspects.best = best;
+            }
+        }
+        for other in affected {
+            let Some(record) = self.records.get(&other) else {
+                continue;
+            };
+            let before = self.digest_term(other, record);
+            let counted = record.counted(self.trust(other));
+            let best = |key| self.crashes.get(key).map(|suspects| suspects.best);
+            let strikes = counted
+                .filter(|(key, _)| best(*key).is_none_or(|best| record.rank >= best))
+                .count();
+            if let Some(record) = self.records.get_mut(&other) {
+                record.strikes = strikes;
+            }
+            let after = self
+                .records
+                .get(&other)
+                .map_or(0, |record| self.digest_term(other, record));
+            self.digest = self.digest.wrapping_sub(before).wrapping_add(after);
+        }
     }
 
     /// What a record adds to the digest: zero unless it is in [`sync_set`](Self::sync_set).
-    fn digest_term(&self, fingerprint: Fingerprint) -> u32 {
-        let record = self.records.get(&fingerprint);
-        let strikes = record.map_or(0, |record| record.strikes(self.trust_window));
-        let strikes = strikes.min(self.strikes);
+    fn digest_term(&self, suspect: Suspect, record: &Record) -> u32 {
+        let strikes = record.strikes.min(self.strikes);
         if strikes < SYNC_MIN_CRASHES.min(self.strikes) {
             return 0;
         }
         let strikes = u64::try_from(strikes).unwrap_or(u64::MAX);
+        let (kind, id) = match suspect {
+            Suspect::Request(fingerprint) => (0, fingerprint),
+            Suspect::Part(id) => (1, id),
+        };
         let [a, b, c, d, ..] =
-            hash_parts(&[&fingerprint.to_le_bytes(), &strikes.to_le_bytes()]).to_le_bytes();
+            hash_parts(&[&[kind], &id.to_le_bytes(), &strikes.to_le_bytes()]).to_le_bytes();
         u32::from_le_bytes([a, b, c, d])
     }
 
-    fn forget_success(&mut self) {
-        if let Some((fingerprint, at)) = self.success_order.pop_front()
-            && self.successes.get(&fingerprint) == Some(&at)
-        {
-            self.successes.remove(&fingerprint);
-        }
-    }
-
     fn evict(&mut self) {
         while self.records.len() >= self.limit {
             let weakest = self.records.iter();
-            let weakest = weakest.min_by_key(|(_, r)| (r.strikes(self.trust_window), r.expires));
-            let Some(fingerprint) = weakest.map(|(f, _)| *f) else {
+            let weakest = weakest.min_by_key(|(_, r)| (r.rank.score, r.expires));
+            let Some(suspect) = weakest.map(|(suspect, _)| *suspect) else {
                 return;
             };
-            self.remove(fingerprint);
+            self.remove(suspect);
         }
     }
 }
 
-impl<T> Aged<T> {
-    /// Creates an event that happened `age` ago.
-    pub fn new(value: T, age: Duration) -> Aged<T> {
-        let age = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        Aged { value, age }
-    }
-
-    /// Returns the time since the event.
-    pub fn age(&self) -> Duration {
-        Duration::from_millis(self.age.into())
+/// Crashes by which a suspect needs more than one that never succeeded.
+fn handicap(suspect: Suspect, record: &Record) -> usize {
+    match suspect {
+        Suspect::Part(_) if record.last_success.is_some() => PROVEN_HANDICAP,
+        _ => 0,
     }
 }
 
--- a/crates/policy/tests/tables.rs
+++ b/crates/policy/tests/tables.rs
@@ -5,7 +5,8 @@
 use rand::rngs::StdRng;
 use sequoiaridge_core::{Repeat, Targets, Verdict};
 use sequoiaridge_policy::{
-    Backoff, ChatIndex, ClassPolicy, Crash, Quarantine, QuarantineState, RetryBudget, SuspectSlots,
+    Backoff, ChatIndex, ClassPolicy, Crash, Quarantine, QuarantineState, RetryBudget, Suspect,
+    SuspectSlots,
 };
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 
 fn crash(fingerprint: u64, endpoint: &str, boot: &str) -> Crash {
     Crash {
-        fingerprint,
+        suspect: Suspect::Request(fingerprint),
         endpoint: endpoint.to_string(),
         boot: boot.to_string(),
         earlier: 0,
@@ -152,7 +153,10 @@
 #[test]
 fn three_crashes_hold_a_request() {
     let mut table = Quarantine::new(3, HOLD, 9);
-    assert_eq!(table.state(1, secs(0)), QuarantineState::Clear);
+    assert_eq!(
+        table.state(Suspect::Request(1), secs(0)),
+        QuarantineState::Clear
+    );
     assert_eq!(
         table.strike(&crash(1, "a", "x"), secs(0)),
         QuarantineState::Suspect
@@ -164,8 +168,14 @@
     );
     let held = table.strike(&crash(1, "b", "x"), secs(3));
     assert_eq!(held, QuarantineState::Held { retry_after: HOLD });
-    assert_eq!(table.state(2, secs(3)), QuarantineState::Clear);
-    assert_eq!(table.state(1, secs(3) + HOLD), QuarantineState::Clear);
+    assert_eq!(
+        table.state(Suspect::Request(2), secs(3)),
+        QuarantineState::Clear
+    );
+    assert_eq!(
+        table.state(Suspect::Request(1), secs(3) + HOLD),
+        QuarantineState::Clear
+    );
 }
 
 /// Guards against a late copy of a crash that makes a request suspect again after it completed.
@@ -173,7 +183,7 @@
 fn a_completed_run_clears_the_request() {
     let mut table = Quarantine::new(3, HOLD, 9);
     table.strike(&crash(1, "a", "x"), secs(0));
-    table.clear(1, secs(0));
+    table.clear(Suspect::Request(1), secs(0));
     assert_eq!(
         table.strike(&crash(1, "a", "x"), secs(1)),
         QuarantineState::Clear
@@ -197,7 +207,7 @@
         assert!(table.len() <= 10);
     }
     assert!(matches!(
-        table.state(0, secs(1)),
+        table.state(Suspect::Request(0), secs(1)),
         QuarantineState::Held { .. }
     ));
 }
--- a/crates/router/src/crash.rs
+++ b/crates/router/src/crash.rs
@@ -6,7 +6,7 @@
 use sequoiaridge_core::{Event, Fingerprint, Refusal, RefusalReason, Verdict};
 use sequoiaridge_log as event;
 use sequoiaridge_membership::{CrashKind, CrashNotice, Message};
-use sequoiaridge_policy::{Crash, QuarantineState};
+use sequoiaridge_policy::{Crash, QuarantineState, Suspect};
 use sequoiaridge_wire::CallFrame;
 use std::sync::Arc;
 
@@ -52,7 +52,7 @@
 /// Records a crash that this router detected or that another one reported.
 pub(crate) fn record_strike(shared: &Shared, notice: &CrashNotice) {
     let crash = Crash {
-        fingerprint: notice.fingerprint,
+        suspect: Suspect::Request(notice.fingerprint),
         endpoint: notice.endpoint.clone(),
         boot: notice.boot.to_string(),
         earlier: 0,
@@ -70,7 +70,7 @@
     match notice.kind {
         CrashKind::Strike => record_strike(shared, notice),
         CrashKind::Cleared { .. } => {
-            lock(&shared.quarantine).clear(notice.fingerprint, shared.now());
+            lock(&shared.quarantine).clear(Suspect::Request(notice.fingerprint), shared.now());
         }
     }
 }
@@ -78,10 +78,11 @@
 /// Clears the strikes of a request that ran to completion, here and at all other routers.
 pub(crate) fn clear_strikes(shared: &Arc<Shared>, fingerprint: Fingerprint) {
     let mut quarantine = lock(&shared.quarantine);
-    if quarantine.state(fingerprint, shared.now()) == QuarantineState::Clear {
+    let suspect = Suspect::Request(fingerprint);
+    if quarantine.state(suspect, shared.now()) == QuarantineState::Clear {
         return;
     }
-    quarantine.clear(fingerprint, shared.now());
+    quarantine.clear(suspect, shared.now());
     drop(quarantine);
     let kind = CrashKind::Cleared {
         nonce: rand::random(),
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -13,7 +13,7 @@
     EndpointId, Refusal, RefusalReason, RetryReason, RouterId, Verdict, hash_parts,
 };
 use sequoiaridge_membership::EndpointState;
-use sequoiaridge_policy::{Backoff, ClassPolicy, QuarantineState, rank_top};
+use sequoiaridge_policy::{Backoff, ClassPolicy, QuarantineState, Suspect, rank_top};
 use sequoiaridge_wire::{CallFrame, Header};
 use std::borrow::Cow;
 use std::sync::Arc;
@@ -281,7 +281,8 @@
             };
             return Err(AttemptFailure::not_run(reason));
         }
-        let state = lock(&self.shared.quarantine).state(call.fingerprint, self.shared.now());
+        let state = lock(&self.shared.quarantine)
+            .state(Suspect::Request(call.fingerprint), self.shared.now());
         let clear = state == QuarantineState::Clear && !self.suspect;
         let key = match (clear, call.chat) {
             (true, Some(chat)) => chat,
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -9,7 +9,7 @@
 use crate::{crash, probes};
 use sequoiaridge_core::{EndpointId, Event, Refusal, RefusalReason, Targets, Verdict};
 use sequoiaridge_log as event;
-use sequoiaridge_policy::{Call, ClassPolicy, QuarantineState};
+use sequoiaridge_policy::{Call, ClassPolicy, QuarantineState, Suspect};
 use sequoiaridge_store::{Claim, HeldClaim, StoredResponse};
 use sequoiaridge_wire::{CallFrame, TurnRequest};
 use std::sync::Arc;
@@ -163,7 +163,8 @@
     /// The request is quarantined.
     fn check_quarantine(&self) -> Result<bool, NotPlaced> {
         let now = self.shared.now();
-        let state = lock(&self.shared.quarantine).state(self.frame.fingerprint, now);
+        let state =
+            lock(&self.shared.quarantine).state(Suspect::Request(self.frame.fingerprint), now);
         match state {
             QuarantineState::Clear => Ok(false),
             QuarantineState::Suspect => Ok(true),
--- a/crates/router/src/turns.rs
+++ b/crates/router/src/turns.rs
@@ -9,7 +9,7 @@
 use sequoiaridge_core::{Event, Fingerprint, Refusal, RefusalReason, RouterId};
 use sequoiaridge_log as event;
 use sequoiaridge_membership::CrashNotice;
-use sequoiaridge_policy::QuarantineState;
+use sequoiaridge_policy::{QuarantineState, Suspect};
 use sequoiaridge_wire::{Frame, Link, LinkError, TurnRequest};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -82,7 +82,8 @@
     request: TurnRequest,
 ) -> Result<Option<LocalTurn>, Refusal> {
     let fingerprint = request.fingerprint;
-    let state = || lock(&shared.quarantine).state(fingerprint, shared.now());
+    let suspect = Suspect::Request(fingerprint);
+    let state = || lock(&shared.quarantine).state(suspect, shared.now());
     if state() == QuarantineState::Clear {
         return Ok(None);
     }
@@ -96,7 +97,7 @@
     };
     let turn = async {
         let guard = queue.lock_owned().await;
-        let last_strike = lock(&shared.quarantine).last_strike(fingerprint, shared.now());
+        let last_strike = lock(&shared.quarantine).last_strike(suspect, shared.now());
         let settled = last_strike.map_or(Duration::ZERO, |at| at + STRIKE_SETTLE_TIME);
         tokio::time::sleep(settled.saturating_sub(shared.now())).await;
         guard
--- a/tests/platform_crashes.rs
+++ b/tests/platform_crashes.rs
@@ -35,7 +35,6 @@
             server.crash_on(Crash {
                 marker: CRASH_MARKER,
                 delay: Duration::ZERO,
-                delay: Duration::ZERO,
                 mode: CrashMode::Reset,
                 downtime: back,
             });
