--- a/crates/edge/tests/crash_model.rs
+++ b/crates/edge/tests/crash_model.rs
@@ -3,181 +3,44 @@
 //! A request has crashed three endpoints. Every router must hold it in time, although a third of
 //! the routers is partitioned, some restart and datagrams are lost.
 
-use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
-use rand::{RngExt, SeedableRng};
-use sequoiaridge_edge::CrashSync;
-use sequoiaridge_policy::{Aged, Crash, Quarantine, QuarantineState, Suspect};
+mod common;
+
+use common::fleet::{Fleet, MAX_MESSAGES_PER_SECOND, Router, SYNC_BOUND};
+use rand::RngExt;
+use sequoiaridge_policy::{Crash, QuarantineState, Suspect};
 use std::time::Duration;
 
-/// Largest fleet in which each router sends its messages to all others.
-const SMALL_FLEET: usize = 24;
-const DOMAINS: usize = 4;
-/// Recipients of a message in a large fleet: routers of the sender's failure domain, and of others.
-const NEAR_PEERS: usize = 3;
-const FAR_PEERS: usize = 1;
-const TICK: Duration = Duration::from_millis(100);
-const LOSS_RATE: f64 = 0.05;
-/// Time after the end of the failures within which every router must hold the request: the shortest
-/// that operators set.
-const SYNC_BOUND: Duration = Duration::from_secs(3);
 /// Messages that carry each crash when it happens.
 const SENDS_PER_CRASH: u32 = 3;
-/// Messages of 1,200 bytes in the 23 KB that a router may send in a second.
-const MAX_MESSAGES_PER_SECOND: f64 = 23_000.0 / 1_200.0;
 const CRASHING_REQUEST: u64 = 7;
 
-struct Router {
-    quarantine: Quarantine,
-    sync: CrashSync,
-    partitioned: bool,
-    /// Messages that sent known crashes again.
-    resends: usize,
+fn crash(fleet: &mut Fleet, router: usize, fingerprint: u64, endpoint: usize) {
+    let crash = Crash {
+        suspect: Suspect::Request(fingerprint),
+        endpoint: format!("i-{endpoint:010}"),
+        boot: "1781639404012".to_string(),
+        earlier: 0,
+    };
+    let now = fleet.now;
+    fleet.routers[router].quarantine.strike(&crash, now);
 }
 
-struct Fleet {
-    routers: Vec<Router>,
-    now: Duration,
-    rng: StdRng,
-    ticks: u64,
+/// Sends the crashes of a request to all routers.
+fn announce(fleet: &mut Fleet, from: usize, fingerprint: u64) {
+    let suspect = Suspect::Request(fingerprint);
+    let page = fleet.routers[from].quarantine.crashes(suspect, fleet.now);
+    fleet.broadcast(from, &page);
 }
 
-impl Fleet {
-    fn new(routers: usize, seed: u64) -> Fleet {
-        Fleet {
-            routers: (0..routers).map(|_| Fleet::router()).collect(),
-            now: Duration::from_secs(10),
-            rng: StdRng::seed_from_u64(seed),
-            ticks: 0,
-        }
-    }
-
-    fn router() -> Router {
-        let hold_time = Duration::from_secs(24 * 3600);
-        Router {
-            quarantine: Quarantine::new(3, hold_time, 4096)
-                .with_trust_window(Duration::from_secs(60)),
-            sync: CrashSync::new(),
-            partitioned: false,
-            resends: 0,
-        }
-    }
-
-    fn is_large(&self) -> bool {
-        self.routers.len() > SMALL_FLEET
-    }
-
-    /// Draws whether a datagram arrives.
-    fn arrives(&mut self, from: usize, to: usize) -> bool {
-        let partitioned = self.routers[from].partitioned || self.routers[to].partitioned;
-        !partitioned && !self.rng.random_bool(LOSS_RATE)
-    }
-
-    /// Recipients of a message.
-    fn peers(&mut self, from: usize) -> Vec<usize> {
-        let others = (0..self.routers.len()).filter(|to| *to != from);
-        if !self.is_large() {
-            return others.collect();
-        }
-        let (near, far): (Vec<usize>, Vec<usize>) =
-            others.partition(|to| to % DOMAINS == from % DOMAINS);
-        let mut peers: Vec<usize> = near.sample(&mut self.rng, NEAR_PEERS).copied().collect();
-        peers.extend(far.sample(&mut self.rng, FAR_PEERS).copied());
-        peers
-    }
-
-    fn tick(&mut self) {
-        self.now += TICK;
-        self.ticks += 1;
-        let now = self.now;
-        // In a large fleet, messages are sent every 250 ms.
-        let round = !self.is_large() || matches!(self.ticks % 5, 0 | 2);
-        for from in 0..self.routers.len() {
-            if round {
-                let digest = self.routers[from].quarantine.digest();
-                for to in self.peers(from) {
-                    if self.arrives(from, to) {
-                        let router = &mut self.routers[to];
-                        let own = router.quarantine.digest();
-                        router.sync.apply_digest(&from.to_string(), digest, own);
-                    }
-                }
-            }
-            let router = &mut self.routers[from];
-            let Some(to) = router.sync.next_peer(now, &mut self.rng) else {
-                continue;
-            };
-            let page = router.sync.next_page(&router.quarantine, now);
-            router.resends += 1;
-            let to: usize = to.parse().expect("a router");
-            if self.arrives(from, to) {
-                self.apply(to, &page);
-            }
-        }
-    }
-
-    fn apply(&mut self, to: usize, page: &[Aged<Crash>]) {
-        for crash in page {
-            let router = &mut self.routers[to];
-            router
-                .quarantine
-                .strike_aged(&crash.value, crash.age(), self.now);
-        }
-    }
-
-    /// Sends the crashes of a request when they happen: to all routers of the sender's failure
-    /// domain, and through one relay in each other domain.
-    fn announce(&mut self, from: usize, fingerprint: u64) {
-        let page = self.routers[from]
-            .quarantine
-            .crashes(Suspect::Request(fingerprint), self.now);
-        for domain in 0..DOMAINS {
-            let mut sender = from;
-            if domain != from % DOMAINS {
-                let routers = (domain..self.routers.len()).step_by(DOMAINS);
-                let routers: Vec<usize> = routers.collect();
-                let relay = *routers.choose(&mut self.rng).expect("a relay");
-                if !self.arrives(from, relay) {
-                    continue;
-                }
-                self.apply(relay, &page);
-                sender = relay;
-            }
-            for to in (domain..self.routers.len()).step_by(DOMAINS) {
-                if self.arrives(sender, to) {
-                    self.apply(to, &page);
-                }
-            }
-        }
-    }
-
-    fn run(&mut self, time: Duration) {
-        let end = self.now + time;
-        while self.now < end {
-            self.tick();
-        }
-    }
-
-    fn crash(&mut self, router: usize, fingerprint: u64, endpoint: usize) {
-        let crash = Crash {
-            suspect: Suspect::Request(fingerprint),
-            endpoint: format!("i-{endpoint:010}"),
-            boot: "1781639404012".to_string(),
-            earlier: 0,
-        };
-        self.routers[router].quarantine.strike(&crash, self.now);
-    }
-
-    /// Number of routers that do not hold the request.
-    fn not_holding(&self) -> usize {
-        let held = |router: &&Router| {
-            let state = router
-                .quarantine
-                .state(Suspect::Request(CRASHING_REQUEST), self.now);
-            matches!(state, QuarantineState::Held { .. })
-        };
-        self.routers.len() - self.routers.iter().filter(held).count()
-    }
+/// Number of routers that do not hold the request.
+fn not_holding(fleet: &Fleet) -> usize {
+    let routers = fleet.routers.iter();
+    let free = routers.filter(|router| {
+        let suspect = Suspect::Request(CRASHING_REQUEST);
+        let state = router.quarantine.state(suspect, fleet.now);
+        !matches!(state, QuarantineState::Held { .. })
+    });
+    free.count()
 }
 
 /// Guards against a router that does not hold a request because it was partitioned while others saw
@@ -195,18 +58,18 @@
             }
             // No router sees more than one of the three crashes.
             for (endpoint, router) in connected.iter().take(3).enumerate() {
-                fleet.crash(*router, CRASHING_REQUEST, endpoint);
+                crash(&mut fleet, *router, CRASHING_REQUEST, endpoint);
             }
             for _ in 0..SENDS_PER_CRASH {
                 fleet.run(SYNC_BOUND / (SENDS_PER_CRASH + 1));
                 connected[..3]
                     .iter()
-                    .for_each(|router| fleet.announce(*router, CRASHING_REQUEST));
+                    .for_each(|router| announce(&mut fleet, *router, CRASHING_REQUEST));
             }
             fleet.run(SYNC_BOUND / (SENDS_PER_CRASH + 1));
-            let not_holding = fleet.not_holding();
+            let free = not_holding(&fleet);
             assert_eq!(
-                not_holding,
+                free,
                 partitioned.len(),
                 "{routers} routers, seed {seed}: before"
             );
@@ -216,11 +79,11 @@
                 .iter_mut()
                 .for_each(|router| router.partitioned = false);
             for router in &connected[connected.len() / 2..] {
-                fleet.routers[*router] = Fleet::router();
+                fleet.routers[*router] = Router::new();
             }
             fleet.run(SYNC_BOUND);
             assert_eq!(
-                fleet.not_holding(),
+                not_holding(&fleet),
                 0,
                 "{routers} routers, seed {seed}: after"
             );
@@ -237,8 +100,8 @@
         for fingerprint in 0..40 {
             for endpoint in 0..3 {
                 let router = fleet.rng.random_range(0..routers);
-                fleet.crash(router, fingerprint, endpoint);
-                fleet.announce(router, fingerprint);
+                crash(&mut fleet, router, fingerprint, endpoint);
+                announce(&mut fleet, router, fingerprint);
             }
         }
         let mut max_rate = 0.0f64;
