Break off streams that end within an event

A stream without a length or chunks ends with its connection, and one with chunks may end in order after half an event. Both were passed on as complete, half an event included, so a caller could not tell; a resumable one was not resumed. A stream whose last event has not ended now counts as broken off: it is resumed where that is allowed, and otherwise ends without its last chunk.

Before, in platform/tests/unframed.rs: a_stream_that_ends_within_an_event_does_not_look_complete (looks complete) and a_stream_that_ended_within_an_event_goes_on_at_another_server (events 1 to 5 in place of 1 to 7) failed; whole answers without a length, and those that are reset, passed and stay as guards.

--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -112,8 +112,36 @@
     watch: SilenceWatch,
     idle: Option<Duration>,
     close: bool,
-    /// Ends of events that arrived, until the answer has progressed.
-    events: usize,
+    events: EventScan,
+}
+
+/// What has arrived of the events of a stream.
+#[derive(Default)]
+struct EventScan {
+    /// Ends of events.
+    ends: usize,
+    /// The last bytes, as many as the end of an event has.
+    tail: Vec<u8>,
+}
+
+impl EventScan {
+    fn record(&mut self, data: &[u8]) {
+        let boundary = self.tail.iter().chain(data.iter().take(1));
+        let boundary: Vec<u8> = boundary.copied().collect();
+        for bytes in [boundary.as_slice(), data] {
+            let pairs = bytes.windows(EVENT_END.len());
+            self.ends += pairs.filter(|pair| *pair == EVENT_END).count();
+        }
+        self.tail
+            .extend_from_slice(&data[data.len().saturating_sub(EVENT_END.len())..]);
+        let excess = self.tail.len().saturating_sub(EVENT_END.len());
+        self.tail.drain(..excess);
+    }
+
+    /// Whether the last event that began has ended.
+    fn is_at_end(&self) -> bool {
+        self.tail.is_empty() || self.tail == EVENT_END
+    }
 }
 
 impl Origin {
@@ -124,7 +152,7 @@
             watch: SilenceWatch::new(),
             idle: head.idle,
             close: head.close,
-            events: 0,
+            events: EventScan::default(),
         }
     }
 }
@@ -222,17 +250,15 @@
         data
     }
 
-    /// Counts the events that arrived. An endpoint that crashes on a part of the prompt may still
+    /// Records the events that arrived. An endpoint that crashes on a part of the prompt may still
     /// send the first one.
-    fn count_events(&mut self, data: &[u8]) {
+    fn scan_events(&mut self, data: &[u8]) {
         let (Some(origin), Some(exchange)) = (&mut self.origin, &self.exchange) else {
             return;
         };
-        if origin.events >= PROGRESS_EVENTS {
-            return;
-        }
-        origin.events += data.windows(2).filter(|pair| *pair == EVENT_END).count();
-        if origin.events >= PROGRESS_EVENTS {
+        let had_progressed = origin.events.ends >= PROGRESS_EVENTS;
+        origin.events.record(data);
+        if !had_progressed && origin.events.ends >= PROGRESS_EVENTS {
             exchange.report_progress();
             if let Source::Arriving(arriving) = &mut self.source {
                 arriving.guard.progressed();
@@ -240,6 +266,13 @@
         }
     }
 
+    /// Whether a stream stopped within an event. Its endpoint broke off, however the answer ended.
+    fn is_cut(&self) -> bool {
+        let streams = self.exchange.as_ref().map(|e| e.route.kind.streams());
+        let at_end = self.origin.as_ref().map(|origin| origin.events.is_at_end());
+        self.success && streams == Some(true) && at_end == Some(false)
+    }
+
     /// Ends a body that is complete.
     fn finish(&mut self) {
         self.due.set(None);
@@ -410,24 +443,22 @@
                             continue;
                         }
                     };
+                    if matches!(frame, Some(Ok(_))) {
+                        arriving.guard.prompt_read();
+                    }
                     if let Some(origin) = &mut this.origin {
                         origin.watch.restart();
                     }
                     match frame {
-                        None => {
-                            let rest = this.partial.split().freeze();
+                        None if !this.is_cut() => {
                             this.finish();
-                            if !rest.is_empty() {
-                                return Poll::Ready(Some(Ok(Frame::data(rest))));
-                            }
                             return Poll::Ready(None);
                         }
                         Some(Ok(frame)) => {
                             let Ok(data) = frame.into_data() else {
                                 continue;
                             };
-                            arriving.guard.prompt_read();
-                            this.count_events(&data);
+                            this.scan_events(&data);
                             let data = this.pass_on(data);
                             if this.partial.len() > MAX_EVENT_BYTES {
                                 this.end_early(BodyError::Broke);
@@ -438,7 +469,7 @@
                                 return Poll::Ready(Some(Ok(Frame::data(data))));
                             }
                         }
-                        Some(Err(_)) => {
+                        None | Some(Err(_)) => {
                             if !this.resume(Failure::Broke) {
                                 this.end_early(BodyError::Broke);
                                 return Poll::Ready(Some(Err(BodyError::Broke)));
