Let the soak play crashing parts of prompts and answers without length or chunks

One caller sends requests with a part that ends servers, among sound ones with the same other parts, through all routers. Servers end streams with the connection, whole, reset and within an event.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -23,11 +23,14 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::client::{Answer, Caller, post, send};
-use support::crashing::{CRASH_MARKER, MAX_SENT_AFTER, QUARANTINE_STRIKES, SYNC_TIME, crash_times};
+use support::client::{Answer, Caller, post, prompt, send};
+use support::crashing::{
+    CRASH_PART, MAX_SENT_AFTER, PART_PATH, QUARANTINE_STRIKES, SYNC_TIME, crash_times,
+    part_crash_times,
+};
 use support::program::RouterProcess;
 use support::proxy::{Fault, Proxy};
-use support::server::{Behavior, Crash, CrashMode, Server, StaleAnswer};
+use support::server::{Behavior, Crash, CrashMode, Server, StaleAnswer, StreamEnd};
 use support::store::{FakeStore, Mode};
 use support::{config, eventually, row_via};
 
@@ -41,6 +44,16 @@
 const DOMAINS: usize = 3;
 /// Number of events of each stream, and so the id of the last one.
 const EVENTS: u64 = 8;
+/// Streams without chunks, and streams that end within an event.
+const STREAM_ENDS: [Behavior; 4] = [
+    Behavior::UnframedStream(EVENTS, StreamEnd::Whole),
+    Behavior::UnframedStream(EVENTS / 2, StreamEnd::HalfEvent),
+    Behavior::UnframedStream(EVENTS / 2, StreamEnd::Reset),
+    Behavior::HalfEvent(EVENTS / 2),
+];
+/// Parts of prompts that end servers, and of sound ones, without the last part.
+const CRASHING_PARTS: &str = "a:500,b:700,dead:300";
+const SOUND_PARTS: &str = "a:500,b:700";
 /// Seeds that CI runs beside the regressions.
 const CI_SEEDS: std::ops::Range<u64> = 1..2;
 /// Seeds that failed in the past, each with the cause.
@@ -78,6 +91,8 @@
 struct Soak {
     seed: u64,
     rng: StdRng,
+    /// Draws how streams end, apart from the other faults, so that those of a seed stay the same.
+    ends_rng: StdRng,
     store: FakeStore,
     store_proxies: Vec<Proxy>,
     routers: Vec<RouterProcess>,
@@ -139,6 +154,7 @@
         Soak {
             seed,
             rng: StdRng::seed_from_u64(seed),
+            ends_rng: StdRng::seed_from_u64(!seed),
             store,
             store_proxies,
             routers,
@@ -241,7 +257,10 @@
                     Behavior::LateCopy(StaleAnswer::Refusal),
                     Behavior::Reset,
                 ];
-                let behavior = *behaviors.choose(&mut self.rng).expect("a behavior");
+                let mut behavior = *behaviors.choose(&mut self.rng).expect("a behavior");
+                if self.ends_rng.random_bool(0.4) {
+                    behavior = *STREAM_ENDS.choose(&mut self.ends_rng).expect("a behavior");
+                }
                 let description = format!("server {server}: {behavior:?} once");
                 self.servers[server].set_behaviors(&[behavior, Behavior::EchoId]);
                 description
@@ -297,7 +316,7 @@
     /// routers together.
     async fn check_quarantine(&self) {
         for kind in ["order", "chat"] {
-            let path = format!("/{kind}/{CRASH_MARKER}");
+            let path = format!("/{kind}/{CRASH_PART}");
             let before = crash_times(&self.servers, &path).len();
             if before < QUARANTINE_STRIKES {
                 continue;
@@ -315,6 +334,34 @@
         }
     }
 
+    /// Checks that all routers together hold a part of prompts that ended enough servers, and serve
+    /// sound prompts with the same other parts.
+    async fn check_crashing_part(&self) {
+        let before = part_crash_times(&self.servers).len();
+        if before >= QUARANTINE_STRIKES {
+            for (index, router) in self.routers.iter().enumerate() {
+                let (path, id) = (format!("{PART_PATH}held-{index}"), format!("held-{index}"));
+                let parts = format!("{CRASHING_PARTS},f{index}:50");
+                prompt(router.callers, &path, &id, &parts).await;
+            }
+            let after = part_crash_times(&self.servers).len() - before;
+            assert!(
+                after <= MAX_SENT_AFTER,
+                "seed {}: the part reached servers {after} more times after it had ended {before}",
+                self.seed
+            );
+        }
+        for (index, router) in self.routers.iter().enumerate() {
+            eventually("a router serves a sound prompt", || async {
+                let id = format!("sound-{index}");
+                let parts = format!("{SOUND_PARTS},e{index}:50");
+                let answer = prompt(router.callers, &format!("/chat/{id}"), &id, &parts).await;
+                answer.is_some_and(|answer| answer.status == 200 && answer.complete)
+            })
+            .await;
+        }
+    }
+
     /// Ends every fault, restarts every router and writes a new version of the configuration.
     fn end_faults(&mut self) {
         self.store.set_mode(Mode::Up);
@@ -453,14 +500,28 @@
             .expect("attempts")
             .insert(id.clone(), attempt.clone());
         // Caller 0 repeats the requests that end servers.
-        let path = if caller == 0 && (kind == "order" || kind == "chat") {
-            format!("/{kind}/{CRASH_MARKER}")
+        let repeats = caller == 0 && (kind == "order" || kind == "chat");
+        // Caller 1 sends requests with a part that ends servers, no two of them alike.
+        let has_part = caller == 1 && kind == "chat" && rng.random_bool(0.5);
+        let path = match (repeats, has_part) {
+            (true, _) => format!("/{kind}/{CRASH_PART}"),
+            (_, true) => format!("{PART_PATH}{number}"),
+            _ => format!("/{kind}/{number}"),
+        };
+        let parts = if has_part {
+            CRASHING_PARTS
         } else {
-            format!("/{kind}/{number}")
+            SOUND_PARTS
+        };
+        let headers = match kind {
+            "chat" | "talk" => format!(
+                "Model: m\r\nToken-Usage: 1500,80\r\nPrompt-Prefix: {parts},{caller}{number}:50\r\n"
+            ),
+            _ => String::new(),
         };
         let body = if caller == 0 { "the same" } else { &id };
         let exchange = async {
-            open.send(&path, &id, "", &format!("body of {body}"))
+            open.send(&path, &id, &headers, &format!("body of {body}"))
                 .await?;
             open.answer().await
         };
@@ -489,7 +550,7 @@
         // Servers reset their connections: for a server that fell silent, its proxy would go on to
         // accept connections, which no real instance does.
         server.crash_on(Crash {
-            marker: CRASH_MARKER,
+            marker: CRASH_PART,
             delay: Duration::ZERO,
             mode: CrashMode::Reset,
             downtime: Duration::from_millis(600),
@@ -524,10 +585,12 @@
     soak.end_faults();
     soak.check_recovery().await;
     soak.check_quarantine().await;
+    soak.check_crashing_part().await;
     let attempts = attempts.lock().expect("attempts").clone();
     soak.check_answers(&attempts);
     rules::check_leaving(&soak.servers, &attempts, &faults);
     rules::check_rests(&soak.servers, &attempts, &faults);
+    rules::check_crashing_part(&soak.servers, &attempts, &faults);
     let served = attempts
         .values()
         .filter_map(|attempt| attempt.answer.as_ref())
--- a/tests/soak/rules.rs
+++ b/tests/soak/rules.rs
@@ -1,5 +1,8 @@
 //! Rules that are checked against the requests of each router that reached each server.
 
+use super::support::crashing::{
+    MAX_PART_CRASHES, MAX_SENT_AFTER, PART_PATH, SYNC_TIME, part_crash_times,
+};
 use super::support::server::{Arrival, Server};
 use super::{Attempt, FaultRecord, FaultTarget};
 use std::collections::BTreeMap;
@@ -97,3 +100,28 @@
         }
     }
 }
+
+/// Checks that few requests with a part of a prompt that crashes servers reach one after it has
+/// crashed several, unless the router that sent them had a fault in the time before.
+pub fn check_crashing_part(servers: &[Server], attempts: &Attempts, faults: &[FaultRecord]) {
+    let crashes = part_crash_times(servers);
+    let Some(bound) = crashes.get(MAX_PART_CRASHES - 1).map(|at| *at + SYNC_TIME) else {
+        return;
+    };
+    let arrivals = servers.iter().flat_map(Server::arrivals);
+    let late = arrivals.filter(|arrival| {
+        let attempt = attempts.get(&arrival.attempt);
+        let target = attempt.map(|attempt| FaultTarget::Router(attempt.router));
+        arrival.target.starts_with(PART_PATH)
+            && arrival.at > bound
+            && target.is_some_and(|router| {
+                !had_fault(faults, router, arrival.at - SYNC_TIME, arrival.at)
+            })
+    });
+    let late = late.count();
+    assert!(
+        late <= MAX_SENT_AFTER,
+        "{late} requests with the part were sent too late; it crashed {} servers",
+        crashes.len()
+    );
+}
