Tell all routers that a held part is sound when its test comes late

Successes of struck parts ride in rounds for 20 s after a crash. A held suspect that succeeds is now announced as an event, and a router that is sent an old crash answers with the success that clears it. Before: a_part_that_is_cleared_late_is_cleared_at_every_router failed (two routers never served again).

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -558,9 +558,10 @@
         let mut state = shared.lock_state();
         let (age, source) = (Duration::ZERO, CrashSource::Own);
         for suspect in self.suspects.iter().copied().filter(succeeded) {
+            let was_held = state.quarantine.is_held(suspect, shared.now());
             let is_cleared = suspect_succeeded(&mut state, shared, attempt, suspect, age, source);
-            // Successes of parts are in each round.
-            if is_cleared && matches!(suspect, Suspect::Request(_)) {
+            // Successes of parts that are only suspected are in each round.
+            if is_cleared && (was_held || matches!(suspect, Suspect::Request(_))) {
                 state.outbox.add_succeeded(suspect, shared.now());
             }
         }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -25,6 +25,8 @@
 /// Interval between messages to a live router in a small fleet. Requests last a second or so, and
 /// counts that are a tenth of that old keep the bound on load.
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after a crash for which the successes of its suspects are sent in each round.
+pub(crate) const SUCCESS_WINDOW: Duration = Duration::from_secs(20);
 /// Datagrams that are received before other work gets its turn.
 const MAX_RECEIVE_BATCH: usize = 128;
 
--- a/crates/edge/src/peers/rounds.rs
+++ b/crates/edge/src/peers/rounds.rs
@@ -1,6 +1,6 @@
 //! What a router sends to the others, to which of them, and when.
 
-use super::{Peer, PeerExchange, ROUND_INTERVAL};
+use super::{Peer, PeerExchange, ROUND_INTERVAL, SUCCESS_WINDOW};
 use crate::feed::Feed;
 use crate::follower::{Revision, TableDigest};
 use crate::load::Work;
@@ -41,9 +41,7 @@
 const MISSED_ROUNDS: u32 = 4;
 /// Routers of each other failure domain, those heard last, among which relays are drawn.
 const RELAY_CANDIDATES: usize = 12;
-/// Time after a crash for which the successes of its suspects are sent in each round, and the number
-/// of them.
-const SUCCESS_WINDOW: Duration = Duration::from_secs(20);
+/// Most successes of parts in a round.
 const MAX_PART_SUCCESSES: usize = 8;
 /// Interval between observations of the age of the endpoint table.
 const AGE_SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -7,6 +7,7 @@
 use crate::load::PeerRouter;
 use crate::manifest::{EndpointEntry, Manifest};
 use crate::peer_message::PeerMessage;
+use crate::peers::SUCCESS_WINDOW;
 use crate::registry::{Entry, Position, Row, Rows, Table};
 use crate::roster::RosterChange;
 use crate::routes::RouteTable;
@@ -78,12 +79,11 @@
             age,
             CrashSource::Router,
         );
-        // The other routers may not know that the same request succeeded here. Successes of parts
-        // are in each round.
+        // The other routers may not know that the same request succeeded here. While crashes are
+        // recent, successes of parts are in each round.
         let suspect = crash.value.suspect;
-        if matches!(suspect, Suspect::Request(_))
-            && let Some(age) = state.quarantine.recent_success(suspect, now)
-        {
+        let in_rounds = matches!(suspect, Suspect::Part(_)) && age < SUCCESS_WINDOW;
+        if !in_rounds && let Some(age) = state.quarantine.clearing_success(suspect, age, now) {
             let at = now.saturating_sub(age);
             state.outbox.add_succeeded(suspect, at);
         }
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -261,6 +261,18 @@
         (age <= self.trust(suspect)).then_some(age)
     }
 
+    /// Returns the age of the last successful run if a crash of the given age does not count because
+    /// of it.
+    pub fn clearing_success(
+        &self,
+        suspect: Suspect,
+        age: Duration,
+        now: Duration,
+    ) -> Option<Duration> {
+        let success = self.last_success(suspect, now)?;
+        (age + self.trust(suspect) >= success).then_some(success)
+    }
+
     /// Returns the age of the last successful run that is known.
     fn last_success(&self, suspect: Suspect, now: Duration) -> Option<Duration> {
         let record = self.records.get(&suspect);
@@ -310,6 +322,11 @@
         }
     }
 
+    /// Returns whether a suspect is held, regardless of others.
+    pub fn is_held(&self, suspect: Suspect, now: Duration) -> bool {
+        matches!(self.state(suspect, now), QuarantineState::Held { .. })
+    }
+
     /// Returns why a request with these suspects is refused, if it is.
     ///
     /// Suspects that all their crashes have in common cannot be told apart. A request is refused if
@@ -367,11 +384,9 @@
     /// Returns the suspects that are held now, and whether more than one event shows it.
     pub fn held(&self, now: Duration) -> BTreeMap<Suspect, bool> {
         let all = self.records.iter();
-        all.filter(|(suspect, _)| {
-            matches!(self.state(**suspect, now), QuarantineState::Held { .. })
-        })
-        .map(|(suspect, record)| (*suspect, self.is_confirmed(*suspect, record)))
-        .collect()
+        all.filter(|(suspect, _)| self.is_held(**suspect, now))
+            .map(|(suspect, record)| (*suspect, self.is_confirmed(*suspect, record)))
+            .collect()
     }
 
     /// Returns the latest crashes that count against a suspect, at most as many as suffice to hold
