--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -128,6 +128,8 @@
     CallHeld = 412, Info, "call-held";
     /// A request was sent although a part of its prompt is quarantined, to test that part.
     QuarantineProbe = 415, Info, "quarantine-probe";
+    /// An operator ended the quarantine of a request or of a part of prompts.
+    QuarantineReleased = 416, Warn, "quarantine-released";
     /// The quarantine of a request ended after a time without another crash.
     QuarantineEnded = 413, Info, "quarantine-ended";
     /// A connection was closed because its caller did not read the response.
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -21,6 +21,8 @@
     Router,
     /// The crashes that were saved in the registry.
     Registry,
+    /// An operator who released a suspect.
+    Operator,
 }
 
 impl CrashSource {
@@ -30,6 +32,7 @@
             CrashSource::Own => "own",
             CrashSource::Router => "router",
             CrashSource::Registry => "registry",
+            CrashSource::Operator => "operator",
         }
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -40,6 +40,7 @@
 mod peer_message;
 mod peers;
 mod placement;
+mod quarantine_page;
 mod quarantine_probe;
 mod reader;
 mod registry;
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -4,6 +4,7 @@
 use crate::endpoint_notices::expire_rests;
 use crate::ingress;
 use crate::peers;
+use crate::quarantine_page;
 use crate::reader;
 use crate::registry::{Dialect, Registry};
 use crate::settings::EdgeSettings;
@@ -157,6 +158,8 @@
 enum Port {
     Callers,
     Readiness,
+    /// The readiness address, reached from this instance.
+    Local,
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>, port: Port) {
@@ -186,6 +189,10 @@
     let closing = shared.closing();
     let due = AnswerDeadline::default();
     let answered = due.clone();
+    let port = match (stream.peer_addr(), stream.local_addr()) {
+        (Ok(peer), Ok(own)) if port == Port::Readiness && peer.ip() == own.ip() => Port::Local,
+        _ => port,
+    };
     let service = service_fn(move |request| {
         let (shared, due) = (shared.clone(), answered.clone());
         async move { Ok::<_, Infallible>(answer(shared, request, port, due).await) }
@@ -225,10 +232,15 @@
     }
     match port {
         Port::Callers => ingress::answer(shared, request, due).await,
-        Port::Readiness if path == "/metrics" => {
+        Port::Readiness | Port::Local if path == "/metrics" => {
             response(StatusCode::OK, shared.metrics.encode().into())
         }
-        Port::Readiness => response(StatusCode::NOT_FOUND, Bytes::new()),
+        Port::Readiness | Port::Local => {
+            let is_local = port == Port::Local;
+            let answered = quarantine_page::answer(&shared, request.method(), path, is_local);
+            let (status, body) = answered.unwrap_or((StatusCode::NOT_FOUND, Bytes::new()));
+            response(status, body)
+        }
     }
 }
 
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -14,6 +14,19 @@
     Part(u64),
 }
 
+impl Suspect {
+    /// Parses a suspect as it is displayed; `None` if the text is not one.
+    pub fn parse(text: &str) -> Option<Suspect> {
+        let (kind, id) = text.split_once(':')?;
+        let id = u64::from_str_radix(id, 16).ok()?;
+        match kind {
+            "request" => Some(Suspect::Request(id)),
+            "part" => Some(Suspect::Part(id)),
+            _ => None,
+        }
+    }
+}
+
 impl fmt::Display for Suspect {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -327,6 +327,16 @@
         matches!(self.state(suspect, now), QuarantineState::Held { .. })
     }
 
+    /// Returns the suspects of the crashes of a suspect, itself among them.
+    pub fn sharing(&self, suspect: Suspect) -> BTreeSet<Suspect> {
+        let record = self.records.get(&suspect);
+        let keys = record.into_iter().flat_map(|record| record.crashes.keys());
+        let sharing = keys.filter_map(|key| self.crashes.get(key));
+        sharing
+            .flat_map(|suspects| suspects.all.iter().copied())
+            .collect()
+    }
+
     /// Returns why a request with these suspects is refused, if it is.
     ///
     /// Suspects that all their crashes have in common cannot be told apart. A request is refused if
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -39,6 +39,10 @@
         /// address, as in its settings
         #[bpaf(long, argument("ADDRESS"))]
         status: Option<SocketAddr>,
+        /// With --status, on the instance of that router: release a request or a part of prompts that
+        /// is held, at all routers; SUSPECT is as --status shows it
+        #[bpaf(long, argument("SUSPECT"))]
+        release: Option<String>,
     },
     /// Show what the logs say about one request, in order of time
     ///
--- a/src/cli/edge_status.rs
+++ b/src/cli/edge_status.rs
@@ -1,4 +1,4 @@
-//! The command `sequoiaridge edge --status`.
+//! The commands `sequoiaridge edge --status` and `--release`.
 
 use super::exit;
 use http::{HeaderMap, Method, StatusCode};
@@ -18,22 +18,22 @@
 /// Suffixes of the series of a histogram. They are not shown, because they are meant for programs.
 const HISTOGRAM_SUFFIXES: [&str; 3] = ["_bucket", "_sum", "_count"];
 
-/// Prints whether a running router is ready, and its counters and gauges.
+/// Prints whether a running router is ready, its counters and gauges, and what it holds.
 pub(crate) async fn show(address: SocketAddr) -> u8 {
-    let client = Client::new(ClientConfig {
-        connect_timeout: TIMEOUT,
-        head_timeout: TIMEOUT,
-        chunk_timeout: TIMEOUT,
-        ..ClientConfig::default()
-    });
-    let ready = get(&client, address, Headers.readiness_path()).await;
-    let page = get(&client, address, "/metrics").await;
+    let client = client();
+    let ready = send(&client, address, Method::GET, Headers.readiness_path()).await;
+    let page = send(&client, address, Method::GET, "/metrics").await;
+    let held = send(&client, address, Method::GET, "/quarantine").await;
     match (ready, page) {
         (Ok((ready, _)), Ok((StatusCode::OK, page))) => {
             println!("ready {}", if ready.is_success() { "yes" } else { "no" });
             readable_samples(&page)
                 .iter()
                 .for_each(|line| println!("{line}"));
+            match held {
+                Ok((_, held)) => held.lines().for_each(|line| println!("held {line}")),
+                Err(error) => eprintln!("error: what {address} holds is not known: {error}"),
+            }
             exit::OK
         }
         (_, Ok((status, _))) => {
@@ -47,13 +47,42 @@
     }
 }
 
-async fn get(
+/// Releases a request or a part of prompts that is held.
+pub(crate) async fn release(address: SocketAddr, suspect: &str) -> u8 {
+    let path = format!("/quarantine/{suspect}");
+    match send(&client(), address, Method::DELETE, &path).await {
+        Ok((StatusCode::OK, _)) => {
+            println!("released {suspect}");
+            exit::OK
+        }
+        Ok((status, reason)) => {
+            eprintln!("error: {address} answers {status}: {}", reason.trim_end());
+            exit::REFUSED
+        }
+        Err(error) => {
+            eprintln!("error: no answer from {address}: {error}");
+            exit::UNREACHABLE
+        }
+    }
+}
+
+fn client() -> Client {
+    Client::new(ClientConfig {
+        connect_timeout: TIMEOUT,
+        head_timeout: TIMEOUT,
+        chunk_timeout: TIMEOUT,
+        ..ClientConfig::default()
+    })
+}
+
+async fn send(
     client: &Client,
     address: SocketAddr,
+    method: Method,
     path: &str,
 ) -> Result<(StatusCode, String), ClientError> {
     let headers = HeaderMap::new();
-    let answer = client.send(address, Method::GET, path, &headers, Default::default());
+    let answer = client.send(address, method, path, &headers, Default::default());
     let answer = answer.await?;
     let status = answer.status;
     let body = answer.bytes(MAX_PAGE_BYTES).await?;
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -55,6 +55,17 @@
     let code = match command {
         Command::Run { config } => run::run(&config),
         Command::Edge { check: true, .. } => edge::check(),
+        Command::Edge {
+            status: Some(address),
+            release: Some(suspect),
+            ..
+        } => block_on(edge_status::release(address, &suspect)),
+        Command::Edge {
+            release: Some(_), ..
+        } => {
+            eprintln!("error: --release needs --status ADDRESS");
+            exit::FAILED
+        }
         Command::Edge {
             status: Some(address),
             ..
--- a/tests/platform_crashes.rs
+++ b/tests/platform_crashes.rs
@@ -3,14 +3,16 @@
 #[path = "../platform/tests/support/mod.rs"]
 mod support;
 
+use std::process::{Command, Output};
 use std::time::{Duration, Instant};
-use support::Site;
-use support::client::post;
+use support::client::{post, prompt};
 use support::crashing::{
-    CRASH_MARKER, MAX_SENT_AFTER, QUARANTINE_STRIKES, crash_times, sent_after,
+    CRASH_MARKER, CRASH_PART, MAX_PART_CRASHES, MAX_SENT_AFTER, PART_PATH, QUARANTINE_STRIKES,
+    crash_times, part_crash_times, parts_sent_after, sent_after,
 };
 use support::program::RouterProcess;
-use support::server::{Crash, CrashMode};
+use support::server::{Behavior, Crash, CrashMode};
+use support::{Site, eventually};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sequoiaridge");
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
@@ -143,3 +145,147 @@
     }
     fleet.assert_held_back();
 }
+
+/// Routers in front of servers that end under [`CRASH_PART`].
+struct PartFleet {
+    site: Site,
+    routers: Vec<RouterProcess>,
+    sent: usize,
+}
+
+impl PartFleet {
+    async fn start(name: &str, routers: usize) -> PartFleet {
+        let site = Site::start(8).await;
+        let fleet = PartFleet {
+            routers: (1..=routers)
+                .map(|number| {
+                    let name = format!("{name}-r{number}");
+                    RouterProcess::start(PROGRAM, FOLDER, &name, site.store.address)
+                })
+                .collect(),
+            site,
+            sent: 0,
+        };
+        for server in &fleet.site.servers {
+            server.set_behaviors(&[Behavior::PausedStream(4, Duration::from_millis(10))]);
+        }
+        fleet.set_crashing(CRASH_PART);
+        for router in &fleet.routers {
+            router.wait_ready().await;
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        fleet
+    }
+
+    /// Makes servers crash on prompts with this part.
+    fn set_crashing(&self, part: &'static str) {
+        for server in &self.site.servers {
+            server.crash_on(Crash {
+                marker: part,
+                delay: Duration::from_millis(40),
+                mode: CrashMode::Reset,
+                downtime: Duration::from_millis(400),
+            });
+        }
+    }
+
+    /// Sends a request with the part, unlike all before, through one router. Returns the status of
+    /// the answer, or 0 if there is none.
+    async fn send(&mut self, router: usize) -> u16 {
+        self.sent += 1;
+        let (path, id) = (
+            format!("{PART_PATH}{}", self.sent),
+            format!("p{}", self.sent),
+        );
+        let parts = format!("a:500,b:700,{CRASH_PART}:300,c{}:50", self.sent);
+        let answer = prompt(self.routers[router].callers, &path, &id, &parts).await;
+        tokio::time::sleep(PAUSE).await;
+        answer.map_or(0, |answer| answer.status)
+    }
+
+    /// Sends requests through the routers in turn for some time.
+    async fn send_for(&mut self, time: Duration) {
+        let start = Instant::now();
+        while start.elapsed() < time {
+            for router in 0..self.routers.len() {
+                self.send(router).await;
+            }
+        }
+    }
+
+    fn assert_held(&self) {
+        let crashes = part_crash_times(&self.site.servers).len();
+        let after = parts_sent_after(&self.site.servers);
+        assert!(crashes >= QUARANTINE_STRIKES, "{crashes} crashes");
+        assert!(
+            after <= MAX_SENT_AFTER,
+            "{after} requests with the part were sent too late; it crashed {crashes} servers"
+        );
+    }
+}
+
+/// Guards against routers that forget a held part: after a rolling restart, a power cut of all of
+/// them while the store is away, and a second one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_held_part_outlasts_restarts_and_power_cuts() {
+    let mut fleet = PartFleet::start("part", 3).await;
+    fleet.send_for(Duration::from_secs(9)).await;
+    assert!(part_crash_times(&fleet.site.servers).len() <= 2 * MAX_PART_CRASHES);
+    for router in 0..3 {
+        fleet.routers[router].restart();
+        fleet.routers[router].wait_ready().await;
+        fleet.send(router).await;
+        fleet.send(router).await;
+    }
+    for _ in 0..2 {
+        fleet.routers.iter_mut().for_each(RouterProcess::kill);
+        fleet.routers.iter_mut().for_each(RouterProcess::restart);
+        for router in &fleet.routers {
+            router.wait_ready().await;
+        }
+        for turn in 0..12 {
+            fleet.send(turn % 3).await;
+        }
+    }
+    fleet.assert_held();
+}
+
+fn run(router: &RouterProcess, arguments: &[&str]) -> Output {
+    let output = Command::new(PROGRAM)
+        .args(["edge", "--status", &router.readiness.to_string()])
+        .args(arguments)
+        .output();
+    output.expect("the program runs")
+}
+
+/// Guards against a hold that no operator can see or end: a part whose cause was repaired would stay
+/// refused for the day.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_sees_a_held_part_and_releases_it_at_every_router() {
+    let mut fleet = PartFleet::start("release", 2).await;
+    fleet.send_for(Duration::from_secs(9)).await;
+    fleet.set_crashing("none");
+    for router in 0..2 {
+        let status = run(&fleet.routers[router], &[]);
+        let page = String::from_utf8_lossy(&status.stdout).into_owned();
+        let held = page
+            .lines()
+            .find(|line| line.starts_with("held part:dead "));
+        let held = held.unwrap_or_else(|| panic!("router {router} shows no held part: {page}"));
+        assert!(held.contains("endpoints=i-"), "{held}");
+        assert_eq!(fleet.send(router).await, 503);
+    }
+    let wrong = run(&fleet.routers[0], &["--release", "part:beef"]);
+    assert_eq!(wrong.status.code(), Some(5), "{wrong:?}");
+    let released = run(&fleet.routers[0], &["--release", "part:dead"]);
+    assert_eq!(released.status.code(), Some(0), "{released:?}");
+    let callers: Vec<_> = fleet.routers.iter().map(|router| router.callers).collect();
+    for caller in callers {
+        eventually("a router serves the part again", || async {
+            let parts = format!("a:500,b:700,{CRASH_PART}:300,f:50");
+            let answer = prompt(caller, "/chat/released", "released", &parts).await;
+            answer.is_some_and(|answer| answer.status == 200 && answer.complete)
+        })
+        .await;
+    }
+}
