Pass on the last of several rows of an endpoint in one read

A server that started and left at once was listed and removed in one read of the store. The reader compared both rows with what it knew before, so the removal of an endpoint it did not know looked like no change: it passed on the first row only. The other way round, a row that is removed and written again was lost. The last row of each endpoint counts now.

Before: several_rows_of_an_endpoint_in_one_read_are_passed_on_as_the_last failed (e2 is gone).

--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -95,10 +95,17 @@
             .collect()
     }
 
-    /// The rows that differ from what is listed.
+    /// The rows that differ from what is listed. Of several rows of one endpoint, the last one counts.
     pub fn new_changes(&self, rows: &[Row]) -> Vec<ChangedRow> {
-        let mut changes = Vec::new();
+        let mut last: BTreeMap<&EndpointId, &Row> = BTreeMap::new();
         for row in rows {
+            let kept = last.entry(&row.key).or_insert(row);
+            if row.position >= kept.position {
+                *kept = row;
+            }
+        }
+        let mut changes = Vec::new();
+        for row in last.into_values() {
             let known = self.listed.get(&row.key);
             let entry = match &row.entry {
                 Entry::Endpoint(entry) => Some(entry.clone()),
--- a/crates/edge/tests/roster.rs
+++ b/crates/edge/tests/roster.rs
@@ -1,6 +1,6 @@
 //! Endpoints that join, leave, lapse and return.
 
-use sequoiaridge_edge::{EndpointEntry, Entry, Roster, RosterChange, Row, Rows};
+use sequoiaridge_edge::{EndpointEntry, Entry, Feed, Roster, RosterChange, Row, Rows};
 use std::time::{Duration, SystemTime};
 
 const NOW: Duration = Duration::from_secs(100);
@@ -234,3 +234,28 @@
     roster.apply(rows(8, vec![ready(8)]), false, NOW);
     assert_eq!(accepting(&roster, NOW), 1);
 }
+
+/// Guards against routers that keep an endpoint that is gone, or lose one that is back, because two
+/// of its rows were read at once and only the first was passed on.
+#[test]
+fn several_rows_of_an_endpoint_in_one_read_are_passed_on_as_the_last() {
+    let reader = roster();
+    let listed = |id: &str, position| row(id, position, Entry::Endpoint(entry(id, false)));
+    let removed = |id: &str, position| row(id, position, Entry::Removed);
+    let read = [
+        listed("e2", 6),
+        removed("e2", 7),
+        removed("e1", 8),
+        listed("e1", 9),
+    ];
+    let changes = reader.new_changes(&read);
+    let mut other = roster();
+    let passed_on = Feed {
+        from: 5,
+        to: 9,
+        changed: changes,
+    };
+    other.apply(passed_on.into_rows(), false, NOW);
+    assert!(other.get("e2").is_none(), "e2 is gone");
+    assert!(other.get("e1").is_some(), "e1 is back");
+}
