--- a/crates/edge/tests/ends.rs
+++ b/crates/edge/tests/ends.rs
@@ -175,3 +175,25 @@
             .is_empty()
     );
 }
+
+/// Guards against parts that are held because their requests were still being answered at endpoints
+/// that crashed for another reason.
+#[test]
+fn an_answer_that_went_on_speaks_for_the_parts_of_its_prompt() {
+    let mut terminations = Terminations::new();
+    let suspects = [Suspect::Request(1), Suspect::Part(7)];
+    let reading = terminations.begin("x", &suspects, "e", "1");
+    let answering = Run {
+        progressed: true,
+        ..reading.clone()
+    };
+    for run in [&reading, &answering] {
+        terminations.record_loss(run, Loss::ConnectionLost, ms(0));
+    }
+    let lost = terminations.record_end("e", "1", ms(2));
+    let blamed: Vec<Vec<Suspect>> = lost
+        .iter()
+        .map(|run| run.crashes().map(|crash| crash.suspect).collect())
+        .collect();
+    assert_eq!(blamed, [suspects.to_vec(), vec![Suspect::Request(1)]]);
+}
