--- a/crates/policy/tests/quarantine_parts.rs
+++ b/crates/policy/tests/quarantine_parts.rs
@@ -150,6 +150,27 @@
     assert_eq!(block(&table, &[request(9), POPULAR], now), None);
 }
 
+/// Guards against holding a part that works because several endpoints that read its prompts were lost
+/// at once.
+#[test]
+fn a_part_that_has_just_succeeded_is_not_held() {
+    let mut table = table();
+    table.record_success(SUBJECT, ms(0), ms(10_000));
+    for endpoint in 0..8 {
+        crash(
+            &mut table,
+            endpoint,
+            &[request(endpoint.into()), SUBJECT],
+            ms(11_000),
+        );
+    }
+    table.record_success(POPULAR, ms(0), ms(11_100));
+    assert_eq!(
+        block(&table, &[request(99), POPULAR, SUBJECT], ms(11_200)),
+        None
+    );
+}
+
 /// Guards against holding a part of all requests while every endpoint is lost: nothing succeeds then,
 /// and all of its requests are lost.
 #[test]
