Repeat a probe that no endpoint ran, and hardly any other

Such a probe no longer counts. Successes of parts count against the size of a message in a small fleet, and two events are no longer counted where one ended with the piece before.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -198,6 +198,8 @@
         let verdict = if self.may_have_run {
             Verdict::MayHaveRun
         } else {
+            let mut state = self.shared.lock_state();
+            state.probes.cancel(&self.call.attempt);
             Verdict::NotRun
         };
         let retry_after = match reason {
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -21,10 +21,11 @@
 /// Most bytes of an entry of each kind, without the endpoint's id.
 const WORK_ENTRY_BYTES: usize = 11;
 const PREFIX_ENTRY_BYTES: usize = 11;
+const SUCCESS_ENTRY_BYTES: usize = 16;
 /// Bytes of a message for crashes, ahead of prefixes; two crashes fit in any message.
 const MAX_CRASH_BYTES: usize = 400;
 const MIN_CRASHES: usize = 2;
-/// Limits per message: successes of requests, and endpoints (leaving or unreachable).
+/// Limits per message: queued successes, and endpoints (leaving or unreachable).
 const MAX_SUCCESSES: usize = 2;
 const MAX_ENDPOINTS: usize = 4;
 /// Load reports that make room for the success of a part.
@@ -174,7 +175,7 @@
         self.is_urgent
     }
 
-    /// Queues a request that succeeded.
+    /// Queues a suspect that succeeded.
     pub(crate) fn add_succeeded(&mut self, suspect: Suspect, at: Duration) {
         let queued = |((known, _), _): &((Suspect, Duration), u8)| *known == suspect;
         if !self.succeeded.iter().any(queued) {
@@ -195,7 +196,8 @@
     /// Adds queued events to a message, as many as fit.
     pub(crate) fn fill(&mut self, message: &mut PeerMessage, now: Duration) {
         let work = message.work.as_deref().map_or(0, work_bytes);
-        let mut free_bytes = MAX_ENTRY_BYTES.saturating_sub(work);
+        let successes = message.succeeded.len() * SUCCESS_ENTRY_BYTES;
+        let mut free_bytes = MAX_ENTRY_BYTES.saturating_sub(work + successes);
         let crashes = self.next_crashes(free_bytes.min(MAX_CRASH_BYTES));
         let crash_bytes = crashes.iter().map(|(crash, _)| encoded_bytes(crash)).sum();
         free_bytes = free_bytes.saturating_sub(crash_bytes);
@@ -209,7 +211,8 @@
             message.prefixes.push((key, id));
         }
         self.is_urgent = false;
-        message.succeeded = aged(take_next(&mut self.succeeded, MAX_SUCCESSES), now);
+        let succeeded = take_next(&mut self.succeeded, MAX_SUCCESSES);
+        message.succeeded.extend(aged(succeeded, now));
         message.leaving = aged(take_next(&mut self.leaving, MAX_ENDPOINTS), now);
         message.unreachable = take_next(&mut self.unreachable, MAX_ENDPOINTS);
     }
--- a/crates/edge/src/peers/rounds.rs
+++ b/crates/edge/src/peers/rounds.rs
@@ -423,9 +423,9 @@
         }
         let work = state.loads.own_work().iter();
         let work: Vec<(EndpointId, Work)> = work.map(|(id, work)| (id.clone(), *work)).collect();
-        let mut message = base.with_work(work);
+        let mut message = base.with_work(work).with_part_successes(successes);
         state.outbox.fill(&mut message, now);
-        message.with_part_successes(successes)
+        message
     }
 }
 
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -269,12 +269,13 @@
         state.terminations.expire(now);
         expire_rests(&mut state, &shared);
         let ended = state.quarantine.expire(now);
-        let held = state.quarantine.held(now).len();
+        let held = state.quarantine.held(now);
+        state.probes.retain(|suspect| held.contains_key(&suspect));
         drop(state);
         for suspect in ended {
             log(Event::QuarantineEnded, &format!("suspect={suspect}"));
         }
-        let held = i64::try_from(held).unwrap_or(i64::MAX);
+        let held = i64::try_from(held.len()).unwrap_or(i64::MAX);
         shared.metrics.quarantined.set(held);
     }
 }
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -136,7 +136,8 @@
         let (now, attempt) = (self.shared.now(), &self.call.attempt);
         let own = &self.shared.settings.id;
         let is_designated = is_designated(own, state.contacts.keys(), block.suspect);
-        let is_probe = is_designated && state.probes.start(block, attempt, now);
+        let is_repeated = state.probes.is_probe(block, attempt) && !self.may_have_run;
+        let is_probe = is_repeated || is_designated && state.probes.start(block, attempt, now);
         let event = if is_probe {
             Event::QuarantineProbe
         } else {
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -120,18 +120,18 @@
 struct EventScan {
     /// Ends of events.
     ends: usize,
-    /// The last bytes, as many as the end of an event has.
+    /// The last two bytes, or fewer at the start.
     tail: Vec<u8>,
 }
 
 impl EventScan {
+    /// Records the next bytes of the stream.
     fn record(&mut self, data: &[u8]) {
-        let boundary = self.tail.iter().chain(data.iter().take(1));
-        let boundary: Vec<u8> = boundary.copied().collect();
-        for bytes in [boundary.as_slice(), data] {
-            let pairs = bytes.windows(EVENT_END.len());
-            self.ends += pairs.filter(|pair| *pair == EVENT_END).count();
+        if let (Some(last), Some(first)) = (self.tail.last(), data.first()) {
+            self.ends += usize::from([*last, *first] == EVENT_END);
         }
+        let pairs = data.windows(EVENT_END.len());
+        self.ends += pairs.filter(|pair| *pair == EVENT_END).count();
         self.tail
             .extend_from_slice(&data[data.len().saturating_sub(EVENT_END.len())..]);
         let excess = self.tail.len().saturating_sub(EVENT_END.len());
