Split the attribution of crashes from the quarantine

Which suspects a crash counts against is in attribution.rs now; the quarantine decides what is held, probed and told. The simulated fleet of the models is a module of its own, as that of the followers.

--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -127,7 +127,7 @@
         })
     }
 
-    /// Lets the request through if it is the one that tests what is held.
+    /// Lets the request through if it is the one that probes what is held.
     ///
     /// # Errors
     ///
--- a/crates/edge/tests/common/fleet.rs
+++ b/crates/edge/tests/crash_fleet/mod.rs
@@ -1,5 +1,8 @@
 //! A simulated fleet of routers that exchange crashes, over a virtual clock and with lost messages.
 
+// Each test file uses only some of it.
+#![allow(dead_code)]
+
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
--- a/crates/edge/tests/crash_model.rs
+++ b/crates/edge/tests/crash_model.rs
@@ -3,9 +3,9 @@
 //! A request has crashed three endpoints. Every router must hold it in time, although a third of
 //! the routers is partitioned, some restart and datagrams are lost.
 
-mod common;
+mod crash_fleet;
 
-use common::fleet::{Fleet, MAX_MESSAGES_PER_SECOND, Router, SYNC_BOUND};
+use crash_fleet::{Fleet, MAX_MESSAGES_PER_SECOND, Router, SYNC_BOUND};
 use rand::RngExt;
 use sequoiaridge_policy::{Crash, QuarantineState, Suspect};
 use std::time::Duration;
--- a/crates/edge/tests/part_model.rs
+++ b/crates/edge/tests/part_model.rs
@@ -5,9 +5,9 @@
 //! share their other parts and run on the same endpoints. Datagrams are lost, a third of the routers
 //! is partitioned at first, some restart, and endpoints are lost for other reasons.
 
-mod common;
+mod crash_fleet;
 
-use common::fleet::{Fleet, MAX_MESSAGES_PER_SECOND, Router, SYNC_BOUND, TICK};
+use crash_fleet::{Fleet, MAX_MESSAGES_PER_SECOND, Router, SYNC_BOUND, TICK};
 use rand::RngExt;
 use rand::seq::IteratorRandom;
 use sequoiaridge_edge::is_designated;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 //! assert!(owner.is_open("engine-1", Duration::ZERO));
 //! ```
 
+mod attribution;
 mod backoff;
 mod call;
 mod chat_index;
@@ -53,6 +54,7 @@
 mod suspect_slots;
 mod wait_estimator;
 
+pub use attribution::SYNC_MIN_CRASHES;
 pub use backoff::Backoff;
 pub use call::{Call, TicketId};
 pub use chat_index::{ChatEntry, ChatIndex};
@@ -67,7 +69,7 @@
 pub use owner_config::{OwnerConfig, OwnerConfigBuilder};
 pub use owner_of::{RouterInfo, owner_of};
 pub use placement::{Placement, RefusedCall, StartedCall};
-pub use quarantine::{Block, Quarantine, QuarantineState, SYNC_MIN_CRASHES};
+pub use quarantine::{Block, Quarantine, QuarantineState};
 pub use rank::{Candidate, rank_top};
 pub use retry_budget::RetryBudget;
 pub use suspect_slots::SuspectSlots;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -4,41 +4,28 @@
 //! Each router keeps its own table. Tables that received the same crashes and successful runs, in
 //! any order and any number of times, agree: a crash is identified by the endpoint process that
 //! ended, and a successful run counts by its time.
-//!
-//! A crash has many suspects: all requests that ran there, and the parts of their prompts. It counts
-//! against those that have the most crashes, since these explain it best; the others only happened to
-//! run beside them.
 
+use crate::attribution::{Attribution, MAX_CRASHES, Record, SYNC_MIN_CRASHES, handicap};
 use crate::crash::{Aged, Crash, CrashKey, Suspect};
 use crate::successes::{RESOLUTION, Successes};
-use sequoiaridge_core::hash_parts;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Most crashes stored for one suspect. Suspects are held long before that; the bound only limits
-/// what a peer can make a router store.
-const MAX_CRASHES: usize = 16;
 /// Offset added to all stored times, so that events that peers report may be older than this
 /// process.
 const STORED_OFFSET: Duration = Duration::from_secs(48 * 3600);
-/// Number of crashes from which a suspect's record is synchronized with routers that may lack it.
-/// With a single crash, it mostly just ran beside the cause.
-pub const SYNC_MIN_CRASHES: usize = 2;
-/// Crashes by which a part that has ever succeeded needs more than one that never has. The requests
-/// with a crashing part share their other parts with sound ones.
-const PROVEN_HANDICAP: usize = 2;
 /// Time for which the success of a part is remembered, and the number of parts.
 const PART_MEMORY: Duration = Duration::from_secs(3600);
 const MAX_PART_SUCCESSES: usize = 16_384;
-/// Time after the last crash of a held part from which one request may test it. Crashed endpoints are
-/// back by then.
+/// Time after the last crash of a held part from which one request may probe it. Crashed endpoints
+/// are back by then.
 const PROBE_DELAY: Duration = Duration::from_secs(5);
 /// Time between two crashes of a part from which they have no other common cause, such as the loss of
-/// a rack, so that the part need not be tested. It is shorter than [`PROBE_DELAY`], so that a failed
-/// test confirms the part.
+/// a rack, so that the part needs no probe. It is shorter than [`PROBE_DELAY`], so that a failed probe
+/// confirms the part.
 const CONFIRM_GAP: Duration = Duration::from_secs(4);
-/// Shortest time after which a caller may ask again for a part that is to be tested.
+/// Shortest time after which a caller may ask again for a part that is to be probed.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// How a suspect is treated.
@@ -64,74 +51,26 @@
     pub strikes: usize,
     /// Time after which the request may be sent again.
     pub retry_after: Duration,
-    /// Whether one request of the fleet may test it.
+    /// Whether one request of the fleet may probe it.
     pub may_probe: bool,
 }
 
-/// How well a suspect explains its crashes: the crashes that count, then whether it is a request,
-/// which is narrower than the parts that it shares with others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
-    score: usize,
-    is_request: bool,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Record {
-    /// Stored time of each crash.
-    crashes: BTreeMap<CrashKey, Duration>,
-    /// Stored time of the last successful run.
-    last_success: Option<Duration>,
-    expires: Duration,
-    rank: Rank,
-    /// Crashes that count and that no other suspect explains better.
-    strikes: usize,
-}
-
-impl Record {
-    /// The crashes after the trust window of the last successful run.
-    fn counted(&self, trust: Duration) -> impl Iterator<Item = (&CrashKey, Duration)> {
-        let after = self.last_success.map(|success| success + trust);
-        let crashes = self.crashes.iter().map(|(key, at)| (key, *at));
-        crashes.filter(move |(_, at)| after.is_none_or(|after| *at > after))
-    }
-
-    fn forget_oldest(&mut self) {
-        let oldest = self.crashes.iter().min_by_key(|(_, at)| **at);
-        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
-            self.crashes.remove(&key);
-        }
-    }
-}
-
-/// The suspects of one crash.
-#[derive(Clone, Debug, Default)]
-struct Suspects {
-    all: BTreeSet<Suspect>,
-    /// Highest rank among those against whom the crash counts.
-    best: Rank,
-}
-
 /// Bounded table of crashes by suspect.
 ///
 /// When the table is full, the entry with the fewest counted crashes is evicted, among equals the
 /// one that expires first.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
+    /// Crashes that hold a suspect.
     strikes: usize,
     hold: Duration,
     limit: usize,
-    request_trust: Duration,
-    part_trust: Duration,
-    records: BTreeMap<Suspect, Record>,
-    crashes: BTreeMap<CrashKey, Suspects>,
+    table: Attribution,
     /// Successful runs of suspects without a record.
     request_successes: Successes,
     part_successes: Successes,
     /// Stored time of the last successful run of any prompt.
     last_progress: Option<Duration>,
-    /// Wrapping sum of [`digest_term`] over all records.
-    digest: u32,
 }
 
 impl Quarantine {
@@ -139,39 +78,32 @@
     /// suspects are tracked.
     pub fn new(strikes: u32, hold: Duration, limit: usize) -> Quarantine {
         let limit = limit.max(1);
+        let strikes = usize::try_from(strikes).unwrap_or(usize::MAX);
         Quarantine {
-            strikes: usize::try_from(strikes).unwrap_or(usize::MAX),
+            strikes,
             hold: hold.min(STORED_OFFSET),
             limit,
-            request_trust: Duration::ZERO,
-            part_trust: Duration::ZERO,
-            records: BTreeMap::new(),
-            crashes: BTreeMap::new(),
+            table: Attribution::new(strikes),
             request_successes: Successes::new(Duration::ZERO, limit),
             part_successes: Successes::new(PART_MEMORY, MAX_PART_SUCCESSES),
             last_progress: None,
-            digest: 0,
         }
     }
 
     /// Sets the time after a successful run during which crashes do not count against the request:
     /// it would have crashed the endpoint on which it succeeded. A request that many callers send
     /// runs on many endpoints when several of them crash at once.
-    pub fn with_trust_window(self, trust_window: Duration) -> Quarantine {
-        Quarantine {
-            request_trust: trust_window,
-            request_successes: Successes::new(trust_window, self.limit),
-            ..self
-        }
+    pub fn with_trust_window(mut self, trust_window: Duration) -> Quarantine {
+        self.table.request_trust = trust_window;
+        self.request_successes = Successes::new(trust_window, self.limit);
+        self
     }
 
     /// Sets the same time for parts of prompts. It covers the time in which routers learn of a
     /// success at another one.
-    pub fn with_part_trust_window(self, trust_window: Duration) -> Quarantine {
-        Quarantine {
-            part_trust: trust_window,
-            ..self
-        }
+    pub fn with_part_trust_window(mut self, trust_window: Duration) -> Quarantine {
+        self.table.part_trust = trust_window;
+        self
     }
 
     /// Counts a crash that happened now, and returns the resulting state.
@@ -189,11 +121,11 @@
         if expires <= stored_time(now, Duration::ZERO) {
             return self.state(suspect, now);
         }
-        if !self.records.contains_key(&suspect) {
-            self.evict();
+        if self.table.get(suspect).is_none() {
+            self.table.evict(self.limit);
         }
         let success = self.successes(suspect).get(suspect);
-        self.update_record(suspect, |record| {
+        self.table.update(suspect, |record| {
             record.last_success = record.last_success.max(success);
             let key = crash.key();
             if record.crashes.contains_key(&key) {
@@ -217,7 +149,7 @@
 
     /// Returns whether a crash is in the table.
     pub fn contains(&self, crash: &Crash) -> bool {
-        let record = self.records.get(&crash.suspect);
+        let record = self.table.get(crash.suspect);
         record.is_some_and(|record| record.crashes.contains_key(&crash.key()))
     }
 
@@ -228,8 +160,8 @@
         if matches!(suspect, Suspect::Part(_)) {
             self.last_progress = self.last_progress.max(Some(at));
         }
-        if let Some(record) = self.records.get(&suspect) {
-            let nothing_counts = record.counted(self.trust(suspect)).next().is_none();
+        if let Some(record) = self.table.get(suspect) {
+            let nothing_counts = record.counted(self.table.trust(suspect)).next().is_none();
             let resolution = if nothing_counts {
                 RESOLUTION
             } else {
@@ -239,7 +171,8 @@
                 .last_success
                 .is_none_or(|known| at > known + resolution)
             {
-                self.update_record(suspect, |record| record.last_success = Some(at));
+                self.table
+                    .update(suspect, |record| record.last_success = Some(at));
             }
             return;
         }
@@ -258,7 +191,7 @@
     /// that happened now would not count.
     pub fn recent_success(&self, suspect: Suspect, now: Duration) -> Option<Duration> {
         let age = self.last_success(suspect, now)?;
-        (age <= self.trust(suspect)).then_some(age)
+        (age <= self.table.trust(suspect)).then_some(age)
     }
 
     /// Returns the age of the last successful run if a crash of the given age does not count because
@@ -270,12 +203,12 @@
         now: Duration,
     ) -> Option<Duration> {
         let success = self.last_success(suspect, now)?;
-        (age + self.trust(suspect) >= success).then_some(success)
+        (age + self.table.trust(suspect) >= success).then_some(success)
     }
 
     /// Returns the age of the last successful run that is known.
     fn last_success(&self, suspect: Suspect, now: Duration) -> Option<Duration> {
-        let record = self.records.get(&suspect);
+        let record = self.table.get(suspect);
         let record = record.and_then(|record| record.last_success);
         let success = record.max(self.successes(suspect).get(suspect))?;
         Some(stored_time(now, Duration::ZERO).saturating_sub(success))
@@ -290,7 +223,7 @@
         now: Duration,
     ) -> Vec<Aged<Suspect>> {
         let stored_now = stored_time(now, Duration::ZERO);
-        let parts = self.records.range(Suspect::Part(0)..);
+        let parts = self.table.records().range(Suspect::Part(0)..);
         let struck = parts.filter_map(|(suspect, record)| {
             let last = *record.crashes.values().max()?;
             let success = record.last_success?;
@@ -306,7 +239,7 @@
 
     /// Returns how a suspect is treated now, regardless of others.
     pub fn state(&self, suspect: Suspect, now: Duration) -> QuarantineState {
-        let Some(record) = self.records.get(&suspect) else {
+        let Some(record) = self.table.get(suspect) else {
             return QuarantineState::Clear;
         };
         let strikes = self.strikes(suspect, now);
@@ -322,21 +255,16 @@
         }
     }
 
+    /// Returns the suspects of the crashes of a suspect, itself among them.
+    pub fn sharing(&self, suspect: Suspect) -> BTreeSet<Suspect> {
+        self.table.sharing(suspect)
+    }
+
     /// Returns whether a suspect is held, regardless of others.
     pub fn is_held(&self, suspect: Suspect, now: Duration) -> bool {
         matches!(self.state(suspect, now), QuarantineState::Held { .. })
     }
 
-    /// Returns the suspects of the crashes of a suspect, itself among them.
-    pub fn sharing(&self, suspect: Suspect) -> BTreeSet<Suspect> {
-        let record = self.records.get(&suspect);
-        let keys = record.into_iter().flat_map(|record| record.crashes.keys());
-        let sharing = keys.filter_map(|key| self.crashes.get(key));
-        sharing
-            .flat_map(|suspects| suspects.all.iter().copied())
-            .collect()
-    }
-
     /// Returns why a request with these suspects is refused, if it is.
     ///
     /// Suspects that all their crashes have in common cannot be told apart. A request is refused if
@@ -346,7 +274,7 @@
             let QuarantineState::Held { retry_after } = self.state(*suspect, now) else {
                 return None;
             };
-            let inseparable = self.inseparable(*suspect);
+            let inseparable = self.table.inseparable(*suspect);
             let has_all = inseparable.iter().all(|other| suspects.contains(other));
             if !has_all {
                 return None;
@@ -369,7 +297,7 @@
         parts
             .filter(|part| self.strikes(**part, now) > 0)
             .any(|part| {
-                let record = self.records.get(part);
+                let record = self.table.get(*part);
                 record.is_some_and(|record| record.last_success.is_none())
             })
     }
@@ -377,7 +305,7 @@
     /// Returns the number of crashes that count against the suspect now and that no other suspect
     /// explains better.
     pub fn strikes(&self, suspect: Suspect, now: Duration) -> usize {
-        let record = self.records.get(&suspect);
+        let record = self.table.get(suspect);
         let record = record.filter(|record| record.expires > stored_time(now, Duration::ZERO));
         record.map_or(0, |record| record.strikes)
     }
@@ -387,13 +315,13 @@
         if self.strikes(suspect, now) == 0 {
             return None;
         }
-        let last = self.records.get(&suspect)?.crashes.values().max()?;
+        let last = self.table.get(suspect)?.crashes.values().max()?;
         Some(last.saturating_sub(STORED_OFFSET))
     }
 
     /// Returns the suspects that are held now, and whether more than one event shows it.
     pub fn held(&self, now: Duration) -> BTreeMap<Suspect, bool> {
-        let all = self.records.iter();
+        let all = self.table.records().iter();
         all.filter(|(suspect, _)| self.is_held(**suspect, now))
             .map(|(suspect, record)| (*suspect, self.is_confirmed(*suspect, record)))
             .collect()
@@ -402,10 +330,10 @@
     /// Returns the latest crashes that count against a suspect, at most as many as suffice to hold
     /// it.
     pub fn crashes(&self, suspect: Suspect, now: Duration) -> Vec<Aged<Crash>> {
-        let Some(record) = self.records.get(&suspect) else {
+        let Some(record) = self.table.get(suspect) else {
             return Vec::new();
         };
-        let mut crashes: Vec<_> = record.counted(self.trust(suspect)).collect();
+        let mut crashes: Vec<_> = record.counted(self.table.trust(suspect)).collect();
         crashes.sort_by_key(|(_, at)| Reverse(*at));
         let aged = |((endpoint, boot, earlier), at): (&CrashKey, Duration)| {
             let age = stored_time(now, Duration::ZERO).saturating_sub(at);
@@ -423,7 +351,7 @@
 
     /// Returns the suspects whose crashes all routers must know, in ascending order.
     pub fn sync_set(&self, now: Duration) -> BTreeSet<Suspect> {
-        let all = self.records.keys().copied();
+        let all = self.table.records().keys().copied();
         all.filter(|suspect| self.strikes(*suspect, now) >= SYNC_MIN_CRASHES.min(self.strikes))
             .collect()
     }
@@ -431,17 +359,17 @@
     /// Returns a digest of the suspects in [`sync_set`](Self::sync_set) and their strikes. Tables
     /// that differ there have, with high probability, different digests.
     pub fn digest(&self) -> u32 {
-        self.digest
+        self.table.digest()
     }
 
     /// Returns the number of suspects in the table.
     pub fn len(&self) -> usize {
-        self.records.len()
+        self.table.records().len()
     }
 
     /// Returns whether the table is empty.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.table.records().is_empty()
     }
 
     /// Drops expired records and runs. Returns the suspects that were held until now.
@@ -449,11 +377,15 @@
         let now = stored_time(now, Duration::ZERO);
         self.request_successes.expire(now);
         self.part_successes.expire(now);
-        let expired = self.records.iter().filter(|(_, r)| r.expires <= now);
+        let expired = self
+            .table
+            .records()
+            .iter()
+            .filter(|(_, r)| r.expires <= now);
         let expired: Vec<Suspect> = expired.map(|(suspect, _)| *suspect).collect();
         let mut ended = Vec::new();
         for suspect in expired {
-            let record = self.remove(suspect);
+            let record = self.table.remove(suspect);
             if record.is_some_and(|record| record.strikes >= self.required(suspect, &record)) {
                 ended.push(suspect);
             }
@@ -472,18 +404,21 @@
         if handicap(suspect, record) == 0 {
             return true;
         }
-        let first = record.counted(self.trust(suspect)).map(|(_, at)| at).min();
+        let first = record
+            .counted(self.table.trust(suspect))
+            .map(|(_, at)| at)
+            .min();
         self.last_progress
             .is_some_and(|progress| first.is_some_and(|first| progress > first))
     }
 
     /// Whether crashes of a held suspect are so far apart that they have no other common cause.
-    /// Requests need no test: what they hold back is only themselves.
+    /// Requests need no probe: what they hold back is only themselves.
     fn is_confirmed(&self, suspect: Suspect, record: &Record) -> bool {
         if matches!(suspect, Suspect::Request(_)) {
             return true;
         }
-        let crashes = record.counted(self.trust(suspect));
+        let crashes = record.counted(self.table.trust(suspect));
         let mut times: Vec<Duration> = crashes.map(|(_, at)| at).collect();
         times.sort();
         times
@@ -491,170 +426,21 @@
             .any(|pair| pair[1] >= pair[0] + CONFIRM_GAP)
     }
 
-    /// Time until a request may test a suspect; `None` if none may.
+    /// Time until a request may probe a suspect; `None` if none may.
     fn until_probe(&self, suspect: Suspect, now: Duration) -> Option<Duration> {
-        let record = self.records.get(&suspect)?;
+        let record = self.table.get(suspect)?;
         let last = *record.crashes.values().max()?;
         let now = stored_time(now, Duration::ZERO);
         let until = (last + PROBE_DELAY).saturating_sub(now);
         (!self.is_confirmed(suspect, record)).then_some(until)
     }
 
-    /// The other parts that have the same crashes as a part and explain them as well.
-    fn inseparable(&self, suspect: Suspect) -> Vec<Suspect> {
-        let Some(record) = self.records.get(&suspect) else {
-            return Vec::new();
-        };
-        let keys: Vec<&CrashKey> = record
-            .counted(self.trust(suspect))
-            .map(|(key, _)| key)
-            .collect();
-        let Some(first) = keys.first().and_then(|key| self.crashes.get(*key)) else {
-            return Vec::new();
-        };
-        let is_same = |other: &&Suspect| {
-            let other_record = self.records.get(other);
-            **other != suspect
-                && other_record.is_some_and(|other_record| {
-                    let counted = other_record.counted(self.trust(**other));
-                    other_record.rank == record.rank
-                        && counted.map(|(key, _)| key).eq(keys.iter().copied())
-                })
-        };
-        first.all.iter().filter(is_same).copied().collect()
-    }
-
-    fn trust(&self, suspect: Suspect) -> Duration {
-        match suspect {
-            Suspect::Request(_) => self.request_trust,
-            Suspect::Part(_) => self.part_trust,
-        }
-    }
-
     fn successes(&self, suspect: Suspect) -> &Successes {
         match suspect {
             Suspect::Request(_) => &self.request_successes,
             Suspect::Part(_) => &self.part_successes,
         }
     }
-
-    /// Changes the record of a suspect, and updates what depends on it.
-    fn update_record(&mut self, suspect: Suspect, change: impl FnOnce(&mut Record)) {
-        let trust = self.trust(suspect);
-        let record = self.records.entry(suspect).or_default();
-        let mut touched: BTreeSet<CrashKey> = record.crashes.keys().cloned().collect();
-        change(record);
-        record.rank = Rank {
-            score: record
-                .counted(trust)
-                .count()
-                .saturating_sub(handicap(suspect, record)),
-            is_request: matches!(suspect, Suspect::Request(_)),
-        };
-        let now: BTreeSet<CrashKey> = record.crashes.keys().cloned().collect();
-        for key in touched.difference(&now) {
-            if let Some(suspects) = self.crashes.get_mut(key) {
-                suspects.all.remove(&suspect);
-            }
-        }
-        for key in &now {
-            let suspects = self.crashes.entry(key.clone()).or_default();
-            suspects.all.insert(suspect);
-        }
-        touched.extend(now);
-        self.update_strikes(suspect, &touched);
-    }
-
-    fn remove(&mut self, suspect: Suspect) -> Option<Record> {
-        let record = self.records.remove(&suspect)?;
-        self.digest = self.digest.wrapping_sub(self.digest_term(suspect, &record));
-        let keys: BTreeSet<CrashKey> = record.crashes.keys().cloned().collect();
-        for key in &keys {
-            if let Some(suspects) = self.crashes.get_mut(key) {
-                suspects.all.remove(&suspect);
-            }
-        }
-        self.update_strikes(suspect, &keys);
-        Some(record)
-    }
-
-    /// Updates the strikes of a suspect and of all others that share one of the given crashes.
-    fn update_strikes(&mut self, suspect: Suspect, keys: &BTreeSet<CrashKey>) {
-        let mut affected = BTreeSet::from([suspect]);
-        for key in keys {
-            let Some(suspects) = self.crashes.get(key) else {
-                continue;
-            };
-            if suspects.all.is_empty() {
-                self.crashes.remove(key);
-                continue;
-            }
-            let ranks = suspects.all.iter().filter_map(|other| {
-                let record = self.records.get(other)?;
-                let counts = record.counted(self.trust(*other)).any(|(k, _)| k == key);
-                counts.then_some(record.rank)
-            });
-            let best = ranks.max().unwrap_or_default();
-            affected.extend(&suspects.all);
-            if let Some(suspects) = self.crashes.get_mut(key) {
-                suspects.best = best;
-            }
-        }
-        for other in affected {
-            let Some(record) = self.records.get(&other) else {
-                continue;
-            };
-            let before = self.digest_term(other, record);
-            let counted = record.counted(self.trust(other));
-            let best = |key| self.crashes.get(key).map(|suspects| suspects.best);
-            let strikes = counted
-                .filter(|(key, _)| best(*key).is_none_or(|best| record.rank >= best))
-                .count();
-            if let Some(record) = self.records.get_mut(&other) {
-                record.strikes = strikes;
-            }
-            let after = self
-                .records
-                .get(&other)
-                .map_or(0, |record| self.digest_term(other, record));
-            self.digest = self.digest.wrapping_sub(before).wrapping_add(after);
-        }
-    }
-
-    /// What a record adds to the digest: zero unless it is in [`sync_set`](Self::sync_set).
-    fn digest_term(&self, suspect: Suspect, record: &Record) -> u32 {
-        let strikes = record.strikes.min(self.strikes);
-        if strikes < SYNC_MIN_CRASHES.min(self.strikes) {
-            return 0;
-        }
-        let strikes = u64::try_from(strikes).unwrap_or(u64::MAX);
-        let (kind, id) = match suspect {
-            Suspect::Request(fingerprint) => (0, fingerprint),
-            Suspect::Part(id) => (1, id),
-        };
-        let [a, b, c, d, ..] =
-            hash_parts(&[&[kind], &id.to_le_bytes(), &strikes.to_le_bytes()]).to_le_bytes();
-        u32::from_le_bytes([a, b, c, d])
-    }
-
-    fn evict(&mut self) {
-        while self.records.len() >= self.limit {
-            let weakest = self.records.iter();
-            let weakest = weakest.min_by_key(|(_, r)| (r.rank.score, r.expires));
-            let Some(suspect) = weakest.map(|(suspect, _)| *suspect) else {
-                return;
-            };
-            self.remove(suspect);
-        }
-    }
-}
-
-/// Crashes by which a suspect needs more than one that never succeeded.
-fn handicap(suspect: Suspect, record: &Record) -> usize {
-    match suspect {
-        Suspect::Part(_) if record.last_success.is_some() => PROVEN_HANDICAP,
-        _ => 0,
-    }
 }
 
 /// Converts the time `age` before `now` to the form in which times are stored.
