Keep the leaving of a start that is listed late, after a crash

A server crashed, was back under its id, and said with an answer 0.3 s later that it leaves, while the store was silent. The router knew that the listed start had ended, so the announcement cannot be its own: it now counts for the next one.

--- a/crates/edge/src/leaving_starts.rs
+++ b/crates/edge/src/leaving_starts.rs
@@ -11,21 +11,36 @@
 /// differ by about two seconds.
 const CLOCK_SKEW: Duration = Duration::from_millis(2500);
 
-/// Leaving starts by endpoint and boot id, with the wall time of the answer that announced it.
+/// An answer that announced that its endpoint is leaving.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Announcement {
+    /// Wall time of the answer.
+    pub(crate) at: SystemTime,
+    /// Whether the listed start had ended, so that a later one announced it.
+    pub(crate) by_next: bool,
+}
+
+impl Announcement {
+    /// Creates an announcement of the listed start, as far as is known.
+    pub(crate) fn new(at: SystemTime) -> Announcement {
+        Announcement { at, by_next: false }
+    }
+}
+
+/// Leaving starts by endpoint and boot id, with the answer that announced it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LeavingStarts {
-    starts: BTreeMap<EndpointId, BTreeMap<String, SystemTime>>,
+    starts: BTreeMap<EndpointId, BTreeMap<String, Announcement>>,
 }
 
 impl LeavingStarts {
-    /// Records that a start is leaving, as an answer of the given wall time says. Returns whether
-    /// that is new.
-    pub(crate) fn insert(&mut self, id: &str, boot: &str, announced_at: SystemTime) -> bool {
+    /// Records that a start is leaving, as an answer says. Returns whether that is new.
+    pub(crate) fn insert(&mut self, id: &str, boot: &str, announcement: Announcement) -> bool {
         while self.starts.len() >= MAX_ENDPOINTS {
             self.starts.pop_first();
         }
         let starts = self.starts.entry(id.to_string()).or_default();
-        starts.insert(boot.to_string(), announced_at).is_none()
+        starts.insert(boot.to_string(), announcement).is_none()
     }
 
     /// Whether the listed start has announced that it is leaving.
@@ -44,14 +59,17 @@
         let boot = entry.boot();
         let own = starts.remove(&boot).filter(|_| !is_new || !boot.is_empty());
         let born = entry.born.map(Duration::from_millis);
-        let from = born.map(|born| SystemTime::UNIX_EPOCH + born + CLOCK_SKEW);
-        let late = starts
-            .values()
-            .find(|announced_at| from.is_some_and(|from| **announced_at > from));
-        let announced_at = own.or(late.copied());
+        let born = born.map(|born| SystemTime::UNIX_EPOCH + born);
+        let late = starts.values().find(|announcement| {
+            born.is_some_and(|born| {
+                let is_near = announcement.at + CLOCK_SKEW > born;
+                announcement.at > born + CLOCK_SKEW || announcement.by_next && is_near
+            })
+        });
+        let announcement = own.or(late.copied());
         self.starts.remove(&entry.id);
-        if let Some(announced_at) = announced_at {
-            self.insert(&entry.id, &boot, announced_at);
+        if let Some(Announcement { at, .. }) = announcement {
+            self.insert(&entry.id, &boot, Announcement::new(at));
         }
     }
 }
