--- a/crates/edge/src/started_answer.rs
+++ b/crates/edge/src/started_answer.rs
@@ -6,7 +6,7 @@
 use crate::terminations::{Loss, Run};
 use crate::upstream::Connection;
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, StatusCode, header};
 use hyper::body::Incoming;
 use sequoiaridge_core::EndpointId;
 use std::net::SocketAddr;
@@ -22,6 +22,39 @@
     pub(crate) address: SocketAddr,
 }
 
+/// What marks the end of an answer's body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// The last chunk.
+    Chunks,
+    /// The announced length.
+    Length,
+    /// The end of the connection, which is also what the crash of an endpoint looks like.
+    Connection,
+}
+
+impl Framing {
+    /// The framing that the headers of an answer announce.
+    pub(crate) fn of(headers: &HeaderMap) -> Framing {
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            Framing::Chunks
+        } else if headers.contains_key(header::CONTENT_LENGTH) {
+            Framing::Length
+        } else {
+            Framing::Connection
+        }
+    }
+
+    /// Name in logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Framing::Chunks => "chunks",
+            Framing::Length => "length",
+            Framing::Connection => "connection",
+        }
+    }
+}
+
 /// The body of an answer.
 pub(crate) enum AnswerBody {
     /// The whole body.
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -1,10 +1,9 @@
 //! Body of an answer to a caller: a buffered body, or a stream that is resumed if its endpoint fails.
 
 use crate::answer_deadline::AnswerDeadline;
-use crate::call::AnswerHead;
 use crate::exchange::Exchange;
 use crate::manifest::Kind;
-use crate::started_answer::{AnswerBody, ArrivingBody, StartedAnswer};
+use crate::started_answer::{AnswerBody, ArrivingBody, Framing, StartedAnswer};
 use crate::terminations::Loss;
 use crate::upstream::{SILENCE, is_reachable};
 use bytes::{Bytes, BytesMut};
@@ -112,6 +111,7 @@
     watch: SilenceWatch,
     idle: Option<Duration>,
     close: bool,
+    framing: Framing,
     events: EventScan,
 }
 
@@ -145,13 +145,14 @@
 }
 
 impl Origin {
-    fn new(endpoint: EndpointId, address: SocketAddr, head: &AnswerHead) -> Origin {
+    fn new(answer: &StartedAnswer) -> Origin {
         Origin {
-            endpoint,
-            address,
+            endpoint: answer.endpoint.clone(),
+            address: answer.address,
             watch: SilenceWatch::new(),
-            idle: head.idle,
-            close: head.close,
+            idle: answer.head.idle,
+            close: answer.head.close,
+            framing: Framing::of(&answer.headers),
             events: EventScan::default(),
         }
     }
@@ -196,6 +197,8 @@
         answer: StartedAnswer,
         due: AnswerDeadline,
     ) -> StreamBody {
+        let origin = Origin::new(&answer);
+        let success = answer.status.is_success();
         let arriving = match answer.body {
             AnswerBody::Whole(body) => return StreamBody::whole(body),
             AnswerBody::Arriving(arriving) => arriving,
@@ -203,8 +206,6 @@
         let deadline = Instant::now() + exchange.time_left();
         due.set(Some(deadline));
         let deadline = Box::pin(tokio::time::sleep_until(deadline));
-        let origin = Origin::new(answer.endpoint, answer.address, &answer.head);
-        let success = answer.status.is_success();
         StreamBody {
             source: Source::Arriving(arriving),
             exchange: Some(exchange),
@@ -295,8 +296,10 @@
             Event::CallEnded,
             &exchange.call.attempt,
             format_args!(
-                "outcome=whole endpoint={} chunks={} elapsed_ms={}",
+                "outcome=whole endpoint={} framing={} events={} chunks={} elapsed_ms={}",
                 origin.endpoint,
+                origin.framing.as_str(),
+                origin.events.ends,
                 self.frames,
                 now.saturating_sub(exchange.started).as_millis()
             ),
@@ -315,8 +318,10 @@
             Event::CallEnded,
             &exchange.call.attempt,
             format_args!(
-                "outcome=broken cause={error} endpoint={} chunks={} elapsed_ms={}",
+                "outcome=broken cause={error} endpoint={} framing={} events={} chunks={} elapsed_ms={}",
                 origin.endpoint,
+                origin.framing.as_str(),
+                origin.events.ends,
                 self.frames,
                 elapsed.as_millis()
             ),
@@ -379,10 +384,10 @@
         self.exchange = Some(exchange);
         match answer {
             Ok(answer) if answer.status.is_success() => {
+                let origin = Origin::new(&answer);
                 let AnswerBody::Arriving(arriving) = answer.body else {
                     return false;
                 };
-                let origin = Origin::new(answer.endpoint, answer.address, &answer.head);
                 self.origin = Some(origin);
                 self.source = Source::Arriving(arriving);
                 true
