Break off streams that end with their connection before any event

An endpoint that answers without a length or chunks and crashes right after the head closes its connection in order; no event had begun, so the check for an open event passed and the stream was ended with a last chunk. Such a stream has no end of its own, so it counts as broken off: it is resumed where that is allowed, and otherwise the caller's connection is closed.

--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -138,9 +138,11 @@
         self.tail.drain(..excess);
     }
 
-    /// Whether the last event that began has ended.
-    fn is_at_end(&self) -> bool {
-        self.tail.is_empty() || self.tail == EVENT_END
+    /// Whether the stream may end here: after an event or, unless it ends with its connection,
+    /// before the first one.
+    fn is_at_end(&self, framing: Framing) -> bool {
+        let is_empty = self.tail.is_empty() && framing != Framing::Connection;
+        is_empty || self.tail == EVENT_END
     }
 }
 
@@ -267,10 +269,11 @@
         }
     }
 
-    /// Whether a stream stopped within an event. Its endpoint broke off, however the answer ended.
+    /// Whether a stream stopped where none ends. Its endpoint broke off, however the answer ended.
     fn is_cut(&self) -> bool {
         let streams = self.exchange.as_ref().map(|e| e.route.kind.streams());
-        let at_end = self.origin.as_ref().map(|origin| origin.events.is_at_end());
+        let at_end = |origin: &Origin| origin.events.is_at_end(origin.framing);
+        let at_end = self.origin.as_ref().map(at_end);
         self.success && streams == Some(true) && at_end == Some(false)
     }
 
