--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -156,6 +156,8 @@
     PlatformDown = 600, Warn, "platform-down";
     /// The platform responds again.
     PlatformUp = 601, Info, "platform-up";
+    /// The platform came back from a copy of itself.
+    RegistryRestored = 602, Warn, "platform-restored";
     /// An operator's request was refused.
     AdminRefused = 700, Warn, "admin-refused";
 }
--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -8,13 +8,15 @@
 
 use crate::feed::{ChangedRow, Feed, MAX_FEED_CHANGES};
 use crate::manifest::EndpointEntry;
+use crate::registry::Position;
 use sequoiaridge_core::{EndpointId, hash_parts};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// Point in the history of a table: a position of the registry, or a version of the configuration.
-pub type Revision = u64;
+/// The operators number the versions of the configuration, so those hold in all eras and have era 0.
+pub type Revision = Position;
 
 /// Identifies a router that reads: a hash of its id.
 pub type ReaderKey = u32;
@@ -121,15 +123,22 @@
         self.is_reader
     }
 
+    /// Whether another router has the table of a later era. Changes do not lead there, only a whole
+    /// table does.
+    pub fn is_era_behind(&self) -> bool {
+        let missing = self.gap.map(|(missing, _)| missing.era);
+        missing > self.revision.map(|revision| revision.era)
+    }
+
     /// Since when this router lacks a change that another one has.
     pub fn gap_since(&self) -> Option<Duration> {
         self.gap.map(|(_, since)| since)
     }
 
     /// Revision after which the next read of changes starts: this router's own, or that of a router
-    /// whose gap no other router can close.
+    /// whose gap no other router can close. `None` if the next read is one of the whole table.
     pub fn read_from(&self) -> Option<Revision> {
-        let revision = self.revision?;
+        let revision = self.revision.filter(|_| !self.is_era_behind())?;
         Some(
             self.lagging
                 .map_or(revision, |lagging| lagging.min(revision)),
@@ -147,6 +156,8 @@
         self.last_change = revision;
         self.verified_at = self.verified_at.max(verified_at);
         self.recent.clear();
+        self.early.retain(|feed| feed.from.era == revision.era);
+        self.lagging = None;
         self.close_gap();
     }
 
@@ -181,7 +192,8 @@
 
     /// Applies the changes between two revisions that a read of this router returned.
     pub fn apply_changes(&mut self, from: Revision, to: Revision, changed: &[ChangedRow]) {
-        if self.revision.is_none_or(|revision| from > revision) {
+        let is_continuous = |revision: Revision| from <= revision && from.era == revision.era;
+        if !self.revision.is_some_and(is_continuous) || to.era != from.era {
             return;
         }
         self.floor = self.floor.min(from);
@@ -198,12 +210,10 @@
     }
 
     /// Records that the registry no longer has the history after a revision from which a read
-    /// started. Returns whether that was this router's own revision, so that it must read the whole
-    /// table.
-    pub fn history_lost(&mut self, from: Revision) -> bool {
+    /// started. If that was this router's own revision, it must read the whole table.
+    pub fn history_lost(&mut self, from: Revision) {
         self.lost_up_to = self.lost_up_to.max(from);
         self.lagging = None;
-        self.revision.is_none_or(|revision| from >= revision)
     }
 
     /// Number of consecutive failed reads of this router.
@@ -249,12 +259,15 @@
             self.note_lagging(digest.revision);
             return;
         }
+        if digest.revision.era > revision.era {
+            self.note_gap(digest.revision, now);
+            return;
+        }
         if revision < digest.floor {
             return;
         }
         if digest.last_change > revision {
-            let (missing, since) = self.gap.unwrap_or((0, now));
-            self.gap = Some((missing.max(digest.last_change), since));
+            self.note_gap(digest.last_change, now);
             return;
         }
         self.revision = Some(digest.revision);
@@ -277,14 +290,17 @@
     }
 
     /// Applies a feed. Returns the feeds to apply to the table now, in order: none if a change
-    /// before the feed is missing, and more than one if it closes a gap.
+    /// before the feed is missing or the feed is from an earlier era, and more than one if it closes
+    /// a gap.
     pub fn apply_feed(&mut self, feed: Feed, now: Duration) -> Vec<Feed> {
         let Some(revision) = self.revision else {
             return Vec::new();
         };
+        if feed.from.era != feed.to.era || feed.to.era < revision.era {
+            return Vec::new();
+        }
         if feed.from > revision {
-            let (missing, since) = self.gap.unwrap_or((0, now));
-            self.gap = Some((missing.max(feed.to), since));
+            self.note_gap(feed.to, now);
             self.early.push_back(feed);
             if self.early.len() > MAX_EARLY_FEEDS {
                 self.early.pop_front();
@@ -302,10 +318,10 @@
     }
 
     /// The revision after which to request changes from another router; `None` if there is no gap
-    /// or a request would be too early: feeds may arrive out of order, and an answer takes a round
-    /// trip.
+    /// that changes close, or a request would be too early: feeds may arrive out of order, and an
+    /// answer takes a round trip.
     pub fn repair_request(&mut self, now: Duration) -> Option<Revision> {
-        let (_, since) = self.gap?;
+        let (_, since) = self.gap.filter(|_| !self.is_era_behind())?;
         let waited = now >= since + REPAIR_INTERVAL / 2;
         let again = self
             .requested_at
@@ -329,7 +345,7 @@
         if from >= revision {
             return None;
         }
-        let after = (from + 1, EndpointId::new());
+        let after = (from.next(), EndpointId::new());
         let changed = self.recent.range(after..);
         let changed = changed.map(|((position, id), entry)| (id.clone(), *position, entry.clone()));
         let changed: Vec<ChangedRow> = changed.collect();
@@ -350,8 +366,15 @@
         })
     }
 
+    /// Records a revision that another router has and this one lacks.
+    fn note_gap(&mut self, revision: Revision, now: Duration) {
+        let (missing, since) = self.gap.unwrap_or((revision, now));
+        self.gap = Some((missing.max(revision), since));
+    }
+
     fn note_lagging(&mut self, revision: Revision) {
-        if revision < self.floor && revision > self.lost_up_to {
+        let is_reachable = revision.era == self.floor.era && revision > self.lost_up_to;
+        if revision < self.floor && is_reachable {
             self.lagging = Some(self.lagging.unwrap_or(revision).min(revision));
         }
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -79,8 +79,8 @@
 pub use placement::{Candidate, Choice, Placement, Subject};
 pub use quarantine_probe::{QuarantineProbes, is_designated};
 pub use registry::{
-    CallError, Dialect, Entry, PeerKey, Position, Registry, RegistryError, RegistryFuture, Row,
-    Rows, Saved, Table,
+    CallError, Dialect, Entry, Era, PeerKey, Position, Registry, RegistryError, RegistryFuture,
+    Row, Rows, Saved, Table,
 };
 pub use relays::{pick_relay, pick_relays, scaled_period};
 pub use rest::{RestOutcome, RestRequest, Rests};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -84,6 +84,7 @@
     pub(crate) cached_tokens: Counter,
     pub(crate) in_flight: Gauge,
     pub(crate) version: Gauge,
+    pub(crate) era: Gauge,
     pub(crate) routers: Gauge,
     pub(crate) lines_lost: Gauge,
 }
@@ -113,6 +114,7 @@
             cached_tokens: Counter::default(),
             in_flight: Gauge::default(),
             version: Gauge::default(),
+            era: Gauge::default(),
             routers: Gauge::default(),
             lines_lost: Gauge::default(),
         };
@@ -216,6 +218,7 @@
         );
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         registry.register("version", "Configuration in force", self.version.clone());
+        registry.register("era", "Era of the platform", self.era.clone());
         registry.register(
             "routers",
             "Routers heard, with this one",
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -197,7 +197,7 @@
             contact.heard = Some(now);
             contact.link = message.link_mbps;
             contact.endpoints = message.endpoints.map(|digest| digest.revision);
-            contact.configuration = message.configuration.map(|digest| digest.revision);
+            contact.configuration = message.configuration.map(|digest| digest.revision.version);
         }
         if let Some(revision) = message.repair_after {
             self.send_repair(revision, address);
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -6,7 +6,7 @@
 use crate::follower::Follower;
 use crate::registry::{Position, Registry, RegistryError, Rows, Table};
 use crate::schedule::{CONFIG_WAIT, Schedule, jittered, retry_delay, takeover_delay};
-use crate::shared::Shared;
+use crate::shared::{RoutingState, Shared};
 use crate::snapshot;
 use crate::sync::{apply_configuration, apply_endpoint_rows};
 use sequoiaridge_core::Event;
@@ -42,8 +42,9 @@
     pages: Option<Rows>,
     /// Whether the other routers were asked for a table with more than one page.
     asked_peers: bool,
-    /// Whether the registry no longer has the history after this router's position.
-    history_lost: bool,
+    /// Position after which the registry no longer has the history. A router that is not beyond it
+    /// reads the whole table.
+    lost: Option<Position>,
 }
 
 /// Keeps the configuration and the endpoints up to date until the process ends.
@@ -69,7 +70,7 @@
         last_gap_read: None,
         pages: None,
         asked_peers: false,
-        history_lost: false,
+        lost: None,
     };
     loop {
         reader.wait_until_due().await;
@@ -91,10 +92,12 @@
                 }
                 return;
             }
-            if has_gap
-                && self.table == Table::Configuration
-                && snapshot::fetch_configuration(&shared).await
-            {
+            let fetched = match self.table {
+                Table::Configuration if has_gap => snapshot::fetch_configuration(&shared).await,
+                Table::Endpoints if has_gap => snapshot::fetch_endpoints(&shared).await,
+                _ => false,
+            };
+            if fetched {
                 continue;
             }
             let pause = if has_gap {
@@ -119,11 +122,16 @@
         };
         let mut state = self.shared.lock_state();
         let place = state.reader_rank(settings);
+        let is_lost = self.is_lost(&state);
         let follower = state.follower(self.table);
         let has_gap = follower.gap_since().is_some();
         let period = schedule.period(self.table, follower.is_reader());
-        let repair_wait = schedule.gap_timeout(self.table, place, &settings.id);
-        if self.history_lost {
+        let repair_wait = if follower.is_era_behind() {
+            schedule.era_timeout(place, &settings.id)
+        } else {
+            schedule.gap_timeout(self.table, place, &settings.id)
+        };
+        if is_lost && !follower.is_era_behind() {
             return (follower.not_before(), false);
         }
         let mut due = follower.next_read(period, takeover_delay(place, &settings.id), repair_wait);
@@ -133,15 +141,24 @@
         (due, has_gap)
     }
 
+    /// Whether the registry no longer has the history after this router's position.
+    fn is_lost(&self, state: &RoutingState) -> bool {
+        let own = match self.table {
+            Table::Configuration => Some(state.config_position),
+            Table::Endpoints | Table::Routers => state.endpoints.revision(),
+        };
+        own <= self.lost
+    }
+
     async fn read(&mut self) {
         let (from, leads) = {
             let mut state = self.shared.lock_state();
+            let is_lost = self.is_lost(&state);
             let follower = state.follower(self.table);
             let leads = follower.is_reader() && follower.gap_since().is_none();
-            (follower.read_from(), leads)
+            (follower.read_from().filter(|_| !is_lost), leads)
         };
         let sent = self.shared.now();
-        let from = from.filter(|_| !self.history_lost);
         match (self.table, from) {
             (Table::Configuration, Some(_)) => {
                 let position = self.shared.lock_state().config_position;
@@ -202,6 +219,16 @@
             let first = self.table == Table::Endpoints && after.is_none();
             let limit = first.then_some(SINGLE_PAGE);
             let mut page = self.registry.read(self.table, after, limit).await?;
+            let era = page.position.era;
+            if self
+                .pages
+                .as_ref()
+                .is_some_and(|pages| pages.position.era != era)
+            {
+                // The registry came back from a copy in between; its table is another one.
+                self.pages = None;
+                continue;
+            }
             if let Some(mut pages) = self.pages.take() {
                 // Changes since the first page are returned again by the read of changes after its
                 // position.
@@ -233,11 +260,17 @@
         sent: Duration,
         verified_at: Duration,
     ) {
+        if from.is_some_and(|from| from.era != rows.position.era) {
+            // Versions are given out again in each era, so these are not the changes after `from`.
+            return self.record_failure(RegistryError::HistoryLost, from);
+        }
         self.shared.metrics.registry_call(self.table, true);
+        if from.is_none() {
+            self.lost = None;
+        }
         if self.shared.lock_state().follower(self.table).failures() > 0 {
             log(Event::PlatformUp, &format!("table={}", self.table.as_str()));
         }
-        self.history_lost = false;
         match self.table {
             Table::Configuration => {
                 apply_configuration(&self.shared, rows, sent, verified_at);
@@ -260,12 +293,11 @@
         match (error, from) {
             // The revision of another router may be older than the registry's history; this
             // router's own may not.
-            (RegistryError::HistoryLost, Some(from)) if self.table == Table::Endpoints => {
-                self.history_lost = follower.history_lost(from);
-                return;
-            }
-            (RegistryError::HistoryLost, _) => {
-                self.history_lost = true;
+            (RegistryError::HistoryLost, Some(from)) => {
+                if self.table == Table::Endpoints {
+                    follower.history_lost(from);
+                }
+                self.lost = self.lost.max(Some(from));
                 return;
             }
             _ => {
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -8,6 +8,7 @@
 use displaydoc::Display;
 use http::HeaderMap;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,8 +20,41 @@
 /// Key that authenticates the messages between the routers of a fleet.
 pub type PeerKey = [u8; 32];
 
-/// Position in a table's history.
-pub type Position = u64;
+/// Number of times that the registry has come back from a copy of itself.
+pub type Era = u32;
+
+/// Position in the history of the registry.
+///
+/// When the registry comes back from a copy, it has lost its latest versions and gives them out
+/// again, so a version only orders what belongs to the same era. A later era orders after all
+/// positions of an earlier one; see "Eras" in docs/platform.md.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Position {
+    /// Era of the registry.
+    pub era: Era,
+    /// Version of the registry within the era.
+    pub version: u64,
+}
+
+impl Position {
+    /// Creates a position.
+    pub fn new(era: Era, version: u64) -> Position {
+        Position { era, version }
+    }
+
+    /// The position after this one.
+    pub(crate) fn next(self) -> Position {
+        Position::new(self.era, self.version + 1)
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.version)
+    }
+}
 
 /// Tables of the registry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -127,6 +161,8 @@
     ) -> RegistryFuture<'_, Rows>;
 
     /// Reads the rows of a table that changed after `position`, waiting up to `wait` for the first.
+    /// The version counts in the era that the registry has when it answers; if that is another one
+    /// than that of `position`, the rows are not the changes after it.
     ///
     /// # Errors
     ///
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -15,6 +15,12 @@
 /// The same as a share of the bound on leaving endpoints: a request that is sent later than that
 /// bound after the row is known to be gone would be too late.
 const LAPSE_SHARE: f64 = 0.75;
+/// The same after the registry came back from a copy that lacks the row: endpoints write their rows
+/// again within 2 s, and a read follows.
+const RESTORED_LAPSE_TIME: Duration = Duration::from_millis(2500);
+/// Time for which a row from a copy is not used if its endpoint was gone before. The row of an
+/// endpoint that is gone lapses after 3.6 s of silence.
+const DOUBT_TIME: Duration = Duration::from_secs(6);
 /// Removed rows whose positions are remembered, so that a stale read does not bring them back.
 const MAX_TOMBSTONES: usize = 4096;
 
@@ -39,8 +45,37 @@
 struct ListedEndpoint {
     entry: EndpointEntry,
     position: Position,
-    /// When the row vanished around an outage of the registry.
-    lapsed_at: Option<Duration>,
+    /// When the endpoint is dropped, since its row vanished around an outage of the registry.
+    lapses_at: Option<Duration>,
+    /// Until when the endpoint is not used, since it was gone before the registry came back from a
+    /// copy that lists it.
+    doubted_until: Option<Duration>,
+}
+
+impl ListedEndpoint {
+    fn is_lapsed(&self, now: Duration) -> bool {
+        self.lapses_at.is_some_and(|at| now >= at)
+    }
+
+    fn is_doubted(&self, now: Duration) -> bool {
+        self.doubted_until.is_some_and(|until| now < until)
+    }
+}
+
+/// A row that was removed.
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    position: Position,
+    /// Start of the endpoint that the row named, in ms since the epoch; 0 if it is not known.
+    born: u64,
+}
+
+/// How the roster came into the current era of the registry.
+#[derive(Clone, Copy, Debug)]
+struct EraEntry {
+    /// Position of the first table of the era. Rows up to it may be those of the copy.
+    position: Position,
+    at: Duration,
 }
 
 /// All endpoints that the registry lists, by id.
@@ -48,8 +83,10 @@
 pub struct Roster {
     lapse_time: Duration,
     listed: BTreeMap<EndpointId, ListedEndpoint>,
-    tombstones: BTreeMap<EndpointId, Position>,
+    tombstones: BTreeMap<EndpointId, Tombstone>,
     position: Position,
+    /// Set once a table was read.
+    era_entry: Option<EraEntry>,
     leaving_starts: LeavingStarts,
 }
 
@@ -66,7 +103,8 @@
             lapse_time: LAPSE_TIME,
             listed: BTreeMap::new(),
             tombstones: BTreeMap::new(),
-            position: 0,
+            position: Position::default(),
+            era_entry: None,
             leaving_starts: LeavingStarts::default(),
         }
     }
@@ -89,12 +127,27 @@
         let listed = self
             .listed
             .iter()
-            .filter(|(_, row)| row.lapsed_at.is_none());
+            .filter(|(_, row)| row.lapses_at.is_none());
         listed
             .map(|(id, row)| (id.clone(), row.position, Some(row.entry.clone())))
             .collect()
     }
 
+    /// Endpoints that are not used because only a copy of the registry lists them, for a router
+    /// that starts.
+    pub fn doubted(&self, now: Duration) -> Vec<EndpointId> {
+        let doubted = self.listed.iter().filter(|(_, row)| row.is_doubted(now));
+        doubted.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Records that another router does not use an endpoint because only a copy of the registry
+    /// lists it.
+    pub fn doubt(&mut self, id: &str, now: Duration) {
+        if let Some(listed) = self.listed.get_mut(id) {
+            listed.doubted_until = listed.doubted_until.max(Some(now + DOUBT_TIME));
+        }
+    }
+
     /// The rows that differ from what is listed. Of several rows of one endpoint, the last one counts.
     pub fn new_changes(&self, rows: &[Row]) -> Vec<ChangedRow> {
         let mut last: BTreeMap<&EndpointId, &Row> = BTreeMap::new();
@@ -113,7 +166,7 @@
             };
             let same = match (&entry, known) {
                 (Some(entry), Some(known)) => {
-                    known.lapsed_at.is_none() && known.entry.equals_except_cold(entry)
+                    known.lapses_at.is_none() && known.entry.equals_except_cold(entry)
                 }
                 (None, None) => true,
                 _ => false,
@@ -128,20 +181,21 @@
     /// Applies changed rows. `after_outage` says that the registry was unreachable a short time
     /// ago, so that a removed row may only have lapsed.
     pub fn apply(&mut self, rows: Rows, after_outage: bool, now: Duration) -> Vec<RosterChange> {
-        let mut changes = Vec::new();
-        for row in rows.rows {
-            changes.extend(self.apply_row(row, after_outage, now));
-        }
-        self.position = self.position.max(rows.position);
-        changes
+        self.apply_rows(rows, after_outage.then_some(self.lapse_time), now)
     }
 
     /// Replaces the whole table. A read from before the known position is stale: it neither adds
-    /// nor removes anything of which something newer is known.
+    /// nor removes anything of which something newer is known. A table of a later era is that of a
+    /// copy of the registry, with what was written since.
     pub fn replace(&mut self, rows: Rows, after_outage: bool, now: Duration) -> Vec<RosterChange> {
         let present: BTreeSet<EndpointId> = rows.rows.iter().map(|row| row.key.clone()).collect();
         let position = rows.position;
         let mut changes = Vec::new();
+        let mut lapse = after_outage.then_some(self.lapse_time);
+        if position.era > self.position.era {
+            lapse = Some(self.lapse_time.max(RESTORED_LAPSE_TIME));
+            self.enter_era(position, now);
+        }
         if position >= self.position {
             let missing = self.listed.keys().filter(|id| !present.contains(*id));
             let missing: Vec<EndpointId> = missing.cloned().collect();
@@ -151,13 +205,26 @@
                     position,
                     entry: Entry::Removed,
                 };
-                changes.extend(self.apply_row(row, after_outage, now));
+                changes.extend(self.apply_row(row, lapse, now));
             }
         }
-        changes.extend(self.apply(rows, after_outage, now));
+        changes.extend(self.apply_rows(rows, lapse, now));
         changes
     }
 
+    /// Starts to follow a later era. An endpoint that is leaving is not in use again because a copy
+    /// from before its announcement says otherwise.
+    fn enter_era(&mut self, position: Position, now: Duration) {
+        self.era_entry = Some(EraEntry { position, at: now });
+        let leaving = self.listed.values().map(|listed| &listed.entry);
+        for entry in leaving.filter(|entry| entry.leaving) {
+            // The wall time only matters for announcements that may come from another start.
+            let announced_at = SystemTime::UNIX_EPOCH;
+            self.leaving_starts
+                .insert(&entry.id, &entry.boot(), announced_at);
+        }
+    }
+
     /// The difference between a whole table and this roster since `revision`: rows that changed,
     /// and rows that are gone.
     pub fn diff(&self, table: Rows, revision: Position) -> Rows {
@@ -165,7 +232,7 @@
         let listed = self
             .listed
             .iter()
-            .filter(|(_, row)| row.lapsed_at.is_none());
+            .filter(|(_, row)| row.lapses_at.is_none());
         let missing = listed.filter(|(id, _)| !present.contains(id));
         let gone: Vec<Row> = missing
             .map(|(id, _)| Row {
@@ -185,12 +252,10 @@
 
     /// Drops endpoints whose rows lapsed and did not come back in time.
     pub fn expire(&mut self, now: Duration) -> Vec<RosterChange> {
-        let expired = |listed: &ListedEndpoint| {
-            listed
-                .lapsed_at
-                .is_some_and(|since| now >= since + self.lapse_time)
-        };
-        let gone = self.listed.iter().filter(|(_, listed)| expired(listed));
+        let gone = self
+            .listed
+            .iter()
+            .filter(|(_, listed)| listed.is_lapsed(now));
         let gone: Vec<EndpointId> = gone.map(|(id, _)| id.clone()).collect();
         for id in &gone {
             self.listed.remove(id);
@@ -208,18 +273,16 @@
             .filter(|entry| !self.is_leaving(entry))
     }
 
-    /// Endpoints of a service, including those that are leaving.
+    /// Endpoints of a service, including those that are leaving, but without those that only a copy
+    /// of the registry lists.
     pub fn endpoints_of<'a>(
         &'a self,
         service: &'a str,
         now: Duration,
     ) -> impl Iterator<Item = &'a EndpointEntry> + 'a {
-        let lapse_time = self.lapse_time;
         let usable = move |listed: &&ListedEndpoint| {
-            let lapsed = listed
-                .lapsed_at
-                .is_some_and(|since| now >= since + lapse_time);
-            listed.entry.service == service && !lapsed
+            let is_used = !listed.is_lapsed(now) && !listed.is_doubted(now);
+            listed.entry.service == service && is_used
         };
         let listed = self.listed.values().filter(usable);
         listed.map(|listed| &listed.entry)
@@ -253,6 +316,12 @@
             .collect()
     }
 
+    /// Number of endpoints whose rows vanished and that are still in use.
+    pub fn lapsing(&self) -> usize {
+        let listed = self.listed.values();
+        listed.filter(|listed| listed.lapses_at.is_some()).count()
+    }
+
     /// Number of endpoints.
     pub fn len(&self) -> usize {
         self.listed.len()
@@ -263,15 +332,39 @@
         self.listed.is_empty()
     }
 
-    fn apply_row(&mut self, row: Row, after_outage: bool, now: Duration) -> Option<RosterChange> {
+    /// Applies rows; removed ones lapse after the given time, if any.
+    fn apply_rows(
+        &mut self,
+        rows: Rows,
+        lapse: Option<Duration>,
+        now: Duration,
+    ) -> Vec<RosterChange> {
+        if rows.position.era < self.position.era {
+            return Vec::new();
+        }
+        let mut changes = Vec::new();
+        for row in rows.rows {
+            changes.extend(self.apply_row(row, lapse, now));
+        }
+        self.position = self.position.max(rows.position);
+        changes
+    }
+
+    fn apply_row(
+        &mut self,
+        row: Row,
+        lapse: Option<Duration>,
+        now: Duration,
+    ) -> Option<RosterChange> {
         let known = self.listed.get(&row.key).map(|listed| listed.position);
-        let known = known.max(self.tombstones.get(&row.key).copied());
+        let removed = self.tombstones.get(&row.key);
+        let known = known.max(removed.map(|tombstone| tombstone.position));
         if known.is_some_and(|known| known > row.position) {
             return None;
         }
         match row.entry {
-            Entry::Endpoint(entry) => self.insert_row(row.key, entry, row.position),
-            Entry::Removed => self.remove_row(row.key, row.position, after_outage, now),
+            Entry::Endpoint(entry) => self.insert_row(row.key, entry, row.position, now),
+            Entry::Removed => self.remove_row(row.key, row.position, lapse, now),
             Entry::Malformed(reason) => {
                 self.listed.remove(&row.key);
                 Some(RosterChange::Malformed(row.key, reason))
@@ -285,12 +378,24 @@
         id: EndpointId,
         entry: EndpointEntry,
         position: Position,
+        now: Duration,
     ) -> Option<RosterChange> {
+        let copied_at = self.copied_at(position, now);
+        if copied_at.is_some()
+            && let Some(known) = self.listed.get_mut(&id)
+            && known.entry.born > entry.born
+        {
+            // The copy is from before the endpoint's restart.
+            known.position = position;
+            return None;
+        }
+        let doubted = copied_at.filter(|_| self.was_gone(&id, &entry, position, now));
         self.tombstones.remove(&id);
         let listed = ListedEndpoint {
             entry,
             position,
-            lapsed_at: None,
+            lapses_at: None,
+            doubted_until: doubted.map(|at| at + DOUBT_TIME),
         };
         let (born, leaving) = (listed.entry.born, listed.entry.leaving);
         let is_new = !self.listed.contains_key(&id);
@@ -304,23 +409,50 @@
         (leaving && !before.entry.leaving).then_some(RosterChange::Leaving(id))
     }
 
+    /// When the roster came into the current era, if a row at `position` may be from the copy that
+    /// the era began with.
+    fn copied_at(&self, position: Position, now: Duration) -> Option<Duration> {
+        let entry = self.era_entry.filter(|entry| position <= entry.position)?;
+        (now < entry.at + DOUBT_TIME).then_some(entry.at)
+    }
+
+    /// Whether the endpoint of a row from a copy was gone in an earlier era.
+    fn was_gone(&self, id: &str, entry: &EndpointEntry, position: Position, now: Duration) -> bool {
+        let removed = self.tombstones.get(id).is_some_and(|tombstone| {
+            tombstone.position.era < position.era && entry.born.unwrap_or(0) <= tombstone.born
+        });
+        let doubted = self
+            .listed
+            .get(id)
+            .is_some_and(|listed| listed.is_doubted(now) && listed.entry.born == entry.born);
+        removed || doubted
+    }
+
     fn remove_row(
         &mut self,
         id: EndpointId,
         position: Position,
-        after_outage: bool,
+        lapse: Option<Duration>,
         now: Duration,
     ) -> Option<RosterChange> {
         while self.tombstones.len() >= MAX_TOMBSTONES {
             self.tombstones.pop_first();
         }
-        self.tombstones.insert(id.clone(), position);
+        let known = self
+            .listed
+            .get(&id)
+            .map(|listed| listed.entry.born.unwrap_or(0));
+        let before = self.tombstones.get(&id).map(|tombstone| tombstone.born);
+        let born = known.or(before).unwrap_or(0);
+        let tombstone = Tombstone { position, born };
+        self.tombstones.insert(id.clone(), tombstone);
         let listed = self.listed.get_mut(&id)?;
-        if after_outage && !listed.entry.leaving {
-            if listed.lapsed_at.is_some() {
+        let in_use = !listed.entry.leaving && !listed.is_doubted(now);
+        if let Some(lapse) = lapse.filter(|_| in_use) {
+            if listed.lapses_at.is_some() {
                 return None;
             }
-            listed.lapsed_at = Some(now);
+            listed.lapses_at = Some(now + lapse);
             listed.position = position;
             return Some(RosterChange::Lapsed(id));
         }
--- a/crates/edge/src/schedule.rs
+++ b/crates/edge/src/schedule.rs
@@ -38,6 +38,9 @@
 /// Time for which a router that lacks changes of endpoints waits for others to send them, as a fraction of
 /// the bound on requests to leaving endpoints.
 const ENDPOINT_GAP_FRACTION: f64 = 0.2;
+/// The same for a router that lacks the whole table of a later era, as a range of that bound. The first
+/// routers wait only as long as for changes.
+const ERA_FRACTIONS: Range<f64> = 0.75..1.0;
 /// The same for the configuration, as fractions of the bound on applying it: for the first routers, and a
 /// range for the others, which get it from the first ones.
 const FIRST_CONFIG_GAP_FRACTION: f64 = 0.1;
@@ -82,17 +85,24 @@
         }
     }
 
+    /// Time for which a router waits for others to send the endpoint table of a later era, before it reads
+    /// the table.
+    pub fn era_timeout(&self, rank: ReaderRank, id: &str) -> Duration {
+        let fraction = if rank.takes_over_first() {
+            ENDPOINT_GAP_FRACTION
+        } else {
+            spread(&ERA_FRACTIONS, id)
+        };
+        self.leave_bound.mul_f64(fraction)
+    }
+
     /// Time for which a router waits for others to send a change that it lacks, before it reads the table.
     pub fn gap_timeout(&self, table: Table, rank: ReaderRank, id: &str) -> Duration {
         match table {
             Table::Configuration if rank.takes_over_first() => {
                 self.apply_bound.mul_f64(FIRST_CONFIG_GAP_FRACTION)
             }
-            Table::Configuration => {
-                let span = CONFIG_GAP_FRACTIONS.end - CONFIG_GAP_FRACTIONS.start;
-                self.apply_bound
-                    .mul_f64(CONFIG_GAP_FRACTIONS.start + span * unit_hash(id))
-            }
+            Table::Configuration => self.apply_bound.mul_f64(spread(&CONFIG_GAP_FRACTIONS, id)),
             Table::Endpoints | Table::Routers => self.leave_bound.mul_f64(ENDPOINT_GAP_FRACTION),
         }
     }
@@ -128,6 +138,11 @@
     pause.min(MAX_FLEET_PAUSE)
 }
 
+/// A router's place in a range, by its id.
+fn spread(range: &Range<f64>, id: &str) -> f64 {
+    range.start + (range.end - range.start) * unit_hash(id)
+}
+
 /// A hash of a router's id as a number from 0 to 1.
 fn unit_hash(id: &str) -> f64 {
     hash_parts(&[id.as_bytes()]) as f64 / u64::MAX as f64
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -9,7 +9,7 @@
 use crate::metrics::Metrics;
 use crate::peer_message::Outbox;
 use crate::quarantine_probe::QuarantineProbes;
-use crate::registry::{Dialect, Position, Table};
+use crate::registry::{Dialect, Era, Position, Table};
 use crate::rest::Rests;
 use crate::retry_window::RetryWindow;
 use crate::roster::Roster;
@@ -165,6 +165,8 @@
     joined: watch::Sender<bool>,
     /// Keys for messages between routers, set once this router has joined the fleet.
     pub(crate) keys: OnceLock<PeerKeys>,
+    /// Era of the registry, once it is known. When it rises, what this router wrote may be gone.
+    pub(crate) era: watch::Sender<Option<Era>>,
 }
 
 impl Shared {
@@ -190,6 +192,7 @@
             feeds,
             joined: watch::Sender::new(false),
             keys: OnceLock::new(),
+            era: watch::Sender::new(None),
             clock,
             dialect,
             metrics: Metrics::new(),
@@ -199,7 +202,7 @@
                 roster: Roster::with_bound(settings.leave_bound),
                 endpoints: Follower::new(&settings.id),
                 configuration: Follower::new(&settings.id),
-                config_position: 0,
+                config_position: Position::default(),
                 registry_returned: None,
                 contacts: BTreeMap::new(),
                 loads: Loads::new(),
@@ -251,6 +254,23 @@
         self.incarnation
     }
 
+    /// Records an era of the registry. Returns the era that was known before if this one is later.
+    pub(crate) fn note_era(&self, era: Era) -> Option<Era> {
+        let mut before = None;
+        self.era.send_if_modified(|known| {
+            before = known.filter(|known| *known < era);
+            let is_new = known.is_none_or(|known| known < era);
+            if is_new {
+                *known = Some(era);
+            }
+            is_new
+        });
+        if before.is_some() || *self.era.borrow() == Some(era) {
+            self.metrics.era.set(i64::from(era));
+        }
+        before
+    }
+
     /// Whether the load balancer should send requests to this router.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.lock_state();
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -59,6 +59,8 @@
     /// Time since it was known to be complete, in ms.
     age_ms: u32,
     list: Feed,
+    /// Endpoints that are not used because only a copy of the registry lists them.
+    doubted: Vec<EndpointId>,
 }
 
 /// The configuration in a snapshot.
@@ -147,8 +149,9 @@
     let endpoints = age.filter(|_| request.endpoints).and_then(|age| {
         Some(EndpointSnapshot {
             age_ms: millis(age),
+            doubted: state.roster.doubted(now),
             list: Feed {
-                from: 0,
+                from: Position::default(),
                 to: state.endpoints.revision()?,
                 changed: state.roster.rows(),
             },
@@ -250,6 +253,30 @@
     shared.lock_state().version() >= version
 }
 
+/// Fetches the endpoint table of a later era from another router. Returns whether one had it.
+pub(crate) async fn fetch_endpoints(shared: &Shared) -> bool {
+    let address = {
+        let state = shared.lock_state();
+        let Some(own) = state.endpoints.revision() else {
+            return false;
+        };
+        if !state.endpoints.is_era_behind() {
+            return false;
+        }
+        let later = |contact: &Contact| contact.endpoints.is_some_and(|known| known.era > own.era);
+        draw_peer(&state, shared, later)
+    };
+    let Some(address) = address else {
+        return false;
+    };
+    let request = SnapshotRequest {
+        endpoints: true,
+        version: None,
+    };
+    fetch_from(shared, address, request).await;
+    !shared.lock_state().endpoints.is_era_behind()
+}
+
 /// Waits until another router provides the endpoint table; false if this router should read it
 /// itself.
 pub(crate) async fn wait_for_endpoints(shared: &Shared) -> bool {
@@ -317,13 +344,18 @@
 
 fn apply_snapshot(shared: &Shared, address: SocketAddr, snapshot: Snapshot, sent: Duration) {
     let verified_at = |age_ms: u32| sent.saturating_sub(Duration::from_millis(age_ms.into()));
-    if let Some(EndpointSnapshot { age_ms, list }) = snapshot.endpoints {
+    if let Some(EndpointSnapshot {
+        age_ms,
+        list,
+        doubted,
+    }) = snapshot.endpoints
+    {
         let detail = format!(
             "endpoints={} age_ms={age_ms} from={address}",
             list.changed.len()
         );
         log(Event::ListReceived, &detail);
-        replace_endpoints(shared, list.into_rows(), verified_at(age_ms));
+        replace_endpoints(shared, list.into_rows(), &doubted, verified_at(age_ms));
     }
     let mut state = shared.lock_state();
     for crash in &snapshot.crashes {
@@ -356,7 +388,7 @@
     address: SocketAddr,
     request: SnapshotRequest,
 ) -> Result<Option<Snapshot>, LinkError> {
-    let Some(keys) = shared.keys.get() else {
+    let Some(keys) = shared.keys.get().cloned() else {
         return Ok(None);
     };
     let config = LinkPoolConfig {
@@ -364,7 +396,7 @@
         silence: ANSWER_TIMEOUT,
         ..LinkPoolConfig::default()
     };
-    let links = LinkPool::new(keys.clone(), config);
+    let links = LinkPool::new(keys, config);
     let mut link = match tokio::time::timeout(CONNECT_TIMEOUT * 2, links.connect(address)).await {
         Ok(link) => link?,
         Err(_) => return Err(LinkError::Silent(CONNECT_TIMEOUT * 2)),
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -12,7 +12,7 @@
 use crate::roster::RosterChange;
 use crate::routes::RouteTable;
 use crate::shared::{RoutingState, Shared};
-use sequoiaridge_core::{Event, RouterId};
+use sequoiaridge_core::{EndpointId, Event, RouterId};
 use sequoiaridge_log::log;
 use sequoiaridge_policy::Suspect;
 use std::sync::Arc;
@@ -156,7 +156,7 @@
 
 /// Applies endpoints that this router read: the changes after `from`, or the whole table. Returns
 /// the feed for the other routers: the changes since the position that was known before, if there
-/// is one and they are not too many.
+/// is one in the same era and they are not too many.
 pub(crate) fn apply_endpoint_rows(
     shared: &Shared,
     mut rows: Rows,
@@ -168,6 +168,11 @@
     let mut state = shared.lock_state();
     note_registry_return(&mut state, 0, now);
     let revision = state.endpoints.revision();
+    if revision.is_some_and(|revision| revision.era != to.era) {
+        state.endpoints.record_success();
+        replace_roster(&mut state, shared, rows, sent, EraSource::Registry);
+        return None;
+    }
     let from = match (from, revision) {
         // Compared with the known state, the whole table shows what changed, so that other routers
         // need not read it, too.
@@ -216,17 +221,76 @@
 }
 
 /// Replaces the endpoints with the whole table as another router knew it.
-pub(crate) fn replace_endpoints(shared: &Shared, rows: Rows, verified_at: Duration) {
+/// `doubted` are the endpoints that it does not use because only a copy of the registry lists them.
+pub(crate) fn replace_endpoints(
+    shared: &Shared,
+    rows: Rows,
+    doubted: &[EndpointId],
+    verified_at: Duration,
+) {
     let now = shared.now();
     let mut state = shared.lock_state();
-    let revision = rows.position;
-    update_roster(&mut state, shared, rows, true, now);
-    state.endpoints.replace(revision, verified_at);
+    let is_newer = state.roster.position() <= rows.position;
+    replace_roster(&mut state, shared, rows, verified_at, EraSource::Router);
+    for id in doubted.iter().filter(|_| is_newer) {
+        state.roster.doubt(id, now);
+    }
     drop(state);
     shared.notify_if_ready();
 }
 
-/// Applies the configuration that was read by a call sent at `sent`.
+/// From where a router learns of a later era of the registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EraSource {
+    Registry,
+    Router,
+}
+
+impl EraSource {
+    fn as_str(self) -> &'static str {
+        match self {
+            EraSource::Registry => "registry",
+            EraSource::Router => "router",
+        }
+    }
+}
+
+/// Replaces the roster with the whole table, which may be the first one of a later era. A table of
+/// an earlier era is ignored.
+fn replace_roster(
+    state: &mut RoutingState,
+    shared: &Shared,
+    rows: Rows,
+    verified_at: Duration,
+    source: EraSource,
+) {
+    let now = shared.now();
+    let (before, to) = (state.roster.position(), rows.position);
+    let listed = rows.rows.len();
+    let restored = state.endpoints.revision().is_some() && to.era > before.era;
+    shared.note_era(to.era);
+    if restored {
+        // Rows that the copy lacks are written again soon.
+        state.registry_returned = Some(now);
+    }
+    update_roster(state, shared, rows, true, now);
+    state.endpoints.replace(to, verified_at);
+    if restored {
+        let detail = format!(
+            "era={} before={} position={to} known={before} source={} listed={listed} lapsing={} doubted={} leaving={}",
+            to.era,
+            before.era,
+            source.as_str(),
+            state.roster.lapsing(),
+            state.roster.doubted(now).len(),
+            state.roster.announced_leaving().len(),
+        );
+        log(Event::RegistryRestored, &detail);
+    }
+}
+
+/// Applies the configuration that was read by a call sent at `sent`. Versions hold in all eras: a
+/// registry that came back from a copy may have an older one until the operators write again.
 pub(crate) fn apply_configuration(
     shared: &Shared,
     rows: Rows,
@@ -244,11 +308,21 @@
             _ => {}
         }
     }
+    if shared.note_era(position.era).is_some() {
+        let detail = format!(
+            "era={} before={} position={position} version={} source=registry",
+            position.era,
+            state.config_position.era,
+            state.version()
+        );
+        log(Event::RegistryRestored, &detail);
+    }
     state.config_position = state.config_position.max(position);
     let version = state.version();
     state.configuration.record_success();
     let started = state.configuration.revision().is_none();
-    state.configuration.apply_version(version, verified_at);
+    let revision = Position::new(0, version);
+    state.configuration.apply_version(revision, verified_at);
     if !started {
         state.configuration.record_read(sent, verified_at);
     }
@@ -269,7 +343,8 @@
         activate(&mut state, shared, manifest, position);
     }
     state.config_position = state.config_position.max(position);
-    state.configuration.apply_version(version, verified_at);
+    let revision = Position::new(0, version);
+    state.configuration.apply_version(revision, verified_at);
     drop(state);
     shared.notify_if_ready();
 }
--- a/crates/edge/tests/model/mod.rs
+++ b/crates/edge/tests/model/mod.rs
@@ -1,12 +1,13 @@
 //! Simulates a fleet of followers over a virtual clock, with links that lose and delay datagrams,
-//! routers that are partitioned or frozen, and a registry that refuses some of them.
+//! routers that are partitioned or frozen, and a registry that refuses some of them or comes back
+//! from a copy.
 
 use rand::rngs::StdRng;
 use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::{RngExt, SeedableRng};
 use sequoiaridge_edge::schedule::{ReaderRank, Schedule, retry_delay, takeover_delay};
 use sequoiaridge_edge::{
-    ChangedRow, Feed, Follower, MAX_FEED_CHANGES, Table, TableDigest, pick_relays,
+    ChangedRow, Feed, Follower, MAX_FEED_CHANGES, Position, Table, TableDigest, pick_relays,
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -20,6 +21,11 @@
 const SMALL_FLEET: usize = 24;
 /// Position of the registry before the first change.
 const START_POSITION: u64 = 100;
+/// Whole tables that a router sends to others at the same time, and how long each takes.
+const MAX_TRANSFERS: usize = 4;
+const TRANSFER_TIME: Duration = Duration::from_millis(250);
+/// Longest pause between two requests of a router for a whole table.
+const REQUEST_PAUSE: Duration = Duration::from_millis(300);
 
 /// Size and properties of a fleet.
 #[derive(Clone, Debug)]
@@ -55,11 +61,26 @@
     Silent,
 }
 
+/// A return of the registry from a copy of itself, for which it was silent before.
+#[derive(Clone, Copy, Debug)]
+pub struct Restore {
+    pub at: Duration,
+    /// Age of the copy.
+    pub copy_age: Duration,
+}
+
 /// Measurements of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
     /// Time from each change until it reached each router without a fault.
     pub delays: Vec<Duration>,
+    /// The same for changes that were made after the first return of the registry, with the time of
+    /// the change.
+    pub delays_after_return: Vec<(Duration, Duration)>,
+    /// When each router without a fault came to know the last era, if it did.
+    pub era_known: Vec<Option<Duration>>,
+    /// Reads of the whole table.
+    pub whole_reads: u64,
     /// Calls to the registry after the initial read, by second.
     pub calls: BTreeMap<u64, u64>,
     /// Most datagrams with changes that one router sent in one second.
@@ -81,16 +102,27 @@
     from: usize,
     endpoints: Option<TableDigest>,
     feed: Option<Feed>,
-    repair_from: Option<u64>,
+    repair_from: Option<Position>,
     relay: bool,
 }
 
+/// Answer of the registry to a read.
+#[derive(Clone, Debug)]
+enum Answer {
+    Changes(Position, Vec<ChangedRow>),
+    HistoryLost,
+    Whole(Position),
+}
+
 #[derive(Debug)]
 enum Event {
     Tick(usize),
     Arrival(usize, Message),
-    ReadDone(usize, u64, Duration, Option<(u64, Vec<ChangedRow>)>),
+    ReadDone(usize, Option<Position>, Duration, Option<Answer>),
     Change,
+    Restore(Duration),
+    TableRequested(usize, usize),
+    TableReceived(usize, usize, Position, Duration),
 }
 
 struct Router {
@@ -99,13 +131,17 @@
     follower: Follower,
     last_sent: Duration,
     reading: bool,
-    revisions: BTreeMap<usize, u64>,
+    lost: Option<Position>,
+    requested_table: Duration,
+    /// Whole tables that the router is sending.
+    transfers: usize,
+    revisions: BTreeMap<usize, Position>,
     last_heard: BTreeMap<usize, Duration>,
     backlog: Vec<Message>,
     /// When the queue of datagrams was last empty.
     queue_empty_at: Duration,
     /// When each change reached the router.
-    learned_at: BTreeMap<u64, Duration>,
+    learned_at: BTreeMap<Position, Duration>,
 }
 
 pub struct Fleet {
@@ -113,8 +149,10 @@
     rng: StdRng,
     routers: Vec<Router>,
     faults: Vec<(Fault, Vec<usize>)>,
-    position: u64,
-    changes: Vec<(u64, Duration)>,
+    position: Position,
+    changes: Vec<(Position, Duration)>,
+    restores: Vec<Restore>,
+    whole_reads: u64,
     queue: BinaryHeap<(Reverse<Duration>, u64)>,
     events: BTreeMap<u64, Event>,
     next: u64,
@@ -127,14 +165,13 @@
     pub fn new(settings: FleetSettings, faults: &[Fault], seed: u64) -> Fleet {
         let mut rng = StdRng::seed_from_u64(seed);
         let span = settings.registering.max(10);
-        let changes =
-            (1..=settings.registering).map(|change| (START_POSITION + change, Duration::ZERO));
-        let changes: Vec<(u64, Duration)> = changes.collect();
+        let changes = (1..=settings.registering).map(|change| (start(change), Duration::ZERO));
+        let changes: Vec<(Position, Duration)> = changes.collect();
         let routers = (0..settings.routers).map(|index| {
             let mut follower = Follower::new(&format!("router-{index}"));
             // Routers that start together read the list at different moments.
             let read = rng.random_range(0..=settings.registering.max(7));
-            follower.replace(START_POSITION + read, Duration::ZERO);
+            follower.replace(start(read), Duration::ZERO);
             let fast =
                 (index / settings.domains) as f64 <= settings.fast_share * settings.routers as f64;
             Router {
@@ -143,6 +180,9 @@
                 follower,
                 last_sent: Duration::ZERO,
                 reading: false,
+                lost: None,
+                requested_table: Duration::ZERO,
+                transfers: 0,
                 revisions: BTreeMap::new(),
                 last_heard: BTreeMap::new(),
                 backlog: Vec::new(),
@@ -162,8 +202,10 @@
             rng,
             routers,
             faults,
-            position: START_POSITION + span,
+            position: start(span),
             changes,
+            restores: Vec::new(),
+            whole_reads: 0,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             next: 0,
@@ -172,6 +214,15 @@
         }
     }
 
+    /// Lets the registry come back from copies, in the order of time.
+    pub fn with_restores(mut self, restores: &[Restore]) -> Fleet {
+        self.restores = restores.to_vec();
+        for restore in restores {
+            self.schedule(restore.at, Event::Restore(restore.copy_age));
+        }
+        self
+    }
+
     /// Simulates `time` with a change every `interval`.
     pub fn run(mut self, time: Duration, interval: Duration) -> Outcome {
         for router in 0..self.routers.len() {
@@ -185,7 +236,7 @@
             }
             match self.events.remove(&number).expect("an event") {
                 Event::Change => {
-                    self.position += 3;
+                    self.position.version += 3;
                     self.changes.push((self.position, now));
                     self.schedule(now + interval, Event::Change);
                 }
@@ -194,6 +245,14 @@
                 Event::ReadDone(router, from, sent, answer) => {
                     self.read_done(router, from, sent, answer, now);
                 }
+                Event::Restore(copy_age) => self.restore(copy_age, now),
+                Event::TableRequested(router, by) => self.send_table(router, by, now),
+                Event::TableReceived(router, from, position, verified_at) => {
+                    self.routers[from].transfers -= 1;
+                    if !self.is_cut_off(router, now) {
+                        self.replace_table(router, position, verified_at, now);
+                    }
+                }
             }
         }
         self.outcome(time)
@@ -201,6 +260,8 @@
 
     fn outcome(self, time: Duration) -> Outcome {
         let mut delays = Vec::new();
+        let mut delays_after_return = Vec::new();
+        let returned = self.restores.first().map(|restore| restore.at);
         // A change of the last seconds may still be in transit.
         let counted = time.saturating_sub(self.settings.leave_bound * 2);
         let changes = self.changes.iter();
@@ -217,11 +278,32 @@
                 });
                 if !affected {
                     let known = router.learned_at.range(position..).map(|(_, at)| *at).min();
-                    delays.push(known.map_or(time, |known| known.saturating_sub(*at)));
+                    let delay = known.map_or(time, |known| known.saturating_sub(*at));
+                    delays.push(delay);
+                    if returned.is_some_and(|returned| *at > returned) {
+                        delays_after_return.push((*at, delay));
+                    }
                 }
             }
         }
+        let first = Position::new(self.position.era, 0);
+        let cuts_off = |index: &usize| {
+            let mut faults = self.faults.iter();
+            faults.any(|(fault, all)| {
+                matches!(fault.kind, FaultKind::Partitioned | FaultKind::Frozen)
+                    && all.contains(index)
+            })
+        };
+        let sound = self.routers.iter().enumerate();
+        let sound = sound.filter(|(index, _)| !cuts_off(index));
+        let era_known = sound.map(|(_, router)| {
+            let known = router.learned_at.range(first..);
+            known.map(|(_, at)| *at).min()
+        });
         Outcome {
+            delays_after_return,
+            era_known: era_known.collect(),
+            whole_reads: self.whole_reads,
             delays,
             calls: self.calls,
             peak_feeds: self.feeds.into_values().max().unwrap_or_default(),
@@ -241,6 +323,49 @@
         })
     }
 
+    fn is_cut_off(&self, router: usize, now: Duration) -> bool {
+        self.has_fault(router, FaultKind::Partitioned, now)
+            || self.has_fault(router, FaultKind::Frozen, now)
+    }
+
+    /// The registry comes back as it was some time ago. What was written since is gone.
+    fn restore(&mut self, copy_age: Duration, now: Duration) {
+        let copied_at = now.saturating_sub(copy_age);
+        let kept = self.changes.iter().filter(|(_, at)| *at <= copied_at);
+        let version = kept.map(|(position, _)| position.version).max();
+        let version = version.unwrap_or(START_POSITION);
+        self.position = Position::new(self.position.era + 1, version);
+        self.changes.retain(|(_, at)| *at <= copied_at);
+    }
+
+    /// A router asks another one for the whole table.
+    fn send_table(&mut self, router: usize, by: usize, now: Duration) {
+        let own = &self.routers[router];
+        let revision = own.follower.revision().expect("a revision");
+        let age = own.follower.age(now).expect("an age");
+        let is_fresh = age <= self.settings.leave_bound / 2;
+        if self.is_cut_off(router, now) || !is_fresh || own.transfers >= MAX_TRANSFERS {
+            return;
+        }
+        self.routers[router].transfers += 1;
+        let received = Event::TableReceived(by, router, revision, now.saturating_sub(age));
+        self.schedule(now + TRANSFER_TIME, received);
+    }
+
+    fn replace_table(
+        &mut self,
+        router: usize,
+        position: Position,
+        verified_at: Duration,
+        now: Duration,
+    ) {
+        let own = &mut self.routers[router];
+        if own.follower.revision() < Some(position) {
+            own.learned_at.entry(position).or_insert(now);
+        }
+        own.follower.replace(position, verified_at);
+    }
+
     fn is_large(&self) -> bool {
         self.settings.routers > SMALL_FLEET
     }
@@ -304,9 +429,36 @@
                 self.send(to, message, now);
             }
         }
+        self.request_table(router, now);
         self.read(router, now);
     }
 
+    /// Requests the whole table of a later era from a router that has it.
+    fn request_table(&mut self, router: usize, now: Duration) {
+        let own = &self.routers[router];
+        if !own.follower.is_era_behind() || now < own.requested_table {
+            return;
+        }
+        let revision = own.follower.revision().expect("a revision");
+        let later: Vec<usize> = own
+            .revisions
+            .iter()
+            .filter(|(_, known)| known.era > revision.era)
+            .map(|(other, _)| *other)
+            .collect();
+        let domain = own.domain;
+        let near = later
+            .iter()
+            .filter(|other| self.routers[**other].domain == domain);
+        let near = near.choose(&mut self.rng).copied();
+        if let Some(other) = near.or_else(|| later.choose(&mut self.rng).copied()) {
+            let pause = REQUEST_PAUSE.mul_f64(self.rng.random_range(0.5..1.0));
+            self.routers[router].requested_table = now + pause;
+            let requested = Event::TableRequested(other, router);
+            self.schedule(now + REGISTRY_LATENCY, requested);
+        }
+    }
+
     fn read(&mut self, router: usize, now: Duration) {
         let schedule = Schedule {
             leave_bound: self.settings.leave_bound,
@@ -316,26 +468,43 @@
         let id = format!("router-{router}");
         let own = &self.routers[router];
         let period = schedule.period(Table::Endpoints, own.follower.is_reader());
-        let gap_timeout = schedule.gap_timeout(Table::Endpoints, reader_rank, &id);
-        let due = own
-            .follower
-            .next_read(period, takeover_delay(reader_rank, &id), gap_timeout);
+        let gap_timeout = if own.follower.is_era_behind() {
+            schedule.era_timeout(reader_rank, &id)
+        } else {
+            schedule.gap_timeout(Table::Endpoints, reader_rank, &id)
+        };
+        let is_lost = own.lost.is_some() && own.follower.revision() <= own.lost;
+        let due = if is_lost && !own.follower.is_era_behind() {
+            own.follower.not_before()
+        } else {
+            own.follower
+                .next_read(period, takeover_delay(reader_rank, &id), gap_timeout)
+        };
         if own.reading || now < due {
             return;
         }
-        let from = own.follower.read_from().expect("a revision");
+        let from = own.follower.read_from().filter(|_| !is_lost);
         self.routers[router].reading = true;
         *self.calls.entry(now.as_secs()).or_default() += 1;
         let no_answer = self.has_fault(router, FaultKind::Partitioned, now)
             || self.has_fault(router, FaultKind::Silent, now);
         let refused = self.has_fault(router, FaultKind::Refused, now);
-        let answer = (!no_answer && !refused).then(|| {
-            let changed = self.changes.iter().filter(|(position, _)| *position > from);
-            let rows = changed.map(|(position, _)| (format!("e{position}"), *position, None));
-            // Changes of other tables advance the registry's position, too.
-            (self.position + 2, rows.collect())
+        // Changes of other tables advance the registry's position, too.
+        let position = Position::new(self.position.era, self.position.version + 2);
+        let answer = (!no_answer && !refused).then(|| match from {
+            None => Answer::Whole(position),
+            Some(from) if from.era != position.era => Answer::HistoryLost,
+            Some(from) => {
+                let changed = self.changes.iter().filter(|(position, _)| *position > from);
+                let rows = changed.map(|(position, _)| {
+                    // The era of a row is that in which it was read.
+                    (format!("e{position}"), *position, None)
+                });
+                Answer::Changes(position, rows.collect())
+            }
         });
-        self.position += u64::from(answer.is_some()) * 3;
+        self.whole_reads += u64::from(matches!(answer, Some(Answer::Whole(_))));
+        self.position.version += u64::from(answer.is_some()) * 3;
         let time = if no_answer {
             REGISTRY_TIMEOUT
         } else {
@@ -347,9 +516,9 @@
     fn read_done(
         &mut self,
         router: usize,
-        from: u64,
+        from: Option<Position>,
         sent: Duration,
-        answer: Option<(u64, Vec<ChangedRow>)>,
+        answer: Option<Answer>,
         now: Duration,
     ) {
         if self.has_fault(router, FaultKind::Frozen, now) {
@@ -360,11 +529,25 @@
         let own = &mut self.routers[router];
         own.reading = false;
         let revision = own.follower.revision().expect("a revision");
-        let Some((to, changed)) = answer else {
-            let failures = own.follower.failures();
-            own.follower
-                .record_failure(now, retry_delay(failures, routers));
-            return;
+        let (from, to, changed) = match (from, answer) {
+            (_, None) => {
+                let failures = own.follower.failures();
+                own.follower
+                    .record_failure(now, retry_delay(failures, routers));
+                return;
+            }
+            (_, Some(Answer::Whole(position))) => {
+                own.follower.record_success();
+                own.lost = None;
+                self.replace_table(router, position, sent, now);
+                self.publish(router, None, now);
+                return;
+            }
+            (Some(from), Some(Answer::Changes(to, changed))) => (from, to, changed),
+            (from, Some(Answer::HistoryLost | Answer::Changes(..))) => {
+                own.lost = own.lost.max(from);
+                return;
+            }
         };
         own.follower.record_success();
         own.follower.apply_changes(from, to, &changed);
@@ -513,3 +696,8 @@
         }
     }
 }
+
+/// A position of the first era.
+fn start(version: u64) -> Position {
+    Position::new(1, START_POSITION + version)
+}
--- a/crates/edge/tests/news.rs
+++ b/crates/edge/tests/news.rs
@@ -2,7 +2,7 @@
 
 mod model;
 
-use model::{Fault, FaultKind, Fleet, FleetSettings, Outcome};
+use model::{Fault, FaultKind, Fleet, FleetSettings, Outcome, Restore};
 use std::time::Duration;
 
 fn seconds(seconds: f64) -> Duration {
@@ -172,3 +172,88 @@
     let calls = outcome.calls_between(5, 30);
     assert!(calls < 60, "{calls} calls");
 }
+
+/// Time after the registry's return in which its faults still excuse late news.
+const RETURN_TIME: f64 = 3.0;
+
+/// The registry comes back from a copy at the given times, each after two seconds of silence.
+fn returns(times: &[f64]) -> (Vec<Fault>, Vec<Restore>) {
+    let silent = times
+        .iter()
+        .map(|at| fault(FaultKind::Silent, at - 2.0, *at, 1.0));
+    let restores = times.iter().map(|at| Restore {
+        at: seconds(*at),
+        copy_age: seconds(9.0),
+    });
+    (silent.collect(), restores.collect())
+}
+
+fn run_with_returns(
+    settings: &FleetSettings,
+    times: &[f64],
+    faults: &[Fault],
+    seed: u64,
+) -> Outcome {
+    let (mut all, restores) = returns(times);
+    all.extend_from_slice(faults);
+    let fleet = Fleet::new(settings.clone(), &all, seed).with_restores(&restores);
+    fleet.run(seconds(40.0), seconds(0.7))
+}
+
+/// The longest delay of the changes made from some time after the last return on.
+fn max_delay_after(outcome: &Outcome, returned: f64) -> Duration {
+    let stable = seconds(returned + RETURN_TIME);
+    let delays = outcome.delays_after_return.iter();
+    let late = delays.filter(|(at, _)| *at >= stable);
+    late.map(|(_, delay)| *delay).max().unwrap_or_default()
+}
+
+/// Guards against changes that count as old because the registry came back from a copy and gives its
+/// versions out again, also when it does so twice, and against a fleet in which every router then
+/// reads the whole table.
+#[test]
+fn news_arrive_after_the_registry_came_back_from_a_copy() {
+    for (routers, domains, leave_bound) in [(9, 4, 2.0), (86, 4, 3.0), (295, 6, 4.0)] {
+        for times in [&[15.0][..], &[12.0, 19.0]] {
+            let settings = settings(routers, domains, leave_bound);
+            let outcome = run_with_returns(&settings, times, &[], 1);
+            let returned = times[times.len() - 1];
+            let case = format!("{routers} routers, returns at {times:?}");
+            let max_delay = max_delay_after(&outcome, returned);
+            assert!(max_delay < seconds(leave_bound), "{case}: {max_delay:?}");
+            let limit = seconds(returned + RETURN_TIME);
+            let known = outcome.era_known.iter();
+            let late = known.filter(|known| known.is_none_or(|known| known > limit));
+            assert_eq!(late.count(), 0, "{case}: routers that learn of it late");
+            let reads = outcome.whole_reads;
+            let max_reads = (routers / 5).max(12) * times.len();
+            assert!(reads <= max_reads as u64, "{case}: {reads} whole reads");
+        }
+    }
+}
+
+/// Guards against routers that stay in the old era because they were cut off, refused or frozen when
+/// the registry came back, and against their old feeds that others take for news.
+#[test]
+fn news_arrive_after_a_return_that_a_third_missed() {
+    for (routers, domains, leave_bound) in [(9, 4, 2.0), (86, 4, 3.0), (295, 6, 4.0)] {
+        for (seed, kind) in [
+            FaultKind::Partitioned,
+            FaultKind::Frozen,
+            FaultKind::Refused,
+            FaultKind::Silent,
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let settings = settings(routers, domains, leave_bound);
+            let faults = [fault(kind, 13.0, 22.0, 0.33)];
+            let outcome = run_with_returns(&settings, &[15.0], &faults, seed as u64);
+            let max_delay = max_delay_after(&outcome, 15.0);
+            assert!(
+                max_delay < seconds(leave_bound),
+                "{routers} routers, {kind:?}: {max_delay:?}"
+            );
+        }
+    }
+}
--- a/crates/edge/tests/roster.rs
+++ b/crates/edge/tests/roster.rs
@@ -1,6 +1,6 @@
 //! Endpoints that join, leave, lapse and return.
 
-use sequoiaridge_edge::{EndpointEntry, Entry, Feed, Roster, RosterChange, Row, Rows};
+use sequoiaridge_edge::{EndpointEntry, Entry, Feed, Position, Roster, RosterChange, Row, Rows};
 use std::time::{Duration, SystemTime};
 
 const NOW: Duration = Duration::from_secs(100);
@@ -18,7 +18,11 @@
     }
 }
 
-fn row(id: &str, position: u64, entry: Entry) -> Row {
+fn row(id: &str, version: u64, entry: Entry) -> Row {
+    row_at(Position::new(1, version), id, entry)
+}
+
+fn row_at(position: Position, id: &str, entry: Entry) -> Row {
     Row {
         key: id.to_string(),
         position,
@@ -26,7 +30,11 @@
     }
 }
 
-fn rows(position: u64, rows: Vec<Row>) -> Rows {
+fn rows(version: u64, rows: Vec<Row>) -> Rows {
+    rows_at(Position::new(1, version), rows)
+}
+
+fn rows_at(position: Position, rows: Vec<Row>) -> Rows {
     Rows {
         rows,
         position,
@@ -268,11 +276,127 @@
     let changes = reader.new_changes(&read);
     let mut other = roster();
     let passed_on = Feed {
-        from: 5,
-        to: 9,
+        from: Position::new(1, 5),
+        to: Position::new(1, 9),
         changed: changes,
     };
     other.apply(passed_on.into_rows(), false, NOW);
     assert!(other.get("e2").is_none(), "e2 is gone");
     assert!(other.get("e1").is_some(), "e1 is back");
 }
+
+/// A row of the second era.
+fn copied(version: u64, entry: EndpointEntry) -> Row {
+    row_at(Position::new(2, version), "e1", Entry::Endpoint(entry))
+}
+
+fn copy(version: u64, listed: Vec<Row>) -> Rows {
+    rows_at(Position::new(2, version), listed)
+}
+
+/// Guards against changes that are ignored because the registry came back from a copy and gives
+/// lower versions out again.
+#[test]
+fn what_is_written_after_a_return_is_news() {
+    let mut roster = roster();
+    roster.apply(
+        rows(90, vec![row("e1", 90, Entry::Endpoint(entry("e1", false)))]),
+        false,
+        NOW,
+    );
+    roster.replace(copy(40, vec![copied(5, entry("e1", false))]), false, NOW);
+    assert_eq!(accepting(&roster, NOW), 1);
+    let changes = roster.apply(copy(41, vec![copied(41, entry("e1", true))]), false, NOW);
+    assert_eq!(changes, [RosterChange::Leaving("e1".to_string())]);
+    assert_eq!(accepting(&roster, NOW), 0);
+}
+
+/// Guards against requests to an endpoint that had announced that it leaves, which the copy that the
+/// registry came back from does not say, and against its next start that gets none.
+#[test]
+fn a_leaving_endpoint_does_not_come_back_with_a_copy() {
+    let mut roster = roster();
+    let leaving = row("e1", 90, Entry::Endpoint(entry("e1", true)));
+    roster.apply(rows(90, vec![leaving]), false, NOW);
+    for read in [40, 44] {
+        roster.replace(copy(read, vec![copied(5, entry("e1", false))]), false, NOW);
+        assert_eq!(accepting(&roster, NOW + Duration::from_secs(60)), 0);
+    }
+    let mut next = entry("e1", false);
+    next.born = Some(2);
+    roster.apply(copy(45, vec![copied(45, next)]), false, NOW);
+    assert_eq!(accepting(&roster, NOW), 1);
+}
+
+/// Guards against requests to an endpoint that was gone before the registry came back from a copy
+/// that lists it; it is used again if its row stays for longer than that of a silent endpoint.
+#[test]
+fn an_endpoint_that_was_gone_does_not_come_back_with_a_copy() {
+    let mut roster = roster();
+    roster.apply(rows(90, vec![row("e1", 90, Entry::Removed)]), false, NOW);
+    for read in [40, 44] {
+        roster.replace(copy(read, vec![copied(5, entry("e1", false))]), false, NOW);
+        assert_eq!(accepting(&roster, NOW + Duration::from_secs(5)), 0);
+        assert_eq!(roster.doubted(NOW), ["e1"]);
+    }
+    assert_eq!(accepting(&roster, NOW + Duration::from_secs(7)), 1);
+    let removed = row_at(Position::new(2, 45), "e1", Entry::Removed);
+    let changes = roster.apply(copy(45, vec![removed]), true, NOW);
+    assert_eq!(changes, [RosterChange::Gone("e1".to_string())]);
+    // A row that was written after the return is no copy.
+    roster.apply(copy(46, vec![copied(46, entry("e1", false))]), false, NOW);
+    assert_eq!(accepting(&roster, NOW), 1);
+}
+
+/// Guards against a start that is replaced by the one before it, which the copy still lists.
+#[test]
+fn an_earlier_start_does_not_come_back_with_a_copy() {
+    let mut roster = roster();
+    let mut next = entry("e1", false);
+    next.born = Some(2);
+    roster.apply(
+        rows(90, vec![row("e1", 90, Entry::Endpoint(next.clone()))]),
+        false,
+        NOW,
+    );
+    let changes = roster.replace(copy(40, vec![copied(5, entry("e1", false))]), false, NOW);
+    assert_eq!(changes, []);
+    assert_eq!(roster.get("e1"), Some(&next));
+    roster.apply(copy(41, vec![copied(41, next.clone())]), false, NOW);
+    assert_eq!(roster.get("e1"), Some(&next));
+}
+
+/// Guards against endpoints that are lost because the copy is from before they joined: they write
+/// their rows again within two seconds.
+#[test]
+fn an_endpoint_that_the_copy_lacks_is_used_until_it_may_be_back() {
+    let mut roster = roster();
+    let changes = roster.replace(copy(40, Vec::new()), false, NOW);
+    assert_eq!(changes, [RosterChange::Lapsed("e1".to_string())]);
+    assert_eq!(accepting(&roster, NOW + Duration::from_millis(2400)), 1);
+    let mut other = roster.clone();
+    other.apply(copy(41, vec![copied(41, entry("e1", false))]), false, NOW);
+    assert_eq!(accepting(&other, NOW + Duration::from_secs(60)), 1);
+    assert_eq!(accepting(&roster, NOW + Duration::from_millis(2600)), 0);
+}
+
+/// Guards against rows of the era before that arrive late, for instance from a router that was cut
+/// off, and against a second return that undoes what the first one kept.
+#[test]
+fn rows_of_an_earlier_era_change_nothing() {
+    let mut roster = roster();
+    let leaving = row("e1", 90, Entry::Endpoint(entry("e1", true)));
+    roster.apply(rows(90, vec![leaving]), false, NOW);
+    roster.replace(copy(40, vec![copied(5, entry("e1", false))]), false, NOW);
+    let late = row("e2", 95, Entry::Endpoint(entry("e2", false)));
+    assert_eq!(roster.apply(rows(95, vec![late.clone()]), false, NOW), []);
+    assert_eq!(roster.replace(rows(95, vec![late]), false, NOW), []);
+    assert_eq!(roster.len(), 1);
+    let third = row_at(
+        Position::new(3, 5),
+        "e1",
+        Entry::Endpoint(entry("e1", false)),
+    );
+    roster.replace(rows_at(Position::new(3, 30), vec![third]), false, NOW);
+    assert_eq!(accepting(&roster, NOW), 0);
+}
--- a/crates/edge/tests/tables.rs
+++ b/crates/edge/tests/tables.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use sequoiaridge_edge::{
-    CacheMap, EndpointLoad, Feed, Health, Loads, Part, PeerMessage, PeerRouter, Prompt,
+    CacheMap, EndpointLoad, Feed, Health, Loads, Part, PeerMessage, PeerRouter, Position, Prompt,
     RetryWindow, Work, prefixes,
 };
 use std::collections::BTreeMap;
@@ -10,6 +10,10 @@
 
 const NOW: Duration = Duration::from_secs(100);
 
+fn at(version: u64) -> Position {
+    Position::new(1, version)
+}
+
 fn sender(id: &String) -> PeerRouter<'_> {
     PeerRouter {
         id,
@@ -198,16 +202,20 @@
 #[test]
 fn a_large_feed_is_split_into_consecutive_parts() {
     let feed = Feed {
-        from: 1,
-        to: 2,
+        from: at(1),
+        to: at(2),
         changed: (0..20)
             .rev()
-            .map(|index| (format!("e{index}"), 100 + index, None))
+            .map(|index| (format!("e{index}"), at(100 + index), None))
             .collect(),
     };
-    let parts = Feed { to: 200, ..feed }.into_parts();
+    let parts = Feed {
+        to: at(200),
+        ..feed
+    }
+    .into_parts();
     assert!(parts.len() > 1);
-    assert_eq!((parts[0].from, parts[parts.len() - 1].to), (1, 200));
+    assert_eq!((parts[0].from, parts[parts.len() - 1].to), (at(1), at(200)));
     assert!(parts.windows(2).all(|pair| pair[0].to == pair[1].from));
     let changed: usize = parts.iter().map(|part| part.changed.len()).sum();
     assert_eq!(changed, 20);
@@ -219,12 +227,15 @@
 #[test]
 fn a_feed_includes_only_the_feed_that_it_follows() {
     let feed = |from, to, id: &str| Feed {
-        from,
-        to,
-        changed: vec![(id.to_string(), to, None)],
+        from: at(from),
+        to: at(to),
+        changed: vec![(id.to_string(), at(to), None)],
     };
     let joined = feed(10, 20, "e2").preceded_by(&feed(1, 10, "e1"));
-    assert_eq!((joined.from, joined.to, joined.changed.len()), (1, 20, 2));
+    assert_eq!(
+        (joined.from, joined.to, joined.changed.len()),
+        (at(1), at(20), 2)
+    );
     let alone = feed(10, 20, "e2").preceded_by(&feed(1, 5, "e1"));
     assert_eq!(alone, feed(10, 20, "e2"));
 }
