Hand on the tail of changes with a whole endpoint table

In the model of 86 routers with a third of them without the store, changes reached some routers up to 3.4 s late (bound 3 s) after a return: routers that got the table at different moments started to keep changes at different positions, so that hardly any could repair another one. A router that sends its table now adds the changes that it keeps, and a router whose gap nobody repairs gets the whole table while it may not read. The first routers of a domain take turns to read a later era. A part of what the model showed was a fault of the model itself: it repeated a read from a lagging router's revision forever after the history was lost, which the routers do not.

--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -161,6 +161,47 @@
         self.close_gap();
     }
 
+    /// The changes that this router keeps, for one that gets the whole table from it.
+    pub fn tail(&self) -> Option<Feed> {
+        let revision = self.revision?;
+        let changed = self.recent.iter();
+        let changed = changed.map(|((position, id), entry)| (id.clone(), *position, entry.clone()));
+        let mut changed: Vec<ChangedRow> = changed.collect();
+        let mut floor = self.floor;
+        if changed.len() > MAX_FEED_CHANGES {
+            changed.clear();
+            floor = revision;
+        }
+        Some(Feed {
+            from: floor,
+            to: revision,
+            changed,
+        })
+    }
+
+    /// Records that the whole table was received from another router, with the latest changes that
+    /// it keeps. Routers that got the table at different moments can then repair each other.
+    pub fn replace_with_tail(&mut self, tail: &Feed, verified_at: Duration) {
+        if self.revision.is_some_and(|known| known >= tail.to) {
+            return;
+        }
+        self.replace(tail.to, verified_at);
+        if tail.from.era == tail.to.era {
+            self.floor = tail.from;
+            self.last_change = tail.from;
+            self.extend(tail.to, &tail.changed);
+        }
+    }
+
+    /// Whether this router should get the whole table from another one: it lacks a later era, or
+    /// no other router has sent it the missing changes for `repair_time`.
+    pub fn needs_table(&self, repair_time: Duration, now: Duration) -> bool {
+        let is_old = self
+            .gap
+            .is_some_and(|(_, since)| now >= since + repair_time);
+        is_old || self.is_era_behind()
+    }
+
     /// Records a version of the configuration. It needs no history, since each version is complete.
     pub fn apply_version(&mut self, version: Revision, verified_at: Duration) {
         if self.revision.is_none_or(|known| known <= version) {
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -94,7 +94,10 @@
             }
             let fetched = match self.table {
                 Table::Configuration if has_gap => snapshot::fetch_configuration(&shared).await,
-                Table::Endpoints if has_gap => snapshot::fetch_endpoints(&shared).await,
+                Table::Endpoints if has_gap => {
+                    let repair_time = self.schedule().repair_time();
+                    snapshot::fetch_endpoints(&shared, repair_time).await
+                }
                 _ => false,
             };
             if fetched {
@@ -112,14 +115,18 @@
         }
     }
 
-    /// When this router reads the table unless a newer state arrives first, and whether a change is
-    /// missing.
-    fn next_read(&self) -> (Duration, bool) {
+    fn schedule(&self) -> Schedule {
         let settings = &self.shared.settings;
-        let schedule = Schedule {
+        Schedule {
             leave_bound: settings.leave_bound,
             apply_bound: settings.apply_bound,
-        };
+        }
+    }
+
+    /// When this router reads the table unless a newer state arrives first, and whether a change is
+    /// missing.
+    fn next_read(&self) -> (Duration, bool) {
+        let (settings, schedule) = (&self.shared.settings, self.schedule());
         let mut state = self.shared.lock_state();
         let place = state.reader_rank(settings);
         let is_lost = self.is_lost(&state);
--- a/crates/edge/src/schedule.rs
+++ b/crates/edge/src/schedule.rs
@@ -38,8 +38,8 @@
 /// Time for which a router that lacks changes of endpoints waits for others to send them, as a fraction of
 /// the bound on requests to leaving endpoints.
 const ENDPOINT_GAP_FRACTION: f64 = 0.2;
-/// The same for a router that lacks the whole table of a later era, as a range of that bound. The first
-/// routers wait only as long as for changes.
+/// Time for which a router that lacks the whole table of a later era waits for it, as a range of that
+/// bound. The first routers take turns before.
 const ERA_FRACTIONS: Range<f64> = 0.75..1.0;
 /// The same for the configuration, as fractions of the bound on applying it: for the first routers, and a
 /// range for the others, which get it from the first ones.
@@ -85,11 +85,18 @@
         }
     }
 
+    /// Time after which a router that lacks changes of endpoints, and cannot read them, gets the whole table
+    /// from another one.
+    pub fn repair_time(&self) -> Duration {
+        self.leave_bound.mul_f64(ENDPOINT_GAP_FRACTION)
+    }
+
     /// Time for which a router waits for others to send the endpoint table of a later era, before it reads
     /// the table.
     pub fn era_timeout(&self, rank: ReaderRank, id: &str) -> Duration {
         let fraction = if rank.takes_over_first() {
-            ENDPOINT_GAP_FRACTION
+            let turn = u32::try_from(rank.before + 1).unwrap_or(u32::MAX);
+            (ENDPOINT_GAP_FRACTION * f64::from(turn)).min(ERA_FRACTIONS.start)
         } else {
             spread(&ERA_FRACTIONS, id)
         };
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -7,7 +7,7 @@
 
 use crate::crashes::{CrashSource, record_crash};
 use crate::endpoint_notices::peer_reported_leaving;
-use crate::feed::Feed;
+use crate::feed::{ChangedRow, Feed};
 use crate::manifest::Manifest;
 use crate::registry::Position;
 use crate::schedule::{FIRST_READERS, jittered};
@@ -58,7 +58,9 @@
 struct EndpointSnapshot {
     /// Time since it was known to be complete, in ms.
     age_ms: u32,
-    list: Feed,
+    list: Vec<ChangedRow>,
+    /// The latest changes that led to the list.
+    tail: Feed,
     /// Endpoints that are not used because only a copy of the registry lists them.
     doubted: Vec<EndpointId>,
 }
@@ -150,11 +152,8 @@
         Some(EndpointSnapshot {
             age_ms: millis(age),
             doubted: state.roster.doubted(now),
-            list: Feed {
-                from: Position::default(),
-                to: state.endpoints.revision()?,
-                changed: state.roster.rows(),
-            },
+            list: state.roster.rows(),
+            tail: state.endpoints.tail()?,
         })
     });
     let age = state.configuration.age(now);
@@ -253,18 +252,21 @@
     shared.lock_state().version() >= version
 }
 
-/// Fetches the endpoint table of a later era from another router. Returns whether one had it.
-pub(crate) async fn fetch_endpoints(shared: &Shared) -> bool {
+/// Fetches the endpoint table from another router if changes do not lead to its state. Returns
+/// whether one had it.
+pub(crate) async fn fetch_endpoints(shared: &Shared, repair_time: Duration) -> bool {
+    let needs_table = || {
+        let state = shared.lock_state();
+        state.endpoints.needs_table(repair_time, shared.now())
+    };
+    if !needs_table() {
+        return false;
+    }
     let address = {
         let state = shared.lock_state();
-        let Some(own) = state.endpoints.revision() else {
-            return false;
-        };
-        if !state.endpoints.is_era_behind() {
-            return false;
-        }
-        let later = |contact: &Contact| contact.endpoints.is_some_and(|known| known.era > own.era);
-        draw_peer(&state, shared, later)
+        let own = state.endpoints.revision();
+        let newer = |contact: &Contact| contact.endpoints > own;
+        draw_peer(&state, shared, newer)
     };
     let Some(address) = address else {
         return false;
@@ -274,7 +276,7 @@
         version: None,
     };
     fetch_from(shared, address, request).await;
-    !shared.lock_state().endpoints.is_era_behind()
+    !needs_table()
 }
 
 /// Waits until another router provides the endpoint table; false if this router should read it
@@ -347,15 +349,17 @@
     if let Some(EndpointSnapshot {
         age_ms,
         list,
+        tail,
         doubted,
     }) = snapshot.endpoints
     {
         let detail = format!(
-            "endpoints={} age_ms={age_ms} from={address}",
-            list.changed.len()
+            "endpoints={} position={} age_ms={age_ms} from={address}",
+            list.len(),
+            tail.to
         );
         log(Event::ListReceived, &detail);
-        replace_endpoints(shared, list.into_rows(), &doubted, verified_at(age_ms));
+        replace_endpoints(shared, list, &tail, &doubted, verified_at(age_ms));
     }
     let mut state = shared.lock_state();
     for crash in &snapshot.crashes {
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -170,7 +170,8 @@
     let revision = state.endpoints.revision();
     if revision.is_some_and(|revision| revision.era != to.era) {
         state.endpoints.record_success();
-        replace_roster(&mut state, shared, rows, sent, EraSource::Registry);
+        replace_roster(&mut state, shared, rows, EraSource::Registry);
+        state.endpoints.replace(to, sent);
         return None;
     }
     let from = match (from, revision) {
@@ -220,18 +221,25 @@
     (row.key.clone(), row.position, entry)
 }
 
-/// Replaces the endpoints with the whole table as another router knew it.
+/// Replaces the endpoints with the whole table as another router knew it, with its latest changes.
 /// `doubted` are the endpoints that it does not use because only a copy of the registry lists them.
 pub(crate) fn replace_endpoints(
     shared: &Shared,
-    rows: Rows,
+    list: Vec<ChangedRow>,
+    tail: &Feed,
     doubted: &[EndpointId],
     verified_at: Duration,
 ) {
     let now = shared.now();
     let mut state = shared.lock_state();
-    let is_newer = state.roster.position() <= rows.position;
-    replace_roster(&mut state, shared, rows, verified_at, EraSource::Router);
+    let is_newer = state.roster.position() <= tail.to;
+    let table = Feed {
+        from: Position::default(),
+        to: tail.to,
+        changed: list,
+    };
+    replace_roster(&mut state, shared, table.into_rows(), EraSource::Router);
+    state.endpoints.replace_with_tail(tail, verified_at);
     for id in doubted.iter().filter(|_| is_newer) {
         state.roster.doubt(id, now);
     }
@@ -257,13 +265,7 @@
 
 /// Replaces the roster with the whole table, which may be the first one of a later era. A table of
 /// an earlier era is ignored.
-fn replace_roster(
-    state: &mut RoutingState,
-    shared: &Shared,
-    rows: Rows,
-    verified_at: Duration,
-    source: EraSource,
-) {
+fn replace_roster(state: &mut RoutingState, shared: &Shared, rows: Rows, source: EraSource) {
     let now = shared.now();
     let (before, to) = (state.roster.position(), rows.position);
     let listed = rows.rows.len();
@@ -274,7 +276,6 @@
         state.registry_returned = Some(now);
     }
     update_roster(state, shared, rows, true, now);
-    state.endpoints.replace(to, verified_at);
     if restored {
         let detail = format!(
             "era={} before={} position={to} known={before} source={} listed={listed} lapsing={} doubted={} leaving={}",
