Let a row that was written after a return end a leaving that the registry said

What an endpoint's row had said before a return of the registry made it leaving until its next start, as an announcement does; a row that the endpoint wrote after the return says otherwise and is news. The rows that may be those of the copy end at the provider's first position in the era, which is handed on with the table, not at the position of each transfer. The roster's test of leaving endpoints has this case now.

--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -185,16 +185,32 @@
     }
 
     /// Replaces the whole table. A read from before the known position is stale: it neither adds
-    /// nor removes anything of which something newer is known. A table of a later era is that of a
-    /// copy of the registry, with what was written since.
+    /// nor removes anything of which something newer is known. The first table of an era is that of
+    /// a copy of the registry, with what was written since.
     pub fn replace(&mut self, rows: Rows, after_outage: bool, now: Duration) -> Vec<RosterChange> {
+        let copied_to = rows.position;
+        self.replace_copy(rows, copied_to, after_outage, now)
+    }
+
+    /// The same for a table that another router received or read in its era before this one: rows
+    /// up to `copied_to` may be those of the copy.
+    pub fn replace_copy(
+        &mut self,
+        rows: Rows,
+        copied_to: Position,
+        after_outage: bool,
+        now: Duration,
+    ) -> Vec<RosterChange> {
         let present: BTreeSet<EndpointId> = rows.rows.iter().map(|row| row.key.clone()).collect();
         let position = rows.position;
         let mut changes = Vec::new();
         let mut lapse = after_outage.then_some(self.lapse_time);
         if position.era > self.position.era {
             lapse = Some(self.lapse_time.max(RESTORED_LAPSE_TIME));
-            self.enter_era(position, now);
+            self.era_entry = Some(EraEntry {
+                position: copied_to,
+                at: now,
+            });
         }
         if position >= self.position {
             let missing = self.listed.keys().filter(|id| !present.contains(*id));
@@ -212,19 +228,6 @@
         changes
     }
 
-    /// Starts to follow a later era. An endpoint that is leaving is not in use again because a copy
-    /// from before its announcement says otherwise.
-    fn enter_era(&mut self, position: Position, now: Duration) {
-        self.era_entry = Some(EraEntry { position, at: now });
-        let leaving = self.listed.values().map(|listed| &listed.entry);
-        for entry in leaving.filter(|entry| entry.leaving) {
-            // The wall time only matters for announcements that may come from another start.
-            let announced_at = SystemTime::UNIX_EPOCH;
-            self.leaving_starts
-                .insert(&entry.id, &entry.boot(), announced_at);
-        }
-    }
-
     /// The difference between a whole table and this roster since `revision`: rows that changed,
     /// and rows that are gone.
     pub fn diff(&self, table: Rows, revision: Position) -> Rows {
@@ -316,6 +319,14 @@
             .collect()
     }
 
+    /// Number of endpoints that accept no new requests.
+    pub fn leaving(&self) -> usize {
+        let listed = self.listed.values();
+        listed
+            .filter(|listed| self.is_leaving(&listed.entry))
+            .count()
+    }
+
     /// Number of endpoints whose rows vanished and that are still in use.
     pub fn lapsing(&self) -> usize {
         let listed = self.listed.values();
@@ -376,18 +387,20 @@
     fn insert_row(
         &mut self,
         id: EndpointId,
-        entry: EndpointEntry,
+        mut entry: EndpointEntry,
         position: Position,
         now: Duration,
     ) -> Option<RosterChange> {
-        let copied_at = self.copied_at(position, now);
+        let copied_at = self.copied_at(position);
         if copied_at.is_some()
             && let Some(known) = self.listed.get_mut(&id)
-            && known.entry.born > entry.born
         {
-            // The copy is from before the endpoint's restart.
-            known.position = position;
-            return None;
+            if known.entry.born > entry.born {
+                // The copy is from before the endpoint's restart.
+                known.position = position;
+                return None;
+            }
+            entry.leaving |= known.entry.leaving && known.entry.born == entry.born;
         }
         let doubted = copied_at.filter(|_| self.was_gone(&id, &entry, position, now));
         self.tombstones.remove(&id);
@@ -411,9 +424,9 @@
 
     /// When the roster came into the current era, if a row at `position` may be from the copy that
     /// the era began with.
-    fn copied_at(&self, position: Position, now: Duration) -> Option<Duration> {
+    fn copied_at(&self, position: Position) -> Option<Duration> {
         let entry = self.era_entry.filter(|entry| position <= entry.position)?;
-        (now < entry.at + DOUBT_TIME).then_some(entry.at)
+        Some(entry.at)
     }
 
     /// Whether the endpoint of a row from a copy was gone in an earlier era.
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -170,7 +170,7 @@
     let revision = state.endpoints.revision();
     if revision.is_some_and(|revision| revision.era != to.era) {
         state.endpoints.record_success();
-        replace_roster(&mut state, shared, rows, EraSource::Registry);
+        replace_roster(&mut state, shared, rows, to, EraSource::Registry);
         state.endpoints.replace(to, sent);
         return None;
     }
@@ -238,7 +238,13 @@
         to: tail.to,
         changed: list,
     };
-    replace_roster(&mut state, shared, table.into_rows(), EraSource::Router);
+    let copied_to = if tail.from.era == tail.to.era {
+        tail.from
+    } else {
+        tail.to
+    };
+    let rows = table.into_rows();
+    replace_roster(&mut state, shared, rows, copied_to, EraSource::Router);
     state.endpoints.replace_with_tail(tail, verified_at);
     for id in doubted.iter().filter(|_| is_newer) {
         state.roster.doubt(id, now);
@@ -263,9 +269,15 @@
     }
 }
 
-/// Replaces the roster with the whole table, which may be the first one of a later era. A table of
-/// an earlier era is ignored.
-fn replace_roster(state: &mut RoutingState, shared: &Shared, rows: Rows, source: EraSource) {
+/// Replaces the roster with the whole table, which may be the first one of a later era; rows up to
+/// `copied_to` may be those of a copy. A table of an earlier era is ignored.
+fn replace_roster(
+    state: &mut RoutingState,
+    shared: &Shared,
+    rows: Rows,
+    copied_to: Position,
+    source: EraSource,
+) {
     let now = shared.now();
     let (before, to) = (state.roster.position(), rows.position);
     let listed = rows.rows.len();
@@ -275,7 +287,11 @@
         // Rows that the copy lacks are written again soon.
         state.registry_returned = Some(now);
     }
-    update_roster(state, shared, rows, true, now);
+    let after_outage = is_after_outage(state, now);
+    let changes = state
+        .roster
+        .replace_copy(rows, copied_to, after_outage, now);
+    finish_roster(state, shared, changes, now);
     if restored {
         let detail = format!(
             "era={} before={} position={to} known={before} source={} listed={listed} lapsing={} doubted={} leaving={}",
@@ -284,7 +300,7 @@
             source.as_str(),
             state.roster.lapsing(),
             state.roster.doubted(now).len(),
-            state.roster.announced_leaving().len(),
+            state.roster.leaving(),
         );
         log(Event::RegistryRestored, &detail);
     }
@@ -378,14 +394,29 @@
     whole: bool,
     now: Duration,
 ) {
-    let after_outage = state
-        .registry_returned
-        .is_some_and(|returned| now < returned + RECOVERY_TIME);
-    let mut changes = if whole {
+    let after_outage = is_after_outage(state, now);
+    let changes = if whole {
         state.roster.replace(rows, after_outage, now)
     } else {
         state.roster.apply(rows, after_outage, now)
     };
+    finish_roster(state, shared, changes, now);
+}
+
+/// Whether the registry was unreachable a short time ago, so that a row that vanished may only have
+/// lapsed.
+fn is_after_outage(state: &RoutingState, now: Duration) -> bool {
+    let returned = state.registry_returned;
+    returned.is_some_and(|returned| now < returned + RECOVERY_TIME)
+}
+
+/// Drops endpoints that lapsed, and handles all changes of the roster.
+fn finish_roster(
+    state: &mut RoutingState,
+    shared: &Shared,
+    mut changes: Vec<RosterChange>,
+    now: Duration,
+) {
     changes.extend(state.roster.expire(now));
     handle_changes(state, shared, changes);
 }
--- a/crates/edge/tests/roster.rs
+++ b/crates/edge/tests/roster.rs
@@ -322,6 +322,9 @@
         roster.replace(copy(read, vec![copied(5, entry("e1", false))]), false, NOW);
         assert_eq!(accepting(&roster, NOW + Duration::from_secs(60)), 0);
     }
+    let mut other = roster.clone();
+    other.apply(copy(45, vec![copied(45, entry("e1", false))]), false, NOW);
+    assert_eq!(accepting(&other, NOW), 1, "it was written after the return");
     let mut next = entry("e1", false);
     next.born = Some(2);
     roster.apply(copy(45, vec![copied(45, next)]), false, NOW);
