--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -20,7 +20,7 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use support::client::{Answer, Caller, post, prompt, send};
@@ -31,7 +31,7 @@
 use support::program::RouterProcess;
 use support::proxy::{Fault, Proxy};
 use support::server::{Behavior, Crash, CrashMode, Server, StaleAnswer, StreamEnd};
-use support::store::{FakeStore, Mode};
+use support::store::{Copy, FakeStore, Mode};
 use support::{config, eventually, row_via};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sequoiaridge");
@@ -66,6 +66,14 @@
 const REGRESSIONS: [u64; 3] = [305, 600, 602];
 /// Number of seeds that run at the same time.
 const PARALLEL_SEEDS: usize = 2;
+/// Probability of a step after which the store comes back from a copy, and the longest age of one.
+const RETURN_SHARE: f64 = 0.06;
+const MAX_COPY_AGE: Duration = Duration::from_secs(5);
+/// Time after such a return until what the store lost is written again.
+const REWRITE_TIME: Duration = Duration::from_millis(800);
+/// Bound on applying a configuration and on requests to leaving servers after a return at the end
+/// of a run, when all else is calm.
+const RETURN_BOUND: Duration = Duration::from_secs(5);
 /// Length of a run in CI in seconds.
 const CI_SECONDS: u64 = 8;
 
@@ -93,6 +101,14 @@
     rng: StdRng,
     /// Draws how streams end, apart from the other faults, so that those of a seed stay the same.
     ends_rng: StdRng,
+    /// Draws when the store comes back from a copy, for the same reason.
+    returns_rng: StdRng,
+    /// Copies of the store, the oldest first.
+    copies: VecDeque<(Instant, Copy)>,
+    /// When what the store lost is written again.
+    rewrite_at: Option<Instant>,
+    /// State that each server last wrote.
+    listed_states: Vec<&'static str>,
     store: FakeStore,
     store_proxies: Vec<Proxy>,
     routers: Vec<RouterProcess>,
@@ -155,6 +171,10 @@
             seed,
             rng: StdRng::seed_from_u64(seed),
             ends_rng: StdRng::seed_from_u64(!seed),
+            returns_rng: StdRng::seed_from_u64(seed.rotate_left(32)),
+            copies: VecDeque::new(),
+            rewrite_at: None,
+            listed_states: vec!["ready"; env_size("SOAK_SERVERS", SERVERS)],
             store,
             store_proxies,
             routers,
@@ -267,6 +287,7 @@
             }
         };
         self.trace.push(description);
+        self.step_returns();
         for router in 0..self.routers.len() {
             if self.routers[router].exit_status().is_some() {
                 self.record_fault(FaultTarget::Router(router), false);
@@ -280,13 +301,50 @@
         }
     }
 
+    /// Lets the store come back from a copy now and then. The operator and the servers write again
+    /// what it lost, a little later.
+    fn step_returns(&mut self) {
+        let now = Instant::now();
+        if self.rewrite_at.is_some_and(|at| now >= at) {
+            self.rewrite();
+        }
+        self.copies.push_back((now, self.store.copy()));
+        let is_old = |(at, _): &(Instant, Copy)| now > *at + MAX_COPY_AGE;
+        while self.copies.front().is_some_and(is_old) {
+            self.copies.pop_front();
+        }
+        if self.returns_rng.random_bool(RETURN_SHARE)
+            && let Some((at, copy)) = self.copies.pop_front()
+        {
+            self.store.restore(copy);
+            self.copies.clear();
+            self.rewrite_at = Some(now + REWRITE_TIME);
+            let age = now.duration_since(at).as_millis();
+            self.trace.push(format!("store: back as {age} ms before"));
+        }
+    }
+
+    /// Writes the configuration and the rows of all servers as they were written last.
+    fn rewrite(&mut self) {
+        self.rewrite_at = None;
+        let read = match self.version {
+            1 => "/read/".to_string(),
+            version => format!("/read-{version}/"),
+        };
+        self.store.put("op", "config", &config(self.version, &read));
+        for server in 0..self.servers.len() {
+            self.list(server, self.listed_states[server]);
+        }
+    }
+
     fn record_fault(&mut self, target: FaultTarget, lasts: bool) {
         let at = Instant::now();
         self.faults.push(FaultRecord { target, at, lasts });
     }
 
     /// Writes the row of a server, with its newest start, into the store.
-    fn list(&mut self, server: usize, state: &str) {
+    fn list(&mut self, server: usize, state: &'static str) {
+        self.listed_states[server] = state;
         let (listed, born) = (
             &mut self.listed_starts[server],
             self.servers[server].start_number(),
@@ -299,6 +357,9 @@
     /// Ends the faults of the store and resumes paused routers, and waits until the routers have
     /// exchanged and saved what they know, so that it survives a power cut of all of them.
     async fn settle(&mut self) {
+        if self.rewrite_at.is_some() {
+            self.rewrite();
+        }
         self.store.set_mode(Mode::Up);
         self.store_proxies
             .iter()
@@ -405,6 +466,35 @@
         );
     }
 
+    /// Lets the store come back from a copy once more, and checks that all routers apply what is
+    /// written then, and keep what they knew.
+    async fn check_return(&mut self) {
+        let copy = self.store.copy();
+        self.version += 1;
+        let read = format!("/read-{}/", self.version);
+        self.store.put("op", "config", &config(self.version, &read));
+        self.check_recovery().await;
+        self.store.restore(copy);
+        self.list(0, "draining");
+        self.version += 1;
+        let read = format!("/read-{}/", self.version);
+        self.store.put("op", "config", &config(self.version, &read));
+        let start = Instant::now();
+        self.check_recovery().await;
+        tokio::time::sleep(RETURN_BOUND.saturating_sub(start.elapsed())).await;
+        let before = self.servers[0].requests().len();
+        for (index, router) in self.routers.iter().enumerate() {
+            let path = format!("/read-{}/1", self.version);
+            post(router.callers, &path, &format!("return-{index}")).await;
+        }
+        let late = self.servers[0].requests().len() - before;
+        assert_eq!(
+            late, 0,
+            "seed {}: requests to a server that left after the store's return",
+            self.seed
+        );
+    }
+
     /// Checks the answers that callers got against the requests that servers ran.
     fn check_answers(&self, attempts: &BTreeMap<String, Attempt>) {
         let mut runs: BTreeMap<String, u32> = BTreeMap::new();
@@ -586,6 +676,7 @@
     soak.check_recovery().await;
     soak.check_quarantine().await;
     soak.check_crashing_part().await;
+    soak.check_return().await;
     let attempts = attempts.lock().expect("attempts").clone();
     soak.check_answers(&attempts);
     rules::check_leaving(&soak.servers, &attempts, &faults);
