--- a/crates/edge/tests/follower.rs
+++ b/crates/edge/tests/follower.rs
@@ -377,3 +377,65 @@
         }
     }
 }
+
+proptest! {
+    /// Guards against the same when the registry comes back from copies in between, and the table
+    /// comes from another router with its latest changes.
+    #[test]
+    fn no_order_of_messages_hides_a_change_of_a_later_era(
+        steps in prop::collection::vec((0u8..6, any::<bool>(), 0u64..8), 1..120),
+    ) {
+        let mut reader = follower(1, SECOND);
+        let mut peer = follower(1, SECOND);
+        let mut position = at(1);
+        let (mut changes, mut got, mut whole) = (Vec::new(), Vec::new(), position);
+        let mut sent: Vec<Feed> = Vec::new();
+        for (index, (step, lost, back)) in steps.into_iter().enumerate() {
+            let now = SECOND + ms(20 * index as u64);
+            let mut feeds = Vec::new();
+            match step {
+                0 => {
+                    let from = reader.read_from().expect("a revision");
+                    let change = Position::new(position.era, position.version + 1);
+                    position.version += 2;
+                    changes.push(change);
+                    let rows = [("e".to_string(), change, None)];
+                    reader.apply_changes(from, position, &rows);
+                    reader.record_read(now, now);
+                    sent.push(Feed { from, to: position, changed: rows.to_vec() });
+                }
+                1 if !sent.is_empty() && !lost => {
+                    let next = sent.remove(index % sent.len());
+                    feeds = peer.apply_feed(next, now);
+                }
+                2 if !lost => peer.apply_digest(&reader.digest(now).expect("a digest"), now),
+                3 => {
+                    if let Some(revision) = peer.repair_request(now)
+                        && let Some(repair) = reader.changes_since(revision, now)
+                        && !lost
+                    {
+                        feeds = peer.apply_feed(repair, now);
+                    }
+                }
+                4 if lost => {
+                    let version = position.version.saturating_sub(back);
+                    position = Position::new(position.era + 1, version);
+                    reader.replace(position, now);
+                }
+                5 if peer.needs_table(REPAIR_WAIT, now) && !lost => {
+                    let tail = reader.tail().expect("a revision");
+                    peer.replace_with_tail(&tail, now);
+                    whole = tail.to;
+                }
+                _ => {}
+            }
+            let applied = feeds.iter().flat_map(|feed| &feed.changed);
+            got.extend(applied.map(|(_, position, _)| *position));
+            let revision = peer.revision().expect("a revision");
+            let reached = |change: &&Position| change.era == revision.era && **change <= revision;
+            for change in changes.iter().filter(reached).filter(|change| **change > whole) {
+                prop_assert!(got.contains(change), "change {change} is missing at {revision}");
+            }
+        }
+    }
+}
