--- a/crates/edge/src/own_rows.rs
+++ b/crates/edge/src/own_rows.rs
@@ -36,15 +36,11 @@
             // The router ends.
             Err(_) => return,
         }
-        let first = {
-            let state = shared.lock_state();
-            state.reader_rank(&shared.settings).before == 0
-        };
-        let routers = shared.lock_state().routers();
-        let pause = if first {
+        let rank = shared.lock_state().reader_rank(&shared.settings);
+        let pause = if rank.before == 0 {
             jittered(FIRST_PAUSE)
         } else {
-            retry_delay(0, routers)
+            retry_delay(0, rank.routers)
         };
         tokio::time::sleep(pause).await;
         key = keep_key(&shared, registry.as_ref(), key).await;
@@ -59,18 +55,24 @@
 async fn keep_key(shared: &Shared, registry: &dyn Registry, key: PeerKey) -> PeerKey {
     let mut failures = 0u32;
     loop {
-        let outcome = match registry.peer_key().await {
+        let read = registry.peer_key().await;
+        let answered = read.is_ok();
+        shared.metrics.registry_call(Table::Routers, answered);
+        let outcome = match read {
             Ok(Some(found)) if found == key => return key,
             Ok(Some(found)) => {
                 shared.set_keys(PeerKeys::from_bytes(found, Some(key)));
                 log(Event::PeerKeyRestored, "adopted=true");
                 return found;
             }
-            Ok(None) => registry.announce(own_entry(shared), Some(key)).await,
+            Ok(None) => {
+                let written = registry.announce(own_entry(shared), Some(key)).await;
+                let answered = written.is_ok();
+                shared.metrics.registry_call(Table::Routers, answered);
+                written
+            }
             Err(error) => Err(error),
         };
-        let answered = outcome.is_ok();
-        shared.metrics.registry_call(Table::Routers, answered);
         match outcome {
             Ok(()) => {
                 log(Event::PeerKeyRestored, "adopted=false");
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -192,8 +192,8 @@
         self.replace_copy(rows, copied_to, after_outage, now)
     }
 
-    /// The same for a table that another router received or read in its era before this one: rows
-    /// up to `copied_to` may be those of the copy.
+    /// The same for a table that another router has followed in its era since `copied_to`, so that
+    /// only rows up to that position may be those of the copy.
     pub fn replace_copy(
         &mut self,
         rows: Rows,
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -273,16 +273,13 @@
     pub(crate) fn note_era(&self, era: Era) -> Option<Era> {
         let mut before = None;
         self.era.send_if_modified(|known| {
-            before = known.filter(|known| *known < era);
-            let is_new = known.is_none_or(|known| known < era);
-            if is_new {
-                *known = Some(era);
+            let is_later = known.is_none_or(|known| known < era);
+            if is_later {
+                before = known.replace(era);
+                self.metrics.era.set(i64::from(era));
             }
-            is_new
+            is_later
         });
-        if before.is_some() || *self.era.borrow() == Some(era) {
-            self.metrics.era.set(i64::from(era));
-        }
         before
     }
 
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -269,8 +269,8 @@
     }
 }
 
-/// Replaces the roster with the whole table, which may be the first one of a later era; rows up to
-/// `copied_to` may be those of a copy. A table of an earlier era is ignored.
+/// Replaces the roster with the whole table, which may be the first one of a later era; then rows up
+/// to `copied_to` may be those of the copy. A table of an earlier era is ignored.
 fn replace_roster(
     state: &mut RoutingState,
     shared: &Shared,
