Save all crashes of held suspects

The routers' logs: the part had 4 and 5 crashes and was held; the saved state had its latest 3, which suffice alone. Requests that ran beside it explain two of these as well as it does, and are narrower, so that it was left with too few.

The new test shows both: restored from the latest crashes the part is not held, restored from all of them it is.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -330,6 +330,16 @@
     /// Returns the latest crashes that count against a suspect, at most as many as suffice to hold
     /// it.
     pub fn crashes(&self, suspect: Suspect, now: Duration) -> Vec<Aged<Crash>> {
+        let mut crashes = self.all_crashes(suspect, now);
+        if let Some(record) = self.table.get(suspect) {
+            crashes.truncate(self.required(suspect, record));
+        }
+        crashes
+    }
+
+    /// Returns all crashes that count against a suspect, the latest first. Others may explain some
+    /// of them as well, so that fewer may not suffice beside the crashes of these.
+    pub fn all_crashes(&self, suspect: Suspect, now: Duration) -> Vec<Aged<Crash>> {
         let Some(record) = self.table.get(suspect) else {
             return Vec::new();
         };
@@ -345,8 +355,7 @@
             };
             Aged::new(value, age)
         };
-        let enough = self.required(suspect, record);
-        crashes.into_iter().take(enough).map(aged).collect()
+        crashes.into_iter().map(aged).collect()
     }
 
     /// Returns the suspects whose crashes all routers must know, in ascending order.
--- a/crates/policy/tests/quarantine_parts.rs
+++ b/crates/policy/tests/quarantine_parts.rs
@@ -229,3 +229,34 @@
     assert_eq!(listed, [(POPULAR, ms(500))]);
     assert!(table.part_successes(ms(20_000), 8, ms(31_000)).is_empty());
 }
+
+/// Guards against a part that is no longer held after a power cut of all routers: its latest crashes
+/// suffice to hold it, but requests that ran beside it explain these as well (found by the soak,
+/// seeds 3001 and 3009).
+#[test]
+fn all_crashes_of_a_part_hold_it_beside_requests_that_share_some() {
+    let mut table = table();
+    for endpoint in 0..5 {
+        let at = ms(10_000 + u64::from(endpoint) * 300);
+        let mut suspects = vec![CRASHING];
+        if endpoint >= 2 {
+            suspects.push(request(7));
+        }
+        crash(&mut table, endpoint, &suspects, at);
+    }
+    let now = ms(12_000);
+    assert!(table.is_held(CRASHING, now));
+    let saved = |all: bool| {
+        let mut restored = self::table();
+        let of = |suspect| match all {
+            true => table.all_crashes(suspect, now),
+            false => table.crashes(suspect, now),
+        };
+        for known in [CRASHING, request(7)].into_iter().flat_map(of) {
+            restored.strike(&known.value, now - known.age());
+        }
+        restored
+    };
+    assert!(!saved(false).is_held(CRASHING, now), "the latest ones");
+    assert!(saved(true).is_held(CRASHING, now));
+}
