Check for a crash when an answer ends with its connection

Callers of an endpoint that crashes within an answer that has neither a length nor chunks got a part of it as a whole one: a crash closes connections in order, like the end of an answer.

When such an answer ends, the router now opens a connection to its endpoint, once and for 120 ms at most. If that is refused, the answer has broken off: it is resumed or repeated where that is allowed, and otherwise the caller gets 502, or an end without the last chunk. An endpoint that leaves, or is no longer listed, may end after its last answer, so its answers stay whole; so do those of endpoints that neither accept nor refuse. Answers with a length or chunks cost nothing.

Three new tests of `unframed` fail without the change: `an_answer_whose_endpoint_crashed_does_not_look_complete` (200 in place of 502), `a_stream_whose_endpoint_crashed_goes_on_at_another_server`, `a_read_whose_endpoint_crashed_is_repeated`. `a_whole_answer_of_an_endpoint_that_leaves_is_complete` guards the exception and passed before.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -6,7 +6,7 @@
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName};
 use crate::selection::Placed;
 use crate::shared::{BodyReservation, InFlight, Shared};
-use crate::started_answer::{AnswerBody, ArrivingBody, LoadGuard, StartedAnswer};
+use crate::started_answer::{AnswerBody, ArrivingBody, Framing, LoadGuard, StartedAnswer};
 use crate::terminations::Loss;
 use crate::upstream::{Connection, SILENCE, SendError, is_reachable};
 use bytes::{Bytes, BytesMut};
@@ -402,6 +402,7 @@
         let large = body.size_hint().lower() > MAX_BUFFERED_SIZED as u64;
         let streams = large || self.route.kind.streams() && status.is_success();
         guard.run = run;
+        let framing = Framing::of(&headers);
         let arriving = ArrivingBody {
             body,
             connection,
@@ -418,7 +419,7 @@
         if streams {
             return Outcome::Answer(Box::new(answer(AnswerBody::Arriving(Box::new(arriving)))));
         }
-        match self.collect_body(&head, arriving).await {
+        match self.collect_body(&head, framing, arriving).await {
             Some(body) => {
                 // Only a success clears the request: an error may occur before the part of the run
                 // that crashes endpoints.
@@ -439,6 +440,7 @@
     async fn collect_body(
         &self,
         head: &AnswerHead,
+        framing: Framing,
         mut arriving: ArrivingBody,
     ) -> Option<AnswerBody> {
         let read = read_whole(&mut arriving.body, MAX_BUFFERED);
@@ -453,6 +455,10 @@
                 return None;
             }
         };
+        if framing == Framing::Connection && arriving.guard.check_crash().await {
+            arriving.guard.gone();
+            return None;
+        }
         arriving.guard.run = None;
         if !head.close {
             let now = self.shared.now();
--- a/crates/edge/src/started_answer.rs
+++ b/crates/edge/src/started_answer.rs
@@ -4,12 +4,13 @@
 use crate::crashes::{attempt_lost, attempt_unreachable};
 use crate::shared::Shared;
 use crate::terminations::{Loss, Run};
-use crate::upstream::Connection;
+use crate::upstream::{Connection, is_refusing};
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, header};
 use hyper::body::Incoming;
 use sequoiaridge_core::EndpointId;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 
 /// The head of an answer, with its body or the connection that the body arrives on.
@@ -70,6 +71,9 @@
     pub(crate) guard: LoadGuard,
 }
 
+/// Future that returns whether an endpoint crashed.
+pub(crate) type CrashCheck = Pin<Box<dyn Future<Output = bool> + Send>>;
+
 /// Counts one attempt as outstanding work of its endpoint until it is dropped.
 pub(crate) struct LoadGuard {
     pub(crate) shared: Arc<Shared>,
@@ -101,6 +105,16 @@
         }
     }
 
+    /// Returns whether the endpoint crashed when it ended an answer with its connection: a crash closes
+    /// connections in order, too. An endpoint that leaves may end after its last answer.
+    pub(crate) fn check_crash(&self) -> CrashCheck {
+        let address = self.address;
+        let state = self.shared.lock_state();
+        let entry = state.roster.get(&self.endpoint);
+        let leaves = entry.is_none_or(|entry| state.roster.is_leaving(entry));
+        Box::pin(async move { !leaves && is_refusing(address).await })
+    }
+
     /// Records that the run ended without a complete answer.
     pub(crate) fn lost(&mut self, loss: Loss) {
         if let Some(run) = self.run.take() {
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -3,7 +3,7 @@
 use crate::answer_deadline::AnswerDeadline;
 use crate::exchange::Exchange;
 use crate::manifest::Kind;
-use crate::started_answer::{AnswerBody, ArrivingBody, Framing, StartedAnswer};
+use crate::started_answer::{AnswerBody, ArrivingBody, CrashCheck, Framing, StartedAnswer};
 use crate::terminations::Loss;
 use crate::upstream::{SILENCE, is_reachable};
 use bytes::{Bytes, BytesMut};
@@ -166,6 +166,9 @@
     exchange: Option<Box<Exchange>>,
     /// Set for streams.
     origin: Option<Origin>,
+    /// Set when the answer has ended with its connection, until it is known whether its endpoint
+    /// crashed.
+    ending: Option<CrashCheck>,
     /// Bytes of an event that is not complete yet.
     partial: BytesMut,
     deadline: Option<Pin<Box<Sleep>>>,
@@ -185,6 +188,7 @@
             source: Source::Whole(Some(body)),
             exchange: None,
             origin: None,
+            ending: None,
             partial: BytesMut::new(),
             deadline: None,
             due: AnswerDeadline::default(),
@@ -212,6 +216,7 @@
             source: Source::Arriving(arriving),
             exchange: Some(exchange),
             origin: Some(origin),
+            ending: None,
             partial: BytesMut::new(),
             deadline: Some(deadline),
             due,
@@ -277,6 +282,18 @@
         self.success && streams == Some(true) && at_end == Some(false)
     }
 
+    /// The check for a crash of the endpoint, if nothing but the end of its connection tells that
+    /// the answer is whole.
+    fn crash_check(&self) -> Option<CrashCheck> {
+        let origin = self.origin.as_ref()?;
+        match &self.source {
+            Source::Arriving(arriving) if origin.framing == Framing::Connection => {
+                Some(arriving.guard.check_crash())
+            }
+            _ => None,
+        }
+    }
+
     /// Ends a body that is complete.
     fn finish(&mut self) {
         self.due.set(None);
@@ -440,6 +457,19 @@
                     }
                 }
                 Source::Arriving(arriving) => {
+                    if let Some(check) = &mut this.ending {
+                        let crashed = ready!(check.as_mut().poll(cx));
+                        this.ending = None;
+                        if !crashed {
+                            this.finish();
+                            return Poll::Ready(None);
+                        }
+                        if !this.resume(Failure::Unreachable) {
+                            this.end_early(BodyError::Broke);
+                            return Poll::Ready(Some(Err(BodyError::Broke)));
+                        }
+                        continue;
+                    }
                     let frame = match Pin::new(&mut arriving.body).poll_frame(cx) {
                         Poll::Ready(frame) => frame,
                         Poll::Pending => {
@@ -459,8 +489,11 @@
                     }
                     match frame {
                         None if !this.is_cut() => {
-                            this.finish();
-                            return Poll::Ready(None);
+                            this.ending = this.crash_check();
+                            if this.ending.is_none() {
+                                this.finish();
+                                return Poll::Ready(None);
+                            }
                         }
                         Some(Ok(frame)) => {
                             let Ok(data) = frame.into_data() else {
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -10,6 +10,7 @@
 use sequoiaridge_core::EndpointId;
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -180,6 +181,12 @@
     open_stream(address).await.is_some()
 }
 
+/// Whether an endpoint refuses connections, because its process has ended.
+pub(crate) async fn is_refusing(address: SocketAddr) -> bool {
+    let opened = tokio::time::timeout(CONNECT_TIMEOUTS[0], TcpStream::connect(address)).await;
+    matches!(opened, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Opens a connection. A try that times out is repeated, one that is refused is not.
 async fn open_stream(address: SocketAddr) -> Option<TcpStream> {
     for time in CONNECT_TIMEOUTS {
