Let servers of the soak crash while they send an answer without a length

Servers of the soak ended their streams whole, within an event or with a reset. The soak checks as before that a stream that looks complete has every event, and that no other answer is cut.

No check changed.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -44,11 +44,12 @@
 const DOMAINS: usize = 3;
 /// Number of events of each stream, and so the id of the last one.
 const EVENTS: u64 = 8;
-/// Streams without chunks, and streams that end within an event.
-const STREAM_ENDS: [Behavior; 4] = [
+/// Streams without chunks, and streams that end within an event or with a crash.
+const STREAM_ENDS: [Behavior; 5] = [
     Behavior::UnframedStream(EVENTS, StreamEnd::Whole),
     Behavior::UnframedStream(EVENTS / 2, StreamEnd::HalfEvent),
     Behavior::UnframedStream(EVENTS / 2, StreamEnd::Reset),
+    Behavior::UnframedStream(EVENTS / 2, StreamEnd::Crash),
     Behavior::HalfEvent(EVENTS / 2),
 ];
 /// Parts of prompts that end servers, and of sound ones, without the last part.
