Split the body of streamed answers into modules and short functions

The silence watch and the scan of events are modules of their own, the poll of an arriving answer is split by what arrived, and the origin of a stream is built only for answers that arrive as streams.

--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -1,13 +1,16 @@
 //! Body of an answer to a caller: a buffered body, or a stream that is resumed if its endpoint fails.
 
 use crate::answer_deadline::AnswerDeadline;
+use crate::call::AnswerHead;
+use crate::event_scan::{EVENT_END, EventScan};
 use crate::exchange::Exchange;
 use crate::manifest::Kind;
+use crate::silence_watch::SilenceWatch;
 use crate::started_answer::{AnswerBody, ArrivingBody, CrashCheck, Framing, StartedAnswer};
 use crate::terminations::Loss;
-use crate::upstream::{SILENCE, is_reachable};
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
+use http::HeaderMap;
 use http_body::{Body, Frame, SizeHint};
 use sequoiaridge_core::{EndpointId, Event, Refusal, RetryReason};
 use sequoiaridge_log::log_request;
@@ -21,8 +24,6 @@
 /// complete.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// End of an event of a stream.
-const EVENT_END: &[u8] = b"\n\n";
 /// Number of events from which an answer has progressed.
 const PROGRESS_EVENTS: usize = 2;
 
@@ -51,6 +52,9 @@
     Ended,
 }
 
+/// What a poll of a body returns; `None` at its end.
+type PolledFrame = Option<Result<Frame<Bytes>, BodyError>>;
+
 /// How an answer from an endpoint failed.
 #[derive(Clone, Copy, Debug)]
 enum Failure {
@@ -60,50 +64,6 @@
     Unreachable,
 }
 
-/// Detects an endpoint that stops sending and can no longer be reached.
-struct SilenceWatch {
-    timer: Pin<Box<Sleep>>,
-    last: Instant,
-    check: Option<Pin<Box<dyn Future<Output = bool> + Send>>>,
-}
-
-impl SilenceWatch {
-    fn new() -> SilenceWatch {
-        SilenceWatch {
-            timer: Box::pin(tokio::time::sleep(SILENCE)),
-            last: Instant::now(),
-            check: None,
-        }
-    }
-
-    /// Restarts the timer because the endpoint sent something.
-    fn restart(&mut self) {
-        self.last = Instant::now();
-        self.check = None;
-    }
-
-    /// Ready once the endpoint is silent and cannot be reached.
-    fn poll_unreachable(&mut self, address: SocketAddr, cx: &mut Context<'_>) -> Poll<()> {
-        loop {
-            if let Some(check) = &mut self.check {
-                let reachable = ready!(check.as_mut().poll(cx));
-                self.check = None;
-                if !reachable {
-                    return Poll::Ready(());
-                }
-                self.timer.as_mut().reset(Instant::now() + SILENCE);
-            }
-            ready!(self.timer.as_mut().poll(cx));
-            let due = self.last + SILENCE;
-            if due > Instant::now() {
-                self.timer.as_mut().reset(due);
-            } else {
-                self.check = Some(Box::pin(is_reachable(address)));
-            }
-        }
-    }
-}
-
 /// The endpoint that sends a stream, with the connection reuse that its answer allows.
 struct Origin {
     endpoint: EndpointId,
@@ -115,46 +75,20 @@
     events: EventScan,
 }
 
-/// What has arrived of the events of a stream.
-#[derive(Default)]
-struct EventScan {
-    /// Ends of events.
-    ends: usize,
-    /// The last two bytes, or fewer at the start.
-    tail: Vec<u8>,
-}
-
-impl EventScan {
-    /// Records the next bytes of the stream.
-    fn record(&mut self, data: &[u8]) {
-        if let (Some(last), Some(first)) = (self.tail.last(), data.first()) {
-            self.ends += usize::from([*last, *first] == EVENT_END);
-        }
-        let pairs = data.windows(EVENT_END.len());
-        self.ends += pairs.filter(|pair| *pair == EVENT_END).count();
-        self.tail
-            .extend_from_slice(&data[data.len().saturating_sub(EVENT_END.len())..]);
-        let excess = self.tail.len().saturating_sub(EVENT_END.len());
-        self.tail.drain(..excess);
-    }
-
-    /// Whether the stream may end here: after an event or, unless it ends with its connection,
-    /// before the first one.
-    fn is_at_end(&self, framing: Framing) -> bool {
-        let is_empty = self.tail.is_empty() && framing != Framing::Connection;
-        is_empty || self.tail == EVENT_END
-    }
-}
-
 impl Origin {
-    fn new(answer: &StartedAnswer) -> Origin {
+    fn new(
+        endpoint: EndpointId,
+        address: SocketAddr,
+        head: &AnswerHead,
+        headers: &HeaderMap,
+    ) -> Origin {
         Origin {
-            endpoint: answer.endpoint.clone(),
-            address: answer.address,
+            endpoint,
+            address,
             watch: SilenceWatch::new(),
-            idle: answer.head.idle,
-            close: answer.head.close,
-            framing: Framing::of(&answer.headers),
+            idle: head.idle,
+            close: head.close,
+            framing: Framing::of(headers),
             events: EventScan::default(),
         }
     }
@@ -203,12 +137,16 @@
         answer: StartedAnswer,
         due: AnswerDeadline,
     ) -> StreamBody {
-        let origin = Origin::new(&answer);
-        let success = answer.status.is_success();
         let arriving = match answer.body {
             AnswerBody::Whole(body) => return StreamBody::whole(body),
             AnswerBody::Arriving(arriving) => arriving,
         };
+        let origin = Origin::new(
+            answer.endpoint,
+            answer.address,
+            &answer.head,
+            &answer.headers,
+        );
         let deadline = Instant::now() + exchange.time_left();
         due.set(Some(deadline));
         let deadline = Box::pin(tokio::time::sleep_until(deadline));
@@ -220,7 +158,7 @@
             partial: BytesMut::new(),
             deadline: Some(deadline),
             due,
-            success,
+            success: answer.status.is_success(),
             frames: 0,
         }
     }
@@ -404,10 +342,15 @@
         self.exchange = Some(exchange);
         match answer {
             Ok(answer) if answer.status.is_success() => {
-                let origin = Origin::new(&answer);
                 let AnswerBody::Arriving(arriving) = answer.body else {
                     return false;
                 };
+                let origin = Origin::new(
+                    answer.endpoint,
+                    answer.address,
+                    &answer.head,
+                    &answer.headers,
+                );
                 self.origin = Some(origin);
                 self.source = Source::Arriving(arriving);
                 true
@@ -415,6 +358,73 @@
             Ok(_) | Err(_) => false,
         }
     }
+
+    /// Polls the answer that arrives. Returns what to pass on, or `None` if nothing is to be passed
+    /// on yet: more may have arrived, or another endpoint goes on.
+    fn poll_arriving(&mut self, cx: &mut Context<'_>) -> Poll<Option<PolledFrame>> {
+        if let Some(check) = &mut self.ending {
+            let crashed = ready!(check.as_mut().poll(cx));
+            self.ending = None;
+            return Poll::Ready(if crashed {
+                self.resume_or_end(Failure::Unreachable)
+            } else {
+                self.finish();
+                Some(None)
+            });
+        }
+        let Source::Arriving(arriving) = &mut self.source else {
+            return Poll::Ready(None);
+        };
+        let Poll::Ready(frame) = Pin::new(&mut arriving.body).poll_frame(cx) else {
+            ready!(self.poll_unreachable(cx));
+            return Poll::Ready(self.resume_or_end(Failure::Unreachable));
+        };
+        if matches!(frame, Some(Ok(_))) {
+            arriving.guard.prompt_read();
+        }
+        if let Some(origin) = &mut self.origin {
+            origin.watch.restart();
+        }
+        Poll::Ready(match frame {
+            Some(Ok(frame)) => frame.into_data().ok().and_then(|data| self.receive(data)),
+            None if !self.is_cut() => self.reach_end(),
+            None | Some(Err(_)) => self.resume_or_end(Failure::Broke),
+        })
+    }
+
+    /// Handles data from the endpoint. Returns what to pass on.
+    fn receive(&mut self, data: Bytes) -> Option<PolledFrame> {
+        self.scan_events(&data);
+        let data = self.pass_on(data);
+        if self.partial.len() > MAX_EVENT_BYTES {
+            self.end_early(BodyError::Broke);
+            return Some(Some(Err(BodyError::Broke)));
+        }
+        if data.is_empty() {
+            return None;
+        }
+        self.frames += 1;
+        Some(Some(Ok(Frame::data(data))))
+    }
+
+    /// Ends a body that looks whole, or starts the check for a crash that it needs first.
+    fn reach_end(&mut self) -> Option<PolledFrame> {
+        self.ending = self.crash_check();
+        if self.ending.is_some() {
+            return None;
+        }
+        self.finish();
+        Some(None)
+    }
+
+    /// Resumes the stream on another endpoint, or ends it early if that is not allowed.
+    fn resume_or_end(&mut self, failure: Failure) -> Option<PolledFrame> {
+        if self.resume(failure) {
+            return None;
+        }
+        self.end_early(BodyError::Broke);
+        Some(Some(Err(BodyError::Broke)))
+    }
 }
 
 /// Whether an answer that was partly passed on can continue on another endpoint.
@@ -426,10 +436,7 @@
     type Data = Bytes;
     type Error = BodyError;
 
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<PolledFrame> {
         let this = self.get_mut();
         if let Some(deadline) = &mut this.deadline
             && deadline.as_mut().poll(cx).is_ready()
@@ -456,66 +463,9 @@
                         return Poll::Ready(Some(Err(BodyError::Broke)));
                     }
                 }
-                Source::Arriving(arriving) => {
-                    if let Some(check) = &mut this.ending {
-                        let crashed = ready!(check.as_mut().poll(cx));
-                        this.ending = None;
-                        if !crashed {
-                            this.finish();
-                            return Poll::Ready(None);
-                        }
-                        if !this.resume(Failure::Unreachable) {
-                            this.end_early(BodyError::Broke);
-                            return Poll::Ready(Some(Err(BodyError::Broke)));
-                        }
-                        continue;
-                    }
-                    let frame = match Pin::new(&mut arriving.body).poll_frame(cx) {
-                        Poll::Ready(frame) => frame,
-                        Poll::Pending => {
-                            ready!(this.poll_unreachable(cx));
-                            if !this.resume(Failure::Unreachable) {
-                                this.end_early(BodyError::Broke);
-                                return Poll::Ready(Some(Err(BodyError::Broke)));
-                            }
-                            continue;
-                        }
-                    };
-                    if matches!(frame, Some(Ok(_))) {
-                        arriving.guard.prompt_read();
-                    }
-                    if let Some(origin) = &mut this.origin {
-                        origin.watch.restart();
-                    }
-                    match frame {
-                        None if !this.is_cut() => {
-                            this.ending = this.crash_check();
-                            if this.ending.is_none() {
-                                this.finish();
-                                return Poll::Ready(None);
-                            }
-                        }
-                        Some(Ok(frame)) => {
-                            let Ok(data) = frame.into_data() else {
-                                continue;
-                            };
-                            this.scan_events(&data);
-                            let data = this.pass_on(data);
-                            if this.partial.len() > MAX_EVENT_BYTES {
-                                this.end_early(BodyError::Broke);
-                                return Poll::Ready(Some(Err(BodyError::Broke)));
-                            }
-                            if !data.is_empty() {
-                                this.frames += 1;
-                                return Poll::Ready(Some(Ok(Frame::data(data))));
-                            }
-                        }
-                        None | Some(Err(_)) => {
-                            if !this.resume(Failure::Broke) {
-                                this.end_early(BodyError::Broke);
-                                return Poll::Ready(Some(Err(BodyError::Broke)));
-                            }
-                        }
+                Source::Arriving(_) => {
+                    if let Some(frame) = ready!(this.poll_arriving(cx)) {
+                        return Poll::Ready(frame);
                     }
                 }
             }
