--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -2,7 +2,7 @@
 //! logging.
 
 use crate::registry::{Registry, Saved, Table};
-use crate::shared::{RoutingState, Shared};
+use crate::shared::{RoutingState, Shared, is_later_era};
 use crate::terminations::{Loss, LossOutcome, Run};
 use crate::upstream::is_reachable;
 use sequoiaridge_core::Event;
@@ -198,14 +198,11 @@
 /// Routers that start, or all of them after a power cut, then keep holding them.
 pub(crate) async fn save_crashes(shared: Arc<Shared>, registry: Arc<dyn Registry>) {
     let mut saved = Some(shared.lock_state().quarantine.held(shared.now()));
-    let mut era = shared.era.subscribe();
-    era.mark_unchanged();
+    let mut era = shared.watch_era();
     loop {
         tokio::time::sleep(SAVE_INTERVAL).await;
         let now = shared.now();
-        if era.has_changed().unwrap_or(false) {
-            // The copy may have others, or none.
-            era.mark_unchanged();
+        if is_later_era(&mut era) {
             saved = None;
         }
         let (held, crashes) = {
--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -164,10 +164,8 @@
     /// The changes that this router keeps, for one that gets the whole table from it.
     pub fn tail(&self) -> Option<Feed> {
         let revision = self.revision?;
-        let changed = self.recent.iter();
-        let changed = changed.map(|((position, id), entry)| (id.clone(), *position, entry.clone()));
-        let mut changed: Vec<ChangedRow> = changed.collect();
         let mut floor = self.floor;
+        let mut changed = self.kept_changes(floor);
         if changed.len() > MAX_FEED_CHANGES {
             changed.clear();
             floor = revision;
@@ -386,10 +384,7 @@
         if from >= revision {
             return None;
         }
-        let after = (from.next(), EndpointId::new());
-        let changed = self.recent.range(after..);
-        let changed = changed.map(|((position, id), entry)| (id.clone(), *position, entry.clone()));
-        let changed: Vec<ChangedRow> = changed.collect();
+        let changed = self.kept_changes(from);
         let (second, sent) = self.repair_quota;
         let (second, sent) = if now < second + Duration::from_secs(1) {
             (second, sent)
@@ -407,6 +402,15 @@
         })
     }
 
+    /// The changes after a revision that this router keeps.
+    fn kept_changes(&self, from: Revision) -> Vec<ChangedRow> {
+        let after = (from.next(), EndpointId::new());
+        let changed = self.recent.range(after..);
+        changed
+            .map(|((position, id), entry)| (id.clone(), *position, entry.clone()))
+            .collect()
+    }
+
     /// Records a revision that another router has and this one lacks.
     fn note_gap(&mut self, revision: Revision, now: Duration) {
         let (missing, since) = self.gap.unwrap_or((revision, now));
--- a/crates/edge/src/join.rs
+++ b/crates/edge/src/join.rs
@@ -4,7 +4,7 @@
 use crate::manifest::RouterEntry;
 use crate::registry::{Entry, Era, PeerKey, Registry, RegistryError, Row, Saved, Table};
 use crate::schedule::jittered;
-use crate::shared::{Contact, Shared};
+use crate::shared::{Contact, Shared, is_later_era};
 use rand::RngExt;
 use sequoiaridge_core::Event;
 use sequoiaridge_log::log;
@@ -105,11 +105,10 @@
 /// or all of them after a power cut, know where prompts are cached.
 pub(crate) async fn save_cache(shared: Arc<Shared>, registry: Arc<dyn Registry>) {
     let mut saved = Vec::new();
-    let mut era = shared.era.subscribe();
+    let mut era = shared.watch_era();
     loop {
         tokio::time::sleep(SAVE_INTERVAL).await;
-        if era.has_changed().unwrap_or(false) {
-            era.mark_unchanged();
+        if is_later_era(&mut era) {
             saved.clear();
         }
         let snapshot = {
--- a/crates/edge/src/own_rows.rs
+++ b/crates/edge/src/own_rows.rs
@@ -28,7 +28,7 @@
     mut key: PeerKey,
 ) {
     let joined_at = shared.now();
-    let mut eras = shared.era.subscribe();
+    let mut eras = shared.watch_era();
     loop {
         let is_later = |known: &Option<Era>| known.is_some_and(|known| known > era);
         match eras.wait_for(is_later).await.map(|known| *known) {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -91,7 +91,6 @@
     let keys = PeerKeys::from_bytes(key, None);
     shared.set_keys(keys.clone());
     let mut new_keys = shared.watch_keys();
-    new_keys.mark_unchanged();
     let mut exchange = PeerExchange {
         sealer: Sealer::new(&keys, shared.settings.id.clone(), incarnation),
         opener: Opener::new(&keys),
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -166,7 +166,7 @@
     /// Keys for messages between routers, set once this router has joined the fleet.
     keys: watch::Sender<Option<PeerKeys>>,
     /// Era of the registry, once it is known. When it rises, what this router wrote may be gone.
-    pub(crate) era: watch::Sender<Option<Era>>,
+    era: watch::Sender<Option<Era>>,
 }
 
 impl Shared {
@@ -283,6 +283,11 @@
         before
     }
 
+    /// A watch of the era of the registry for [`is_later_era`].
+    pub(crate) fn watch_era(&self) -> watch::Receiver<Option<Era>> {
+        self.era.subscribe()
+    }
+
     /// Whether the load balancer should send requests to this router.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.lock_state();
@@ -399,3 +404,13 @@
         self.shared.metrics.in_flight.dec();
     }
 }
+
+/// Returns whether the registry came into a later era since the last call with this watch, so that
+/// what was saved there may be gone.
+pub(crate) fn is_later_era(era: &mut watch::Receiver<Option<Era>>) -> bool {
+    let is_later = era.has_changed().unwrap_or(false);
+    if is_later {
+        era.mark_unchanged();
+    }
+    is_later
+}
