Send calls on when their router has just given up its endpoints

One of 30 callers got 503 `overload`, not run, while two of three routers drained (`a_drained_router_cuts_no_call`, listed as known red, seen once before).

The call came back to its first owner to wait there. That router had passed the check that it owns the endpoint, and had given up all of its endpoints by the time the call was placed. With none left it could not queue the call, and refused it as overload, although the new owner has a queue. Calls that waited already were sent on.

A router that owns no endpoint of the group any more now says so, and the caller's router asks the new owner, as it does when the check itself fails.

--- a/crates/measure/src/placement/fleet.rs
+++ b/crates/measure/src/placement/fleet.rs
@@ -224,6 +224,7 @@
                 self.placed_at.insert(request.ticket, owner.clone());
                 Answer::Decision(Decision::Queued)
             }
+            Placement::NotOwner => Answer::Refused(RefusalReason::PeerBroke, Duration::ZERO),
             Placement::Refused(refusal) => Answer::Refused(refusal.reason, refusal.retry_after),
         }
     }
--- a/crates/policy/src/owner/place.rs
+++ b/crates/policy/src/owner/place.rs
@@ -101,7 +101,7 @@
         }
         match (asked, any_open) {
             (0, _) => self.wait_or_refuse(call, candidates, now),
-            (_, true) => self.refuse(call, RefusalReason::Overload),
+            (_, true) => Placement::NotOwner,
             (_, false) => self.refuse(call, RefusalReason::NoEndpoint),
         }
     }
@@ -198,13 +198,11 @@
         };
         let is_open = |id| (self.endpoints.get(id)).is_some_and(|e| e.is_open(now, &self.config));
         if !group.owned.iter().any(is_open) {
-            let none = group.capacity == 0;
-            let reason = if none {
-                RefusalReason::NoEndpoint
-            } else {
-                RefusalReason::Overload
+            return match (group.capacity, group.owned.is_empty()) {
+                (0, _) => self.refuse(call, RefusalReason::NoEndpoint),
+                (_, true) => Placement::NotOwner,
+                (_, false) => self.refuse(call, RefusalReason::Overload),
             };
-            return self.refuse(call, reason);
         }
         let busy = if within_share {
             RefusalReason::Overload
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -26,6 +26,9 @@
         /// A waiting call that was refused to make room.
         shed: Option<RefusedCall>,
     },
+    /// Other routers have taken over all endpoints of the group that this one owned. The call is to
+    /// be sent to them; it did not run and does not wait.
+    NotOwner,
     /// The call did not run and does not wait.
     Refused(Refusal),
 }
--- a/crates/policy/tests/owner.rs
+++ b/crates/policy/tests/owner.rs
@@ -85,6 +85,27 @@
     assert_eq!(owner.place(&next, &list, 0, now + ms(30)), admit("a"));
 }
 
+/// Guards against calls that a draining router refuses as overload: it gave up its endpoints while
+/// the call came back from other owners that had no room, and the new owner has a queue.
+#[test]
+fn a_router_that_gave_up_its_endpoints_refuses_no_call() {
+    let (mut owner, now) = owner(unbounded(), &["a"], &["b"], 1);
+    assert_eq!(
+        owner.place(&call(1, "c", now), &ids(&["b", "a"]), 3, now),
+        admit("a")
+    );
+    assert_eq!(
+        owner.place(&call(2, "c", now), &ids(&["b", "a"]), 3, now),
+        QUEUED
+    );
+    owner.set_endpoint(endpoint("a", 1, false), now);
+    assert_eq!(owner.take_waiting().len(), 1);
+    for ticket in [2, 3] {
+        let placed = owner.place(&call(ticket, "c", now), &ids(&["b", "a"]), 3, now);
+        assert_eq!(placed, Placement::NotOwner);
+    }
+}
+
 /// Guards against a join that makes a chat lose its cached context: the owner of the endpoint that
 /// ranked first before is asked, and it only admits a chat that it knows.
 #[test]
--- a/crates/policy/tests/owner_model.rs
+++ b/crates/policy/tests/owner_model.rs
@@ -163,6 +163,7 @@
                             prop_assert!(asked < 2 && !OWN.contains(&endpoint.as_str()));
                         }
                         Placement::Refused(_) => prop_assert!(!known),
+                        Placement::NotOwner => prop_assert!(false, "it owns endpoints"),
                     }
                 }
                 Op::Finish(ticket) => {
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -87,6 +87,10 @@
                 cached_only,
             }
         }
+        Placement::NotOwner => {
+            guard.disarm();
+            Admission::Moved
+        }
         Placement::Refused(refusal) => {
             guard.disarm();
             Admission::Refused(refusal)
