--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,27 +12,29 @@
 //! With 25 routers or more, a router sends its messages only to some of the others, as in a large
 //! fleet.
 
+#[path = "soak/callers.rs"]
+mod callers;
+#[path = "soak/checks.rs"]
+mod checks;
+#[path = "soak/returns.rs"]
+mod returns;
 #[path = "soak/rules.rs"]
 mod rules;
 #[path = "../platform/tests/support/mod.rs"]
 mod support;
 
+use callers::{Attempts, run_caller};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeMap, VecDeque};
-use std::sync::{Arc, Mutex};
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
-use support::client::{Answer, Caller, post, prompt, send};
-use support::crashing::{
-    CRASH_PART, MAX_SENT_AFTER, PART_PATH, QUARANTINE_STRIKES, SYNC_TIME, crash_times,
-    part_crash_times,
-};
+use support::crashing::{CRASH_PART, SYNC_TIME};
 use support::program::RouterProcess;
 use support::proxy::{Fault, Proxy};
 use support::server::{Behavior, Crash, CrashMode, Server, StaleAnswer, StreamEnd};
 use support::store::{Copy, FakeStore, Mode};
-use support::{config, eventually, row_via};
+use support::{config, row_via};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sequoiaridge");
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
@@ -84,19 +86,6 @@
     text.map_or(default, |text| text.parse().expect("a number"))
 }
 
-/// An attempt as its caller saw it. There is no answer if none came in time, or before the callers
-/// were stopped.
-#[derive(Clone, Debug)]
-struct Attempt {
-    router: usize,
-    sent: Instant,
-    answered: Option<Instant>,
-    answer: Option<Answer>,
-}
-
-/// The attempts of all callers, by attempt id.
-type Attempts = Arc<Mutex<BTreeMap<String, Attempt>>>;
-
 struct Soak {
     seed: u64,
     rng: StdRng,
@@ -302,42 +291,6 @@
         }
     }
 
-    /// Lets the store come back from a copy now and then. The operator and the servers write again
-    /// what it lost, a little later.
-    fn step_returns(&mut self) {
-        let now = Instant::now();
-        if self.rewrite_at.is_some_and(|at| now >= at) {
-            self.rewrite();
-        }
-        self.copies.push_back((now, self.store.copy()));
-        let is_old = |(at, _): &(Instant, Copy)| now > *at + MAX_COPY_AGE;
-        while self.copies.front().is_some_and(is_old) {
-            self.copies.pop_front();
-        }
-        if self.returns_rng.random_bool(RETURN_SHARE)
-            && let Some((at, copy)) = self.copies.pop_front()
-        {
-            self.store.restore(copy);
-            self.copies.clear();
-            self.rewrite_at = Some(now + REWRITE_TIME);
-            let age = now.duration_since(at).as_millis();
-            self.trace.push(format!("store: back as {age} ms before"));
-        }
-    }
-
-    /// Writes the configuration and the rows of all servers as they were written last.
-    fn rewrite(&mut self) {
-        self.rewrite_at = None;
-        let read = match self.version {
-            1 => "/read/".to_string(),
-            version => format!("/read-{version}/"),
-        };
-        self.store.put("op", "config", &config(self.version, &read));
-        for server in 0..self.servers.len() {
-            self.list(server, self.listed_states[server]);
-        }
-    }
-
     fn record_fault(&mut self, target: FaultTarget, lasts: bool) {
         let at = Instant::now();
         self.faults.push(FaultRecord { target, at, lasts });
@@ -374,56 +327,6 @@
         tokio::time::sleep(SYNC_TIME + Duration::from_secs(2)).await;
     }
 
-    /// Checks that requests which ended enough servers to be quarantined are held back by all
-    /// routers together.
-    async fn check_quarantine(&self) {
-        for kind in ["order", "chat"] {
-            let path = format!("/{kind}/{CRASH_PART}");
-            let before = crash_times(&self.servers, &path).len();
-            if before < QUARANTINE_STRIKES {
-                continue;
-            }
-            for (index, router) in self.routers.iter().enumerate() {
-                let id = format!("held-{kind}-{index}");
-                send(router.callers, &path, &id, "body of the same").await;
-            }
-            let after = crash_times(&self.servers, &path).len() - before;
-            assert!(
-                after <= MAX_SENT_AFTER,
-                "seed {}: {path} reached servers {after} more times after it had ended {before}",
-                self.seed
-            );
-        }
-    }
-
-    /// Checks that all routers together hold a part of prompts that ended enough servers, and serve
-    /// sound prompts with the same other parts.
-    async fn check_crashing_part(&self) {
-        let before = part_crash_times(&self.servers).len();
-        if before >= QUARANTINE_STRIKES {
-            for (index, router) in self.routers.iter().enumerate() {
-                let (path, id) = (format!("{PART_PATH}held-{index}"), format!("held-{index}"));
-                let parts = format!("{CRASHING_PARTS},f{index}:50");
-                prompt(router.callers, &path, &id, &parts).await;
-            }
-            let after = part_crash_times(&self.servers).len() - before;
-            assert!(
-                after <= MAX_SENT_AFTER,
-                "seed {}: the part reached servers {after} more times after it had ended {before}",
-                self.seed
-            );
-        }
-        for (index, router) in self.routers.iter().enumerate() {
-            eventually("a router serves a sound prompt", || async {
-                let id = format!("sound-{index}");
-                let parts = format!("{SOUND_PARTS},e{index}:50");
-                let answer = prompt(router.callers, &format!("/chat/{id}"), &id, &parts).await;
-                answer.is_some_and(|answer| answer.status == 200 && answer.complete)
-            })
-            .await;
-        }
-    }
-
     /// Ends every fault, restarts every router and writes a new version of the configuration.
     fn end_faults(&mut self) {
         self.store.set_mode(Mode::Up);
@@ -444,191 +347,6 @@
         let read = format!("/read-{}/", self.version);
         self.store.put("op", "config", &config(self.version, &read));
     }
-
-    /// Checks that every router serves the newest configuration, and no longer the one before,
-    /// within the bound of 5 s.
-    async fn check_recovery(&self) {
-        let start = Instant::now();
-        let (new, old) = (self.version, self.version - 1);
-        for (index, router) in self.routers.iter().enumerate() {
-            eventually("a router serves the newest configuration", || async {
-                let id = format!("after-{index}");
-                let served = post(router.callers, &format!("/read-{new}/1"), &id).await;
-                let gone = post(router.callers, &format!("/read-{old}/1"), &id).await;
-                served.is_some_and(|answer| answer.status == 200)
-                    && gone.is_some_and(|answer| answer.status == 404)
-            })
-            .await;
-        }
-        let elapsed = start.elapsed();
-        assert!(
-            elapsed < Duration::from_secs(5),
-            "the routers took {elapsed:?} to serve the newest configuration"
-        );
-    }
-
-    /// Lets the store come back from a copy once more, and checks that all routers apply what is
-    /// written then, and keep what they knew.
-    async fn check_return(&mut self) {
-        let copy = self.store.copy();
-        self.version += 1;
-        let read = format!("/read-{}/", self.version);
-        self.store.put("op", "config", &config(self.version, &read));
-        self.check_recovery().await;
-        self.store.restore(copy);
-        self.list(0, "draining");
-        self.version += 1;
-        let read = format!("/read-{}/", self.version);
-        self.store.put("op", "config", &config(self.version, &read));
-        let start = Instant::now();
-        self.check_recovery().await;
-        tokio::time::sleep(RETURN_BOUND.saturating_sub(start.elapsed())).await;
-        let before = self.servers[0].requests().len();
-        for (index, router) in self.routers.iter().enumerate() {
-            let path = format!("/read-{}/1", self.version);
-            post(router.callers, &path, &format!("return-{index}")).await;
-        }
-        let late = self.servers[0].requests().len() - before;
-        assert_eq!(
-            late, 0,
-            "seed {}: requests to a server that left after the store's return",
-            self.seed
-        );
-    }
-
-    /// Checks the answers that callers got against the requests that servers ran.
-    fn check_answers(&self, attempts: &BTreeMap<String, Attempt>) {
-        let mut runs: BTreeMap<String, u32> = BTreeMap::new();
-        for request in self.servers.iter().flat_map(Server::requests) {
-            *runs
-                .entry(request.header("attempt-id").to_string())
-                .or_default() += 1;
-        }
-        for (id, Attempt { answer, .. }) in attempts {
-            let ran = runs.get(id).copied().unwrap_or(0);
-            let what = format!("seed {}, attempt {id}: {ran} runs, {answer:?}", self.seed);
-            if id.contains("order") || id.contains("talk") {
-                assert!(ran <= 1, "ran twice: {what}");
-            } else {
-                assert!(ran <= 2, "ran more often than the route allows: {what}");
-            }
-            let Some(answer) = answer else {
-                continue;
-            };
-            if matches!(answer.status, 408 | 421 | 429 | 503) {
-                assert_eq!(ran, 0, "refused as not run, but ran: {what}");
-            }
-            if answer.status == 200 && answer.complete {
-                assert!(ran >= 1, "answered, but ran at no server: {what}");
-                assert!(
-                    answer.header("response-seal").starts_with("of-i-"),
-                    "no seal: {what}"
-                );
-                self.check_body(id, answer, &what);
-            }
-        }
-        let requests = attempts.len() as f64;
-        let repeats: u32 = runs.values().map(|runs| runs.saturating_sub(1)).sum();
-        assert!(
-            f64::from(repeats) <= 0.2 * requests + 56.0,
-            "{repeats} repeats of {requests} requests exceed the retry budget"
-        );
-    }
-
-    /// Checks that a stream has every event once and in order, and that any other body is the one
-    /// that belongs to the attempt.
-    fn check_body(&self, id: &str, answer: &Answer, what: &str) {
-        if id.contains("chat") || id.contains("talk") {
-            let ids = answer
-                .body
-                .lines()
-                .filter_map(|line| line.strip_prefix("id: "));
-            let ids: Vec<u64> = ids.filter_map(|id| id.parse().ok()).collect();
-            let expected: Vec<u64> = (1..=EVENTS).collect();
-            // A server that was set to another behavior sends no events.
-            assert!(
-                ids.is_empty() || ids == expected,
-                "incomplete stream: {what}"
-            );
-        } else if !["first", "fine", "mine"].contains(&answer.body.as_str()) {
-            assert_eq!(answer.body, id, "answer to another request: {what}");
-        }
-    }
-}
-
-/// Sends requests of all kinds to the routers until the task is aborted. A connection is reused
-/// until it breaks or is closed; with a probability of 0.1 the caller changes to a random router
-/// before a request.
-async fn run_caller(
-    seed: u64,
-    caller: usize,
-    routers: Vec<std::net::SocketAddr>,
-    attempts: Attempts,
-) {
-    let mut rng = StdRng::seed_from_u64(seed * 1000 + caller as u64);
-    let mut connection: Option<Caller> = None;
-    let mut router = 0;
-    for number in 0.. {
-        let kinds = ["read", "order", "chat", "talk"];
-        let kind = *kinds.choose(&mut rng).expect("a kind");
-        let id = format!("{kind}-{caller}-{number}");
-        if connection.is_none() || rng.random_bool(0.1) {
-            router = rng.random_range(0..routers.len());
-            connection = Caller::connect(routers[router]).await;
-        }
-        let Some(open) = &mut connection else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        let mut attempt = Attempt {
-            router,
-            sent: Instant::now(),
-            answered: None,
-            answer: None,
-        };
-        attempts
-            .lock()
-            .expect("attempts")
-            .insert(id.clone(), attempt.clone());
-        // Caller 0 repeats the requests that end servers.
-        let repeats = caller == 0 && (kind == "order" || kind == "chat");
-        // Caller 1 sends requests with a part that ends servers, no two of them alike.
-        let has_part = caller == 1 && kind == "chat" && rng.random_bool(0.5);
-        let path = match (repeats, has_part) {
-            (true, _) => format!("/{kind}/{CRASH_PART}"),
-            (_, true) => format!("{PART_PATH}{number}"),
-            _ => format!("/{kind}/{number}"),
-        };
-        let parts = if has_part {
-            CRASHING_PARTS
-        } else {
-            SOUND_PARTS
-        };
-        let headers = match kind {
-            "chat" | "talk" => format!(
-                "Model: m\r\nToken-Usage: 1500,80\r\nPrompt-Prefix: {parts},{caller}{number}:50\r\n"
-            ),
-            _ => String::new(),
-        };
-        let body = if caller == 0 { "the same" } else { &id };
-        let exchange = async {
-            open.send(&path, &id, &headers, &format!("body of {body}"))
-                .await?;
-            open.answer().await
-        };
-        let answer = tokio::time::timeout(Duration::from_secs(4), exchange).await;
-        let answer = answer.ok().flatten();
-        let reusable = answer
-            .as_ref()
-            .is_some_and(|answer| answer.complete && answer.header("connection") != "close");
-        if !reusable {
-            connection = None;
-        }
-        attempt.answered = answer.is_some().then(Instant::now);
-        attempt.answer = answer;
-        attempts.lock().expect("attempts").insert(id, attempt);
-        tokio::time::sleep(Duration::from_millis(rng.random_range(5..40))).await;
-    }
 }
 
 /// Runs the soak with one seed: injects faults for this long, ends them all and checks the
--- a/tests/soak/rules.rs
+++ b/tests/soak/rules.rs
@@ -1,10 +1,11 @@
 //! Rules that are checked against the requests of each router that reached each server.
 
+use super::callers::Attempt;
 use super::support::crashing::{
     MAX_PART_CRASHES, MAX_SENT_AFTER, PART_PATH, SYNC_TIME, part_crash_times,
 };
 use super::support::server::{Arrival, Server};
-use super::{Attempt, FaultRecord, FaultTarget};
+use super::{FaultRecord, FaultTarget};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
