--- a/crates/edge/tests/model/mod.rs
+++ b/crates/edge/tests/model/mod.rs
@@ -2,6 +2,11 @@
 //! routers that are partitioned or frozen, and a registry that refuses some of them or comes back
 //! from a copy.
 
+mod settings;
+mod tables;
+
+pub use settings::{Fault, FaultKind, FleetSettings, Outcome, Restore};
+
 use rand::rngs::StdRng;
 use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::{RngExt, SeedableRng};
@@ -21,82 +26,6 @@
 const SMALL_FLEET: usize = 24;
 /// Position of the registry before the first change.
 const START_POSITION: u64 = 100;
-/// Whole tables that a router sends to others at the same time, and how long they take: 60 KB each
-/// over a link of 20 Mbit/s.
-const MAX_TRANSFERS: usize = 4;
-const TRANSFER_TIME: Duration = Duration::from_millis(100);
-/// Longest pause between two requests of a router for a whole table.
-const REQUEST_PAUSE: Duration = Duration::from_millis(300);
-
-/// Size and properties of a fleet.
-#[derive(Clone, Debug)]
-pub struct FleetSettings {
-    pub routers: usize,
-    pub domains: usize,
-    pub leave_bound: Duration,
-    pub loss_rate: f64,
-    /// Share of the routers with a fast link.
-    pub fast_share: f64,
-    /// Number of endpoints that register while the routers start.
-    pub registering: u64,
-}
-
-/// A fault that affects a share of the routers for some time.
-#[derive(Clone, Debug)]
-pub struct Fault {
-    pub kind: FaultKind,
-    pub from: Duration,
-    pub until: Duration,
-    pub share: f64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FaultKind {
-    /// The router receives nothing and reaches nothing.
-    Partitioned,
-    /// The process is suspended; datagrams queue up.
-    Frozen,
-    /// The registry refuses the router's calls.
-    Refused,
-    /// The registry does not answer the router.
-    Silent,
-}
-
-/// A return of the registry from a copy of itself, for which it was silent before.
-#[derive(Clone, Copy, Debug)]
-pub struct Restore {
-    pub at: Duration,
-    /// Age of the copy.
-    pub copy_age: Duration,
-}
-
-/// Measurements of a run.
-#[derive(Clone, Debug, Default)]
-pub struct Outcome {
-    /// Time from each change until it reached each router without a fault.
-    pub delays: Vec<Duration>,
-    /// The same for changes that were made after the first return of the registry, with the time of
-    /// the change.
-    pub delays_after_return: Vec<(Duration, Duration)>,
-    /// When each router without a fault came to know the last era, if it did.
-    pub era_known: Vec<Option<Duration>>,
-    /// Reads of the whole table.
-    pub whole_reads: u64,
-    /// Calls to the registry after the initial read, by second.
-    pub calls: BTreeMap<u64, u64>,
-    /// Most datagrams with changes that one router sent in one second.
-    pub peak_feeds: u64,
-}
-
-impl Outcome {
-    pub fn max_delay(&self) -> Duration {
-        self.delays.iter().max().copied().unwrap_or_default()
-    }
-
-    pub fn calls_between(&self, from: u64, until: u64) -> u64 {
-        self.calls.range(from..until).map(|(_, calls)| calls).sum()
-    }
-}
 
 #[derive(Clone, Debug)]
 struct Message {
@@ -331,38 +260,6 @@
             || self.has_fault(router, FaultKind::Frozen, now)
     }
 
-    /// The registry comes back as it was some time ago. What was written since is gone.
-    fn restore(&mut self, copy_age: Duration, now: Duration) {
-        let copied_at = now.saturating_sub(copy_age);
-        let kept = self.changes.iter().filter(|(_, at)| *at <= copied_at);
-        let version = kept.map(|(position, _)| position.version).max();
-        let version = version.unwrap_or(START_POSITION);
-        self.position = Position::new(self.position.era + 1, version);
-        self.changes.retain(|(_, at)| *at <= copied_at);
-    }
-
-    /// A router asks another one for the whole table.
-    fn send_table(&mut self, router: usize, by: usize, now: Duration) {
-        let own = &self.routers[router];
-        let tail = own.follower.tail().expect("a revision");
-        let age = own.follower.age(now).expect("an age");
-        let is_fresh = age <= self.settings.leave_bound / 2;
-        if self.is_cut_off(router, now) || !is_fresh || own.transfers >= MAX_TRANSFERS {
-            return;
-        }
-        self.routers[router].transfers += 1;
-        let received = Event::TableReceived(by, router, tail, now.saturating_sub(age));
-        self.schedule(now + TRANSFER_TIME, received);
-    }
-
-    /// A whole table shows all changes up to its position.
-    fn note_table(&mut self, router: usize, position: Position, now: Duration) {
-        let own = &mut self.routers[router];
-        if own.follower.revision() < Some(position) {
-            own.learned_at.entry(position).or_insert(now);
-        }
-    }
-
     fn is_large(&self) -> bool {
         self.settings.routers > SMALL_FLEET
     }
@@ -430,33 +327,6 @@
         self.read(router, now);
     }
 
-    /// Requests the whole table from a router that has a later state, if changes do not lead there.
-    fn request_table(&mut self, router: usize, now: Duration) {
-        let repair_time = self.read_schedule().repair_time();
-        let own = &self.routers[router];
-        if !own.follower.needs_table(repair_time, now) || now < own.requested_table {
-            return;
-        }
-        let revision = own.follower.revision().expect("a revision");
-        let later: Vec<usize> = own
-            .revisions
-            .iter()
-            .filter(|(_, known)| **known > revision)
-            .map(|(other, _)| *other)
-            .collect();
-        let domain = own.domain;
-        let near = later
-            .iter()
-            .filter(|other| self.routers[**other].domain == domain);
-        let near = near.choose(&mut self.rng).copied();
-        if let Some(other) = near.or_else(|| later.choose(&mut self.rng).copied()) {
-            let pause = REQUEST_PAUSE.mul_f64(self.rng.random_range(0.5..1.0));
-            self.routers[router].requested_table = now + pause;
-            let requested = Event::TableRequested(other, router);
-            self.schedule(now + REGISTRY_LATENCY, requested);
-        }
-    }
-
     fn read_schedule(&self) -> Schedule {
         Schedule {
             leave_bound: self.settings.leave_bound,
