--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -402,7 +402,7 @@
         let large = body.size_hint().lower() > MAX_BUFFERED_SIZED as u64;
         let streams = large || self.route.kind.streams() && status.is_success();
         guard.run = run;
-        let framing = Framing::of(&headers);
+        let framing = Framing::of(&headers, &body);
         let arriving = ArrivingBody {
             body,
             connection,
--- a/crates/edge/src/started_answer.rs
+++ b/crates/edge/src/started_answer.rs
@@ -7,7 +7,7 @@
 use crate::upstream::{Connection, is_refusing};
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, header};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use sequoiaridge_core::EndpointId;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -28,18 +28,18 @@
 pub(crate) enum Framing {
     /// The last chunk.
     Chunks,
-    /// The announced length.
+    /// Its length, which is announced or, for an answer without a body, follows from its status.
     Length,
     /// The end of the connection, which is also what the crash of an endpoint looks like.
     Connection,
 }
 
 impl Framing {
-    /// The framing that the headers of an answer announce.
-    pub(crate) fn of(headers: &HeaderMap) -> Framing {
+    /// The framing of an answer of which nothing but the head has been read.
+    pub(crate) fn of(headers: &HeaderMap, body: &Incoming) -> Framing {
         if headers.contains_key(header::TRANSFER_ENCODING) {
             Framing::Chunks
-        } else if headers.contains_key(header::CONTENT_LENGTH) {
+        } else if body.size_hint().exact().is_some() {
             Framing::Length
         } else {
             Framing::Connection
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -10,7 +10,6 @@
 use crate::terminations::Loss;
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
-use http::HeaderMap;
 use http_body::{Body, Frame, SizeHint};
 use sequoiaridge_core::{EndpointId, Event, Refusal, RetryReason};
 use sequoiaridge_log::log_request;
@@ -80,7 +79,7 @@
         endpoint: EndpointId,
         address: SocketAddr,
         head: &AnswerHead,
-        headers: &HeaderMap,
+        framing: Framing,
     ) -> Origin {
         Origin {
             endpoint,
@@ -88,7 +87,7 @@
             watch: SilenceWatch::new(),
             idle: head.idle,
             close: head.close,
-            framing: Framing::of(headers),
+            framing,
             events: EventScan::default(),
         }
     }
@@ -141,12 +140,8 @@
             AnswerBody::Whole(body) => return StreamBody::whole(body),
             AnswerBody::Arriving(arriving) => arriving,
         };
-        let origin = Origin::new(
-            answer.endpoint,
-            answer.address,
-            &answer.head,
-            &answer.headers,
-        );
+        let framing = Framing::of(&answer.headers, &arriving.body);
+        let origin = Origin::new(answer.endpoint, answer.address, &answer.head, framing);
         let deadline = Instant::now() + exchange.time_left();
         due.set(Some(deadline));
         let deadline = Box::pin(tokio::time::sleep_until(deadline));
@@ -345,12 +340,8 @@
                 let AnswerBody::Arriving(arriving) = answer.body else {
                     return false;
                 };
-                let origin = Origin::new(
-                    answer.endpoint,
-                    answer.address,
-                    &answer.head,
-                    &answer.headers,
-                );
+                let framing = Framing::of(&answer.headers, &arriving.body);
+                let origin = Origin::new(answer.endpoint, answer.address, &answer.head, framing);
                 self.origin = Some(origin);
                 self.source = Source::Arriving(arriving);
                 true
