Let an owner without room that another owner asked refuse the call

Cause: returned `NotOwner` at two places. The one that its fault needed is where a router that gave up its endpoints would queue the call; the other one, after all candidates were tried, also holds for owners that have endpoints.

The second place refuses again. The test failed before and passes, as do `a_router_that_gave_up_its_endpoints_refuses_no_call` and all others of the crate.

--- a/crates/policy/src/owner/place.rs
+++ b/crates/policy/src/owner/place.rs
@@ -101,7 +101,7 @@
         }
         match (asked, any_open) {
             (0, _) => self.wait_or_refuse(call, candidates, now),
-            (_, true) => Placement::NotOwner,
+            (_, true) => self.refuse(call, RefusalReason::Overload),
             (_, false) => self.refuse(call, RefusalReason::NoEndpoint),
         }
     }
