Use endpoints whose rows lapsed when a copy of the registry lists them

Rows lapse while the registry is away, and their endpoints are used until the rows should be back. If the registry then came back from a copy that lists them, they counted as endpoints that had been gone, and got no requests for 6 s.

Cause: a row that lapsed leaves a tombstone at once, also while its endpoint is still used, and a tombstone of an earlier era made the row of the copy doubtful. Now only an endpoint that is no longer used was gone.

The new test failed before (0 endpoints in place of 1).

--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -429,16 +429,16 @@
         Some(entry.at)
     }
 
-    /// Whether the endpoint of a row from a copy was gone in an earlier era.
+    /// Whether the endpoint of a row from a copy was gone in an earlier era. One whose row lapsed is in
+    /// use until the row should be back, and so is not.
     fn was_gone(&self, id: &str, entry: &EndpointEntry, position: Position, now: Duration) -> bool {
-        let removed = self.tombstones.get(id).is_some_and(|tombstone| {
+        let listed = self.listed.get(id);
+        if let Some(listed) = listed.filter(|listed| !listed.is_lapsed(now)) {
+            return listed.is_doubted(now) && listed.entry.born == entry.born;
+        }
+        self.tombstones.get(id).is_some_and(|tombstone| {
             tombstone.position.era < position.era && entry.born.unwrap_or(0) <= tombstone.born
-        });
-        let doubted = self
-            .listed
-            .get(id)
-            .is_some_and(|listed| listed.is_doubted(now) && listed.entry.born == entry.born);
-        removed || doubted
+        })
     }
 
     fn remove_row(
--- a/crates/edge/tests/roster.rs
+++ b/crates/edge/tests/roster.rs
@@ -351,6 +351,22 @@
     assert_eq!(accepting(&roster, NOW), 1);
 }
 
+/// Guards against endpoints that are in use and get no requests for seconds: their rows lapsed while the
+/// registry was away, and it came back from a copy that lists them before they had written them again.
+#[test]
+fn an_endpoint_whose_row_lapsed_is_used_when_a_copy_lists_it() {
+    let mut roster = roster();
+    roster.apply(rows(90, vec![row("e1", 90, Entry::Removed)]), true, NOW);
+    let soon = NOW + Duration::from_millis(500);
+    let mut late = roster.clone();
+    roster.replace(copy(40, vec![copied(5, entry("e1", false))]), true, soon);
+    assert_eq!(accepting(&roster, soon), 1);
+    // A row that is still missing when it should be back is that of an endpoint that is gone.
+    let lapsed = NOW + Duration::from_secs(3);
+    late.replace(copy(40, vec![copied(5, entry("e1", false))]), true, lapsed);
+    assert_eq!(accepting(&late, lapsed), 0);
+}
+
 /// Guards against a start that is replaced by the one before it, which the copy still lists.
 #[test]
 fn an_earlier_start_does_not_come_back_with_a_copy() {
