Keep endpoints whose rows lapsed while the registry is away again

Callers got 503 for all requests: in an outage of the registry all rows lapsed, and a second outage began before the endpoints had written them again. Their time (1.5 s at a bound of 2 s) passed while they could not write, and no endpoint was left until the registry was back. If it came back from a copy, those that it listed then counted as gone, for 6 s more.

Cause: the time for a lapsed row ran by the clock, whether or not the registry was there. The table's age tells: when it is beyond half of the bound on leaving endpoints, the registry may be away, and the time of rows that no read has shown to be missing after it starts anew. A return from a copy starts it anew as well. The time itself and its test are as before.

--- a/crates/edge/src/peers/rounds.rs
+++ b/crates/edge/src/peers/rounds.rs
@@ -8,6 +8,7 @@
 use crate::registry::Table;
 use crate::relays::{pick_relays, scaled_period};
 use crate::shared::SMALL_FLEET;
+use crate::sync::update_lapses;
 use rand::seq::IteratorRandom;
 use sequoiaridge_core::{DomainId, EndpointId, Event, RouterId};
 use sequoiaridge_log::log;
@@ -47,8 +48,8 @@
 const AGE_SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 
 impl PeerExchange {
-    /// Sends everything that is due: the message of a round to live routers, repairs, events,
-    /// crashes, and keepalives to silent routers.
+    /// Drops what is too old, and sends everything that is due: the message of a round to live
+    /// routers, repairs, events, crashes, and keepalives to silent routers.
     pub(super) fn send_due(&mut self) {
         let now = self.shared.now();
         let interval = self.interval();
@@ -64,6 +65,7 @@
         state.loads.expire(now, timeout);
         state.hot_subjects.expire(now);
         state.loads.rely_on_reports(self.peers.len() >= SMALL_FLEET);
+        update_lapses(&mut state, &self.shared, now);
         drop(state);
         if let Some(datagram) = self.next_round(now, interval) {
             self.round_targets(now, timeout)
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -45,7 +45,7 @@
 struct ListedEndpoint {
     entry: EndpointEntry,
     position: Position,
-    /// When the endpoint is dropped, since its row vanished around an outage of the registry.
+    /// When the endpoint is no longer used, since its row vanished around an outage of the registry.
     lapses_at: Option<Duration>,
     /// Until when the endpoint is not used, since it was gone before the registry came back from a
     /// copy that lists it.
@@ -253,12 +253,25 @@
         }
     }
 
-    /// Drops endpoints whose rows lapsed and did not come back in time.
-    pub fn expire(&mut self, now: Duration) -> Vec<RosterChange> {
+    /// Starts the time for lapsed rows to come back anew, because the registry is away: the endpoints
+    /// cannot write them. `verified_at` is when the table was last known to be complete. Rows that
+    /// were still missing then, although their time was over, stay lapsed.
+    pub fn postpone_lapses(&mut self, verified_at: Duration, now: Duration) {
+        let until = Some(now + self.lapse_time);
+        for listed in self.listed.values_mut() {
+            if listed.lapses_at.is_some() && !listed.is_lapsed(verified_at) {
+                listed.lapses_at = listed.lapses_at.max(until);
+            }
+        }
+    }
+
+    /// Drops endpoints whose rows lapsed and were still missing when their time was over.
+    /// `verified_at` is when the table was last known to be complete.
+    pub fn expire(&mut self, verified_at: Duration) -> Vec<RosterChange> {
         let gone = self
             .listed
             .iter()
-            .filter(|(_, listed)| listed.is_lapsed(now));
+            .filter(|(_, listed)| listed.is_lapsed(verified_at));
         let gone: Vec<EndpointId> = gone.map(|(id, _)| id.clone()).collect();
         for id in &gone {
             self.listed.remove(id);
@@ -462,12 +475,13 @@
         let listed = self.listed.get_mut(&id)?;
         let in_use = !listed.entry.leaving && !listed.is_doubted(now);
         if let Some(lapse) = lapse.filter(|_| in_use) {
-            if listed.lapses_at.is_some() {
+            let is_known = listed.lapses_at.is_some();
+            if is_known && listed.position.era == position.era {
                 return None;
             }
-            listed.lapses_at = Some(now + lapse);
+            listed.lapses_at = listed.lapses_at.max(Some(now + lapse));
             listed.position = position;
-            return Some(RosterChange::Lapsed(id));
+            return (!is_known).then_some(RosterChange::Lapsed(id));
         }
         self.listed.remove(&id);
         Some(RosterChange::Gone(id))
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -22,6 +22,9 @@
 /// then, all routers that may read for it have tried. Rows of endpoints lapse after 3.6 s of
 /// silence.
 const OUTAGE_AGE: Duration = Duration::from_millis(2500);
+/// Age beyond which the registry may be away, as a share of the bound on leaving endpoints: the reader
+/// reads the table at half of it.
+const AWAY_SHARE: f64 = 0.5;
 /// Time after the registry's return in which a row that vanished may only have lapsed.
 const RECOVERY_TIME: Duration = Duration::from_secs(2);
 
@@ -154,6 +157,20 @@
     }
 }
 
+/// Drops endpoints whose rows lapsed and did not come back in time, and gives them more time while the
+/// registry is away again.
+pub(crate) fn update_lapses(state: &mut RoutingState, shared: &Shared, now: Duration) {
+    let Some(age) = state.endpoints.age(now) else {
+        return;
+    };
+    let verified_at = now.saturating_sub(age);
+    if age > shared.settings.leave_bound.mul_f64(AWAY_SHARE) {
+        state.roster.postpone_lapses(verified_at, now);
+    }
+    let gone = state.roster.expire(verified_at);
+    handle_changes(state, shared, gone);
+}
+
 /// Applies endpoints that this router read: the changes after `from`, or the whole table. Returns
 /// the feed for the other routers: the changes since the position that was known before, if there
 /// is one in the same era and they are not too many.
@@ -291,7 +308,7 @@
     let changes = state
         .roster
         .replace_copy(rows, copied_to, after_outage, now);
-    finish_roster(state, shared, changes, now);
+    handle_changes(state, shared, changes);
     if restored {
         let detail = format!(
             "era={} before={} position={to} known={before} source={} listed={listed} lapsing={} doubted={} leaving={}",
@@ -400,7 +417,7 @@
     } else {
         state.roster.apply(rows, after_outage, now)
     };
-    finish_roster(state, shared, changes, now);
+    handle_changes(state, shared, changes);
 }
 
 /// Whether the registry was unreachable a short time ago, so that a row that vanished may only have
@@ -410,17 +427,6 @@
     returned.is_some_and(|returned| now < returned + RECOVERY_TIME)
 }
 
-/// Drops endpoints that lapsed, and handles all changes of the roster.
-fn finish_roster(
-    state: &mut RoutingState,
-    shared: &Shared,
-    mut changes: Vec<RosterChange>,
-    now: Duration,
-) {
-    changes.extend(state.roster.expire(now));
-    handle_changes(state, shared, changes);
-}
-
 /// Logs changes of endpoints and drops state that no longer holds for them.
 fn handle_changes(state: &mut RoutingState, shared: &Shared, changes: Vec<RosterChange>) {
     for change in changes {
--- a/crates/edge/tests/roster.rs
+++ b/crates/edge/tests/roster.rs
@@ -367,6 +367,40 @@
     assert_eq!(accepting(&late, lapsed), 0);
 }
 
+/// Guards against a fleet without endpoints: their rows lapsed in an outage of the registry, and the next
+/// outage began before they had written them again.
+#[test]
+fn an_endpoint_whose_row_lapsed_is_used_while_the_registry_is_away_again() {
+    let after = |ms| NOW + Duration::from_millis(ms);
+    let mut roster = roster();
+    roster.apply(rows(90, vec![row("e1", 90, Entry::Removed)]), true, NOW);
+    // The table was last read before the row's time was over.
+    assert_eq!(accepting(&roster, after(1600)), 0);
+    assert_eq!(roster.expire(after(1400)), []);
+    roster.postpone_lapses(after(1400), after(2400));
+    assert_eq!(accepting(&roster, after(3800)), 1);
+    assert_eq!(accepting(&roster, after(4000)), 0);
+    // A read after that shows that it is gone.
+    roster.postpone_lapses(after(4000), after(5000));
+    assert_eq!(accepting(&roster, after(5000)), 0);
+    let gone = roster.expire(after(4000));
+    assert_eq!(gone, [RosterChange::Gone("e1".to_string())]);
+}
+
+/// Guards against endpoints that are dropped right after a return: their rows lapsed before it, and the
+/// time for writing them again starts anew.
+#[test]
+fn a_return_gives_lapsed_rows_time_to_come_back() {
+    let mut roster = roster();
+    roster.apply(rows(90, vec![row("e1", 90, Entry::Removed)]), true, NOW);
+    let back = NOW + Duration::from_millis(1400);
+    assert_eq!(roster.replace(copy(40, Vec::new()), true, back), []);
+    let again = back + Duration::from_millis(500);
+    assert_eq!(roster.replace(copy(44, Vec::new()), true, again), []);
+    assert_eq!(accepting(&roster, back + Duration::from_millis(2400)), 1);
+    assert_eq!(accepting(&roster, back + Duration::from_millis(2600)), 0);
+}
+
 /// Guards against a start that is replaced by the one before it, which the copy still lists.
 #[test]
 fn an_earlier_start_does_not_come_back_with_a_copy() {
