Test that a router that started in an outage saves held requests

The test lets only the restarted router reach the store, so that it reads.

The test now waits until it is held.

--- a/tests/platform_crashes.rs
+++ b/tests/platform_crashes.rs
@@ -11,7 +11,9 @@
     crash_times, part_crash_times, parts_sent_after, sent_after,
 };
 use support::program::RouterProcess;
+use support::proxy::{Fault, Proxy};
 use support::server::{Behavior, Crash, CrashMode};
+use support::store::Mode;
 use support::{Site, eventually};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sequoiaridge");
@@ -127,6 +129,42 @@
     fleet.assert_held_back();
 }
 
+/// Guards against a held request that nobody saves: the router that reads for the fleet started while
+/// the store was away, and took what the others told it before it joined them for saved.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_started_in_an_outage_saves_held_requests() {
+    let mut fleet = Fleet::start("outage", 1, Duration::from_millis(400)).await;
+    let proxy = Proxy::start(fleet.site.store.address).await;
+    for number in 2..=3 {
+        let name = format!("outage-r{number}");
+        let router = RouterProcess::start(PROGRAM, FOLDER, &name, proxy.address);
+        router.wait_ready().await;
+        fleet.routers.push(router);
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.site.store.set_mode(Mode::Silent);
+    proxy.set_fault(Fault::Reset);
+    fleet.routers[0].kill();
+    fleet.routers[0].restart();
+    let routers = [fleet.routers[1].callers, fleet.routers[2].callers];
+    eventually("the request is held", || async {
+        let first = post(routers[0], TARGET, "x1").await;
+        let second = post(routers[1], TARGET, "x2").await;
+        [first, second]
+            .iter()
+            .all(|answer| answer.as_ref().is_some_and(|answer| answer.status == 503))
+    })
+    .await;
+    // Only the router that has restarted reaches the store.
+    fleet.site.store.set_mode(Mode::Up);
+    let ends = crash_times(&fleet.site.servers, TARGET).len();
+    assert!(ends >= QUARANTINE_STRIKES, "{ends} servers ended");
+    eventually("the held request is saved", || async {
+        fleet.site.store.get("routers", "fleet.crashes").is_some()
+    })
+    .await;
+}
+
 /// Guards against a router that was paused while the others saw the crashes, and against copies of
 /// the request that wait in its socket.
 #[tokio::test(flavor = "multi_thread")]
