Review case 4: a stream goes on at another version while the store is away

Cause: the router compares the version that began a stream with a row that is older than the crash of its endpoint; an endpoint that starts again under its id may run another version. Change: adds a script in which two servers start again with another version within an outage of the store.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,8 +7,8 @@
 
 mod cut_by_stop;
 mod held_up;
+mod joined_versions;
 mod memory;
-mod truncated_by_freeze;
 mod truncated_last_answer;
 
 use std::path::Path;
@@ -27,14 +27,14 @@
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match words[..] {
-        ["server", address, id, log] => {
-            server::run(address.parse().expect("an address"), id, log);
+        ["server", address, id, log, version] => {
+            server::run(address.parse().expect("an address"), id, log, version);
             Outcome::Held
         }
         ["truncated-last-answer", folder] => truncated_last_answer::run(Path::new(folder), trouble),
         ["cut-by-stop", folder] => cut_by_stop::run(Path::new(folder), trouble),
-        ["truncated-by-freeze", folder] => truncated_by_freeze::run(Path::new(folder), trouble),
         ["held-up", folder] => held_up::run(Path::new(folder), trouble),
+        ["joined-versions", folder] => joined_versions::run(Path::new(folder), trouble),
         ["memory", folder] => memory::run(Path::new(folder), trouble),
         _ => {
             eprintln!("usage: review-standins CASE FOLDER");
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -8,7 +8,7 @@
 use std::fs::{File, OpenOptions};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdin, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -23,23 +23,25 @@
 const LATER_PAUSE: Duration = Duration::from_millis(100);
 
 /// The parts of the answer to an attempt: lines for an order, events for a stream.
-pub fn part(attempt: &str, number: usize, streams: bool) -> String {
+pub fn part(attempt: &str, number: usize, streams: bool, version: &str) -> String {
     if streams {
-        format!("id: {number}\ndata: piece {number} of {attempt}\n\n")
+        format!("id: {number}\ndata: piece {number} of {attempt} by {version}\n\n")
     } else {
         format!("line {number} of the confirmation of {attempt}\n")
     }
 }
 
 /// The whole body of the answer to an attempt.
-pub fn whole(attempt: &str, parts: usize, streams: bool) -> String {
+pub fn whole(attempt: &str, parts: usize, streams: bool, version: &str) -> String {
     (1..=parts)
-        .map(|number| part(attempt, number, streams))
+        .map(|number| part(attempt, number, streams, version))
         .collect()
 }
 
 struct Shared {
     id: String,
+    /// Version of its software.
+    version: String,
     log: Mutex<File>,
     leaving: AtomicBool,
     /// Whether long requests are rejected before they are in.
@@ -58,7 +60,7 @@
 }
 
 /// Runs a server until it is killed or its standard input ends.
-pub fn run(address: SocketAddr, id: &str, log: &str) {
+pub fn run(address: SocketAddr, id: &str, log: &str, version: &str) {
     let listener = TcpListener::bind(address).expect("the server's address");
     let log = OpenOptions::new()
         .create(true)
@@ -67,6 +69,7 @@
         .expect("a log");
     let shared = Arc::new(Shared {
         id: id.to_string(),
+        version: version.to_string(),
         log: Mutex::new(log),
         leaving: AtomicBool::new(false),
         early: AtomicBool::new(false),
@@ -243,7 +246,7 @@
         "length" => {
             start += &format!(
                 "Content-Length: {}\r\n",
-                whole(attempt, parts, streams).len()
+                whole(attempt, parts, streams, &shared.version).len()
             )
         }
         "chunks" => start += "Transfer-Encoding: chunked\r\n",
@@ -255,7 +258,7 @@
         if number > first {
             rest(out, pause)?;
         }
-        let text = part(attempt, number, streams);
+        let text = part(attempt, number, streams, &shared.version);
         if framing == "chunks" {
             write!(out, "{:x}\r\n{text}\r\n", text.len())?;
         } else {
@@ -296,40 +299,58 @@
 pub struct Server {
     pub id: String,
     pub address: SocketAddr,
+    version: String,
+    log: PathBuf,
     child: Child,
     control: ChildStdin,
     born: u128,
 }
 
+/// Starts a server process, and waits until it accepts connections.
+fn spawn(id: &str, address: SocketAddr, log: &Path, version: &str) -> (Child, ChildStdin) {
+    let program = std::env::current_exe().expect("this program");
+    let mut child = Command::new(program)
+        .args(["server", &address.to_string(), id])
+        .arg(log)
+        .arg(version)
+        .stdin(Stdio::piped())
+        .spawn()
+        .expect("a server");
+    let control = child.stdin.take().expect("its input");
+    let end = Instant::now() + Duration::from_secs(5);
+    while TcpStream::connect(address).is_err() && Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    (child, control)
+}
+
 impl Server {
     pub fn start(id: &str, address: SocketAddr, log: PathBuf) -> Server {
-        let program = std::env::current_exe().expect("this program");
-        let mut child = Command::new(program)
-            .args(["server", &address.to_string(), id])
-            .arg(&log)
-            .stdin(Stdio::piped())
-            .spawn()
-            .expect("a server");
-        let control = child.stdin.take().expect("its input");
-        let server = Server {
+        let version = "v1".to_string();
+        let (child, control) = spawn(id, address, &log, &version);
+        Server {
             id: id.to_string(),
             address,
+            version,
+            log,
             child,
             control,
             born: wall_ms(),
-        };
-        let end = Instant::now() + Duration::from_secs(5);
-        while TcpStream::connect(address).is_err() && Instant::now() < end {
-            std::thread::sleep(Duration::from_millis(10));
         }
-        server
+    }
+
+    /// Starts the server again after it was killed, under its id and address, with this software.
+    pub fn start_again(&mut self, version: &str) {
+        self.version = version.to_string();
+        (self.child, self.control) = spawn(&self.id, self.address, &self.log, version);
+        self.born = wall_ms();
     }
 
     /// The row that the server writes.
     pub fn row(&self, state: &str, sequence: u64) -> String {
         format!(
-            r#"{{"service":"app","address":"{}","zone":"zapopan","version":"v1","slots":{SLOTS},"state":"{state}","cold_remaining_ms":0,"sequence":{sequence},"born":{}}}"#,
-            self.address, self.born
+            r#"{{"service":"app","address":"{}","zone":"zapopan","version":"{}","slots":{SLOTS},"state":"{state}","cold_remaining_ms":0,"sequence":{sequence},"born":{}}}"#,
+            self.address, self.version, self.born
         )
     }
 
--- a/review/standins/src/truncated_last_answer.rs
+++ b/review/standins/src/truncated_last_answer.rs
@@ -69,7 +69,7 @@
         let Ok(Ok(answer)) = client.join() else {
             return Outcome::CouldNotRun;
         };
-        let body = whole(&attempt, LINES, false);
+        let body = whole(&attempt, LINES, false, "v1");
         let lines = answer.body.iter().filter(|byte| **byte == b'\n').count();
         record.note(&format!(
             "client got {attempt}: {} lines={lines} of {LINES}",
