Review case 1: half of an answer passes as whole after a server starts again

Cause: the router takes an answer without a length as whole if its server's address accepts a connection once the channel has ended. A server that was cut off, crashed behind the cut and started again before it healed accepts one, too.

Change: a script with a proxy in front of each server.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,12 +3,14 @@
 mod fleet;
 mod guard;
 mod http;
+mod proxy;
 mod server;
 mod store;
 
 mod cut_by_stop;
 mod held_up;
 mod joined_versions;
+mod reborn_behind_cut;
 mod truncated_last_answer;
 
 use std::path::Path;
@@ -37,6 +39,7 @@
         }
         ["truncated-last-answer", folder] => truncated_last_answer::run(Path::new(folder), trouble),
         ["cut-by-stop", folder] => cut_by_stop::run(Path::new(folder), trouble),
+        ["reborn-behind-cut", folder] => reborn_behind_cut::run(Path::new(folder), trouble),
         ["held-up", folder] => held_up::run(Path::new(folder), trouble),
         ["joined-versions", folder] => joined_versions::run(Path::new(folder), trouble),
         _ => {
