--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -10,6 +10,7 @@
 mod cut_by_stop;
 mod held_up;
 mod joined_versions;
+mod odd_row;
 mod reborn_behind_cut;
 mod truncated_last_answer;
 
@@ -40,6 +41,7 @@
         ["truncated-last-answer", folder] => truncated_last_answer::run(Path::new(folder), trouble),
         ["cut-by-stop", folder] => cut_by_stop::run(Path::new(folder), trouble),
         ["reborn-behind-cut", folder] => reborn_behind_cut::run(Path::new(folder), trouble),
+        ["odd-row", folder] => odd_row::run(Path::new(folder), trouble),
         ["held-up", folder] => held_up::run(Path::new(folder), trouble),
         ["joined-versions", folder] => joined_versions::run(Path::new(folder), trouble),
         _ => {
