Refuse calls whose deadline lies beyond the drain limit

Callers of the product's own interface saw calls cut by a planned stop right after they had been accepted: a draining router took every call for 5 s, whatever drain.limit and the class deadline were. Such a call is now refused as not run while the router drains, so that the caller turns to another router.

a_call_that_may_outlast_the_drain_is_refused_at_once failed on (the call was accepted, and its connection broke at the limit) and passes now.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use sequoiaridge_core::{Refusal, RefusalReason, Verdict};
 use sequoiaridge_http::{BodyError, BodySender, BodyStream, Handler, Reply, ReplyFuture, Request};
+use sequoiaridge_policy::ClassPolicy;
 use sequoiaridge_store::KeyStatus;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -108,7 +109,13 @@
     }
     let config = shared.config.current();
     let config = config.ok_or_else(|| Refusal::not_run(RefusalReason::NotReady, RETRY_AFTER))?;
-    Call::parse(request, &config, &shared.token_index)
+    let call = Call::parse(request, &config, &shared.token_index)?;
+    let deadline = shared.now() + ClassPolicy::from_targets(&call.targets).deadline;
+    if shared.drain_end.get().is_some_and(|end| deadline > *end) {
+        // The drain could cut the call, while another router can serve it.
+        return refuse(RefusalReason::Draining);
+    }
+    Ok(call)
 }
 
 /// Checks the claim of a call with an idempotency key that was refused as "not run". The call may
--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -28,6 +28,10 @@
 /// Announces that this router leaves, transfers the chat index, and waits for the calls in flight
 /// to end, at most until the drain limit.
 pub(crate) async fn drain(shared: &Arc<Shared>) -> DrainOutcome {
+    // Calls that arrive from the change of phase on are compared with the end of the drain.
+    let end = *shared
+        .drain_end
+        .get_or_init(|| shared.now() + shared.settings.drain.limit);
     shared.advance(Phase::Draining);
     event::log(Event::DrainStarted, "");
     let outgoing = lock(&shared.detector).leave(shared.now());
@@ -37,7 +41,6 @@
     refresh::refresh(shared);
     push_chat_index(shared).await;
     let start = shared.now();
-    let end = start + shared.settings.drain.limit;
     let mut idle_since = start;
     loop {
         let left = in_flight(shared);
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -24,7 +24,7 @@
 use sequoiaridge_wire::{LinkPool, Opener, PeerKeys, Sealer};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::{oneshot, watch};
@@ -84,6 +84,8 @@
     /// Whether a draining router refuses new calls. It accepts them until this is set, because the
     /// load balancer needs some time to send them elsewhere.
     pub(crate) refuses_calls: AtomicBool,
+    /// Time at which a drain ends and cuts what is in flight; set when it starts.
+    pub(crate) drain_end: OnceLock<Duration>,
     /// Set when the view is to be refreshed in the next maintenance round.
     pub(crate) view_stale: AtomicBool,
     pub(crate) last_refresh: Mutex<LastRefresh>,
@@ -175,6 +177,7 @@
             phase: watch::Sender::new(Phase::Starting),
             isolated: AtomicBool::new(false),
             refuses_calls: AtomicBool::new(false),
+            drain_end: OnceLock::new(),
             view_stale: AtomicBool::new(true),
             last_refresh: Mutex::default(),
             listed_endpoints: Mutex::default(),
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -99,3 +99,34 @@
     assert_eq!(fleet.routers[0].wait().code(), Some(3));
     call.abort();
 }
+
+/// Guards against calls that a draining router accepts and cuts at the drain limit, which comes before
+/// the deadline of their class.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_may_outlast_the_drain_is_refused_at_once() {
+    let mut fleet = Fleet::start_with(2, 1, 0, "drain: {limit: 5}\n").await;
+    fleet.engine(0).slow(Duration::from_secs(10)).await.unwrap();
+    let call = fleet.spawn_chat(0, "slow", true);
+    support::eventually("the call runs", || async {
+        let counters = fleet.engine(0).counters().await;
+        counters.is_ok_and(|counters| counters.running > 0)
+    })
+    .await;
+    fleet.routers[0].signal("TERM");
+    let operators = fleet.routers[0].address("operators");
+    support::eventually("readiness falls", || async {
+        let reply = fleet
+            .operator
+            .send(operators, Method::GET, "/ready", &[], "")
+            .await;
+        reply.is_ok_and(|reply| reply.status == 503)
+    })
+    .await;
+    let late = fleet
+        .caller
+        .chat(fleet.caller_address(0), "late", &["Scale it."], true)
+        .await;
+    late.assert_refused(503, "draining");
+    assert_eq!(fleet.routers[0].wait().code(), Some(3));
+    call.abort();
+}
