Accept only requests that can end before a draining router does

Requests whose body came late in the grace period, or never, and requests that ran longer than it got no answer either.

Cause: two constants, 2.7 s after SIGTERM for streams and 2 s before the end of the grace period for all else, decided at the head of a request. Neither knew how long the request may take, and nothing asked again when it was sent on after a wait.

Now the time limit of the request, the smaller of its caller's and its route's, has to pass before the process ends. While the load balancer may still send callers here, requests with a later limit are accepted if those of their route usually end in time. The question is asked before each send. The wait for a body is bounded by the caller's limit, too.

Ruled out: the margin of 0.4 s before the end of the grace period, and closed idle connections.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -74,6 +74,13 @@
     pub prompt: Option<Prompt>,
 }
 
+impl Call {
+    /// Time within which the request must be answered on a route with this timeout.
+    pub fn time_limit(&self, timeout: Duration) -> Duration {
+        self.deadline.map_or(timeout, |wait| wait.min(timeout))
+    }
+}
+
 /// Load that an endpoint reports with an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EndpointLoad {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -58,6 +58,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) started: Duration,
+    /// Time on the router's clock by which the answer must be complete.
+    pub(crate) deadline: Duration,
     /// Attempts sent to endpoints.
     pub(crate) sent: u32,
     /// Endpoints that are not tried again.
@@ -90,18 +92,11 @@
 }
 
 impl Exchange {
-    /// Time on the router's clock by which the answer must be complete.
-    pub(crate) fn deadline(&self) -> Duration {
-        let wait = self
-            .call
-            .deadline
-            .map_or(self.route.timeout, |wait| wait.min(self.route.timeout));
-        self.started + wait
-    }
-
-    /// Time left until the deadline.
+    /// Time left until the deadline or, if that is sooner, until a draining router gives its last answers.
     pub(crate) fn time_left(&self) -> Duration {
-        self.deadline().saturating_sub(self.shared.now())
+        let last = self.shared.drain().map(|drain| drain.last_answer());
+        let end = last.map_or(self.deadline, |last| last.min(self.deadline));
+        end.saturating_sub(self.shared.now())
     }
 
     /// Sends the request to one endpoint after another until one answers or no retry is allowed.
@@ -117,6 +112,10 @@
             if self.time_left().is_zero() {
                 return self.give_up(fallback, RefusalReason::Deadline);
             }
+            // The body, or an earlier attempt, may have taken long. What was begun goes on.
+            if !self.begun && !self.shared.accepts(&self.route, self.deadline) {
+                return self.give_up(fallback, RefusalReason::Draining);
+            }
             let placed = match self.select_endpoint() {
                 Ok(placed) => placed,
                 Err(RefusalReason::Quarantined) => {
@@ -125,15 +124,9 @@
                 Err(reason) => return self.give_up(fallback, last.unwrap_or(reason)),
             };
             let entry = placed.entry.clone();
-            let outcome = match confirm_by {
-                None => self.attempt(placed).await,
-                Some(by) => {
-                    let time = by.saturating_sub(self.shared.now());
-                    match tokio::time::timeout(time, self.attempt(placed)).await {
-                        Ok(outcome) => outcome,
-                        Err(_) => return self.give_up(fallback, RefusalReason::EndpointSilent),
-                    }
-                }
+            let outcome = match self.attempt_until(placed, confirm_by).await {
+                Ok(outcome) => outcome,
+                Err(reason) => return self.give_up(fallback, reason),
             };
             let (reason, retry) = match outcome {
                 Outcome::Answer(answer) => {
@@ -277,6 +270,35 @@
         block.map_or(Duration::ZERO, |block| block.retry_after)
     }
 
+    /// Sends the request to one endpoint. Stops at `end`, if there is one, and when a draining router
+    /// gives up what is in flight.
+    ///
+    /// # Errors
+    ///
+    /// The attempt did not end in time; the request may have run if it was sent.
+    async fn attempt_until(
+        &mut self,
+        placed: Placed,
+        end: Option<Duration>,
+    ) -> Result<Outcome, RefusalReason> {
+        let (shared, sent) = (self.shared.clone(), self.sent);
+        let time = end.map(|end| end.saturating_sub(shared.now()));
+        let expired = async move {
+            match time {
+                Some(time) => tokio::time::sleep(time).await,
+                None => std::future::pending().await,
+            }
+        };
+        let reason = tokio::select! {
+            biased;
+            outcome = self.attempt(placed) => return Ok(outcome),
+            () = expired => RefusalReason::EndpointSilent,
+            () = shared.given_up() => RefusalReason::Draining,
+        };
+        self.may_have_run |= self.sent > sent;
+        Err(reason)
+    }
+
     /// Sends the request to one endpoint.
     async fn attempt(&mut self, mut placed: Placed) -> Outcome {
         let entry = &placed.entry;
--- a/crates/edge/src/exchange_reports.rs
+++ b/crates/edge/src/exchange_reports.rs
@@ -25,6 +25,14 @@
         }
     }
 
+    /// Records how long the request took, for what a draining router accepts.
+    pub(crate) fn record_time(&self) {
+        let now = self.shared.now();
+        let time = now.saturating_sub(self.started);
+        let mut state = self.shared.lock_state();
+        state.run_times.record(&self.route.name, time, now);
+    }
+
     /// Reports an endpoint that cannot be reached, which is then avoided for a while.
     pub(crate) fn report_unreachable(&self, entry: &EndpointEntry) {
         endpoint_unreachable(&self.shared, &self.call.attempt, &entry.id, &entry.boot());
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -6,7 +6,7 @@
 use crate::manifest::{CallerLimits, Route, SoftwareVersion};
 use crate::routes::RouteTable;
 use crate::shared::{InFlight, Shared};
-use crate::started_answer::StartedAnswer;
+use crate::started_answer::{AnswerBody, StartedAnswer};
 use crate::stream_body::StreamBody;
 use crate::take_up::beginning;
 use bytes::{Bytes, BytesMut};
@@ -23,11 +23,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time after SIGTERM during which streams are accepted. Most of them end within the rest of the grace
-/// period, which is several times as long.
-const DRAIN_STREAM_TIME: Duration = Duration::from_millis(2700);
-/// Time before the end of the grace period from which on requests without a stream are refused.
-const DRAIN_REQUEST_MARGIN: Duration = Duration::from_millis(2000);
 /// Longest time for which a request waits for the first configuration after a router's start. The registry
 /// answers within milliseconds.
 const MAX_START_WAIT: Duration = Duration::from_millis(250);
@@ -61,7 +56,7 @@
     if !shared.is_draining() {
         shared.wait_ready(MAX_START_WAIT).await;
     }
-    let admitted = admit_call(&shared, &call);
+    let admitted = admit_call(&shared, &call, started);
     let (route, customer, priority, limits) = match admitted {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(&shared, Some(&call), &refusal, started),
@@ -71,7 +66,13 @@
         let refusal = Refusal::not_run(RefusalReason::Overload, OTHER_ROUTER_RETRY_AFTER);
         return refuse(&shared, Some(&call), &refusal, started);
     };
-    let body = match collect_body(body, limits.body, route.timeout).await {
+    let deadline = started + call.time_limit(route.timeout);
+    let time_left = deadline.saturating_sub(shared.now());
+    let body = tokio::select! {
+        body = collect_body(body, limits.body, time_left) => body,
+        () = shared.given_up() => Err(RefusalReason::Draining),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(reason) => {
             let refusal = Refusal::not_run(reason, Duration::ZERO);
@@ -104,6 +105,7 @@
         headers: parts.headers,
         body,
         started,
+        deadline,
         sent: 0,
         tried: Vec::new(),
         may_have_run: false,
@@ -122,14 +124,19 @@
     };
     match answer {
         Ok(answer) => forward_answer(&shared, exchange, answer, due),
-        Err(refusal) => refuse(&shared, Some(&exchange.call), &refusal, started),
+        Err(refusal) => {
+            if refusal.verdict == Verdict::MayHaveRun {
+                exchange.record_time();
+            }
+            refuse(&shared, Some(&exchange.call), &refusal, started)
+        }
     }
 }
 
 type Admitted = (Arc<Route>, Option<CustomerId>, u8, CallerLimits);
 
 /// Selects the route, checks the API key, and refuses requests that a draining router no longer takes.
-fn admit_call(shared: &Shared, call: &Call) -> Result<Admitted, Refusal> {
+fn admit_call(shared: &Shared, call: &Call, started: Duration) -> Result<Admitted, Refusal> {
     let routes = shared.lock_state().routes.clone();
     let Some(routes) = routes else {
         return Err(Refusal::not_run(
@@ -144,7 +151,7 @@
         ));
     };
     let (customer, priority) = customer(&routes, route, call)?;
-    if !accepts_route(shared, route) {
+    if !shared.accepts(route, started + call.time_limit(route.timeout)) {
         return Err(Refusal::not_run(
             RefusalReason::Draining,
             OTHER_ROUTER_RETRY_AFTER,
@@ -158,20 +165,6 @@
     ))
 }
 
-/// Whether the router accepts requests of a route. A draining router accepts only those that are likely to
-/// end before it does.
-fn accepts_route(shared: &Shared, route: &Route) -> bool {
-    let Some(start) = shared.drain_start() else {
-        return true;
-    };
-    let last = if route.kind.streams() {
-        DRAIN_STREAM_TIME
-    } else {
-        shared.settings.grace.saturating_sub(DRAIN_REQUEST_MARGIN)
-    };
-    shared.now() < start + last
-}
-
 fn customer(
     routes: &RouteTable,
     route: &Route,
@@ -267,6 +260,9 @@
     let status = answer.status;
     let elapsed = shared.now().saturating_sub(exchange.started);
     shared.metrics.answered(status.as_u16(), elapsed);
+    if matches!(answer.body, AnswerBody::Whole(_)) {
+        exchange.record_time();
+    }
     log_request(
         Event::CallAnswered,
         &exchange.call.attempt,
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -40,8 +40,6 @@
 const CLOSE_IDLE_DELAY: Duration = Duration::from_millis(3200);
 /// Time without a request in flight after which a drain ends, once the load balancer has stopped.
 const DRAIN_QUIET_TIME: Duration = Duration::from_millis(500);
-/// Margin between the latest end of a drain and the end of the grace period.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Interval between checks of a drain, and between removals of expired state.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(500);
@@ -97,40 +95,46 @@
         &self.shared.settings
     }
 
-    /// Drains the router: it reports that it is not ready, still serves requests that arrive, and makes
-    /// callers close their connections. Returns once nothing is in flight or the grace period is nearly
-    /// over, with the number of requests that are cut off.
+    /// Drains the router: it reports that it is not ready, still serves requests that end in time, and
+    /// makes callers close their connections. Returns once nothing is in flight or the grace period is
+    /// nearly over, with the number of requests that were given up.
     pub async fn drain(&self) -> usize {
         let shared = &self.shared;
-        shared.drain();
+        let drain = shared.start_drain();
         log(
             Event::DrainStarted,
             &format!("in_flight={}", shared.in_flight()),
         );
-        let start = shared.now();
-        let end = start + shared.settings.grace.saturating_sub(STOP_MARGIN);
+        let start = drain.start();
         let mut busy = start;
-        loop {
+        while shared.now() < drain.last_answer() {
             let now = shared.now();
-            let left = shared.in_flight();
-            if left > 0 {
+            if shared.in_flight() > 0 {
                 busy = now;
             }
             if now >= start + CLOSE_IDLE_DELAY {
                 shared.close_idle();
             }
-            let quiet = now >= start + BALANCER_DELAY && now >= busy + DRAIN_QUIET_TIME;
-            if quiet || now >= end {
-                let event = if left == 0 {
-                    Event::DrainFinished
-                } else {
-                    Event::DrainLimit
-                };
-                log(event, &format!("cut={left}"));
-                return left;
+            if now >= start + BALANCER_DELAY && now >= busy + DRAIN_QUIET_TIME {
+                log(Event::DrainFinished, "cut=0");
+                return 0;
             }
-            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+            let left = drain.last_answer().saturating_sub(now);
+            tokio::time::sleep(left.min(DRAIN_CHECK_INTERVAL)).await;
         }
+        let cut = shared.in_flight();
+        shared.give_up();
+        while shared.now() < drain.end() {
+            let left = drain.end().saturating_sub(shared.now());
+            tokio::time::sleep(left).await;
+        }
+        let event = if cut == 0 {
+            Event::DrainFinished
+        } else {
+            Event::DrainLimit
+        };
+        log(event, &format!("cut={cut}"));
+        cut
     }
 }
 
@@ -267,6 +271,7 @@
         state.streams.expire(now);
         state.terminations.expire(now);
         state.departures.expire(now);
+        state.run_times.expire(now);
         if state.endpoints.revision().is_some() {
             note_versions(&mut state, now);
         }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -2,12 +2,13 @@
 
 use crate::cache_map::CacheMap;
 use crate::departures::Departures;
+use crate::drain::{Drain, DrainRequest};
 use crate::feed::Feed;
 use crate::follower::{Follower, Revision};
 use crate::health::Health;
 use crate::hot_subjects::HotSubjects;
 use crate::load::Loads;
-use crate::manifest::SoftwareVersion;
+use crate::manifest::{Route, SoftwareVersion};
 use crate::metrics::Metrics;
 use crate::open_runs::OpenRuns;
 use crate::peer_message::Outbox;
@@ -17,6 +18,7 @@
 use crate::retry_window::RetryWindow;
 use crate::roster::Roster;
 use crate::routes::RouteTable;
+use crate::run_times::RunTimes;
 use crate::schedule::ReaderRank;
 use crate::settings::EdgeSettings;
 use crate::stream_news::StreamNews;
@@ -80,6 +82,7 @@
     pub(crate) rests: Rests,
     pub(crate) departures: Departures,
     pub(crate) open_runs: OpenRuns,
+    pub(crate) run_times: RunTimes,
     /// Versions that began the streams of late.
     pub(crate) streams: StreamVersions,
     /// Streams that other routers are to be told of.
@@ -183,8 +186,10 @@
     pub(crate) metrics: Metrics,
     pub(crate) pool: ConnectionPool,
     state: Mutex<RoutingState>,
-    /// When the drain started.
-    draining: OnceLock<Duration>,
+    /// The planned stop, once it has started.
+    drain: OnceLock<Drain>,
+    /// Whether requests in flight are to be given up, because the process is about to end.
+    giving_up: watch::Sender<bool>,
     /// Whether a configuration and the endpoints were read and the router became ready.
     ready: watch::Sender<bool>,
     /// Whether idle connections of callers are to be closed.
@@ -259,6 +264,7 @@
                 rests: Rests::new(),
                 departures: Departures::new(),
                 open_runs: OpenRuns::default(),
+                run_times: RunTimes::new(),
                 streams: StreamVersions::default(),
                 stream_news: StreamNews::default(),
                 asked_streams: BTreeSet::new(),
@@ -266,7 +272,8 @@
                 stream_keepers: 0,
                 keeps_streams: false,
             }),
-            draining: OnceLock::new(),
+            drain: OnceLock::new(),
+            giving_up: watch::Sender::new(false),
             ready: watch::Sender::new(false),
             closing: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
@@ -400,18 +407,46 @@
     }
 
     /// Starts the drain.
-    pub(crate) fn drain(&self) {
-        self.draining.get_or_init(|| self.clock.now());
+    pub(crate) fn start_drain(&self) -> Drain {
+        let start = || Drain::new(self.clock.now(), self.settings.grace);
+        *self.drain.get_or_init(start)
     }
 
     /// Whether the router is draining.
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.get().is_some()
+        self.drain.get().is_some()
     }
 
-    /// When the drain started.
-    pub(crate) fn drain_start(&self) -> Option<Duration> {
-        self.draining.get().copied()
+    /// The planned stop, once it has started.
+    pub(crate) fn drain(&self) -> Option<Drain> {
+        self.drain.get().copied()
+    }
+
+    /// Whether a request of a route that must be answered by `deadline` may be sent to an endpoint. A
+    /// draining router sends only those that are likely to end before it does.
+    pub(crate) fn accepts(&self, route: &Route, deadline: Duration) -> bool {
+        let Some(drain) = self.drain() else {
+            return true;
+        };
+        let now = self.now();
+        let request = DrainRequest {
+            deadline,
+            usual: self.lock_state().run_times.usual(&route.name, now),
+            repeatable: route.kind.repeatable(),
+        };
+        drain.accepts(&request, now)
+    }
+
+    /// Makes all requests in flight end, because the process is about to.
+    pub(crate) fn give_up(&self) {
+        self.giving_up.send_replace(true);
+    }
+
+    /// Completes once requests in flight are to be given up.
+    pub(crate) async fn given_up(&self) {
+        let mut giving_up = self.giving_up.subscribe();
+        // This value owns the sender, so the wait ends only with the change.
+        let _ = giving_up.wait_for(|giving_up| *giving_up).await;
     }
 
     /// Makes all tasks close the idle connections of callers.
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -260,6 +260,7 @@
             exchange.report_success();
         }
         exchange.record_end();
+        exchange.record_time();
         log_request(
             Event::CallEnded,
             &exchange.call.attempt,
