Reserve the bytes of a request's body as it arrives

What callers saw: 80 uploads of 4 MB in chunks take a router beyond the memory of its instance, and the platform ends the process with the requests of all others.

Cause: a body without a length was counted as 64 KiB, whatever it held.

Its bytes are now reserved as they arrive. A body of known length is reserved before it is read, as before.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -4,7 +4,7 @@
 use crate::call::{AnswerHead, Attempt, Call, Prompt};
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName, SoftwareVersion};
 use crate::selection::Placed;
-use crate::shared::{BodyReservation, InFlight, Shared};
+use crate::shared::{InFlight, Shared};
 use crate::started_answer::{AnswerBody, ArrivingBody, Framing, LoadGuard, StartedAnswer};
 use crate::stream_versions::StreamId;
 use crate::terminations::Loss;
@@ -77,7 +77,6 @@
     pub(crate) tried_version: SoftwareVersion,
     /// Whether an event of the stream was passed on.
     pub(crate) begun: bool,
-    pub(crate) _reservation: BodyReservation,
     pub(crate) _in_flight: InFlight,
 }
 
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Requests from callers, up to the head of the answer: admission, body, and refusals.
 
 use crate::answer_deadline::AnswerDeadline;
+use crate::byte_budget::HeldBody;
 use crate::call::{Call, Prompt};
 use crate::exchange::Exchange;
 use crate::manifest::{CallerLimits, Route, SoftwareVersion};
@@ -9,7 +10,7 @@
 use crate::started_answer::{AnswerBody, StartedAnswer};
 use crate::stream_body::StreamBody;
 use crate::take_up::beginning;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
@@ -61,22 +62,23 @@
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(&shared, Some(&call), &refusal, started),
     };
-    let reservation = shared.reserve_body(body_bytes(&parts, &body));
-    let Some(reservation) = reservation else {
-        let refusal = Refusal::not_run(RefusalReason::Overload, OTHER_ROUTER_RETRY_AFTER);
-        return refuse(&shared, Some(&call), &refusal, started);
-    };
     let deadline = started + call.time_limit(route.timeout);
     let time_left = deadline.saturating_sub(shared.now());
     let body = tokio::select! {
-        body = collect_body(body, limits.body, time_left) => body,
+        body = collect_body(&shared, body, limits.body, time_left) => body,
         () = shared.given_up() => Err(RefusalReason::Draining),
     };
     let body = match body {
         Ok(body) => body,
         Err(reason) => {
-            let refusal = Refusal::not_run(reason, Duration::ZERO);
-            return refuse(&shared, Some(&call), &refusal, started);
+            let retry_after = match reason {
+                RefusalReason::Overload | RefusalReason::Draining => OTHER_ROUTER_RETRY_AFTER,
+                _ => Duration::ZERO,
+            };
+            let refusal = Refusal::not_run(reason, retry_after);
+            let mut response = refuse(&shared, Some(&call), &refusal, started);
+            set_close(&mut response);
+            return response;
         }
     };
     // All requests for one stream go to the service that began it.
@@ -115,7 +117,6 @@
         version: None,
         tried_version: SoftwareVersion::new(),
         begun: false,
-        _reservation: reservation,
         _in_flight: in_flight,
     });
     let answer = match exchange.find_version().await {
@@ -208,29 +209,25 @@
         .collect()
 }
 
-/// Estimated size of a body in bytes; one without a known length counts as the usual size of such bodies.
-fn body_bytes(parts: &Parts, body: &Incoming) -> usize {
-    const ASSUMED_BYTES: u64 = 64 * 1024;
-    let hint = body.size_hint();
-    let bytes = match hint.exact() {
-        Some(exact) => exact,
-        None if parts.headers.contains_key(header::TRANSFER_ENCODING) => ASSUMED_BYTES,
-        None => hint.lower(),
-    };
-    usize::try_from(bytes).unwrap_or(usize::MAX)
-}
-
-/// Reads a whole body of at most `limit` bytes within `time`.
+/// Reads a whole body of at most `limit` bytes within `time`. The bytes of a body of known length are
+/// reserved before it is read.
 async fn collect_body(
+    shared: &Shared,
     mut body: Incoming,
     limit: usize,
     time: Duration,
 ) -> Result<Bytes, RefusalReason> {
-    if body.size_hint().lower() > limit as u64 {
+    let hint = body.size_hint();
+    if hint.lower() > limit as u64 {
         return Err(RefusalReason::TooLarge);
     }
+    let known = hint.exact().and_then(|exact| usize::try_from(exact).ok());
+    let reservation = match known {
+        Some(bytes) => shared.bytes.reserve(bytes).ok_or(RefusalReason::Overload)?,
+        None => shared.bytes.reservation(),
+    };
     let read = async {
-        let mut whole = BytesMut::new();
+        let mut whole = HeldBody::new(reservation);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| RefusalReason::BadRequest)?;
             let Ok(data) = frame.into_data() else {
@@ -239,10 +236,9 @@
             if whole.len() + data.len() > limit {
                 return Err(RefusalReason::TooLarge);
             }
-            if whole.is_empty() && body.is_end_stream() {
-                return Ok(data);
+            if !whole.extend(&data) {
+                return Err(RefusalReason::Overload);
             }
-            whole.extend_from_slice(&data);
         }
         Ok(whole.freeze())
     };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod answer_deadline;
 mod answer_end;
 mod bounded_io;
+mod byte_budget;
 mod cache_map;
 mod call;
 mod crash_sync;
@@ -82,6 +83,7 @@
 mod whole_body;
 
 pub use answer_end::{AnswerEnd, EndEvidence};
+pub use byte_budget::{ByteBudget, Reservation};
 pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
 pub use call::{AnswerHead, Attempt, AttemptId, Call, EndpointLoad, Part, PartId, Prompt};
 pub use crash_sync::CrashSync;
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of one router share.
 
+use crate::byte_budget::ByteBudget;
 use crate::cache_map::CacheMap;
 use crate::departures::Departures;
 use crate::drain::{Drain, DrainRequest};
@@ -52,8 +53,8 @@
 /// full state to every other one ten times a second; in larger ones such messages cost more than they are
 /// worth.
 pub(crate) const SMALL_FLEET: usize = 24;
-/// Request bodies may take one part in this many of the memory, which is a quarter. The rest is for
-/// connection buffers and everything else.
+/// Bodies of requests and answers may take one part in this many of the memory. The rest is for connection
+/// buffers and everything else.
 const BODY_MEMORY_DIVISOR: usize = 4;
 /// Largest number of requests and parts that the quarantine tracks.
 const MAX_SUSPECTS: usize = 4096;
@@ -185,6 +186,8 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) metrics: Metrics,
     pub(crate) pool: ConnectionPool,
+    /// Bytes that bodies may take.
+    pub(crate) bytes: ByteBudget,
     state: Mutex<RoutingState>,
     /// The planned stop, once it has started.
     drain: OnceLock<Drain>,
@@ -195,8 +198,6 @@
     /// Whether idle connections of callers are to be closed.
     closing: watch::Sender<bool>,
     in_flight: AtomicUsize,
-    /// Bytes reserved for request bodies.
-    reserved_bytes: AtomicUsize,
     incarnation: u64,
     hints: BTreeMap<Table, Notify>,
     feeds: mpsc::UnboundedSender<Option<Feed>>,
@@ -242,6 +243,9 @@
             dialect,
             metrics: Metrics::new(),
             pool: ConnectionPool::default(),
+            bytes: ByteBudget::new(
+                usize::try_from(settings.memory).unwrap_or(usize::MAX) / BODY_MEMORY_DIVISOR,
+            ),
             state: Mutex::new(RoutingState {
                 routes: None,
                 roster: Roster::with_bound(settings.leave_bound),
@@ -277,7 +281,6 @@
             ready: watch::Sender::new(false),
             closing: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
-            reserved_bytes: AtomicUsize::new(0),
             settings,
         }
     }
@@ -459,38 +462,12 @@
         self.closing.subscribe()
     }
 
-    /// Reserves memory for the body of a request; `None` if request bodies already take too much.
-    pub(crate) fn reserve_body(self: &Arc<Self>, bytes: usize) -> Option<BodyReservation> {
-        let max_bytes =
-            usize::try_from(self.settings.memory).unwrap_or(usize::MAX) / BODY_MEMORY_DIVISOR;
-        let reserved_bytes = self.reserved_bytes.fetch_add(bytes, Ordering::Relaxed);
-        let reserved = BodyReservation {
-            shared: self.clone(),
-            bytes,
-        };
-        (reserved_bytes + bytes <= max_bytes).then_some(reserved)
-    }
-
     /// Number of requests without a complete answer.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
     }
 }
 
-/// Memory reserved for the body of a request, until it is dropped.
-pub(crate) struct BodyReservation {
-    shared: Arc<Shared>,
-    bytes: usize,
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        self.shared
-            .reserved_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// Counts one request as in flight until it is dropped.
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
--- a/tests/platform_endless.rs
+++ b/tests/platform_endless.rs
@@ -7,7 +7,7 @@
 use support::client::{Caller, post};
 use support::program::RouterProcess;
 use support::server::{Behavior, Endless};
-use support::{Site, eventually};
+use support::{HOST, KEY, Site, config, eventually};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sequoiaridge");
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
@@ -130,3 +130,57 @@
     let memory = router.peak_memory();
     assert!(memory < MEMORY_LIMIT, "{} MB", memory >> 20);
 }
+
+/// Guards against uploads without a length that take the memory of a router together: each of them is within
+/// the limit on bodies. The requests of others on open connections would end with the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn uploads_in_chunks_stay_within_the_memory() {
+    const UPLOADS: usize = 80;
+    const LENGTH: usize = 4_000_000;
+    let site = Site::start(8).await;
+    let config =
+        config(2, "/read/").replace(r#""max_body_bytes":100000"#, r#""max_body_bytes":4194304"#);
+    site.store.put("op", "config", &config);
+    for server in &site.servers {
+        server.set_behaviors(&[Behavior::Slow(Duration::from_millis(500))]);
+    }
+    let router = RouterProcess::start(PROGRAM, FOLDER, "uploads", site.store.address);
+    router.wait_ready().await;
+    let mut uploads = Vec::new();
+    for number in 0..UPLOADS {
+        let callers = router.callers;
+        uploads.push(tokio::spawn(async move {
+            let mut caller = Caller::connect(callers).await?;
+            let head = format!(
+                "POST /order/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: u{number}\r\n\
+                 X-Api-Key: {KEY}\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            caller.send_raw(&head).await?;
+            let chunk = format!("{:x}\r\n{}\r\n", 32_000, "x".repeat(32_000));
+            for _ in 0..LENGTH / 32_000 {
+                // A router that refuses the upload closes the connection.
+                if caller.send_raw(&chunk).await.is_none() {
+                    break;
+                }
+            }
+            let _ = caller.send_raw("0\r\n\r\n").await;
+            caller.answer().await
+        }));
+    }
+    let mut statuses = Vec::new();
+    for upload in uploads {
+        let answer = upload.await.expect("a task");
+        statuses.push(answer.map(|answer| answer.status));
+    }
+    let memory = router.peak_memory();
+    assert!(memory < MEMORY_LIMIT, "{} MB", memory >> 20);
+    let served = statuses.iter().filter(|status| **status == Some(200));
+    assert!(served.count() >= 8, "{statuses:?}");
+    let answer = post(router.callers, "/order/1", "after").await;
+    assert_eq!(answer.map(|answer| answer.status), Some(200));
+    for number in 0..UPLOADS {
+        let runs = site.runs_of(&format!("u{number}"));
+        let was_refused = statuses[number] == Some(503);
+        assert!(!was_refused || runs == 0, "u{number} ran and was refused");
+    }
+}
