Bound the bytes of all answers together

What callers saw: 160 orders at once, every second one answered without an end, take a router to 388 MB of the 260 MB that it may use; the platform ends the process with the requests of all its callers.

Cause: an answer without a length is buffered up to 4 MiB, and nothing bounds the sum. The read buffer of each connection to an endpoint grows to 400 KB besides.

Answers and unfinished events now draw on the budget of request bodies. An answer that it has no room for is passed on as it arrives, with the same limit of 4 MiB, so that a sound one still reaches its caller; its request cannot be repeated any more. Read buffers are bounded by 64 KiB.

Ruled out: heads, trailers and events without an end, whose tests passed before.

Evidence: many_endless_answers_stay_within_the_memory failed on (388 MB) and passes, and all sound orders of its rounds are served. many_endless_events_stay_within_the_memory passed before, too.

--- a/crates/edge/src/byte_budget.rs
+++ b/crates/edge/src/byte_budget.rs
@@ -116,6 +116,12 @@
         has_room
     }
 
+    /// The body with the data that its reservation has no room for.
+    pub(crate) fn freeze_with(mut self, data: Bytes) -> Bytes {
+        self.bytes.extend_from_slice(&data);
+        self.freeze()
+    }
+
     /// The body. Its bytes remain reserved until the last reference to them is dropped.
     pub(crate) fn freeze(self) -> Bytes {
         if self.reservation.bytes == 0 {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -9,7 +9,7 @@
 use crate::stream_versions::StreamId;
 use crate::terminations::Loss;
 use crate::upstream::{Connection, SILENCE, SendError, is_reachable};
-use crate::whole_body::{ReadError, read_whole};
+use crate::whole_body::{ReadBody, ReadError, read_whole};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
@@ -37,7 +37,8 @@
 /// Largest answer of a known length, in bytes, that is buffered until it is complete. A longer one
 /// is passed on as it arrives, and its request cannot be retried.
 const MAX_BUFFERED_SIZED: usize = 256 * 1024;
-/// Largest buffered answer without a known length, in bytes.
+/// Largest answer without a known length, in bytes. It is buffered, unless other bodies take too much
+/// memory: then it is passed on as it arrives.
 const MAX_BUFFERED: usize = 4 << 20;
 
 /// Longest body of a refusal, in bytes, that is read so that its connection can be reused, and the
@@ -468,7 +469,9 @@
         guard.run = run;
         let framing = Framing::of(&headers, &body);
         let arriving = ArrivingBody {
+            beginning: Bytes::new(),
             body,
+            bytes_left: usize::MAX,
             connection,
             guard,
         };
@@ -484,6 +487,7 @@
             return Outcome::Answer(Box::new(answer(AnswerBody::Arriving(Box::new(arriving)))));
         }
         match self.collect_body(&head, framing, arriving).await {
+            Some((body @ AnswerBody::Arriving(_), _)) => Outcome::Answer(Box::new(answer(body))),
             Some((body, end)) => {
                 // Only a success clears the request: an error may occur before the part of the run
                 // that crashes endpoints.
@@ -504,18 +508,24 @@
         }
     }
 
-    /// Reads a body of up to [`MAX_BUFFERED`] bytes; `None` if it breaks off, is longer or does not
-    /// end before the deadline. Of a body that ends with its connection, it may be unknown whether
-    /// it is whole.
+    /// Reads a body of up to [`MAX_BUFFERED`] bytes, as far as the memory allows; `None` if it breaks
+    /// off, is longer or does not end before the deadline. Of a body that ends with its connection, it
+    /// may be unknown whether it is whole.
     async fn collect_body(
         &self,
         head: &AnswerHead,
         framing: Framing,
         mut arriving: ArrivingBody,
     ) -> Option<(AnswerBody, AnswerEnd)> {
-        let read = read_whole(&mut arriving.body, MAX_BUFFERED);
+        let reservation = self.shared.bytes.reservation();
+        let read = read_whole(&mut arriving.body, MAX_BUFFERED, reservation);
         let whole = match tokio::time::timeout(self.time_left(), read).await {
-            Ok(Ok(whole)) => whole,
+            Ok(Ok(ReadBody::Whole(whole))) => whole,
+            Ok(Ok(ReadBody::Beginning(beginning))) => {
+                arriving.bytes_left = MAX_BUFFERED - beginning.len();
+                arriving.beginning = beginning;
+                return Some((AnswerBody::Arriving(Box::new(arriving)), AnswerEnd::Unknown));
+            }
             Ok(Err(ReadError::Broke)) => {
                 arriving.guard.lost(Loss::ConnectionLost);
                 return None;
@@ -552,9 +562,10 @@
         connection: Connection,
     ) -> Outcome {
         // The head is sufficient; the body is read only so that the connection can be reused.
-        let read = read_whole(body, MAX_REFUSAL_BODY);
+        let reservation = self.shared.bytes.reservation();
+        let read = read_whole(body, MAX_REFUSAL_BODY, reservation);
         let read = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, read).await;
-        if matches!(read, Ok(Ok(_))) && !head.close {
+        if matches!(read, Ok(Ok(ReadBody::Whole(_)))) && !head.close {
             let now = self.shared.now();
             self.shared.pool.release(connection, head.idle, now);
         }
--- a/crates/edge/src/started_answer.rs
+++ b/crates/edge/src/started_answer.rs
@@ -70,7 +70,11 @@
 
 /// A body that is still arriving, with the connection that it arrives on.
 pub(crate) struct ArrivingBody {
+    /// What was read before it became clear that the body cannot be buffered.
+    pub(crate) beginning: Bytes,
     pub(crate) body: Incoming,
+    /// Bytes that may still arrive.
+    pub(crate) bytes_left: usize,
     pub(crate) connection: Connection,
     pub(crate) guard: LoadGuard,
 }
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -2,6 +2,7 @@
 
 use crate::answer_deadline::AnswerDeadline;
 use crate::answer_end::AnswerEnd;
+use crate::byte_budget::Reservation;
 use crate::call::AnswerHead;
 use crate::event_scan::{EVENT_END, EventScan};
 use crate::exchange::{CONFIRM_TIME, Exchange};
@@ -21,7 +22,7 @@
 use tokio::time::{Instant, Sleep, timeout};
 
 /// Longest event of a resumable stream in bytes. Events of such streams are buffered until they are
-/// complete.
+/// complete, as far as the memory allows.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Number of events from which an answer has progressed.
@@ -107,8 +108,9 @@
     /// Whether nothing shows that more was to come than has arrived, so that the answer counts as
     /// whole if no other endpoint goes on.
     may_be_whole: bool,
-    /// Bytes of an event that is not complete yet.
+    /// Bytes of an event that is not complete yet, and their reservation.
     partial: BytesMut,
+    partial_bytes: Option<Reservation>,
     deadline: Option<Pin<Box<Sleep>>>,
     /// Tells the task of the caller's connection when the body must end, since a body is not polled while
     /// its caller does not read.
@@ -129,6 +131,7 @@
             ending: None,
             may_be_whole: false,
             partial: BytesMut::new(),
+            partial_bytes: None,
             deadline: None,
             due: AnswerDeadline::default(),
             success: false,
@@ -158,6 +161,7 @@
             ending: None,
             may_be_whole: false,
             partial: BytesMut::new(),
+            partial_bytes: None,
             deadline: Some(deadline),
             due,
             success: answer.status.is_success(),
@@ -398,6 +402,10 @@
         let Source::Arriving(arriving) = &mut self.source else {
             return Poll::Ready(None);
         };
+        if !arriving.beginning.is_empty() {
+            let beginning = std::mem::take(&mut arriving.beginning);
+            return Poll::Ready(self.receive(beginning));
+        }
         let Poll::Ready(frame) = Pin::new(&mut arriving.body).poll_frame(cx) else {
             arriving.guard.progress.wait();
             ready!(self.poll_unreachable(cx));
@@ -410,7 +418,16 @@
             origin.watch.restart();
         }
         Poll::Ready(match frame {
-            Some(Ok(frame)) => frame.into_data().ok().and_then(|data| self.receive(data)),
+            Some(Ok(frame)) => {
+                let data = frame.into_data().unwrap_or_default();
+                match arriving.bytes_left.checked_sub(data.len()) {
+                    Some(left) => {
+                        arriving.bytes_left = left;
+                        self.receive(data)
+                    }
+                    None => Some(self.break_off()),
+                }
+            }
             None if !self.is_cut() => self.reach_end(),
             None | Some(Err(_)) => self.resume_or_end(Failure::Broke),
         })
@@ -421,9 +438,8 @@
         self.scan_events(&data);
         self.may_be_whole &= data.is_empty();
         let data = self.pass_on(data);
-        if self.partial.len() > MAX_EVENT_BYTES {
-            self.end_early(BodyError::Broke);
-            return Some(Some(Err(BodyError::Broke)));
+        if !self.reserve_partial() {
+            return Some(self.break_off());
         }
         if data.is_empty() {
             return None;
@@ -435,6 +451,29 @@
         Some(Some(Ok(Frame::data(data))))
     }
 
+    /// Reserves the bytes of the event that is not complete yet. Returns false if it is too long.
+    fn reserve_partial(&mut self) -> bool {
+        let length = self.partial.len();
+        if length == 0 {
+            self.partial_bytes = None;
+            return true;
+        }
+        let Some(exchange) = &self.exchange else {
+            return true;
+        };
+        let bytes = &exchange.shared.bytes;
+        let held = self
+            .partial_bytes
+            .get_or_insert_with(|| bytes.reservation());
+        length <= MAX_EVENT_BYTES && held.grow(length)
+    }
+
+    /// Ends an answer that is longer than it may be.
+    fn break_off(&mut self) -> PolledFrame {
+        self.end_early(BodyError::Broke);
+        Some(Err(BodyError::Broke))
+    }
+
     /// Ends a body that looks whole, or starts the check for a crash that it needs first.
     fn reach_end(&mut self) -> Option<PolledFrame> {
         self.ending = self.end_check();
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -38,6 +38,9 @@
 /// Longest idle time of a connection that is used for a request which must not be retried. An endpoint may
 /// close a connection that was idle for longer while the request is in transit.
 const MAX_IDLE_ONCE: Duration = Duration::from_millis(700);
+/// Largest read buffer of a connection in bytes, and so the longest head of an answer. The buffer grows to
+/// it while an endpoint sends faster than its answer is passed on.
+const MAX_READ_BUFFER: usize = 64 * 1024;
 /// Refused attempts up to which a connection is used again, because it remembers each of them.
 const MAX_REFUSALS: usize = 64;
 
@@ -216,7 +219,9 @@
     let stream = open_stream(address).await.ok_or(SendError::Connect)?;
     set_tcp_timeouts(&stream).map_err(|_| SendError::Connect)?;
     let (stream, budget) = BoundedIo::new(stream);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|_| SendError::Connect)?;
     // An error of the connection is also returned to the request that it carries.
--- a/tests/platform_endless.rs
+++ b/tests/platform_endless.rs
@@ -178,9 +178,77 @@
     assert!(served.count() >= 8, "{statuses:?}");
     let answer = post(router.callers, "/order/1", "after").await;
     assert_eq!(answer.map(|answer| answer.status), Some(200));
-    for number in 0..UPLOADS {
+    for (number, status) in statuses.iter().enumerate() {
         let runs = site.runs_of(&format!("u{number}"));
-        let was_refused = statuses[number] == Some(503);
+        let was_refused = *status == Some(503);
         assert!(!was_refused || runs == 0, "u{number} ran and was refused");
     }
 }
+
+/// Sends orders at the same time to servers that answer every second one without an end. Returns how many
+/// answers of the others arrived whole, and how many there were.
+async fn endless_beside_sound(name: &str, kind: Endless, orders: usize) -> (usize, usize) {
+    const ROUNDS: usize = 3;
+    let site = Site::start(20).await;
+    let router = RouterProcess::start(PROGRAM, FOLDER, name, site.store.address);
+    router.wait_ready().await;
+    for server in &site.servers {
+        let pair = [Behavior::Endless(kind), Behavior::Answer(200, "fine")];
+        server.set_behaviors(&pair.repeat(ROUNDS * orders));
+    }
+    let mut whole = 0;
+    for round in 0..ROUNDS {
+        let callers = router.callers;
+        let calls = (0..orders).map(|number| {
+            let id = format!("x{round}-{number}");
+            tokio::spawn(async move { post(callers, "/order/1", &id).await })
+        });
+        for call in calls.collect::<Vec<_>>() {
+            let answer = call.await.expect("a task");
+            whole += usize::from(answer.is_some_and(|answer| answer.body == "fine"));
+        }
+        let memory = router.peak_memory();
+        assert!(memory < MEMORY_LIMIT, "{kind:?}: {} MB", memory >> 20);
+    }
+    let sound = site
+        .servers
+        .iter()
+        .map(|server| server.requests().len() / 2);
+    (whole, sound.sum())
+}
+
+/// Guards against answers without an end that fill the memory of a router together, although each of them
+/// has a bound: the process would end with the requests of all its callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_endless_answers_stay_within_the_memory() {
+    for (name, kind) in [
+        ("many-bodies", Endless::Body),
+        ("many-chunks", Endless::Chunks),
+        ("many-heads", Endless::Head),
+    ] {
+        let (whole, sound) = endless_beside_sound(name, kind, 160).await;
+        assert!(sound >= 160, "{kind:?}: {sound} sound answers");
+        assert_eq!(whole, sound, "{kind:?}");
+    }
+}
+
+/// Guards against events without an end that fill the memory of a router together.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_endless_events_stay_within_the_memory() {
+    let site = Site::start(50).await;
+    let router = RouterProcess::start(PROGRAM, FOLDER, "many-events", site.store.address);
+    router.wait_ready().await;
+    for server in &site.servers {
+        server.set_behaviors(&[Behavior::Endless(Endless::Event)]);
+    }
+    let streams = (0..400).map(|number| {
+        let callers = router.callers;
+        tokio::spawn(async move { post(callers, "/chat/1", &format!("x{number}")).await })
+    });
+    for stream in streams.collect::<Vec<_>>() {
+        let answer = stream.await.expect("a task");
+        assert!(!answer.is_some_and(|answer| answer.complete && answer.status == 200));
+    }
+    let memory = router.peak_memory();
+    assert!(memory < MEMORY_LIMIT, "{} MB", memory >> 20);
+}
