Know the list of endpoints as of a take-up before its version counts as the only one

What callers saw: a router is cut off from the store and the others while servers of a new version join. Streams that began at these through other routers break, are taken up at that router, and go on at the old version, joined from two.

An age is no proof, whatever its bound: the list has to be known as of a moment after the stream began.

The request comes after the stream began, so the list is now known as of its arrival, or the version counts as not known. A router reads the list for this, four times a second at most and without taking over from the one that reads for the fleet. If nothing comes within 500 ms the caller is refused as not run and turns to another router. The same holds after a pause of the process or the machine, whatever its clock says.

--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -34,6 +34,8 @@
 const MAX_REPAIRS_PER_SECOND: usize = 600;
 /// Feeds that are kept until the changes before them arrive.
 const MAX_EARLY_FEEDS: usize = 32;
+/// Shortest time between a read and the next one that is made because a later state is wanted.
+const WANTED_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest time between two repair requests: an answer takes a round trip.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -84,6 +86,10 @@
     repair_quota: (Duration, usize),
     failures: u32,
     not_before: Duration,
+    /// Time as of which the state of the table is wanted.
+    wanted: Option<Duration>,
+    /// When this router's last read was sent.
+    sent_at: Duration,
 }
 
 impl Follower {
@@ -106,6 +112,18 @@
         self.revision.map(|_| now.saturating_sub(self.verified_at))
     }
 
+    /// Whether the table is known as of `time` or later.
+    pub fn is_known_as_of(&self, time: Duration) -> bool {
+        self.revision.is_some() && self.verified_at >= time
+    }
+
+    /// Asks for the state of the table as of `time`, so that this router reads it soon.
+    pub fn want(&mut self, time: Duration) {
+        if !self.is_known_as_of(time) {
+            self.wanted = self.wanted.max(Some(time));
+        }
+    }
+
     /// The digest for other routers; `None` without the table.
     pub fn digest(&self, now: Duration) -> Option<TableDigest> {
         let age = self.age(now)?.as_millis();
@@ -221,7 +239,11 @@
     /// `sent`. Reading the whole table does not make a router the reader, because hundreds of
     /// routers may start together.
     pub fn record_read(&mut self, sent: Duration, verified_at: Duration) {
-        self.is_reader = self.peer_read_at <= sent;
+        // A read for a wanted state does not take over from the router that reads for the fleet.
+        let was_wanted = self.wanted.is_some() && !self.is_reader;
+        self.is_reader = self.peer_read_at <= sent && !was_wanted;
+        self.wanted = self.wanted.filter(|wanted| *wanted > verified_at);
+        self.sent_at = self.sent_at.max(sent);
         self.read_at = self.read_at.max(verified_at);
         if verified_at > self.verified_at {
             self.verified_at = verified_at;
@@ -286,6 +308,9 @@
         if let Some((_, since)) = self.gap {
             due = due.min(since + repair_wait);
         }
+        if let Some(wanted) = self.wanted.filter(|wanted| *wanted > self.verified_at) {
+            due = due.min(wanted.max(self.sent_at + WANTED_INTERVAL));
+        }
         due.max(self.not_before)
     }
 
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -122,17 +122,17 @@
         (self.contacts.len() + 1).max(self.loads.router_count())
     }
 
-    /// The version of a service, if it had no other one for as long as a stream can have run. It is
-    /// not known while the list of endpoints is older than `max_age`: another router may have begun
-    /// a stream at a version that this one has not heard of.
+    /// The version of a service, if it had no other one for as long as a stream can have run that
+    /// began before `begun`. The list of endpoints must be known as of then: another router may have
+    /// begun the stream at a version that this one has not heard of.
     pub(crate) fn sole_version(
         &self,
         service: &str,
-        max_age: Duration,
+        begun: Duration,
         now: Duration,
     ) -> Option<SoftwareVersion> {
-        let is_fresh = self.endpoints.age(now).is_some_and(|age| age <= max_age);
-        let sole = self.versions.sole(service, now).filter(|_| is_fresh);
+        let is_known = self.endpoints.is_known_as_of(begun);
+        let sole = self.versions.sole(service, now).filter(|_| is_known);
         sole.cloned()
     }
 
--- a/crates/edge/src/take_up.rs
+++ b/crates/edge/src/take_up.rs
@@ -4,6 +4,7 @@
 
 use crate::exchange::Exchange;
 use crate::manifest::SoftwareVersion;
+use crate::registry::Table;
 use crate::shared::RoutingState;
 use crate::stream_versions::{OriginSource, StreamId, stream_id};
 use sequoiaridge_core::{Event, RefusalReason};
@@ -16,6 +17,12 @@
 /// between failure domains.
 const ASK_TIME: Duration = Duration::from_millis(150);
 
+/// Time for which a take-up waits until the list of endpoints is known as of its arrival: several reads of
+/// the registry. A router that is cut off from the registry sends the caller to another one then.
+const LIST_TIME: Duration = Duration::from_millis(500);
+/// Interval between looks at the list meanwhile.
+const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time for which a router that starts waits for what the fleet saved.
 const START_TIME: Duration = Duration::from_millis(250);
 
@@ -99,7 +106,7 @@
             found = self.known_version();
         }
         if found.is_none() {
-            found = self.ask_version().await;
+            found = self.learn_version().await;
         }
         let Some(found) = found else {
             self.log_take_up(TakeUp::Unknown, "", None);
@@ -154,8 +161,8 @@
         let state = self.shared.lock_state();
         let recorded = recorded(&state, self.stream, now);
         recorded.or_else(|| {
-            let max_age = self.shared.settings.leave_bound;
-            let version = state.sole_version(&self.service, max_age, now)?;
+            // The caller has an event, so the stream began before the request arrived.
+            let version = state.sole_version(&self.service, self.started, now)?;
             Some(Found {
                 version,
                 known: TakeUp::Sole,
@@ -164,25 +171,52 @@
         })
     }
 
-    /// Asks other routers which version began the stream.
-    async fn ask_version(&self) -> Option<Found> {
-        if self.call.origin.is_none() || self.shared.lock_state().contacts.is_empty() {
-            return None;
+    /// Asks other routers which version began the stream and, if the service seems to have a single one,
+    /// reads the list of endpoints to be sure of it.
+    async fn learn_version(&self) -> Option<Found> {
+        let asks = self.call.origin.is_some() && !self.shared.lock_state().contacts.is_empty();
+        if asks {
+            self.shared.ask_origin(self.stream);
         }
-        let end = Instant::now() + ASK_TIME;
-        self.shared.ask_origin(self.stream);
+        let reads = self.want_list();
+        let time = match (asks, reads) {
+            (_, true) => LIST_TIME,
+            (true, false) => ASK_TIME,
+            (false, false) => return None,
+        };
+        let end = Instant::now() + time;
         loop {
             let mut told = pin!(self.shared.origins_told());
             told.as_mut().enable();
-            let now = self.shared.now();
-            if let Some(found) = recorded(&self.shared.lock_state(), self.stream, now) {
-                let known = TakeUp::Asked;
+            if let Some(found) = self.known_version() {
+                let known = match found.known {
+                    TakeUp::Sole => TakeUp::Sole,
+                    _ => TakeUp::Asked,
+                };
                 return Some(Found { known, ..found });
             }
-            if timeout_at(end, told).await.is_err() {
+            if Instant::now() >= end {
                 return None;
             }
+            // What ends the wait is looked at afterwards.
+            let _ = timeout_at(end.min(Instant::now() + LIST_CHECK_INTERVAL), told).await;
+        }
+    }
+
+    /// Makes this router read the list of endpoints if that may show that the service has a single
+    /// version. Returns whether it may.
+    fn want_list(&self) -> bool {
+        let now = self.shared.now();
+        let mut state = self.shared.lock_state();
+        let may_be_sole = state.versions.sole(&self.service, now).is_some();
+        if may_be_sole {
+            state.endpoints.want(self.started);
+        }
+        drop(state);
+        if may_be_sole {
+            self.shared.hints(Table::Endpoints).notify_one();
         }
+        may_be_sole
     }
 
     /// Whether an endpoint with the version takes requests.
