Soak planned stops in series under callers that stay until the process is gone

A run stops and starts routers one after the other and at the same time, beside SIGHUP, further SIGTERMs and configurations with other timeouts. Callers ignore `Connection: close` and use their connections until they break; some bodies come later than their heads. Each request that ran has to be answered, and none that came later than 3 s after SIGTERM may be given up before its limit.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,6 +9,8 @@
 //! $ SOAK_SEEDS=1..3 SOAK_ROUTERS=100 SOAK_SERVERS=40 cargo test --test soak -- --nocapture
 //! ```
 //!
+//! Runs with planned stops only stop and start routers, one after the other and at the same time.
+//!
 //! Runs with releases play the same faults while servers of several software versions replace each
 //! other, and callers take up streams that broke off.
 //!
@@ -29,6 +31,8 @@
 mod returns;
 #[path = "soak/rules.rs"]
 mod rules;
+#[path = "soak/stops.rs"]
+mod stops;
 #[path = "soak/stream_rules.rs"]
 mod stream_rules;
 #[path = "soak/streams.rs"]
@@ -93,6 +97,8 @@
 const REGRESSIONS: [u64; 5] = [305, 600, 602, 8029, 11022];
 /// Seeds that CI runs with releases.
 const CI_RELEASE_SEEDS: std::ops::Range<u64> = 1..3;
+/// Seeds that CI runs with planned stops only.
+const CI_STOP_SEEDS: std::ops::Range<u64> = 1..3;
 /// Number of seeds that run at the same time, unless `SOAK_PARALLEL` is set.
 const PARALLEL_SEEDS: usize = 2;
 static SEED_PERMITS: OnceLock<Semaphore> = OnceLock::new();
@@ -495,8 +501,19 @@
     assert!(served > 0, "seed {seed}: no request was answered with 200");
 }
 
+/// What happens in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mix {
+    /// Faults of all kinds.
+    Faults,
+    /// The same, while servers of several versions replace each other.
+    Releases,
+    /// Planned stops of routers, and nothing else.
+    Stops,
+}
+
 /// Runs the soak with the seeds that were asked for, or else with those of CI.
-async fn run_seeds(ci_seeds: Vec<u64>, has_releases: bool) {
+async fn run_seeds(ci_seeds: Vec<u64>, mix: Mix) {
     let seconds = std::env::var("SOAK_SECONDS")
         .ok()
         .and_then(|text| text.parse().ok());
@@ -517,7 +534,11 @@
             let seed = *seed;
             tokio::spawn(async move {
                 let permit = permits.acquire().await.expect("a permit");
-                run_seed(seed, length, has_releases).await;
+                match mix {
+                    Mix::Faults => run_seed(seed, length, false).await,
+                    Mix::Releases => run_seed(seed, length, true).await,
+                    Mix::Stops => stops::run_seed(seed, length).await,
+                }
                 drop(permit);
             })
         });
@@ -539,12 +560,19 @@
 /// recover.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_a_mix_of_faults() {
-    run_seeds(CI_SEEDS.chain(REGRESSIONS).collect(), false).await;
+    run_seeds(CI_SEEDS.chain(REGRESSIONS).collect(), Mix::Faults).await;
 }
 
 /// Guards against failures while servers of several versions replace each other: a stream joined
 /// from two versions, a last answer that is cut, and a router that a row of another writer stops.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_during_releases() {
-    run_seeds(CI_RELEASE_SEEDS.collect(), true).await;
+    run_seeds(CI_RELEASE_SEEDS.collect(), Mix::Releases).await;
+}
+
+/// Guards against requests that planned stops in series cut or lose, beside SIGHUP, changes of the
+/// configuration and callers that use their connections until the process is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_while_routers_stop() {
+    run_seeds(CI_STOP_SEEDS.collect(), Mix::Stops).await;
 }
