Bound the wait for a connection on which a long request is still written

What callers saw: servers reject long requests before they are in and read on later. An order that followed on such a connection got no answer, neither at its route's timeout nor at its own limit, and did not run.

Cause: the connection returns to the pool once its answer is read, and the next request waited on it without a bound until the rest of the long body was written. The request's deadline applied only after that wait.

A connection that cannot carry a request within 10 ms is now closed, and another one is used.

--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -41,6 +41,9 @@
 /// Largest read buffer of a connection in bytes, and so the longest head of an answer. The buffer grows to
 /// it while an endpoint sends faster than its answer is passed on.
 const MAX_READ_BUFFER: usize = 64 * 1024;
+/// Time for which a request waits until a connection from the pool can carry it. An endpoint that answered
+/// before it had read the whole request may read on for long; a new connection opens sooner.
+const READY_TIME: Duration = Duration::from_millis(10);
 /// Refused attempts up to which a connection is used again, because it remembers each of them.
 const MAX_REFUSALS: usize = 64;
 
@@ -123,7 +126,8 @@
         now: Duration,
     ) -> Result<Connection, SendError> {
         while let Some(mut connection) = self.take(endpoint, once, now) {
-            if connection.sender.ready().await.is_ok() {
+            let ready = tokio::time::timeout(READY_TIME, connection.sender.ready());
+            if matches!(ready.await, Ok(Ok(()))) {
                 return Ok(connection);
             }
         }
