--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -148,6 +148,8 @@
     CallerStalled = 414, Info, "caller-stalled";
     /// An answer ended with its connection, and its endpoint refuses new ones.
     AnswerEndChecked = 417, Info, "answer-end-checked";
+    /// An answer is passed on as it arrives, because buffered bodies take too much memory.
+    AnswerUnbuffered = 418, Warn, "answer-unbuffered";
     /// The router that grants the turns to run a suspect request could not be reached.
     ArbiterLost = 410, Warn, "arbiter-lost";
     /// A claim could not be resolved or released.
--- a/crates/edge/src/byte_budget.rs
+++ b/crates/edge/src/byte_budget.rs
@@ -43,7 +43,7 @@
     /// Reserves the bytes of a body of known length; `None` if they are not left.
     pub fn reserve(&self, bytes: usize) -> Option<Reservation> {
         let mut reservation = self.reservation();
-        reservation.set(bytes, self.limit).then_some(reservation)
+        reservation.set(bytes).then_some(reservation)
     }
 }
 
@@ -64,13 +64,14 @@
         let share = self.budget.limit.saturating_sub(others) / SHARE_DIVISOR;
         // Buffers grow in powers of two.
         let bytes = length.checked_next_power_of_two().unwrap_or(usize::MAX);
-        bytes <= share && self.set(bytes, self.budget.limit)
+        bytes <= share && self.set(bytes)
     }
 
-    fn set(&mut self, bytes: usize, limit: usize) -> bool {
+    /// Reserves `bytes` in all, unless they are not left.
+    fn set(&mut self, bytes: usize) -> bool {
         let added = bytes.saturating_sub(self.bytes);
         let used = self.budget.used.fetch_add(added, Ordering::Relaxed);
-        if used.saturating_add(added) > limit {
+        if used.saturating_add(added) > self.budget.limit {
             self.budget.used.fetch_sub(added, Ordering::Relaxed);
             return false;
         }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -522,6 +522,16 @@
         let whole = match tokio::time::timeout(self.time_left(), read).await {
             Ok(Ok(ReadBody::Whole(whole))) => whole,
             Ok(Ok(ReadBody::Beginning(beginning))) => {
+                log_request(
+                    Event::AnswerUnbuffered,
+                    &self.call.attempt,
+                    format_args!(
+                        "endpoint={} read={} used={}",
+                        arriving.guard.endpoint,
+                        beginning.len(),
+                        self.shared.bytes.used()
+                    ),
+                );
                 arriving.bytes_left = MAX_BUFFERED - beginning.len();
                 arriving.beginning = beginning;
                 return Some((AnswerBody::Arriving(Box::new(arriving)), AnswerEnd::Unknown));
