--- a/tests/soak/stops.rs
+++ b/tests/soak/stops.rs
@@ -16,6 +16,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
 
 /// Callers of each router.
 const CALLERS: usize = 4;
@@ -157,13 +158,13 @@
     }
     let sent = SentRequests::default();
     let is_over = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> = (0..CALLERS * routers.len())
-        .map(|number| {
-            let router = number % routers.len();
-            let target = (router, routers[router].process.callers);
-            tokio::spawn(call(seed, number, target, sent.clone(), is_over.clone()))
-        })
-        .collect();
+    // A run that fails ends its callers, which would otherwise call the routers of later runs.
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS * routers.len() {
+        let router = number % routers.len();
+        let target = (router, routers[router].process.callers);
+        callers.spawn(call(seed, number, target, sent.clone(), is_over.clone()));
+    }
     let mut trace = Vec::new();
     let start = Instant::now();
     while start.elapsed() < length || routers.iter().any(|router| router.told.is_some()) {
@@ -222,8 +223,8 @@
         tokio::time::sleep(Duration::from_millis(rng.random_range(20..150))).await;
     }
     is_over.store(true, Ordering::Relaxed);
-    for caller in callers {
-        caller.await.expect("a caller");
+    while let Some(ended) = callers.join_next().await {
+        ended.expect("a caller");
     }
     println!("seed {seed}: {}", trace.join("; "));
     check(seed, &sent.lock().expect("requests"), &routers, &servers);
