Decode cold limits, homes, regions and the fourth load figure

The settings, the configuration and answers say these on deployments that have them. Nothing acts on them yet: candidates carry an exclusion and a pace, which selection sets to none and the usual.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -90,6 +90,9 @@
     pub waiting: u32,
     /// Requests that can run at the same time.
     pub slots: u32,
+    /// Time that work takes on the endpoint's machine at this moment, in percent of the usual; `None` if
+    /// the endpoint does not report it.
+    pub pace_percent: Option<u32>,
 }
 
 /// What the head of an endpoint's answer says.
@@ -111,6 +114,8 @@
     pub rest: Option<RestRequest>,
     /// Load that the endpoint reports.
     pub load: Option<EndpointLoad>,
+    /// Time for which the endpoint says that it stays cold.
+    pub cold: Option<Duration>,
     /// Time for which the endpoint keeps the idle connection open.
     pub idle: Option<Duration>,
     /// Whether the endpoint closes the connection after this answer.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -96,8 +96,8 @@
 pub use load::{Loads, PeerRouter, Work};
 pub use load_reports::{LoadReports, ReportEntry, ReportedLoad};
 pub use manifest::{
-    CallerLimits, Customer, EndpointEntry, Engine, Kind, Manifest, Route, RouterEntry, Service,
-    ServiceName, SoftwareVersion, software_version,
+    CallerLimits, ColdStart, Customer, EndpointEntry, Engine, Kind, Manifest, Route, RouterEntry,
+    Service, ServiceName, SoftwareVersion, software_version,
 };
 pub use metrics::example_metrics;
 pub use open_runs::{OpenRuns, RunProgress};
@@ -115,7 +115,7 @@
 pub use router::EdgeRouter;
 pub use routes::RouteTable;
 pub use run_times::RunTimes;
-pub use settings::EdgeSettings;
+pub use settings::{ColdLimit, EdgeSettings};
 pub use stream_news::StreamNews;
 pub use stream_saves::{StreamSaves, decode_streams, encode_streams};
 pub use stream_versions::{
--- a/crates/edge/src/manifest.rs
+++ b/crates/edge/src/manifest.rs
@@ -1,6 +1,6 @@
 //! The operators' configuration: routes, services, customers and limits.
 
-use sequoiaridge_core::{CustomerId, DomainId, EndpointId, Version, hash_parts};
+use sequoiaridge_core::{CustomerId, DomainId, EndpointId, RegionId, Version, hash_parts};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -74,6 +74,8 @@
     pub attempts: u32,
     /// Whether requests need no API key.
     pub anonymous: bool,
+    /// Regions whose endpoints may get the requests; `None` if all may.
+    pub regions: Option<Vec<RegionId>>,
 }
 
 impl Route {
@@ -117,6 +119,17 @@
     pub connections: u32,
     /// Set for model engines.
     pub engine: Option<Engine>,
+    /// Set if endpoints tolerate fewer requests for some time after a start.
+    pub cold: Option<ColdStart>,
+}
+
+/// What an endpoint tolerates while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// Time for which an endpoint is cold after a start.
+    pub time: Duration,
+    /// Requests per second that it tolerates.
+    pub per_second: f64,
 }
 
 /// Limits on what callers may send.
@@ -141,6 +154,8 @@
     pub keys: Vec<String>,
     /// Priority that overrides that of the route.
     pub priority: Option<u8>,
+    /// Regions whose endpoints may get the customer's requests; `None` if all may.
+    pub regions: Option<Vec<RegionId>>,
 }
 
 /// One version of the configuration.
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -29,6 +29,10 @@
     pub avoid: bool,
     /// Whether it asked this router to send nothing for a while.
     pub resting: bool,
+    /// Whether the operators' constraints keep this request from it.
+    pub excluded: bool,
+    /// How many times longer than usual work takes there; 1 is usual.
+    pub pace: f64,
 }
 
 /// A group of prompts with a common prefix, which are best processed by an endpoint that has the prefix
@@ -247,7 +251,7 @@
 
 /// The candidates that take requests and are not avoided, or all that take requests if all are avoided.
 fn usable<'a>(candidates: impl Iterator<Item = &'a Candidate<'a>>) -> Vec<&'a Candidate<'a>> {
-    let available = candidates.filter(|c| !c.leaving && !c.resting);
+    let available = candidates.filter(|c| !c.leaving && !c.resting && !c.excluded);
     let available: Vec<&Candidate<'_>> = available.collect();
     if available.iter().all(|candidate| candidate.avoid) {
         return available;
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -69,6 +69,8 @@
                 same_domain: entry.domain == self.shared.settings.domain,
                 avoid: state.health.is_paused(&entry.id, now),
                 resting: state.rests.until(&entry.id, now).is_some(),
+                excluded: false,
+                pace: 1.0,
             });
             errors += state.health.errors(&entry.id);
         }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of one router.
 
-use sequoiaridge_core::{DomainId, RouterId};
+use sequoiaridge_core::{DomainId, RegionId, RouterId};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -40,4 +41,21 @@
     pub first_start: bool,
     /// Memory of the instance in bytes.
     pub memory: u64,
+    /// Region of each failure domain.
+    pub regions: BTreeMap<DomainId, RegionId>,
+    /// Limit on requests to cold endpoints; `None` if the operators set none.
+    pub cold: Option<ColdLimit>,
+    /// Whether all services divide scarce room by rank and customer, and learn how fast their endpoints
+    /// are. Other services do so while their endpoints report how long work takes on their machines.
+    pub shares_room: bool,
+}
+
+/// Limit on the requests that a cold endpoint gets in any one second from all routers: its own rate times
+/// `overshoot`, plus `tolerance`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimit {
+    /// Multiple of the rate that a cold endpoint tolerates.
+    pub overshoot: f64,
+    /// Requests allowed in addition.
+    pub tolerance: f64,
 }
--- a/crates/edge/tests/load_model.rs
+++ b/crates/edge/tests/load_model.rs
@@ -143,6 +143,7 @@
                     running: self.load[endpoint].min(SLOTS),
                     waiting: self.load[endpoint].saturating_sub(SLOTS),
                     slots: SLOTS,
+                    pace_percent: None,
                 };
                 self.loads[router].record_report(id, load, now);
             }
@@ -225,6 +226,8 @@
                 same_domain: false,
                 avoid: false,
                 resting: false,
+                excluded: false,
+                pace: 1.0,
             })
             .collect();
         let mut placement = Placement::with_bound(2.0);
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -27,6 +27,8 @@
             same_domain: index % 4 == 0,
             avoid: false,
             resting: false,
+            excluded: false,
+            pace: 1.0,
         })
         .collect()
 }
--- a/crates/edge/tests/rest.rs
+++ b/crates/edge/tests/rest.rs
@@ -139,6 +139,8 @@
                 same_domain: true,
                 avoid: false,
                 resting: rests[router].until(id, now).is_some(),
+                excluded: false,
+                pace: 1.0,
             });
             let candidates: Vec<Candidate<'_>> = candidates.collect();
             let choice = Placement::default().for_service(rng.random(), SERVICE_TIME, &candidates);
--- a/crates/edge/tests/routes.rs
+++ b/crates/edge/tests/routes.rs
@@ -18,6 +18,7 @@
         services: vec![("one".to_string(), 9), ("two".to_string(), 1)],
         attempts: 2,
         anonymous: false,
+        regions: None,
     }
 }
 
@@ -60,6 +61,7 @@
         name: "bakery".to_string(),
         keys: vec!["k1".to_string(), "k2".to_string()],
         priority: Some(1),
+        regions: None,
     };
     let table = table(vec![customer]);
     let route = route("any", "/a/");
--- a/crates/edge/tests/tables.rs
+++ b/crates/edge/tests/tables.rs
@@ -141,6 +141,7 @@
         running: 9,
         waiting: 2,
         slots: 12,
+        pace_percent: None,
     };
     loads.record_report("e1", reported, NOW);
     assert_eq!(loads.outstanding("e1", NOW).requests, 11);
