Add the decisions on evacuated domains, cold endpoints and homes

A router has no share of a cold endpoint in its first 2 s, nor, in its first 2 minutes, within 4 s of a name that was new to it.

Ruled out in the model, with routers that start at once and three tenths of the list each, where 30 requests are allowed: a limit on how fast the list grows (370 routers sent 37), one new name in 8 (84 routers sent 32) and in 32 (370 routers sent 33).

--- /dev/null
+++ b/crates/edge/src/constraints/known_routers.rs
@@ -0,0 +1,123 @@
+//! The list of routers among which the budget of a cold endpoint is divided. The load: a third of the
+//! routers start at once, each with a list that lacks some of the others.
+
+use sequoiaridge_core::{RouterId, hash_parts};
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// Time after joining in which a router has no share. By then it has sent two messages to each router
+/// on its list, so that those count it.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Time after joining in which the list may still lack routers that started at the same time. Routers
+/// that joined earlier know each other, and the new ones that they lack do not send yet. 370 routers
+/// that start at once have learned each other's names from third ones by then.
+const START_TIME: Duration = Duration::from_secs(120);
+/// A list is complete if no name that was heard within this time was new, and how many names say so. In
+/// the model, with one new name in 32 allowed, so many of 370 routers that start at once had samples with few
+/// new names by chance that they exceeded the budget. Growth of the list would not do: in a large fleet, a
+/// list that lacks half grows slowly.
+const NAMES_TIME: Duration = Duration::from_secs(4);
+/// In a quiet fleet of two, a router hears only eight messages within [`NAMES_TIME`], so two names for each
+/// other router suffice.
+const MIN_NAMES: usize = 16;
+
+/// All routers that this one knows, heard or not.
+#[derive(Clone, Debug)]
+pub struct KnownRouters {
+    own: RouterId,
+    /// When the registry's list of routers was read.
+    joined: Option<Duration>,
+    others: BTreeSet<RouterId>,
+    /// When the last names were heard since one of them was new.
+    heard: VecDeque<Duration>,
+    /// When the last new name was heard.
+    learned_at: Duration,
+    /// Number of changes of the list, for what is derived from it.
+    revision: u64,
+}
+
+impl KnownRouters {
+    /// Creates the list of router `own`, which knows no other one.
+    pub fn new(own: &str) -> KnownRouters {
+        KnownRouters {
+            own: own.to_string(),
+            joined: None,
+            others: BTreeSet::new(),
+            heard: VecDeque::new(),
+            learned_at: Duration::ZERO,
+            revision: 0,
+        }
+    }
+
+    /// Records that the registry's list of routers was read.
+    pub fn join(&mut self, now: Duration) {
+        self.joined.get_or_insert(now);
+    }
+
+    /// Adds another router, as the registry lists it. Returns whether it is new.
+    pub fn learn(&mut self, id: &str) -> bool {
+        let is_new = id != self.own && self.others.insert(id.to_string());
+        self.revision += u64::from(is_new);
+        is_new
+    }
+
+    /// Adds a router that sent a message, or that a message names.
+    pub fn hear(&mut self, id: &str, now: Duration) {
+        if self.learn(id) {
+            self.learned_at = now;
+            self.heard.clear();
+        }
+        self.heard.push_back(now);
+        if self.heard.len() > MIN_NAMES {
+            self.heard.pop_front();
+        }
+    }
+
+    /// Forgets the routers that do not match.
+    pub fn retain(&mut self, keep: impl Fn(&RouterId) -> bool) {
+        let before = self.others.len();
+        self.others.retain(keep);
+        if self.others.len() != before {
+            self.revision += 1;
+        }
+    }
+
+    /// Number of routers, with this one.
+    pub fn count(&self) -> usize {
+        self.others.len() + 1
+    }
+
+    /// Number of changes of the list.
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Whether the list is complete enough that this router knows its share.
+    pub fn is_settled(&self, now: Duration) -> bool {
+        let Some(joined) = self.joined else {
+            return false;
+        };
+        if now < joined + SETTLE_TIME {
+            return false;
+        }
+        if now >= joined + START_TIME || self.others.is_empty() {
+            return true;
+        }
+        let recent = self.heard.iter().filter(|at| now < **at + NAMES_TIME);
+        now >= self.learned_at + NAMES_TIME
+            && recent.count() >= MIN_NAMES.min(2 * self.others.len())
+    }
+
+    /// Whether this router is among the first `count` by rendezvous hash of a start of an endpoint.
+    pub(crate) fn is_among_first(&self, count: usize, endpoint: &str, boot: &str) -> bool {
+        if count >= self.count() {
+            return true;
+        }
+        let rank =
+            |router: &str| hash_parts(&[endpoint.as_bytes(), boot.as_bytes(), router.as_bytes()]);
+        let own = (rank(&self.own), &self.own);
+        let others = self.others.iter();
+        let ahead = others.filter(|other| (rank(other), *other) > own);
+        ahead.take(count).count() < count
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod byte_budget;
 mod cache_map;
 mod call;
+mod constraints;
 mod crash_sync;
 mod crashes;
 mod departures;
@@ -86,6 +87,10 @@
 pub use byte_budget::{ByteBudget, Reservation};
 pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
 pub use call::{AnswerHead, Attempt, AttemptId, Call, EndpointLoad, Part, PartId, Prompt};
+pub use constraints::{
+    ColdEndpoint, ColdShare, ColdStarts, DomainKey, EvacuatedDomains, EvacuationRow,
+    EvacuationUpdate, Evacuations, Homes, KnownRouters, MAX_EVACUATED, domain_key,
+};
 pub use crash_sync::CrashSync;
 pub use departures::Departures;
 pub use drain::{Drain, DrainRequest};
