Follow for how long endpoints are cold

Cause: the roster keeps the remaining time of a row as it was read, so it never passes, and a server that becomes cold again is no change for other routers.

Change: the roster keeps until when an endpoint is cold. A rise of more than 500 ms over what is left is a change that is passed on, a fall is not; a row that is read again says nothing new; a router that starts gets what is left. An answer counts for the start that sent it.

Ruled out: passing on each row, which would send a message for each heartbeat.

--- a/crates/edge/src/manifest.rs
+++ b/crates/edge/src/manifest.rs
@@ -188,7 +188,7 @@
     pub slots: u32,
     /// Whether it takes no new requests.
     pub leaving: bool,
-    /// Remaining time for which it is slow because it has just started.
+    /// Remaining time for which it is cold, as of when the row was read.
     pub cold: Duration,
     /// Start of the endpoint in ms since the epoch. After a restart under the same id its cache is empty.
     pub born: Option<u64>,
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -5,7 +5,7 @@
 use crate::manifest::EndpointEntry;
 use crate::registry::{Entry, Position, Row, Rows};
 use crate::version_history::ServiceVersions;
-use sequoiaridge_core::EndpointId;
+use sequoiaridge_core::{DomainId, EndpointId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime};
 
@@ -24,6 +24,9 @@
 const DOUBT_TIME: Duration = Duration::from_secs(6);
 /// Removed rows whose positions are remembered, so that a stale read does not bring them back.
 const MAX_TOMBSTONES: usize = 4096;
+/// Rise of the time for which an endpoint is cold, over what is left of the known one, from which on it
+/// is a change for the other routers. Reads come at different delays, which differ by less.
+const COLD_RISE: Duration = Duration::from_millis(500);
 
 /// What a change in the registry means for an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -51,6 +54,8 @@
     /// Until when the endpoint is not used, since it was gone before the registry came back from a
     /// copy that lists it.
     doubted_until: Option<Duration>,
+    /// Until when the endpoint is cold, by its row or by an answer of its own.
+    cold_until: Duration,
 }
 
 impl ListedEndpoint {
@@ -123,17 +128,36 @@
         self.position
     }
 
-    /// All rows except those that vanished around an outage, for a router that starts.
-    pub fn rows(&self) -> Vec<ChangedRow> {
+    /// All rows except those that vanished around an outage, for a router that starts. They say how
+    /// much longer endpoints are cold from now on.
+    pub fn rows(&self, now: Duration) -> Vec<ChangedRow> {
         let listed = self
             .listed
             .iter()
             .filter(|(_, row)| row.lapses_at.is_none());
+        let entry = |row: &ListedEndpoint| EndpointEntry {
+            cold: row.cold_until.saturating_sub(now),
+            ..row.entry.clone()
+        };
         listed
-            .map(|(id, row)| (id.clone(), row.position, Some(row.entry.clone())))
+            .map(|(id, row)| (id.clone(), row.position, Some(entry(row))))
             .collect()
     }
 
+    /// Until when an endpoint is cold; zero if it is not listed.
+    pub fn cold_until(&self, id: &str) -> Duration {
+        let listed = self.listed.get(id);
+        listed.map_or(Duration::ZERO, |listed| listed.cold_until)
+    }
+
+    /// Records how much longer an endpoint says in an answer that it is cold.
+    pub fn note_cold(&mut self, id: &str, boot: &str, left: Duration, now: Duration) {
+        let listed = self.listed.get_mut(id);
+        if let Some(listed) = listed.filter(|listed| listed.entry.boot() == boot) {
+            listed.cold_until = now + left;
+        }
+    }
+
     /// Endpoints that are not used because only a copy of the registry lists them, for a router
     /// that starts.
     pub fn doubted(&self, now: Duration) -> Vec<EndpointId> {
@@ -150,7 +174,8 @@
     }
 
     /// The rows that differ from what is listed. Of several rows of one endpoint, the last one counts.
-    pub fn new_changes(&self, rows: &[Row]) -> Vec<ChangedRow> {
+    /// An endpoint that is cold for longer than was known differs; one that warms up does not.
+    pub fn new_changes(&self, rows: &[Row], now: Duration) -> Vec<ChangedRow> {
         let mut last: BTreeMap<&EndpointId, &Row> = BTreeMap::new();
         for row in rows {
             let kept = last.entry(&row.key).or_insert(row);
@@ -167,7 +192,10 @@
             };
             let same = match (&entry, known) {
                 (Some(entry), Some(known)) => {
-                    known.lapses_at.is_none() && known.entry.equals_except_cold(entry)
+                    let left = known.cold_until.saturating_sub(now);
+                    known.lapses_at.is_none()
+                        && known.entry.equals_except_cold(entry)
+                        && entry.cold <= left + COLD_RISE
                 }
                 (None, None) => true,
                 _ => false,
@@ -354,6 +382,11 @@
         versions
     }
 
+    /// Failure domains of the endpoints; one may appear several times.
+    pub(crate) fn domains(&self) -> impl Iterator<Item = &DomainId> {
+        self.listed.values().map(|listed| &listed.entry.domain)
+    }
+
     /// Number of endpoints that accept no new requests.
     pub fn leaving(&self) -> usize {
         let listed = self.listed.values();
@@ -438,12 +471,19 @@
             entry.leaving |= known.entry.leaving && known.entry.born == entry.born;
         }
         let doubted = copied_at.filter(|_| self.was_gone(&id, &entry, position, now));
+        // A row that is read again says nothing new of the time for which the endpoint is cold.
+        let same = self
+            .listed
+            .get(&id)
+            .filter(|known| known.position == position && known.entry.born == entry.born);
+        let cold_until = same.map_or(now + entry.cold, |known| known.cold_until);
         self.tombstones.remove(&id);
         let listed = ListedEndpoint {
             entry,
             position,
             lapses_at: None,
             doubted_until: doubted.map(|at| at + DOUBT_TIME),
+            cold_until,
         };
         let (born, leaving) = (listed.entry.born, listed.entry.leaving);
         let is_new = !self.listed.contains_key(&id);
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -155,7 +155,7 @@
         Some(EndpointSnapshot {
             age_ms: millis(age),
             doubted: state.roster.doubted(now),
-            list: state.roster.rows(),
+            list: state.roster.rows(now),
             tail: state.endpoints.tail()?,
         })
     });
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -224,7 +224,7 @@
         .filter(|row| !is_known(row))
         .cloned()
         .collect();
-    let changes = state.roster.new_changes(&new);
+    let changes = state.roster.new_changes(&new, now);
     let changed: Vec<ChangedRow> = lagging.into_iter().chain(changes.iter().cloned()).collect();
     update_roster(&mut state, shared, rows, from.is_none(), now);
     state.endpoints.record_success();
