Keep requests from evacuated zones, cold servers and other regions

Change: rows evacuate/ZONE are decoded; a removal is an entry of its own, since only platform/ knows which keys are those of evacuations. The selection leaves out what the constraints exclude, and an exchange asks again right before it sends, when requests to cold servers are counted. A zone that returns counts as cold. Events 421 and 506 to 508, metrics evacuated and operator_rows_rejected, further causes of spared.

Ruled out: the field excluded for regions and the cold limit. Such servers carry load of other requests, so they count for the mean load as ineligible ones do.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -124,6 +124,8 @@
     CallRetried = 401, Info, "call-retried";
     /// A call was sent to an endpoint.
     CallPlaced = 406, Info, "call-placed";
+    /// The operators' constraints keep a call from all endpoints.
+    CallConstrained = 421, Info, "call-constrained";
     /// The head of an endpoint's response was forwarded to the caller.
     CallAnswered = 407, Info, "call-answered";
     /// The body of a response ended.
@@ -168,6 +170,12 @@
     ConfigInvalid = 504, Error, "configuration-invalid";
     /// The configuration was received from another router.
     ConfigReceived = 505, Info, "configuration-received";
+    /// A failure domain is evacuated.
+    EvacuationStarted = 506, Warn, "evacuation-started";
+    /// The evacuation of a failure domain ended.
+    EvacuationEnded = 507, Warn, "evacuation-ended";
+    /// An evacuation is not applied because too many domains are evacuated.
+    EvacuationRejected = 508, Error, "evacuation-rejected";
     /// The platform does not respond.
     PlatformDown = 600, Warn, "platform-down";
     /// The platform responds again.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::answer_end::AnswerEnd;
 use crate::call::{AnswerHead, Attempt, Call, Prompt};
+use crate::constraints::Homes;
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName, SoftwareVersion};
 use crate::selection::Placed;
 use crate::shared::{InFlight, Shared};
@@ -54,6 +55,8 @@
     pub(crate) service: ServiceName,
     pub(crate) customer: Option<CustomerId>,
     pub(crate) priority: u8,
+    /// Regions that the request may reach.
+    pub(crate) homes: Homes,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -393,14 +396,18 @@
     }
 
     /// Whether the chosen endpoint may no longer get the request, because it started to leave or
-    /// rest after the choice, or because the request was quarantined.
+    /// rest after the choice, its domain is evacuated, other requests took the router's share of a
+    /// cold endpoint, or because the request was quarantined. A request that a cold endpoint may get
+    /// is counted, so this is called right before it is sent.
     fn is_withdrawn(&self, entry: &EndpointEntry) -> bool {
         let now = self.shared.now();
-        let state = self.shared.lock_state();
+        let mut state = self.shared.lock_state();
         let block = state.quarantine.block(&self.suspects, now);
         state.roster.is_leaving(entry)
             || state.rests.until(&entry.id, now).is_some()
             || block.is_some_and(|block| !state.probes.is_probe(&block, &self.call.attempt))
+            || state.evacuations.contains(&entry.domain)
+            || !state.try_send_cold(entry, now)
     }
 
     /// Validates the head of an answer and reads the whole body, unless the answer is a stream or
--- a/crates/edge/src/exchange_reports.rs
+++ b/crates/edge/src/exchange_reports.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 impl Exchange {
-    /// Records if the answer says that the endpoint leaves, or for how long it asks for a rest.
+    /// Records if the answer says that the endpoint leaves, for how long it asks for a rest, or how much
+    /// longer it is cold.
     pub(crate) fn apply_notices(&self, entry: &EndpointEntry, head: &AnswerHead) {
         if head.attempt.as_deref() != Some(self.call.attempt.as_str()) || head.misdirected {
             return;
@@ -20,6 +21,11 @@
         if head.leaving {
             endpoint_leaving(&mut shared.lock_state(), shared, attempt, entry);
         }
+        if let Some(left) = head.cold {
+            let mut state = shared.lock_state();
+            let now = shared.now();
+            state.roster.note_cold(&entry.id, &entry.boot(), left, now);
+        }
         if let Some(asked) = head.rest {
             endpoint_rest(&mut shared.lock_state(), shared, attempt, &entry.id, asked);
         }
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -3,6 +3,7 @@
 use crate::answer_deadline::AnswerDeadline;
 use crate::byte_budget::HeldBody;
 use crate::call::{Call, Prompt};
+use crate::constraints::Homes;
 use crate::exchange::Exchange;
 use crate::manifest::{CallerLimits, Route, SoftwareVersion};
 use crate::routes::RouteTable;
@@ -58,7 +59,7 @@
         shared.wait_ready(MAX_START_WAIT).await;
     }
     let admitted = admit_call(&shared, &call, started);
-    let (route, customer, priority, limits) = match admitted {
+    let (route, customer, priority, homes, limits) = match admitted {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(&shared, Some(&call), &refusal, started),
     };
@@ -102,6 +103,7 @@
         service,
         customer,
         priority,
+        homes,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
@@ -134,7 +136,7 @@
     }
 }
 
-type Admitted = (Arc<Route>, Option<CustomerId>, u8, CallerLimits);
+type Admitted = (Arc<Route>, Option<CustomerId>, u8, Homes, CallerLimits);
 
 /// Selects the route, checks the API key, and refuses requests that a draining router no longer takes.
 fn admit_call(shared: &Shared, call: &Call, started: Duration) -> Result<Admitted, Refusal> {
@@ -151,7 +153,7 @@
             Duration::ZERO,
         ));
     };
-    let (customer, priority) = customer(&routes, route, call)?;
+    let (customer, priority, homes) = customer(&routes, route, call)?;
     if !shared.accepts(route, started + call.time_limit(route.timeout)) {
         return Err(Refusal::not_run(
             RefusalReason::Draining,
@@ -162,6 +164,7 @@
         route.clone(),
         customer,
         priority,
+        homes,
         routes.manifest().limits.clone(),
     ))
 }
@@ -170,17 +173,18 @@
     routes: &RouteTable,
     route: &Route,
     call: &Call,
-) -> Result<(Option<CustomerId>, u8), Refusal> {
+) -> Result<(Option<CustomerId>, u8, Homes), Refusal> {
     let known = call.key.as_ref().and_then(|key| routes.customer(key));
+    let homes = Homes::new(route, known);
     match known {
         Some(customer) => {
             let priority = customer.priority.unwrap_or(route.priority);
-            Ok((Some(customer.name.clone()), priority))
+            Ok((Some(customer.name.clone()), priority, homes))
         }
         None if routes.needs_key(route) => {
             Err(Refusal::not_run(RefusalReason::BadToken, Duration::ZERO))
         }
-        None => Ok((None, route.priority)),
+        None => Ok((None, route.priority, homes)),
     }
 }
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -47,6 +47,12 @@
     Leaving,
     /// It asked this router for a rest.
     Rest,
+    /// Its failure domain is evacuated.
+    Evacuated,
+    /// Its region is not a home of the request.
+    Region,
+    /// It is cold and this router has sent its share.
+    Cold,
 }
 
 impl Exclusion {
@@ -54,6 +60,9 @@
         match self {
             Exclusion::Leaving => "leaving",
             Exclusion::Rest => "rest",
+            Exclusion::Evacuated => "evacuated",
+            Exclusion::Region => "region",
+            Exclusion::Cold => "cold",
         }
     }
 }
@@ -88,6 +97,10 @@
     answer_ends: Family<VerdictLabel, Counter>,
     take_ups: Family<KnownLabel, Counter>,
     pub(crate) resting: Gauge,
+    /// Failure domains that operators evacuate.
+    pub(crate) evacuated: Gauge,
+    /// Rows of operators that cannot be read or applied.
+    pub(crate) operator_rows_rejected: Counter,
     /// Streams in the row that this router saved last.
     pub(crate) saved_streams: Gauge,
     pub(crate) rests_ignored: Counter,
@@ -122,6 +135,8 @@
             answer_ends: Family::default(),
             take_ups: Family::default(),
             resting: Gauge::default(),
+            evacuated: Gauge::default(),
+            operator_rows_rejected: Counter::default(),
             saved_streams: Gauge::default(),
             rests_ignored: Counter::default(),
             repairs: Counter::default(),
@@ -199,7 +214,7 @@
         );
         registry.register(
             "spared",
-            "Requests for which an endpoint was left out that leaves or rests, by cause",
+            "Requests for which an endpoint was left out, by cause",
             self.spared.clone(),
         );
         registry.register(
@@ -222,6 +237,16 @@
             "Endpoints that asked this router for a rest that has not ended",
             self.resting.clone(),
         );
+        registry.register(
+            "evacuated",
+            "Failure domains that operators evacuate",
+            self.evacuated.clone(),
+        );
+        registry.register(
+            "operator_rows_rejected",
+            "Rows of operators that cannot be read or applied",
+            self.operator_rows_rejected.clone(),
+        );
         registry.register(
             "rests_ignored",
             "Rests that endpoints asked for in vain: unreadable, or longer than the bound",
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -1,6 +1,7 @@
 //! Messages between routers, and the queue of events that later messages carry.
 
 use crate::cache_map::PrefixKey;
+use crate::constraints::{DomainKey, EvacuatedDomains};
 use crate::crash_sync::encoded_bytes;
 use crate::feed::Feed;
 use crate::follower::{Revision, TableDigest};
@@ -36,6 +37,8 @@
 const ENDPOINT_ENTRY_BYTES: usize = 10;
 /// Load reports that make room for the success of a part.
 const REPORTS_PER_SUCCESS: usize = 2;
+/// Bytes of a load report in a message.
+const REPORT_BYTES: usize = 7;
 /// Messages that carry each event other than a prefix, because datagrams get lost.
 const SENDS_PER_EVENT: u8 = 3;
 /// Most items of each kind in the queue; beyond that, the oldest are dropped.
@@ -88,6 +91,8 @@
     /// Whether the receiver forwards the feed and the events to the routers of its own failure
     /// domain.
     pub relay: bool,
+    /// The evacuated domains as the sender knows them; `None` if it knows no set yet.
+    pub evacuations: Option<EvacuatedDomains>,
 }
 
 impl PeerMessage {
@@ -112,6 +117,20 @@
         self
     }
 
+    /// Makes room for the evacuated domains, in place of a few load reports.
+    pub(crate) fn with_room_for_evacuations(mut self) -> PeerMessage {
+        let dropped = self.evacuation_bytes().div_ceil(REPORT_BYTES);
+        let reports = self.load_reports.len();
+        self.load_reports.truncate(reports.saturating_sub(dropped));
+        self
+    }
+
+    /// Bytes that the evacuated domains take.
+    fn evacuation_bytes(&self) -> usize {
+        let set = self.evacuations.as_ref();
+        set.map_or(0, |set| set.domains.len() * size_of::<DomainKey>())
+    }
+
     /// Whether the message carries events that all routers should know.
     pub(crate) fn has_events(&self) -> bool {
         !(self.prefixes.is_empty()
@@ -207,7 +226,8 @@
     pub(crate) fn fill(&mut self, message: &mut PeerMessage, now: Duration) {
         let work = message.work.as_deref().map_or(0, work_bytes);
         let successes = message.succeeded.len() * SUCCESS_ENTRY_BYTES;
-        let mut free_bytes = MAX_ENTRY_BYTES.saturating_sub(work + successes);
+        let mut free_bytes =
+            MAX_ENTRY_BYTES.saturating_sub(work + successes + message.evacuation_bytes());
         let crashes = self.next_crashes(free_bytes.min(MAX_CRASH_BYTES));
         let crash_bytes = crashes.iter().map(|(crash, _)| encoded_bytes(crash)).sum();
         let mut endpoint_bytes = (ENDPOINT_BYTES + free_bytes).saturating_sub(crash_bytes);
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -162,6 +162,7 @@
         });
         peer.address = address;
         let mut state = self.shared.lock_state();
+        state.known_routers.learn(&id);
         let contact = state.contacts.entry(id).or_insert(Contact {
             address,
             domain: domain.to_string(),
@@ -198,6 +199,11 @@
         };
         let now = self.shared.now();
         let address = message.address.unwrap_or(from);
+        let named = message.known_peer.iter().map(|(other, ..)| other);
+        for router in named.chain([&id]) {
+            let mut state = self.shared.lock_state();
+            state.known_routers.hear(router, now);
+        }
         self.add_peer(id.clone(), address, &message.domain);
         if let Some((other, address, domain)) = message.known_peer.clone()
             && other != self.shared.settings.id
--- a/crates/edge/src/peers/rounds.rs
+++ b/crates/edge/src/peers/rounds.rs
@@ -64,6 +64,9 @@
         let mut state = self.shared.lock_state();
         state.loads.expire(now, timeout);
         state.hot_subjects.expire(now);
+        if let Some(cold) = &mut state.cold_starts {
+            cold.expire(now);
+        }
         state.loads.rely_on_reports(self.peers.len() >= SMALL_FLEET);
         update_lapses(&mut state, &self.shared, now);
         drop(state);
@@ -180,6 +183,7 @@
         let mut state = self.shared.lock_state();
         if state.contacts.len() > peers.len() {
             state.contacts.retain(|id, _| peers.contains_key(id));
+            state.known_routers.retain(|id| peers.contains_key(id));
             self.crash_sync.retain(|id| peers.contains_key(id));
         }
         drop(state);
@@ -404,6 +408,7 @@
             endpoints: state.endpoints.digest(now),
             draining: self.shared.is_draining(),
             crash_digest: state.quarantine.digest(),
+            evacuations: state.evacuations.known().cloned(),
             ..PeerMessage::default()
         }
     }
@@ -422,6 +427,7 @@
                 hot_subjects: state.hot_subjects.hottest(now),
                 ..base
             };
+            let message = message.with_room_for_evacuations();
             return message.with_part_successes(successes);
         }
         let work = state.loads.own_work().iter();
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -29,7 +29,8 @@
     pub avoid: bool,
     /// Whether it asked this router to send nothing for a while.
     pub resting: bool,
-    /// Whether the operators' constraints keep this request from it.
+    /// Whether its failure domain is evacuated. Like one that is leaving, it does not count towards the
+    /// mean load.
     pub excluded: bool,
     /// How many times longer than usual work takes there; 1 is usual.
     pub pace: f64,
@@ -211,7 +212,7 @@
         work: Duration,
         candidates: &[Candidate<'_>],
     ) -> Option<Choice> {
-        let others_rest = candidates.iter().any(|candidate| candidate.resting);
+        let others_rest = candidates.iter().any(|c| c.resting && !c.excluded);
         let mean = mean(&counted_for_mean(candidates));
         let usable = usable(candidates.iter().filter(|c| c.eligible));
         let cost = |candidate: &Candidate<'_>| {
@@ -265,7 +266,8 @@
 /// The candidates whose load enters the mean: the usable ones and those that rest. Without the latter,
 /// each resting endpoint would raise the bound, and with it the load of the others.
 fn counted_for_mean<'a>(candidates: &'a [Candidate<'a>]) -> Vec<&'a Candidate<'a>> {
-    let resting = candidates.iter().filter(|c| c.resting && !c.leaving);
+    let resting = candidates.iter();
+    let resting = resting.filter(|c| c.resting && !c.leaving && !c.excluded);
     let usable = usable(candidates.iter());
     usable.into_iter().chain(resting).collect()
 }
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -280,7 +280,7 @@
         }
         match self.table {
             Table::Configuration => {
-                apply_configuration(&self.shared, rows, sent, verified_at);
+                apply_configuration(&self.shared, rows, from.is_none(), sent, verified_at);
                 self.shared.publish(None);
             }
             Table::Endpoints | Table::Routers => {
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -8,7 +8,7 @@
 use crate::manifest::{EndpointEntry, Manifest, RouterEntry};
 use displaydoc::Display;
 use http::HeaderMap;
-use sequoiaridge_core::RouterId;
+use sequoiaridge_core::{DomainId, RouterId};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::pin::Pin;
@@ -101,6 +101,11 @@
 pub enum Entry {
     /// A version of the configuration.
     Configuration(Arc<Manifest>),
+    /// An operator evacuates a failure domain.
+    Evacuation(DomainId),
+    /// The row of an evacuation was removed. It names the domain, since only the platform's names say
+    /// which keys are those of evacuations.
+    EvacuationEnded(DomainId),
     /// An endpoint.
     Endpoint(EndpointEntry),
     /// A router.
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -10,9 +10,10 @@
 use crate::quarantine_probe::is_designated;
 use crate::shared::RoutingState;
 use crate::started_answer::LoadGuard;
-use sequoiaridge_core::{Event, RefusalReason, hash_parts};
+use sequoiaridge_core::{EndpointId, Event, RefusalReason, hash_parts};
 use sequoiaridge_log::log_request;
 use sequoiaridge_policy::Block;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -43,6 +44,7 @@
             self.probe_or_hold(&mut state, &block)?;
         }
         let prefixes = self.call.prompt.as_ref().map(prefixes).unwrap_or_default();
+        let constraints = self.constraints(&mut state, now);
         let cached = state.cache.cached(&prefixes, now);
         let mut errors = 0.0;
         let mut candidates: Vec<Candidate<'_>> = Vec::new();
@@ -50,6 +52,10 @@
             if self.tried.contains(&entry.id) {
                 continue;
             }
+            let constraint = constraints.get(&entry.id);
+            // Tokens are not copied from where the request may not go, either.
+            let is_readable = !matches!(constraint, Some(Exclusion::Evacuated | Exclusion::Region));
+            let cached = cached.get(entry.id.as_str()).copied();
             let Work { requests, unread } = state.loads.outstanding(&entry.id, now);
             let leaving = state.roster.is_leaving(entry);
             if leaving && !entry.leaving {
@@ -60,16 +66,13 @@
                 slots: entry.slots,
                 requests,
                 unread,
-                cached: cached.get(entry.id.as_str()).copied().unwrap_or(0),
-                eligible: self
-                    .version
-                    .as_ref()
-                    .is_none_or(|version| *version == entry.version),
+                cached: cached.filter(|_| is_readable).unwrap_or(0),
+                eligible: self.is_version(entry) && constraint.is_none(),
                 leaving,
                 same_domain: entry.domain == self.shared.settings.domain,
                 avoid: state.health.is_paused(&entry.id, now),
                 resting: state.rests.until(&entry.id, now).is_some(),
-                excluded: false,
+                excluded: constraint == Some(&Exclusion::Evacuated),
                 pace: 1.0,
             });
             errors += state.health.errors(&entry.id);
@@ -85,7 +88,13 @@
             return Err(RefusalReason::NoEndpoint);
         }
         if !candidates.iter().any(|c| c.eligible && !c.leaving) {
-            return Err(RefusalReason::VersionGone);
+            let accepting = candidates.iter().filter(|c| !c.leaving);
+            let entries = accepting.filter_map(|c| state.roster.get(c.id));
+            let mut of_version = entries.filter(|entry| self.is_version(entry));
+            if of_version.next().is_none() {
+                return Err(RefusalReason::VersionGone);
+            }
+            return Err(self.refuse_constrained(&constraints));
         }
         let mut placement = Placement::with_bound(self.shared.settings.load_multiple);
         let subject = self.call.prompt.as_ref().map(Prompt::subject);
@@ -137,6 +146,66 @@
         })
     }
 
+    /// Whether an endpoint has the version at which the stream must go on.
+    fn is_version(&self, entry: &EndpointEntry) -> bool {
+        let version = self.version.as_ref();
+        version.is_none_or(|version| *version == entry.version)
+    }
+
+    /// The endpoints of the service that the operators' constraints keep from this request, each with
+    /// the first constraint that does.
+    fn constraints(
+        &self,
+        state: &mut RoutingState,
+        now: Duration,
+    ) -> BTreeMap<EndpointId, Exclusion> {
+        let regions = &self.shared.settings.regions;
+        let mut constraints = BTreeMap::new();
+        let mut cold = Vec::new();
+        for entry in state.roster.accepting(&self.service, now) {
+            if state.evacuations.contains(&entry.domain) {
+                constraints.insert(entry.id.clone(), Exclusion::Evacuated);
+            } else if !self.homes.allow(&entry.domain, regions) {
+                constraints.insert(entry.id.clone(), Exclusion::Region);
+            } else if state.is_cold(entry, now) {
+                cold.push(entry.clone());
+            }
+        }
+        for entry in cold {
+            if !state.may_send_cold(&entry, now) {
+                constraints.insert(entry.id, Exclusion::Cold);
+            }
+        }
+        for cause in [Exclusion::Evacuated, Exclusion::Region, Exclusion::Cold] {
+            if constraints.values().any(|constraint| *constraint == cause) {
+                self.shared.metrics.excluded(cause);
+            }
+        }
+        constraints
+    }
+
+    /// Logs that the operators' constraints keep the request from all endpoints, and returns why it is
+    /// refused. If only the limit on cold endpoints does, the request may be retried soon.
+    fn refuse_constrained(&self, constraints: &BTreeMap<EndpointId, Exclusion>) -> RefusalReason {
+        let count = |cause| constraints.values().filter(|c| **c == cause).count();
+        let cold = count(Exclusion::Cold);
+        log_request(
+            Event::CallConstrained,
+            &self.call.attempt,
+            format_args!(
+                "service={} evacuated={} region={} cold={cold}",
+                self.service,
+                count(Exclusion::Evacuated),
+                count(Exclusion::Region),
+            ),
+        );
+        if cold > 0 {
+            RefusalReason::Overload
+        } else {
+            RefusalReason::NoEndpoint
+        }
+    }
+
     /// Lets the request through if it is the one that probes what is held.
     ///
     /// # Errors
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::byte_budget::ByteBudget;
 use crate::cache_map::CacheMap;
+use crate::constraints::{ColdEndpoint, ColdStarts, Evacuations, KnownRouters};
 use crate::departures::Departures;
 use crate::drain::{Drain, DrainRequest};
 use crate::feed::Feed;
@@ -9,7 +10,7 @@
 use crate::health::Health;
 use crate::hot_subjects::HotSubjects;
 use crate::load::Loads;
-use crate::manifest::{Route, SoftwareVersion};
+use crate::manifest::{ColdStart, EndpointEntry, Route, SoftwareVersion};
 use crate::metrics::Metrics;
 use crate::open_runs::OpenRuns;
 use crate::peer_message::Outbox;
@@ -71,6 +72,12 @@
     pub(crate) registry_returned: Option<Duration>,
     /// All other known routers.
     pub(crate) contacts: BTreeMap<RouterId, Contact>,
+    /// The same routers, as those among which the budgets of cold endpoints are divided.
+    pub(crate) known_routers: KnownRouters,
+    /// The failure domains that operators evacuate.
+    pub(crate) evacuations: Evacuations,
+    /// Requests to cold endpoints; `None` if the operators set no limit.
+    pub(crate) cold_starts: Option<ColdStarts>,
     pub(crate) loads: Loads,
     pub(crate) hot_subjects: HotSubjects,
     pub(crate) health: Health,
@@ -136,6 +143,51 @@
         sole.cloned()
     }
 
+    /// What an endpoint tolerates now because it is cold; `None` if it is not, or if its service sets no
+    /// limit.
+    fn cold_start(&self, entry: &EndpointEntry, now: Duration) -> Option<ColdStart> {
+        let routes = self.routes.as_ref()?;
+        let cold = routes.manifest().services.get(&entry.service)?.cold?;
+        let ended = self.evacuations.ended_at(&entry.domain);
+        let returned = ended.is_some_and(|ended| now < ended + cold.time);
+        (returned || now < self.roster.cold_until(&entry.id)).then_some(cold)
+    }
+
+    /// Whether the limit on cold endpoints applies to an endpoint.
+    pub(crate) fn is_cold(&self, entry: &EndpointEntry, now: Duration) -> bool {
+        self.cold_starts.is_some() && self.cold_start(entry, now).is_some()
+    }
+
+    /// Whether the limit on cold endpoints lets this router send a request to an endpoint now.
+    pub(crate) fn may_send_cold(&mut self, entry: &EndpointEntry, now: Duration) -> bool {
+        self.check_cold(entry, now, ColdStarts::may_send)
+    }
+
+    /// The same at the moment of sending: a request that may be sent is counted.
+    pub(crate) fn try_send_cold(&mut self, entry: &EndpointEntry, now: Duration) -> bool {
+        self.check_cold(entry, now, ColdStarts::try_send)
+    }
+
+    fn check_cold(
+        &mut self,
+        entry: &EndpointEntry,
+        now: Duration,
+        check: impl Fn(&mut ColdStarts, &ColdEndpoint<'_>, &KnownRouters, Duration) -> bool,
+    ) -> bool {
+        let Some(cold) = self.cold_start(entry, now) else {
+            return true;
+        };
+        let endpoint = ColdEndpoint {
+            id: &entry.id,
+            boot: &entry.boot(),
+            per_second: cold.per_second,
+        };
+        let Some(starts) = &mut self.cold_starts else {
+            return true;
+        };
+        check(starts, &endpoint, &self.known_routers, now)
+    }
+
     /// Rank of this router by link bandwidth, the fastest first, then by name: among all routers that are
     /// heard in a small fleet, among those of its failure domain in a large one.
     pub(crate) fn reader_rank(&self, settings: &EdgeSettings) -> ReaderRank {
@@ -254,6 +306,9 @@
                 config_position: Position::default(),
                 registry_returned: None,
                 contacts: BTreeMap::new(),
+                known_routers: KnownRouters::new(&settings.id),
+                evacuations: Evacuations::new(),
+                cold_starts: settings.cold.map(ColdStarts::new),
                 loads: Loads::new(),
                 hot_subjects: HotSubjects::new(),
                 health: Health::new(),
@@ -381,6 +436,7 @@
 
     /// Records that the other routers are known.
     pub(crate) fn note_joined(&self) {
+        self.lock_state().known_routers.join(self.now());
         self.joined.send_replace(true);
     }
 
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -5,6 +5,7 @@
 //! takes both from another one, and a new version spreads from the first routers of each failure
 //! domain to the others.
 
+use crate::constraints::EvacuatedDomains;
 use crate::crashes::{CrashSource, record_crash};
 use crate::endpoint_notices::peer_reported_leaving;
 use crate::feed::{ChangedRow, Feed};
@@ -13,7 +14,7 @@
 use crate::saved_versions::{encode_versions, restore_versions};
 use crate::schedule::{FIRST_READERS, jittered};
 use crate::shared::{Contact, RoutingState, Shared};
-use crate::sync::{apply_manifest, replace_endpoints};
+use crate::sync::{apply_evacuations, apply_manifest, replace_endpoints};
 use bytes::Bytes;
 use rand::seq::IteratorRandom;
 use sequoiaridge_core::{EndpointId, Event, Version};
@@ -87,6 +88,8 @@
     leaving: Vec<(EndpointId, String)>,
     /// History of the services' software versions; empty if it cannot be encoded.
     versions: Vec<u8>,
+    /// The evacuated domains; `None` if the sender knows no set yet.
+    evacuations: Option<EvacuatedDomains>,
 }
 
 /// The parts of a snapshot that are requested.
@@ -178,6 +181,7 @@
         .flat_map(|f| state.quarantine.crashes(*f, now));
     let crashes = crashes.take(MAX_CRASHES).collect();
     let leaving = state.roster.announced_leaving();
+    let evacuations = state.evacuations.known().cloned();
     drop(state);
     if endpoints.is_none() && configuration.is_none() {
         return None;
@@ -189,6 +193,7 @@
         crashes,
         leaving,
         versions,
+        evacuations,
     };
     match postcard::to_allocvec(&snapshot) {
         Ok(snapshot) => Some(snapshot.into()),
@@ -374,6 +379,10 @@
     for (id, boot) in &snapshot.leaving {
         peer_reported_leaving(&mut state, shared, id, boot, Duration::ZERO);
     }
+    // Before the configuration, which makes this router read only later changes of the table.
+    if let Some(set) = snapshot.evacuations {
+        apply_evacuations(&mut state, shared, set);
+    }
     drop(state);
     if !snapshot.versions.is_empty() {
         restore_versions(shared, &snapshot.versions, None);
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -1,5 +1,8 @@
 //! Applies configuration and endpoints that this router read or received from other routers.
 
+use crate::constraints::{
+    DomainKey, EvacuatedDomains, EvacuationRow, EvacuationUpdate, domain_key,
+};
 use crate::crashes::{CrashSource, record_crash, record_own_crashes, suspect_succeeded};
 use crate::endpoint_notices::peer_reported_leaving;
 use crate::feed::{ChangedRow, Feed, MAX_FEED_CHANGES};
@@ -13,7 +16,7 @@
 use crate::routes::RouteTable;
 use crate::saved_versions::note_versions;
 use crate::shared::{RoutingState, Shared};
-use sequoiaridge_core::{EndpointId, Event, RouterId};
+use sequoiaridge_core::{DomainId, EndpointId, Event, RouterId};
 use sequoiaridge_log::log;
 use sequoiaridge_policy::Suspect;
 use std::sync::Arc;
@@ -50,6 +53,9 @@
         state.configuration.apply_digest(digest, at);
     }
     wake_if_behind(&mut state, shared, Table::Configuration, gap_before);
+    if let Some(set) = message.evacuations {
+        apply_evacuations(&mut state, shared, set);
+    }
     if let Some(work) = message.work {
         let work = work.into_iter().collect();
         let from = PeerRouter {
@@ -339,25 +345,46 @@
     }
 }
 
-/// Applies the configuration that was read by a call sent at `sent`. Versions hold in all eras: a
+/// Applies the operators' rows that were read by a call sent at `sent`: those that changed, or the whole
+/// table. Versions of the configuration hold in all eras: a
 /// registry that came back from a copy may have an older one until the operators write again.
 pub(crate) fn apply_configuration(
     shared: &Shared,
     rows: Rows,
+    whole: bool,
     sent: Duration,
     verified_at: Duration,
 ) {
     let mut state = shared.lock_state();
     let position = rows.position;
+    let mut evacuations = Vec::new();
     for row in rows.rows {
+        let evacuated = matches!(row.entry, Entry::Evacuation(_));
         match row.entry {
             Entry::Configuration(manifest) => {
                 activate(&mut state, shared, manifest, row.position);
             }
-            Entry::Malformed(reason) => log(Event::ConfigInvalid, &reason),
+            Entry::Evacuation(domain) | Entry::EvacuationEnded(domain) => {
+                evacuations.push(EvacuationRow {
+                    domain,
+                    position: row.position,
+                    evacuated,
+                });
+            }
+            Entry::Malformed(reason) => {
+                shared.metrics.operator_rows_rejected.inc();
+                log(Event::ConfigInvalid, &format!("key={:?} {reason}", row.key));
+            }
             _ => {}
         }
     }
+    let now = shared.now();
+    let update = if whole {
+        state.evacuations.apply_whole(&evacuations, position, now)
+    } else {
+        state.evacuations.apply_changes(&evacuations, now)
+    };
+    report_evacuations(&state, shared, &update, "registry");
     if shared.note_era(position.era).is_some() {
         let detail = format!(
             "era={} before={} position={position} version={} source=registry",
@@ -380,6 +407,51 @@
     shared.notify_if_ready();
 }
 
+/// Applies the evacuated domains that another router knows.
+pub(crate) fn apply_evacuations(state: &mut RoutingState, shared: &Shared, set: EvacuatedDomains) {
+    let update = state.evacuations.merge(set, shared.now());
+    report_evacuations(state, shared, &update, "router");
+}
+
+fn report_evacuations(
+    state: &RoutingState,
+    shared: &Shared,
+    update: &EvacuationUpdate,
+    source: &str,
+) {
+    let position = state.evacuations.known().map(|known| known.position);
+    let position = position.unwrap_or_default();
+    let changes = [
+        (Event::EvacuationStarted, &update.started),
+        (Event::EvacuationEnded, &update.ended),
+    ];
+    for (event, keys) in changes {
+        for key in keys {
+            let domain = domain_name(state, shared, *key);
+            log(
+                event,
+                &format!("domain={domain:?} position={position} source={source}"),
+            );
+        }
+    }
+    for domain in &update.rejected {
+        shared.metrics.operator_rows_rejected.inc();
+        let detail = format!("domain={domain:?} evacuated={}", state.evacuations.len());
+        log(Event::EvacuationRejected, &detail);
+    }
+    let evacuated = i64::try_from(state.evacuations.len()).unwrap_or(i64::MAX);
+    shared.metrics.evacuated.set(evacuated);
+}
+
+/// Name of a domain, if this router knows one with that key; the key otherwise.
+fn domain_name(state: &RoutingState, shared: &Shared, key: DomainKey) -> String {
+    let listed = state.roster.domains();
+    let known = shared.settings.regions.keys();
+    let name = known.chain(listed).find(|domain| domain_key(domain) == key);
+    let hex = || format!("{:08x}", u32::from_be_bytes(key));
+    name.map_or_else(hex, DomainId::clone)
+}
+
 /// Applies the configuration of another router, or that there is none yet.
 pub(crate) fn apply_manifest(
     shared: &Shared,
--- a/crates/edge/tests/feed.rs
+++ b/crates/edge/tests/feed.rs
@@ -1,6 +1,8 @@
 //! Splitting of feeds into datagrams.
 
-use sequoiaridge_edge::{ChangedRow, EndpointEntry, Feed, PeerMessage, Position, TableDigest};
+use sequoiaridge_edge::{
+    ChangedRow, EndpointEntry, EvacuatedDomains, Feed, PeerMessage, Position, TableDigest,
+};
 use sequoiaridge_wire::{PeerKeys, Sealer};
 use std::time::Duration;
 
@@ -59,6 +61,10 @@
         endpoints: Some(digest()),
         crash_digest: u32::MAX,
         feed: Some(part),
+        evacuations: Some(EvacuatedDomains {
+            position: Position::new(u32::MAX, u64::MAX),
+            domains: (0..16).map(|index| [index, 255, 255, 255]).collect(),
+        }),
         ..PeerMessage::default()
     };
     sealer.seal(&message)
