Let a resumed stream go beyond the bound on load

Ruled out: full slots.

Change: if all endpoints that may run a prompt are beyond the bound, and others may not run it, one with a free place takes it. Such prompts are those of streams that began before. All other requests keep the bound.

--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -117,8 +117,9 @@
     /// Chooses an endpoint for a prompt. Among endpoints within the load bound it prefers those that have
     /// the subject cached, then the one with most of the prompt cached, then the one with the fewest
     /// requests, either of all or of two picked by hash. If no such endpoint has the subject cached, the
-    /// rendezvous hash alone decides, so that routers agree without communication. Returns `None` if no
-    /// endpoint is within the bound.
+    /// rendezvous hash alone decides, so that routers agree without communication. A stream that began
+    /// before and may go on only at some endpoints goes beyond the bound rather than to none of them.
+    /// Returns `None` if no endpoint takes the prompt.
     pub fn for_prompt(&self, subject: &Subject, candidates: &[Candidate<'_>]) -> Option<Choice> {
         let mean = mean(&counted_for_mean(candidates));
         let usable = usable(candidates.iter().filter(|c| c.eligible));
@@ -132,7 +133,8 @@
             let rank = rank(subject.key, candidate.id);
             (has, cached / MIN_GAIN_TOKENS, Reverse(work), rank)
         };
-        let mut best = available.iter().copied().max_by_key(order)?;
+        let best = available.iter().copied().max_by_key(order);
+        let mut best = best.or_else(|| self.beyond_bound(candidates, &usable))?;
         let mut needs = None;
         if let Some(request_hash) = self.request_hash {
             let replicas = self.replicas(subject, &usable);
@@ -152,6 +154,25 @@
         Some(choice)
     }
 
+    /// The endpoint for a prompt that only some of them may run, if these are all beyond the load bound:
+    /// one of those with a free place, by its requests. In a release, the last endpoints of a version get
+    /// the streams of many, and the mean of the others says nothing about what they can take.
+    fn beyond_bound<'a>(
+        &self,
+        candidates: &[Candidate<'_>],
+        usable: &[&'a Candidate<'a>],
+    ) -> Option<&'a Candidate<'a>> {
+        if candidates.iter().all(|candidate| candidate.eligible) {
+            return None;
+        }
+        let usable = usable.iter().copied();
+        let free = usable.filter(|candidate| candidate.requests < max_requests(candidate));
+        match self.request_hash {
+            Some(request_hash) => less_loaded_of_two(request_hash, free),
+            None => free.min_by_key(|candidate| candidate.requests),
+        }
+    }
+
     /// Picks one of the replicas of a hot subject or, for any other subject, one of the endpoints that
     /// have it cached; `None` if there is none within the load bound.
     fn pick_replica<'a>(
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -277,3 +277,41 @@
     let mean = choice.expect("an endpoint").mean;
     assert!((mean - f64::from(u32::MAX - 1)).abs() < 1.0, "{mean}");
 }
+
+/// Guards against callers whose streams are refused although endpoints of their version have free slots:
+/// in a release the last few endpoints of a version get the streams that many routers had begun.
+#[test]
+fn a_stream_that_few_endpoints_may_run_is_not_refused_for_the_mean() {
+    let mut all = candidates(18);
+    for candidate in all.iter_mut().skip(2) {
+        candidate.eligible = false;
+        candidate.requests = 2;
+    }
+    all[0].requests = 20;
+    all[1].requests = 12;
+    assert_eq!(select(&all), "e1");
+    let mut stale = Placement::default();
+    for request_hash in 0..20 {
+        stale.request_hash = Some(request_hash);
+        let choice = stale.for_prompt(&SUBJECT, &all).expect("an endpoint");
+        assert_eq!((choice.id.as_str(), choice.needs), ("e1", None));
+    }
+    all[1].requests = 60;
+    assert_eq!(select(&all), "e0");
+    all[0].requests = 60;
+    assert_eq!(Placement::default().for_prompt(&SUBJECT, &all), None);
+}
+
+/// Guards against new requests beyond the bound on load, which is given up only for streams that began
+/// before.
+#[test]
+fn a_request_that_all_endpoints_may_run_keeps_the_bound() {
+    let mut all = candidates(18);
+    for candidate in &mut all {
+        candidate.requests = 9;
+        candidate.avoid = true;
+    }
+    all[0].requests = 200;
+    all[0].avoid = false;
+    assert_eq!(Placement::default().for_prompt(&SUBJECT, &all), None);
+}
