--- a/crates/edge/tests/stream_holders.rs
+++ b/crates/edge/tests/stream_holders.rs
@@ -222,6 +222,7 @@
         let others = others.sample(&mut fleet.rng, 84 * 3 / 5 - KILLED_KEEPERS.len());
         killed.extend(others);
         let share = fleet.known_share(&running, &killed);
+        println!("seed {seed}: {share:.2} known");
         assert!(share >= 0.5, "seed {seed}: {share:.2} known");
     }
 }
