Check a configuration of the users' platform before it is sent

Cause: the platform's store accepts any well-formed configuration, also one with routes that never match, references to nothing or limits that cancel each other out, and operators saw that only in service.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -44,6 +44,7 @@
 mod load;
 mod load_reports;
 mod manifest;
+mod manifest_check;
 mod metrics;
 mod open_runs;
 mod own_rows;
@@ -99,6 +100,9 @@
     CallerLimits, ColdStart, Customer, EndpointEntry, Engine, Kind, Manifest, Route, RouterEntry,
     Service, ServiceName, SoftwareVersion, software_version,
 };
+pub use manifest_check::{
+    Field, FieldPath, Finding, Section, Severity, check_manifest, manifest_differences,
+};
 pub use metrics::example_metrics;
 pub use open_runs::{OpenRuns, RunProgress};
 pub use peer_message::PeerMessage;
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -58,16 +58,15 @@
         #[bpaf(positional("ID"))]
         id: String,
     },
-    /// Read a settings file and report every problem
+    /// Read a settings file, or a configuration of the users' platform, and report every problem
     ///
     ///
-    /// Exits with 0 if the settings are valid and with 2 if they are not.
+    /// A configuration is checked for errors, for entries that can never match and for limits that
+    /// contradict each other. With --in-force, what differs from that version is listed, too. Each
+    /// finding is one line with the path of its field. Exits with 0 if there is no error and with 2 if
+    /// there is one.
     #[bpaf(command)]
-    Check {
-        /// Settings file to read
-        #[bpaf(short, long, argument("FILE"))]
-        config: PathBuf,
-    },
+    Check(#[bpaf(external(checked))] Checked),
     /// Show and change the targets of classes of work
     ///
     ///
@@ -116,6 +115,29 @@
     },
 }
 
+/// What to check.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum Checked {
+    /// A settings file.
+    Settings {
+        /// Settings file to read
+        #[bpaf(short, long, argument("FILE"))]
+        config: PathBuf,
+    },
+    /// A configuration of the users' platform.
+    Manifest {
+        /// Configuration to check, in the form in which operators write it to the platform's store
+        #[bpaf(long, argument("FILE"))]
+        manifest: PathBuf,
+        /// Configuration in force, to compare with
+        #[bpaf(long, argument("FILE"))]
+        in_force: Option<PathBuf>,
+        /// Print each finding as a line of JSON with severity, path and message
+        #[bpaf(long)]
+        json: bool,
+    },
+}
+
 /// Which fake to run.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) enum Fake {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -72,7 +72,7 @@
         } => block_on(edge_status::show(address)),
         Command::Edge { .. } => edge::edge(),
         Command::Explain { log, id } => explain::explain(log.as_deref(), &id),
-        Command::Check { config } => check::check(&config),
+        Command::Check(checked) => check::check(&checked),
         Command::Targets(command) => admin::report(admin::targets(command)),
         Command::Customers(command) => admin::report(admin::customers(command)),
         Command::Teams(command) => admin::report(admin::teams(command)),
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -259,3 +259,51 @@
         );
     }
 }
+
+/// A configuration of the users' platform with one route.
+fn platform_configuration(version: u32, goal: u32) -> String {
+    format!(
+        r#"{{"version":{version},"routes":[{{"name":"read","host":"a.example","path_prefix":"/read/",
+        "route_kind":"idempotent","timeout_ms":1000,"goal_ms":{goal},"service":"app"}}],
+        "services":[{{"name":"app","health_path":"/healthz","max_conns":10}}],
+        "limits":{{"max_header_bytes":16384,"max_body_bytes":1024,"header_timeout_ms":3000,
+        "idle_timeout_ms":15000}}}}"#
+    )
+}
+
+/// Guards against a check whose exit code does not tell a script whether a configuration may be sent, and
+/// against findings without the path of the operators' own field.
+#[test]
+fn a_configuration_is_checked_before_it_is_sent() {
+    let unused = SocketAddr::from(([127, 0, 0, 1], 1));
+    let old = temp_file("in-force.json", &platform_configuration(7, 300));
+    let new = temp_file("next.json", &platform_configuration(8, 2000));
+    let (old, new) = (old.display(), new.display());
+    let checked = run(unused, &format!("check --manifest {new} --in-force {old}"));
+    assert_eq!(checked.code, 0, "{checked:?}");
+    let lines: Vec<&str> = checked.stdout.lines().collect();
+    assert!(
+        lines[0].starts_with("warning: routes[read].goal_ms: "),
+        "{lines:?}"
+    );
+    assert!(
+        lines[1].starts_with("change: routes[read].goal_ms: "),
+        "{lines:?}"
+    );
+    let back = run(
+        unused,
+        &format!("check --manifest {old} --in-force {new} --json"),
+    );
+    assert_eq!(back.code, 2, "{back:?}");
+    let first = back.stdout.lines().next().expect("a finding");
+    let first: serde_json::Value = serde_json::from_str(first).expect("JSON");
+    assert_eq!(first["severity"], "error");
+    assert_eq!(first["path"], "version");
+    let broken = temp_file("broken.json", "{}");
+    let broken = run(unused, &format!("check --manifest {}", broken.display()));
+    assert_eq!(broken.code, 2, "{broken:?}");
+    assert!(
+        broken.stderr.contains("is not a configuration"),
+        "{broken:?}"
+    );
+}
