Learn the speed of endpoints, and place requests by it

Change: pace.rs and pace/ estimate by endpoint how many times longer work takes than usual, from pauses between events, times of plain answers and the fourth load figure. Entries of load reports carry the estimate with its own age (one byte each), since a stream tells it after the report. Placement counts an endpoint's requests that many times. The learned speed is on for services that report the fourth figure, or for all if the settings share room; elsewhere the pace is 1.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -116,6 +116,10 @@
     EndpointResting = 317, Info, "endpoint-resting";
     /// The time for which an endpoint asked for no requests has ended.
     EndpointRested = 318, Info, "endpoint-rested";
+    /// An endpoint is slower than usual and gets less work.
+    EndpointSlow = 340, Info, "endpoint-slow";
+    /// An endpoint is about as fast as usual again.
+    EndpointUsual = 341, Info, "endpoint-usual";
     /// A stream that was begun before is to go on, or was refused because that is not possible.
     StreamTakenUp = 420, Info, "stream-taken-up";
     /// A call was refused, or ended without a complete response.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -360,6 +360,7 @@
         guard.run = Some(run);
         let silent =
             Outcome::MayHaveRun(RefusalReason::EndpointSilent, RetryReason::EndpointSilent);
+        let sent = shared.now();
         let answer = while_reachable(entry.address, connection.send(request));
         let answer = tokio::time::timeout(time_left, answer).await;
         let response = match answer {
@@ -388,7 +389,7 @@
                 return silent;
             }
         };
-        self.read_answer(entry, response, connection, placed.guard)
+        self.read_answer(entry, response, connection, placed.guard, sent)
             .await
     }
 
@@ -404,13 +405,14 @@
     }
 
     /// Validates the head of an answer and reads the whole body, unless the answer is a stream or
-    /// larger than [`MAX_BUFFERED_SIZED`].
+    /// larger than [`MAX_BUFFERED_SIZED`]. The request was sent at `sent`.
     async fn read_answer(
         &mut self,
         entry: &EndpointEntry,
         response: Response<Incoming>,
         mut connection: Connection,
         mut guard: LoadGuard,
+        sent: Duration,
     ) -> Outcome {
         let (parts, mut body) = response.into_parts();
         let head = self.shared.dialect.answer(&parts);
@@ -420,6 +422,7 @@
             .record_reachable(&entry.id);
         let run = guard.run.take();
         self.apply_notices(entry, &head);
+        self.record_pace_figure(entry, &head);
         // An answer with a missing or different attempt id may be a delayed answer to another
         // request.
         if head.attempt.as_deref() != Some(self.call.attempt.as_str()) {
@@ -493,6 +496,7 @@
                 // that crashes endpoints.
                 if status.is_success() && end == AnswerEnd::Whole {
                     self.report_success();
+                    self.record_answer_time(&entry.id, &head, sent);
                 }
                 let answer = Box::new(answer(body));
                 if end == AnswerEnd::Unknown && self.route.kind.repeatable() {
--- a/crates/edge/src/exchange_reports.rs
+++ b/crates/edge/src/exchange_reports.rs
@@ -5,8 +5,9 @@
 use crate::endpoint_notices::{endpoint_leaving, endpoint_rest};
 use crate::exchange::Exchange;
 use crate::manifest::EndpointEntry;
+use crate::shared::RoutingState;
 use sequoiaridge_core::Event;
-use sequoiaridge_log::log_request;
+use sequoiaridge_log::{log, log_request};
 use sequoiaridge_policy::Suspect;
 use std::time::Duration;
 
@@ -25,6 +26,52 @@
         }
     }
 
+    /// Records the pace that an endpoint reported with an answer, also with one that refuses the request.
+    pub(crate) fn record_pace_figure(&self, entry: &EndpointEntry, head: &AnswerHead) {
+        if head.attempt.as_deref() != Some(self.call.attempt.as_str()) || head.misdirected {
+            return;
+        }
+        if let Some(load) = &head.load {
+            let now = self.shared.now();
+            let mut state = self.shared.lock_state();
+            let paces = state.loads.paces_mut();
+            paces.record_load(&self.service, &entry.id, load, now);
+        }
+    }
+
+    /// Records the time of a plain answer, which tells the pace of its endpoint.
+    pub(crate) fn record_answer_time(&self, id: &str, head: &AnswerHead, sent: Duration) {
+        if self.call.prompt.is_some() {
+            return;
+        }
+        let now = self.shared.now();
+        let time = now.saturating_sub(sent);
+        let mut state = self.shared.lock_state();
+        let paces = state.loads.paces_mut();
+        paces.record_answer(&self.service, id, time, head.load.as_ref(), now);
+    }
+
+    /// Compares the paces of the service's endpoints, and logs what takes effect or no longer does.
+    pub(crate) fn refresh_paces(&self, state: &mut RoutingState, now: Duration) {
+        let endpoints = state.roster.endpoints_of(&self.service, now);
+        let ids = endpoints.map(|entry| entry.id.as_str());
+        let changes = state.loads.paces_mut().refresh(&self.service, ids, now);
+        let slow = i64::try_from(state.loads.paces().slow_count()).unwrap_or(i64::MAX);
+        self.shared.metrics.slow_endpoints.set(slow);
+        for change in changes {
+            let event = if change.pace > 1.0 {
+                Event::EndpointSlow
+            } else {
+                Event::EndpointUsual
+            };
+            let (service, id, pace) = (&self.service, &change.id, change.pace);
+            log(
+                event,
+                &format!("endpoint={id} service={service} pace={pace:.1}"),
+            );
+        }
+    }
+
     /// Records how long the request took, for what a draining router accepts.
     pub(crate) fn record_time(&self) {
         let now = self.shared.now();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -47,6 +47,7 @@
 mod metrics;
 mod open_runs;
 mod own_rows;
+mod pace;
 mod peer_message;
 mod peers;
 mod placement;
@@ -101,6 +102,7 @@
 };
 pub use metrics::example_metrics;
 pub use open_runs::{OpenRuns, RunProgress};
+pub use pace::{EFFECTIVE_PACE, PaceChange, PaceEntry, Paces, StreamSampler};
 pub use peer_message::PeerMessage;
 pub use placement::{Candidate, Choice, Placement, Subject};
 pub use quarantine_probe::{QuarantineProbes, is_designated};
--- a/crates/edge/src/load.rs
+++ b/crates/edge/src/load.rs
@@ -1,7 +1,8 @@
 //! Outstanding work by endpoint: what this router sent, and what other routers report.
 
 use crate::call::EndpointLoad;
-use crate::load_reports::{LoadReports, ReportEntry};
+use crate::load_reports::{LoadReports, ReportEntry, merge_paces};
+use crate::pace::Paces;
 use sequoiaridge_core::{DomainId, EndpointId, RouterId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -62,6 +63,7 @@
     /// Sum of the work of all other routers, so that a placement decision need not add it up.
     others: BTreeMap<EndpointId, Work>,
     reports: LoadReports,
+    paces: Paces,
     /// Whether routers exchange load reports of endpoints instead of their own counts.
     reports_only: bool,
 }
@@ -117,12 +119,28 @@
 
     /// The newest load reports of endpoints, for the other routers.
     pub fn newest_reports(&self, now: Duration) -> Vec<ReportEntry> {
-        self.reports.newest(now)
+        self.reports.newest(&self.paces, now)
+    }
+
+    /// The paces of slow endpoints, for the other routers of a small fleet.
+    pub fn slowest(&self, now: Duration) -> Vec<ReportEntry> {
+        LoadReports::slowest(&self.paces, now)
+    }
+
+    /// Paces of the endpoints, which messages carry beside load reports.
+    pub fn paces(&self) -> &Paces {
+        &self.paces
+    }
+
+    /// Paces of the endpoints, to record samples.
+    pub fn paces_mut(&mut self) -> &mut Paces {
+        &mut self.paces
     }
 
     /// Merges load reports from another router.
     pub fn merge_reports(&mut self, entries: &[ReportEntry], now: Duration) {
         self.reports.merge(entries, now);
+        merge_paces(&mut self.paces, entries, now);
     }
 
     /// The work of this router, for the other routers.
@@ -173,6 +191,7 @@
             self.forget(&router);
         }
         self.reports.expire(now);
+        self.paces.expire(now);
     }
 
     /// Number of known routers, including this one.
--- a/crates/edge/src/load_reports.rs
+++ b/crates/edge/src/load_reports.rs
@@ -5,6 +5,7 @@
 //! answer does. Every message carries the newest reports that its sender knows, with their ages, so
 //! that all routers learn within a few messages what an endpoint reported to one of them.
 
+use crate::pace::{PaceEntry, Paces};
 use sequoiaridge_core::hash_parts;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -13,8 +14,13 @@
 /// Time for which a report counts: an endpoint that has reported nothing for so long has completed
 /// its requests.
 const REPORT_TTL: Duration = Duration::from_millis(2500);
-/// Reports in one message; with 8 bytes each they fit in a datagram beside its other fields.
-const MAX_PER_MESSAGE: usize = 88;
+/// Bytes that the reports in one message may take, so that they fit in a datagram beside its other fields:
+/// 88 reports of up to 127 requests each, or 70 of the longest.
+const MAX_REPORT_BYTES: usize = 704;
+/// Bytes of a report without its number of requests: key, age, pace and age of the pace.
+const REPORT_BYTES: usize = 7;
+/// Age of an entry that holds a pace only: beyond that of any report that counts.
+const NO_REPORT_AGE: u8 = u8::MAX;
 /// Unit of a report's age in a message.
 const AGE_UNIT: Duration = Duration::from_millis(20);
 /// Transit time assumed for a message.
@@ -25,8 +31,9 @@
 /// Identifies an endpoint in messages: the first half of a hash of its id.
 pub type ReportKey = [u8; 4];
 
-/// A report in a message: endpoint, outstanding requests, and age in units of 20 ms.
-pub type ReportEntry = (ReportKey, u16, u8);
+/// A report in a message: endpoint, outstanding requests, age in units of 20 ms, and the endpoint's pace. The
+/// pace has an age of its own, since a stream tells it only some events after the report.
+pub type ReportEntry = (ReportKey, u16, u8, PaceEntry);
 
 /// The last report of an endpoint.
 #[derive(Clone, Debug, Default)]
@@ -75,14 +82,17 @@
 
     /// Merges the reports of another router.
     pub fn merge(&mut self, entries: &[ReportEntry], now: Duration) {
-        for (key, requests, age) in entries {
+        for (key, requests, age, _) in entries {
             let age = AGE_UNIT * u32::from(*age) + TRANSIT;
+            if age >= REPORT_TTL {
+                continue;
+            }
             self.replace(*key, *requests, now.saturating_sub(age));
         }
     }
 
-    /// The newest reports, for a message.
-    pub fn newest(&self, now: Duration) -> Vec<ReportEntry> {
+    /// The newest reports, for a message, with the paces of their endpoints.
+    pub fn newest(&self, paces: &Paces, now: Duration) -> Vec<ReportEntry> {
         let mut entries: Vec<(Duration, ReportEntry)> = Vec::new();
         for (key, report) in &self.reports {
             let age = now.saturating_sub(report.at);
@@ -91,11 +101,24 @@
             }
             let units = age.as_millis() / AGE_UNIT.as_millis();
             let units = u8::try_from(units).unwrap_or(u8::MAX);
-            entries.push((age, (*key, report.requests, units)));
+            entries.push((age, (*key, report.requests, units, paces.entry(key, now))));
         }
         entries.sort_by_key(|(age, _)| *age);
-        entries.truncate(MAX_PER_MESSAGE);
-        entries.into_iter().map(|(_, entry)| entry).collect()
+        let mut bytes = 0;
+        let entries = entries.into_iter().map(|(_, entry)| entry);
+        let fitting = entries.take_while(|(_, requests, ..)| {
+            bytes += REPORT_BYTES + varint_bytes(*requests);
+            bytes <= MAX_REPORT_BYTES
+        });
+        fitting.collect()
+    }
+
+    /// Entries that hold only the paces of the slow endpoints, for a fleet in which routers exchange their
+    /// own counts.
+    pub fn slowest(paces: &Paces, now: Duration) -> Vec<ReportEntry> {
+        let slow = paces.slowest(now).into_iter();
+        slow.map(|(key, pace)| (key, 0, NO_REPORT_AGE, pace))
+            .collect()
     }
 
     /// Outstanding requests at an endpoint: those that it reported, and those that this router has
@@ -132,7 +155,23 @@
     }
 }
 
-fn key(id: &str) -> ReportKey {
+/// Merges the paces in the entries of another router.
+pub(crate) fn merge_paces(paces: &mut Paces, entries: &[ReportEntry], now: Duration) {
+    for (key, _, _, pace) in entries {
+        paces.merge(*key, *pace, now.saturating_sub(TRANSIT));
+    }
+}
+
+/// Bytes of a number in the encoding of messages, which writes seven bits in each.
+fn varint_bytes(number: u16) -> usize {
+    match number {
+        0..0x80 => 1,
+        0x80..0x4000 => 2,
+        _ => 3,
+    }
+}
+
+pub(crate) fn key(id: &str) -> ReportKey {
     let [a, b, c, d, ..] = hash_parts(&[id.as_bytes()]).to_le_bytes();
     [a, b, c, d]
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -88,6 +88,8 @@
     answer_ends: Family<VerdictLabel, Counter>,
     take_ups: Family<KnownLabel, Counter>,
     pub(crate) resting: Gauge,
+    /// Endpoints whose pace takes effect.
+    pub(crate) slow_endpoints: Gauge,
     /// Streams in the row that this router saved last.
     pub(crate) saved_streams: Gauge,
     pub(crate) rests_ignored: Counter,
@@ -122,6 +124,7 @@
             answer_ends: Family::default(),
             take_ups: Family::default(),
             resting: Gauge::default(),
+            slow_endpoints: Gauge::default(),
             saved_streams: Gauge::default(),
             rests_ignored: Counter::default(),
             repairs: Counter::default(),
@@ -222,6 +225,11 @@
             "Endpoints that asked this router for a rest that has not ended",
             self.resting.clone(),
         );
+        registry.register(
+            "slow_endpoints",
+            "Endpoints that this router treats as slow: their pace is 1.5 or more",
+            self.slow_endpoints.clone(),
+        );
         registry.register(
             "rests_ignored",
             "Rests that endpoints asked for in vain: unreadable, or longer than the bound",
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -34,6 +34,8 @@
 const ENDPOINT_BYTES: usize = 160;
 /// Most bytes of such an endpoint without its id and boot id: their lengths, and an age.
 const ENDPOINT_ENTRY_BYTES: usize = 10;
+/// Bytes of a load report that holds a pace only.
+const PACE_ENTRY_BYTES: usize = 8;
 /// Load reports that make room for the success of a part.
 const REPORTS_PER_SUCCESS: usize = 2;
 /// Messages that carry each event other than a prefix, because datagrams get lost.
@@ -208,6 +210,14 @@
         let work = message.work.as_deref().map_or(0, work_bytes);
         let successes = message.succeeded.len() * SUCCESS_ENTRY_BYTES;
         let mut free_bytes = MAX_ENTRY_BYTES.saturating_sub(work + successes);
+        let for_crashes = if self.crashes.is_empty() {
+            0
+        } else {
+            MIN_CRASH_BYTES
+        };
+        let for_paces = free_bytes.saturating_sub(for_crashes);
+        message.load_reports.truncate(for_paces / PACE_ENTRY_BYTES);
+        free_bytes -= message.load_reports.len() * PACE_ENTRY_BYTES;
         let crashes = self.next_crashes(free_bytes.min(MAX_CRASH_BYTES));
         let crash_bytes = crashes.iter().map(|(crash, _)| encoded_bytes(crash)).sum();
         let mut endpoint_bytes = (ENDPOINT_BYTES + free_bytes).saturating_sub(crash_bytes);
--- a/crates/edge/src/peers/rounds.rs
+++ b/crates/edge/src/peers/rounds.rs
@@ -427,6 +427,7 @@
         let work = state.loads.own_work().iter();
         let work: Vec<(EndpointId, Work)> = work.map(|(id, work)| (id.clone(), *work)).collect();
         let mut message = base.with_work(work).with_part_successes(successes);
+        message.load_reports = state.loads.slowest(now);
         state.outbox.fill(&mut message, now);
         message
     }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -124,13 +124,26 @@
         let usable = usable(candidates.iter().filter(|c| c.eligible));
         let bound = mean * self.multiple + self.slack;
         let available = usable.iter().copied();
-        let available: Vec<&Candidate<'_>> = available.filter(|c| has_room(c, bound)).collect();
+        let mut available: Vec<&Candidate<'_>> = available.filter(|c| has_room(c, bound)).collect();
+        if available.is_empty() {
+            // Slow endpoints with short queues are better than a refusal.
+            let open = usable
+                .iter()
+                .copied()
+                .filter(|c| f64::from(c.requests) < bound && c.requests < max_requests(c));
+            available.extend(open.min_by(|a, b| load(a).total_cmp(&load(b))));
+        }
         let order = |candidate: &&Candidate<'_>| {
             let has = candidate.cached >= subject.tokens;
             let cached = if has { candidate.cached } else { 0 };
-            let work = if has { candidate.requests } else { 0 };
+            let work = if has { load(candidate) } else { 0.0 };
             let rank = rank(subject.key, candidate.id);
-            (has, cached / MIN_GAIN_TOKENS, Reverse(work), rank)
+            (
+                has,
+                cached / MIN_GAIN_TOKENS,
+                Reverse(in_thousandths(work)),
+                rank,
+            )
         };
         let mut best = available.iter().copied().max_by_key(order)?;
         let mut needs = None;
@@ -192,9 +205,7 @@
     /// if they are below it. Each further endpoint is assumed to take the requests between the mean and
     /// the bound.
     fn needs(&self, replicas: &[&Candidate<'_>], mean: f64, bound: f64) -> Option<usize> {
-        let excess = replicas
-            .iter()
-            .map(|replica| f64::from(replica.requests) - bound);
+        let excess = replicas.iter().map(|replica| load(replica) - bound);
         let excess: f64 = excess
             .filter(|excess| *excess >= 0.0)
             .map(|excess| excess + 1.0)
@@ -221,7 +232,7 @@
             } else {
                 REMOTE_COST
             };
-            let cost = work.mul_f64(turns) + domain_cost;
+            let cost = work.mul_f64(candidate.pace * (turns + 1.0)) + domain_cost;
             (cost, rank(request_hash, candidate.id))
         };
         let best = usable.iter().min_by_key(|candidate| cost(candidate))?;
@@ -230,9 +241,21 @@
     }
 }
 
+/// Load of an endpoint when endpoints are compared: a slow one counts as if it held as many more requests as
+/// work takes longer there.
+fn load(candidate: &Candidate<'_>) -> f64 {
+    f64::from(candidate.requests) * candidate.pace
+}
+
+/// A load as a number with a total order.
+fn in_thousandths(load: f64) -> u64 {
+    (load * 1000.0) as u64
+}
+
 /// Whether an endpoint can take one more request within a load bound.
 fn has_room(candidate: &Candidate<'_>, bound: f64) -> bool {
-    f64::from(candidate.requests) < bound && candidate.requests < max_requests(candidate)
+    let load = load(candidate);
+    load < bound && load < f64::from(max_requests(candidate))
 }
 
 /// Requests that an endpoint may hold: its slots and a short queue.
@@ -280,7 +303,7 @@
         .collect();
     ranked.sort_by_key(|(rank, _)| Reverse(*rank));
     let picked = ranked.into_iter().take(2).map(|(_, candidate)| candidate);
-    picked.min_by_key(|candidate| candidate.requests)
+    picked.min_by(|a, b| load(a).total_cmp(&load(b)))
 }
 
 fn mean(candidates: &[&Candidate<'_>]) -> f64 {
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -42,6 +42,7 @@
         if let Some(block) = state.quarantine.block(&self.suspects, now) {
             self.probe_or_hold(&mut state, &block)?;
         }
+        self.refresh_paces(&mut state, now);
         let prefixes = self.call.prompt.as_ref().map(prefixes).unwrap_or_default();
         let cached = state.cache.cached(&prefixes, now);
         let mut errors = 0.0;
@@ -70,7 +71,7 @@
                 avoid: state.health.is_paused(&entry.id, now),
                 resting: state.rests.until(&entry.id, now).is_some(),
                 excluded: false,
-                pace: 1.0,
+                pace: state.loads.paces().pace(&self.service, &entry.id, now),
             });
             errors += state.health.errors(&entry.id);
         }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -226,6 +226,8 @@
             settings.retry_window,
             settings.retry_extra,
         );
+        let mut loads = Loads::new();
+        loads.paces_mut().learn_all(settings.shares_room);
         let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         Shared {
             incarnation: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
@@ -254,7 +256,7 @@
                 config_position: Position::default(),
                 registry_returned: None,
                 contacts: BTreeMap::new(),
-                loads: Loads::new(),
+                loads,
                 hot_subjects: HotSubjects::new(),
                 health: Health::new(),
                 cache: CacheMap::with_window(settings.reuse_window),
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -7,13 +7,14 @@
 use crate::event_scan::{EVENT_END, EventScan};
 use crate::exchange::{CONFIRM_TIME, Exchange};
 use crate::manifest::Kind;
+use crate::pace::StreamSampler;
 use crate::silence_watch::SilenceWatch;
 use crate::started_answer::{AnswerBody, ArrivingBody, EndCheck, Framing, StartedAnswer};
 use crate::terminations::Loss;
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use http_body::{Body, Frame, SizeHint};
-use sequoiaridge_core::{EndpointId, Event, Refusal, RefusalReason, RetryReason};
+use sequoiaridge_core::{EndpointId, Event, Refusal, RefusalReason, RetryReason, hash_parts};
 use sequoiaridge_log::log_request;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -76,6 +77,11 @@
     close: bool,
     framing: Framing,
     events: EventScan,
+    sampler: StreamSampler,
+    /// Usual pause between events of the service, as of the last sample.
+    usual_pause: Option<Duration>,
+    /// Wakes the stream when its pause becomes longer than usual.
+    stall: Option<Pin<Box<Sleep>>>,
 }
 
 impl Origin {
@@ -93,6 +99,9 @@
             close: head.close,
             framing,
             events: EventScan::default(),
+            sampler: StreamSampler::new(),
+            usual_pause: None,
+            stall: None,
         }
     }
 }
@@ -176,6 +185,25 @@
         }
     }
 
+    /// Samples the endpoint when the stream has been without an event for too long.
+    fn poll_stall(&mut self, cx: &mut Context<'_>) {
+        let (Some(origin), Some(exchange)) = (&mut self.origin, &self.exchange) else {
+            return;
+        };
+        let Some(stall) = &mut origin.stall else {
+            return;
+        };
+        if stall.as_mut().poll(cx).is_ready() {
+            origin.stall = None;
+            let now = exchange.shared.now();
+            let pause = origin.sampler.stall(now);
+            let mut state = exchange.shared.lock_state();
+            let paces = state.loads.paces_mut();
+            let (service, run) = (&exchange.service, run_of(exchange));
+            paces.record_stall(service, &origin.endpoint, run, pause, now);
+        }
+    }
+
     fn resumable(&self) -> bool {
         let exchange = self.exchange.as_ref();
         exchange.is_some_and(|exchange| may_resume(exchange.route.kind))
@@ -215,6 +243,9 @@
         };
         let had_progressed = origin.events.ends >= PROGRESS_EVENTS;
         origin.events.record(data);
+        if self.success && exchange.route.kind.streams() {
+            sample_events(origin, exchange);
+        }
         if !had_progressed && origin.events.ends >= PROGRESS_EVENTS {
             exchange.report_progress();
             if let Source::Arriving(arriving) = &mut self.source {
@@ -408,6 +439,7 @@
         }
         let Poll::Ready(frame) = Pin::new(&mut arriving.body).poll_frame(cx) else {
             arriving.guard.progress.wait();
+            self.poll_stall(cx);
             ready!(self.poll_unreachable(cx));
             return Poll::Ready(self.resume_or_end(Failure::Unreachable));
         };
@@ -505,6 +537,38 @@
     }
 }
 
+/// Samples the endpoint with the events that arrived, and sets when the next pause is too long.
+fn sample_events(origin: &mut Origin, exchange: &Exchange) {
+    let now = exchange.shared.now();
+    let sample = origin.sampler.record(origin.events.ends, now);
+    if sample.is_some() || origin.usual_pause.is_none() && origin.events.ends == 1 {
+        let mut state = exchange.shared.lock_state();
+        let paces = state.loads.paces_mut();
+        if let Some(pause) = sample {
+            let run = run_of(exchange);
+            paces.record_pause(&exchange.service, &origin.endpoint, run, pause, now);
+        }
+        origin.usual_pause = paces.usual_pause(&exchange.service, now);
+    }
+    let stall_at = origin
+        .usual_pause
+        .and_then(|usual| origin.sampler.stall_at(usual));
+    let Some(stall_at) = stall_at else {
+        origin.stall = None;
+        return;
+    };
+    let at = Instant::now() + stall_at.saturating_sub(now);
+    match &mut origin.stall {
+        Some(stall) => stall.as_mut().reset(at),
+        None => origin.stall = Some(Box::pin(tokio::time::sleep_until(at))),
+    }
+}
+
+/// Tells the stream of an exchange apart from others.
+fn run_of(exchange: &Exchange) -> u64 {
+    hash_parts(&[exchange.call.attempt.as_bytes()])
+}
+
 /// Whether an answer that was partly passed on can continue on another endpoint.
 fn may_resume(kind: Kind) -> bool {
     kind.streams() && kind.repeatable()
