--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -102,7 +102,7 @@
 };
 pub use metrics::example_metrics;
 pub use open_runs::{OpenRuns, RunProgress};
-pub use pace::{EFFECTIVE_PACE, PaceChange, PaceEntry, Paces, StreamSampler};
+pub use pace::{EFFECTIVE_PACE, PaceChange, PaceEntry, Paces, Stall, StreamSampler};
 pub use peer_message::PeerMessage;
 pub use placement::{Candidate, Choice, Placement, Subject};
 pub use quarantine_probe::{QuarantineProbes, is_designated};
--- a/crates/edge/src/pace.rs
+++ b/crates/edge/src/pace.rs
@@ -12,7 +12,7 @@
 mod usual;
 
 pub use effect::{EFFECTIVE_PACE, PaceChange};
-pub use sampling::StreamSampler;
+pub use sampling::{Stall, StreamSampler};
 pub use scale::PaceEntry;
 
 use crate::call::EndpointLoad;
@@ -99,7 +99,7 @@
         service: &str,
         id: &str,
         run: u64,
-        pause: Duration,
+        (pause, stall): (Duration, Stall),
         now: Duration,
     ) {
         let Some(usual) = self.usual_pause(service, now) else {
@@ -107,7 +107,7 @@
         };
         let ratio = pause.as_secs_f64() / usual.as_secs_f64();
         let estimate = self.estimates.entry(key(id)).or_default();
-        estimate.record_pause(ratio, run, now);
+        estimate.record_stall(ratio, stall, run, now);
     }
 
     /// Records the time of a plain answer, with the load that the endpoint reported with it.
--- a/crates/edge/src/pace/estimate.rs
+++ b/crates/edge/src/pace/estimate.rs
@@ -5,6 +5,7 @@
 //! which another stream has to confirm a little later.
 
 use super::effect::EFFECTIVE_PACE;
+use super::sampling::Stall;
 use super::scale::PaceEntry;
 use std::time::Duration;
 
@@ -14,8 +15,10 @@
 const FIGURE_HALF_LIFE: Duration = Duration::from_millis(300);
 /// Time for which a reported pace outweighs samples of times.
 const FIGURE_TTL: Duration = Duration::from_millis(600);
-/// Weight of a sample from a stream.
+/// Weight of a sample from a stream, and of one that raises an estimate without effect and is too small for a
+/// suspicion. Prompts beside a stream make many such samples.
 const PAUSE_WEIGHT: f64 = 0.4;
+const RISE_WEIGHT: f64 = 0.15;
 /// Weight of the time of a plain answer. Their work differs from one to the next, and an endpoint of a
 /// plain service gets many of them.
 const ANSWER_WEIGHT: f64 = 0.05;
@@ -27,12 +30,18 @@
 const SUSPECT_SAMPLE: f64 = 2.0;
 /// Estimate of a suspected endpoint. It has no effect.
 const SUSPECTED_PACE: f64 = 1.42;
+/// Estimate of a suspected endpoint after a sample that refutes the suspicion.
+const REFUTED_PACE: f64 = 1.2;
 /// Estimate from which an endpoint counts as suspected; less than the above by a step of the scale.
 const SUSPECTED_FROM: f64 = 1.35;
 /// Time that a suspicion must last before it is confirmed, longer than what one prompt delays the events
 /// beside it, and the time after which it has lapsed.
-const CONFIRM_AFTER: Duration = Duration::from_millis(250);
+const CONFIRM_AFTER: Duration = Duration::from_millis(350);
 const CONFIRM_BEFORE: Duration = Duration::from_millis(2000);
+/// Time by which the suspicion of this router may look later when it comes back from another one.
+const ECHO_TIME: Duration = Duration::from_millis(100);
+/// Time by which it may look earlier: ages are rounded down, and a message may take no time.
+const ROUNDING: Duration = Duration::from_millis(15);
 
 /// The newest estimate of an endpoint's pace, by this router or another one.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -79,12 +88,19 @@
         }
         let ratio = ratio.clamp(MIN_SAMPLE, MAX_SAMPLE);
         let before = self.pace(now);
-        if ratio < SUSPECT_SAMPLE || before >= EFFECTIVE_PACE {
-            self.smooth(ratio, PAUSE_WEIGHT, now);
+        if before >= EFFECTIVE_PACE {
+            self.smooth_from(before, ratio, PAUSE_WEIGHT, now);
+            return;
+        }
+        if ratio < SUSPECT_SAMPLE {
+            let is_refuted = self.is_suspicion();
+            let before = if is_refuted { before.min(REFUTED_PACE) } else { before };
+            let weight = if ratio > before { RISE_WEIGHT } else { PAUSE_WEIGHT };
+            self.smooth_from(before, ratio, weight, now);
             return;
         }
         let since = now.saturating_sub(self.at);
-        let is_suspected = self.is_suspicion() && since < CONFIRM_BEFORE;
+        let is_suspected = self.is_suspicion() && !self.is_lapsed(now);
         if !is_suspected {
             self.pace = SUSPECTED_PACE;
             self.at = now;
@@ -95,6 +111,15 @@
         }
     }
 
+    /// Records a pause that goes on, as a multiple of the usual one. Alone it only raises a suspicion: a long
+    /// prompt beside the stream causes one, too.
+    pub(super) fn record_stall(&mut self, ratio: f64, stall: Stall, run: u64, now: Duration) {
+        let is_open = self.is_suspicion() && !self.is_lapsed(now);
+        if stall == Stall::Repeated || !is_open && self.pace(now) < EFFECTIVE_PACE {
+            self.record_pause(ratio, run, now);
+        }
+    }
+
     /// Records the time of a plain answer, as a multiple of the usual one.
     pub(super) fn record_answer(&mut self, ratio: f64, now: Duration) {
         if !self.has_figure(now) {
@@ -146,12 +171,25 @@
         };
         let is_outweighed =
             outweighs(self, &newer) || self.has_figure(newer.at) && !newer.is_figure;
+        if self.is_suspicion() && newer.is_suspicion() && !self.is_lapsed(newer.at) {
+            // The first slow sample counts. Its own echo comes back with the same time or a later one.
+            let is_echo = newer.at + ROUNDING > self.at && newer.at < self.at + ECHO_TIME;
+            if !is_echo {
+                self.suspected_by = None;
+            }
+            return;
+        }
         let is_newer = newer.at > self.at && !is_outweighed;
         if is_newer || outweighs(&newer, self) && self.at < newer.at + CONFIRM_BEFORE {
             *self = newer;
         }
     }
 
+    /// Whether a suspicion was not confirmed in time.
+    fn is_lapsed(&self, now: Duration) -> bool {
+        now >= self.at + CONFIRM_BEFORE
+    }
+
     /// Whether the endpoint is only suspected.
     fn is_suspicion(&self) -> bool {
         !self.is_figure && (SUSPECTED_FROM..EFFECTIVE_PACE).contains(&self.pace)
--- a/crates/edge/src/pace/sampling.rs
+++ b/crates/edge/src/pace/sampling.rs
@@ -8,7 +8,16 @@
 /// Multiple of the usual pause after which a stream without an event is sampled early.
 const STALL_MULTIPLE: u32 = 3;
 /// Events after an early sample until the next one.
-const EVENTS_AFTER_STALL: usize = 2;
+const EVENTS_AFTER_STALL: usize = 3;
+
+/// A pause that has become too long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stall {
+    /// The pause before it was not too long.
+    Single,
+    /// The pause before it was too long as well.
+    Repeated,
+}
 
 /// Samples of one stream.
 #[derive(Clone, Debug, Default)]
@@ -18,7 +27,9 @@
     /// Pauses since the last sample.
     pauses: Vec<Duration>,
     next: usize,
+    /// Whether this pause has counted as a sample, and whether the one before has.
     stalled: bool,
+    stalled_before: bool,
 }
 
 impl StreamSampler {
@@ -38,11 +49,14 @@
             return None;
         }
         self.events = events;
-        self.stalled = false;
+        // The long pause was a sample already.
+        let was_stalled = std::mem::take(&mut self.stalled);
+        self.stalled_before = was_stalled;
         if let Some(last) = self.last.replace(now) {
             // Events that arrive together were produced over the whole pause.
             let count = u32::try_from(new).unwrap_or(u32::MAX);
             let pause = now.saturating_sub(last) / count;
+            let new = if was_stalled { new - 1 } else { new };
             self.pauses.extend(std::iter::repeat_n(pause, new.min(64)));
         }
         if events < self.next || self.pauses.is_empty() {
@@ -62,10 +76,15 @@
     }
 
     /// Records that the pause counts as a sample. Returns it.
-    pub fn stall(&mut self, now: Duration) -> Duration {
+    pub fn stall(&mut self, now: Duration) -> (Duration, Stall) {
+        let stall = if self.stalled_before {
+            Stall::Repeated
+        } else {
+            Stall::Single
+        };
         self.stalled = true;
         self.next = self.next.min(self.events + EVENTS_AFTER_STALL);
         self.pauses.clear();
-        now.saturating_sub(self.last.unwrap_or(now))
+        (now.saturating_sub(self.last.unwrap_or(now)), stall)
     }
 }
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -196,11 +196,11 @@
         if stall.as_mut().poll(cx).is_ready() {
             origin.stall = None;
             let now = exchange.shared.now();
-            let pause = origin.sampler.stall(now);
+            let stall = origin.sampler.stall(now);
             let mut state = exchange.shared.lock_state();
             let paces = state.loads.paces_mut();
             let (service, run) = (&exchange.service, run_of(exchange));
-            paces.record_stall(service, &origin.endpoint, run, pause, now);
+            paces.record_stall(service, &origin.endpoint, run, stall, now);
         }
     }
 
