--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -49,6 +49,7 @@
 mod metrics;
 mod open_runs;
 mod own_rows;
+mod pace;
 mod peer_message;
 mod peers;
 mod placement;
@@ -110,6 +111,7 @@
 };
 pub use metrics::example_metrics;
 pub use open_runs::{OpenRuns, RunProgress};
+pub use pace::{EFFECTIVE_PACE, PaceChange, PaceEntry, Paces, Stall, StreamSampler};
 pub use peer_message::PeerMessage;
 pub use placement::{Candidate, Choice, Placement, Subject};
 pub use quarantine_probe::{QuarantineProbes, is_designated};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -101,6 +101,8 @@
     pub(crate) evacuated: Gauge,
     /// Rows of operators that cannot be read or applied.
     pub(crate) operator_rows_rejected: Counter,
+    /// Endpoints whose pace takes effect.
+    pub(crate) slow_endpoints: Gauge,
     /// Streams in the row that this router saved last.
     pub(crate) saved_streams: Gauge,
     pub(crate) rests_ignored: Counter,
@@ -137,6 +139,7 @@
             resting: Gauge::default(),
             evacuated: Gauge::default(),
             operator_rows_rejected: Counter::default(),
+            slow_endpoints: Gauge::default(),
             saved_streams: Gauge::default(),
             rests_ignored: Counter::default(),
             repairs: Counter::default(),
@@ -247,6 +250,11 @@
             "Rows of operators that cannot be read or applied",
             self.operator_rows_rejected.clone(),
         );
+        registry.register(
+            "slow_endpoints",
+            "Endpoints that this router treats as slow: their pace is 1.5 or more",
+            self.slow_endpoints.clone(),
+        );
         registry.register(
             "rests_ignored",
             "Rests that endpoints asked for in vain: unreadable, or longer than the bound",
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -280,6 +280,8 @@
             settings.retry_window,
             settings.retry_extra,
         );
+        let mut loads = Loads::new();
+        loads.paces_mut().learn_all(settings.shares_room);
         let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         Shared {
             incarnation: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
@@ -312,7 +314,7 @@
                 known_routers: KnownRouters::new(&settings.id),
                 evacuations: Evacuations::new(),
                 cold_starts: settings.cold.map(ColdStarts::new),
-                loads: Loads::new(),
+                loads,
                 hot_subjects: HotSubjects::new(),
                 health: Health::new(),
                 cache: CacheMap::with_window(settings.reuse_window),
