--- /dev/null
+++ b/crates/edge/src/admission.rs
@@ -0,0 +1,196 @@
+//! Admission under overload: divides the room of a service by rank and customer.
+//!
+//! Answers a surge of up to ten times the usual load, in which every router sends what it has and the
+//! endpoints do work that is of no use any more. See docs/design/contention.md, section 5.3.
+
+use crate::manifest::ServiceName;
+use sequoiaridge_core::{RefusalReason, RouterId};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Identifies a service in messages between routers: the first half of a hash of its name.
+pub type ServiceKey = u32;
+/// Identifies a customer in messages between routers: the first half of a hash of its name.
+pub type CustomerKey = u32;
+
+/// A request that asks for room at a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival<'a> {
+    /// Id of the caller's attempt.
+    pub attempt: &'a str,
+    /// Service that the request is for.
+    pub service: &'a str,
+    /// Route of the request.
+    pub route: &'a str,
+    /// Customer that sends it, if it is known.
+    pub customer: Option<&'a str>,
+    /// Priority; 0 is the most urgent.
+    pub rank: u8,
+    /// Target latency of the route.
+    pub target: Duration,
+    /// Time for which the caller still waits, if it says so.
+    pub deadline: Option<Duration>,
+    /// Time within which the request must be answered.
+    pub limit: Duration,
+    /// Whether the request takes up a stream, which counts as work under way.
+    pub resumed: bool,
+}
+
+/// What is decided on a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Admitted {
+    /// It may be sent to an endpoint.
+    Yes,
+    /// It is refused as not run.
+    No(RoomRefusal),
+}
+
+/// A refusal for lack of room.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoomRefusal {
+    /// `Overload` or `CustomerShare`.
+    pub reason: RefusalReason,
+    /// When the caller should come back.
+    pub retry_after: Duration,
+    /// Probability with which such a request is admitted.
+    pub probability: f64,
+    /// Whether the caller came back too late to be in time.
+    pub late: bool,
+}
+
+/// An endpoint of a service as a router knows it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EndpointRoom {
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Requests outstanding there, running and waiting, from all routers.
+    pub requests: u32,
+    /// How many times longer than usual work takes there; 1 is usual.
+    pub pace: f64,
+}
+
+/// A service as a router knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceRoom<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Endpoints that this router may use.
+    pub endpoints: Vec<EndpointRoom>,
+    /// Number of routers known, including this one.
+    pub routers: usize,
+    /// Shortest target of the routes that use the service.
+    pub target: Duration,
+}
+
+/// What a router reports to others about the demand on a service, in slots.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DemandReport {
+    /// The service.
+    pub service: ServiceKey,
+    /// Demand of requests that can be in time.
+    pub total: f32,
+    /// The same by rank, at most 4, the most urgent first.
+    pub ranks: Vec<(u8, f32)>,
+    /// Demand of callers that came back and can no longer be in time.
+    pub late: f32,
+    /// Demand of the largest customers, at most 12.
+    pub customers: Vec<(CustomerKey, f32)>,
+    /// Demand and number of the other customers.
+    pub others: (f32, u16),
+}
+
+/// A change of the state of a service, for logs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoomChange {
+    /// Whether the service is short of room now.
+    pub short: bool,
+    /// Demand of the fleet in slots.
+    pub demand: f64,
+    /// Room in slots.
+    pub room: f64,
+    /// Correction of the room.
+    pub correction: f64,
+    /// Routers whose demand is known, including this one.
+    pub routers_heard: usize,
+}
+
+/// Figures of a service, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RoomFigures {
+    /// Demand of the fleet in slots.
+    pub demand: f64,
+    /// Room in slots.
+    pub room: f64,
+    /// Correction of the room.
+    pub correction: f64,
+}
+
+/// Admission of one router.
+#[derive(Clone, Debug, Default)]
+pub struct Admission {
+    always: bool,
+    services: BTreeMap<ServiceName, ()>,
+}
+
+impl Admission {
+    /// Creates the admission of a router. `always` says that it applies to all services; otherwise it
+    /// applies to those whose endpoints report the pace of their machines.
+    pub fn new(always: bool) -> Admission {
+        Admission {
+            always,
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// Records that an endpoint of a service reported the pace of its machine.
+    pub fn note_pace_report(&mut self, service: &str, now: Duration) {
+        let _ = (service, now);
+    }
+
+    /// Whether admission applies to a service.
+    pub fn is_on(&self, service: &str, now: Duration) -> bool {
+        let _ = (service, now);
+        self.always
+    }
+
+    /// Records for how long a request of a route held a slot, without the time that it waited for one.
+    pub fn record_hold(&mut self, service: &str, route: &str, held: Duration, now: Duration) {
+        let _ = (service, route, held, now);
+    }
+
+    /// Records a request and decides on it.
+    pub fn decide(&mut self, arrival: &Arrival<'_>, now: Duration) -> Admitted {
+        let _ = (arrival, now);
+        Admitted::Yes
+    }
+
+    /// Updates room, correction and shares of a service; to be called every 100 ms. Returns a change
+    /// between short of room and not.
+    pub fn refresh(&mut self, service: &ServiceRoom<'_>, now: Duration) -> Option<RoomChange> {
+        let _ = (service, now);
+        None
+    }
+
+    /// What other routers need to know now; empty while no service is near its room.
+    pub fn report(&self, now: Duration) -> Vec<DemandReport> {
+        let _ = now;
+        Vec::new()
+    }
+
+    /// Merges what another router reports.
+    pub fn merge(&mut self, router: &RouterId, reports: Vec<DemandReport>, now: Duration) {
+        let _ = (router, reports, now);
+    }
+
+    /// Figures of a service, if admission applies to it.
+    pub fn figures(&self, service: &str) -> Option<RoomFigures> {
+        let _ = service;
+        None
+    }
+
+    /// Drops what is too old to count.
+    pub fn expire(&mut self, now: Duration) {
+        let _ = now;
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 //! assert!(retries.try_take("orders", 4, now));
 //! ```
 
+mod admission;
 mod answer_deadline;
 mod answer_end;
 mod bounded_io;
@@ -82,6 +83,10 @@
 mod wall_time;
 mod whole_body;
 
+pub use admission::{
+    Admission, Admitted, Arrival, CustomerKey, DemandReport, EndpointRoom, RoomChange, RoomFigures,
+    RoomRefusal, ServiceKey, ServiceRoom,
+};
 pub use answer_end::{AnswerEnd, EndEvidence};
 pub use byte_budget::{ByteBudget, Reservation};
 pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
