Read buffered answers in a file of their own

Reading an answer to its end, with the bound on its bytes, needs nothing of the retries, so it moves to buffered_answer.rs unchanged.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod answer_deadline;
 mod answer_end;
 mod bounded_io;
+mod buffered_answer;
 mod byte_budget;
 mod cache_map;
 mod call;
