Ask admission for each request, and keep the room of services up to date

Cause: admission stands as an interface that nothing calls.

Change: a request asks once, after its service and version are known and before anything is sent; a refusal is not-run with the given reason and Retry-After. Answers that end well record how long they held a slot, and refusals of endpoints record their load, too.

Ruled out: refreshing in the round of messages, which starts only once the router has joined the fleet; and a walk over the roster for each service, which grows with services times endpoints.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -118,6 +118,10 @@
     EndpointRested = 318, Info, "endpoint-rested";
     /// A stream that was begun before is to go on, or was refused because that is not possible.
     StreamTakenUp = 420, Info, "stream-taken-up";
+    /// The demand on a service exceeds its room, so that requests are refused.
+    RoomShort = 430, Warn, "room-short";
+    /// The demand on a service is within its room again.
+    RoomSufficient = 431, Info, "room-sufficient";
     /// A call was refused, or ended without a complete response.
     CallRefused = 400, Info, "call-refused";
     /// A call was retried.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::answer_end::AnswerEnd;
 use crate::call::{AnswerHead, Attempt, Call, Prompt};
+use crate::hold_time::HoldTime;
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName, SoftwareVersion};
 use crate::selection::Placed;
 use crate::shared::{InFlight, Shared};
@@ -33,7 +34,7 @@
 /// after two seconds.
 pub(crate) const CONFIRM_TIME: Duration = Duration::from_secs(1);
 /// Lowest priority that engines know; the highest is 0.
-const LOWEST_PRIORITY: u8 = 9;
+pub(crate) const LOWEST_PRIORITY: u8 = 9;
 /// Largest answer of a known length, in bytes, that is buffered until it is complete. A longer one
 /// is passed on as it arrives, and its request cannot be retried.
 const MAX_BUFFERED_SIZED: usize = 256 * 1024;
@@ -74,6 +75,8 @@
     pub(crate) tried_version: SoftwareVersion,
     /// Whether an event of the stream was passed on.
     pub(crate) begun: bool,
+    /// How long the last attempt holds a slot of its endpoint.
+    pub(crate) hold: HoldTime,
     pub(crate) _in_flight: InFlight,
 }
 
@@ -345,6 +348,7 @@
             ),
         );
         self.sent += 1;
+        self.hold = HoldTime::sent(self.call.resume.is_none(), shared.now());
         self.tried_version.clone_from(&entry.version);
         let run = shared.lock_state().terminations.begin(
             &self.call.attempt,
@@ -453,13 +457,8 @@
             .lock_state()
             .health
             .record_answer(&entry.id, error);
-        if let Some(load) = head.load {
-            let now = self.shared.now();
-            self.shared
-                .lock_state()
-                .loads
-                .record_report(&entry.id, load, now);
-        }
+        self.record_load(&entry.id, &head);
+        self.hold.answered(head.load.unwrap_or_default());
         let large = body.size_hint().lower() > MAX_BUFFERED_SIZED as u64;
         let streams = large || self.route.kind.streams() && status.is_success();
         guard.run = run;
@@ -489,6 +488,7 @@
                 // that crashes endpoints.
                 if status.is_success() && end == AnswerEnd::Whole {
                     self.report_success();
+                    self.record_hold();
                 }
                 let answer = Box::new(answer(body));
                 if end == AnswerEnd::Unknown && self.route.kind.repeatable() {
@@ -524,6 +524,8 @@
             self.sent -= 1;
             self.report_unreachable(entry);
             self.shared.pool.forget(&entry.id);
+        } else {
+            self.record_load(&entry.id, head);
         }
         Outcome::NotRun(RefusalReason::EndpointRefused, RetryReason::EndpointRefused)
     }
--- a/crates/edge/src/exchange_reports.rs
+++ b/crates/edge/src/exchange_reports.rs
@@ -25,6 +25,20 @@
         }
     }
 
+    /// Records the load that an answer reports, also one that refuses the request: that is what an
+    /// endpoint without a free slot sends.
+    pub(crate) fn record_load(&self, endpoint: &str, head: &AnswerHead) {
+        let Some(load) = head.load else {
+            return;
+        };
+        let now = self.shared.now();
+        let mut state = self.shared.lock_state();
+        state.loads.record_report(endpoint, load, now);
+        if load.pace_percent.is_some() {
+            state.admission.note_pace_report(&self.service, now);
+        }
+    }
+
     /// Records how long the request took, for what a draining router accepts.
     pub(crate) fn record_time(&self) {
         let now = self.shared.now();
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -4,6 +4,7 @@
 use crate::byte_budget::HeldBody;
 use crate::call::{Call, Prompt};
 use crate::exchange::Exchange;
+use crate::hold_time::HoldTime;
 use crate::manifest::{CallerLimits, Route, SoftwareVersion};
 use crate::routes::RouteTable;
 use crate::shared::{InFlight, Shared};
@@ -117,10 +118,17 @@
         version: None,
         tried_version: SoftwareVersion::new(),
         begun: false,
+        hold: HoldTime::default(),
         _in_flight: in_flight,
     });
     let answer = match exchange.find_version().await {
-        Ok(()) => exchange.send_with_retries().await,
+        Ok(()) => {
+            if let Err(no_room) = exchange.ask_room() {
+                let (refusal, detail) = (Refusal::from(&no_room), exchange.room_detail(&no_room));
+                return refuse_with(&shared, Some(&exchange.call), &refusal, started, &detail);
+            }
+            exchange.send_with_retries().await
+        }
         Err(reason) => exchange.give_up(None, reason),
     };
     match answer {
@@ -292,6 +300,17 @@
     call: Option<&Call>,
     refusal: &Refusal,
     started: Duration,
+) -> Response<StreamBody> {
+    refuse_with(shared, call, refusal, started, "")
+}
+
+/// The same with further fields of the log line, each after a space.
+fn refuse_with(
+    shared: &Shared,
+    call: Option<&Call>,
+    refusal: &Refusal,
+    started: Duration,
+    detail: &str,
 ) -> Response<StreamBody> {
     let status = status(refusal);
     let elapsed = shared.now().saturating_sub(started);
@@ -301,7 +320,7 @@
         Event::CallRefused,
         call.map_or("", |call| call.attempt.as_str()),
         format_args!(
-            "status={} reason={} verdict={} elapsed_ms={}",
+            "status={} reason={} verdict={} elapsed_ms={}{detail}",
             status.as_u16(),
             refusal.reason.as_str(),
             refusal.verdict,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Metrics of one router on the platform, described in docs/metrics.md.
 
+use crate::admission::RoomFigures;
 use crate::answer_end::AnswerEnd;
 use crate::crashes::CrashSource;
 use crate::registry::Table;
+use crate::room_gate::RoomOutcome;
 use crate::take_up::TakeUp;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -12,6 +14,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use sequoiaridge_core::{RefusalReason, RetryReason};
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -73,6 +76,20 @@
     verdict: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ServiceLabel {
+    service: String,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct RoomLabel {
+    rank: u8,
+    outcome: &'static str,
+}
+
+/// A figure of each service that admission applies to.
+type ServiceGauge = Family<ServiceLabel, Gauge<f64, AtomicU64>>;
+
 /// Counters, gauges and histograms.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -87,6 +104,12 @@
     spared: Family<CauseLabel, Counter>,
     answer_ends: Family<VerdictLabel, Counter>,
     take_ups: Family<KnownLabel, Counter>,
+    room: ServiceGauge,
+    demand: ServiceGauge,
+    room_correction: ServiceGauge,
+    room_requests: Family<RoomLabel, Counter>,
+    /// Messages with demand that were sent to other routers.
+    pub(crate) demand_messages: Counter,
     pub(crate) resting: Gauge,
     /// Streams in the row that this router saved last.
     pub(crate) saved_streams: Gauge,
@@ -121,6 +144,11 @@
             spared: Family::default(),
             answer_ends: Family::default(),
             take_ups: Family::default(),
+            room: Family::default(),
+            demand: Family::default(),
+            room_correction: Family::default(),
+            room_requests: Family::default(),
+            demand_messages: Counter::default(),
             resting: Gauge::default(),
             saved_streams: Gauge::default(),
             rests_ignored: Counter::default(),
@@ -212,6 +240,31 @@
             "Streams that were to go on, by how the version that began them was known",
             self.take_ups.clone(),
         );
+        registry.register(
+            "room",
+            "Requests that a service can run at the same time, by service",
+            self.room.clone(),
+        );
+        registry.register(
+            "demand",
+            "Demand of all routers on a service, in requests at the same time, by service",
+            self.demand.clone(),
+        );
+        registry.register(
+            "room_correction",
+            "Factor by which the reports of endpoints correct the room, by service",
+            self.room_correction.clone(),
+        );
+        registry.register(
+            "room_requests",
+            "Requests that asked for room, by rank and outcome",
+            self.room_requests.clone(),
+        );
+        registry.register(
+            "demand_messages",
+            "Messages with demand sent to other routers",
+            self.demand_messages.clone(),
+        );
         registry.register(
             "saved_streams",
             "Streams in the row that this router saved last",
@@ -327,6 +380,30 @@
         self.take_ups.get_or_create(&KnownLabel { known }).inc();
     }
 
+    /// Counts a request that asked for room.
+    pub(crate) fn room_asked(&self, rank: u8, outcome: RoomOutcome) {
+        let outcome = outcome.as_str();
+        let label = RoomLabel { rank, outcome };
+        self.room_requests.get_or_create(&label).inc();
+    }
+
+    /// Sets the figures of a service.
+    pub(crate) fn set_room(&self, service: &str, figures: &RoomFigures) {
+        let label = service_label(service);
+        self.room.get_or_create(&label).set(figures.room);
+        self.demand.get_or_create(&label).set(figures.demand);
+        let correction = self.room_correction.get_or_create(&label);
+        correction.set(figures.correction);
+    }
+
+    /// Removes the figures of a service that admission no longer applies to.
+    pub(crate) fn forget_room(&self, service: &str) {
+        let label = service_label(service);
+        for family in [&self.room, &self.demand, &self.room_correction] {
+            family.remove(&label);
+        }
+    }
+
     /// Counts a request whose crashes were cleared because it succeeded.
     pub(crate) fn crashes_cleared(&self, source: CrashSource) {
         let source = source.as_str();
@@ -352,9 +429,17 @@
     metrics.crash_recorded(CrashSource::Own);
     metrics.crashes_cleared(CrashSource::Own);
     metrics.excluded(Exclusion::Rest);
+    metrics.room_asked(0, RoomOutcome::Admitted);
+    metrics.set_room("orders", &RoomFigures::default());
     metrics.encode()
 }
 
+fn service_label(service: &str) -> ServiceLabel {
+    ServiceLabel {
+        service: service.to_string(),
+    }
+}
+
 fn label(reason: &'static str) -> ReasonLabel {
     ReasonLabel { reason }
 }
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -290,6 +290,11 @@
             .filter(|entry| !self.is_leaving(entry))
     }
 
+    /// Endpoints of all services that accept new requests.
+    pub fn all_accepting(&self, now: Duration) -> impl Iterator<Item = &EndpointEntry> {
+        self.usable(now).filter(|entry| !self.is_leaving(entry))
+    }
+
     /// Endpoints of a service, including those that are leaving, but without those that only a copy
     /// of the registry lists.
     pub fn endpoints_of<'a>(
@@ -297,11 +302,15 @@
         service: &'a str,
         now: Duration,
     ) -> impl Iterator<Item = &'a EndpointEntry> + 'a {
-        let usable = move |listed: &&ListedEndpoint| {
-            let is_used = !listed.is_lapsed(now) && !listed.is_doubted(now);
-            listed.entry.service == service && is_used
-        };
-        let listed = self.listed.values().filter(usable);
+        self.usable(now)
+            .filter(move |entry| entry.service == service)
+    }
+
+    /// Endpoints of all services, without those that only a copy of the registry lists.
+    fn usable(&self, now: Duration) -> impl Iterator<Item = &EndpointEntry> {
+        let is_used =
+            move |listed: &&ListedEndpoint| !listed.is_lapsed(now) && !listed.is_doubted(now);
+        let listed = self.listed.values().filter(is_used);
         listed.map(|listed| &listed.entry)
     }
 
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -8,6 +8,7 @@
 use crate::quarantine_page;
 use crate::reader;
 use crate::registry::{Dialect, Registry};
+use crate::room_watch::watch_room;
 use crate::saved_versions::note_versions;
 use crate::settings::EdgeSettings;
 use crate::shared::Shared;
@@ -79,6 +80,7 @@
         tokio::spawn(accept(readiness, shared.clone(), Port::Readiness));
         tokio::spawn(reader::run(shared.clone(), registry.clone()));
         tokio::spawn(peers::run(shared.clone(), registry, socket, lists, to_tell));
+        tokio::spawn(watch_room(shared.clone()));
         tokio::spawn(remove_expired(shared.clone()));
         log(
             Event::RouterStarted,
@@ -272,6 +274,7 @@
         state.terminations.expire(now);
         state.departures.expire(now);
         state.run_times.expire(now);
+        state.admission.expire(now);
         if state.endpoints.revision().is_some() {
             note_versions(&mut state, now);
         }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of one router share.
 
+use crate::admission::Admission;
 use crate::byte_budget::ByteBudget;
 use crate::cache_map::CacheMap;
 use crate::departures::Departures;
@@ -72,6 +73,8 @@
     /// All other known routers.
     pub(crate) contacts: BTreeMap<RouterId, Contact>,
     pub(crate) loads: Loads,
+    /// Division of the services' room among requests.
+    pub(crate) admission: Admission,
     pub(crate) hot_subjects: HotSubjects,
     pub(crate) health: Health,
     pub(crate) cache: CacheMap,
@@ -255,6 +258,7 @@
                 registry_returned: None,
                 contacts: BTreeMap::new(),
                 loads: Loads::new(),
+                admission: Admission::new(settings.shares_room),
                 hot_subjects: HotSubjects::new(),
                 health: Health::new(),
                 cache: CacheMap::with_window(settings.reuse_window),
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -210,11 +210,15 @@
     /// Records the events that arrived. An endpoint that crashes on a part of the prompt may still
     /// send the first one.
     fn scan_events(&mut self, data: &[u8]) {
-        let (Some(origin), Some(exchange)) = (&mut self.origin, &self.exchange) else {
+        let (Some(origin), Some(exchange)) = (&mut self.origin, &mut self.exchange) else {
             return;
         };
+        let had_event = origin.events.ends > 0;
         let had_progressed = origin.events.ends >= PROGRESS_EVENTS;
         origin.events.record(data);
+        if !had_event && origin.events.ends > 0 && exchange.route.kind.streams() {
+            exchange.hold.first_event(exchange.shared.now());
+        }
         if !had_progressed && origin.events.ends >= PROGRESS_EVENTS {
             exchange.report_progress();
             if let Source::Arriving(arriving) = &mut self.source {
@@ -262,6 +266,7 @@
         }
         if self.success && !self.may_be_whole {
             exchange.report_success();
+            exchange.record_hold();
         }
         exchange.record_end();
         exchange.record_time();
