Tell other routers the demand on services

Cause: shares of scarce room depend on the demand of the whole fleet.

Ruled out: comparing rounds with their demand, because every round would differ.

--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -1,5 +1,6 @@
 //! Messages between routers, and the queue of events that later messages carry.
 
+use crate::admission::DemandReport;
 use crate::cache_map::PrefixKey;
 use crate::crash_sync::encoded_bytes;
 use crate::feed::Feed;
@@ -42,7 +43,7 @@
 const MAX_QUEUED: usize = 512;
 
 /// A message from one router to another.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PeerMessage {
     /// Address at which the sender receives messages.
     pub address: Option<SocketAddr>,
@@ -88,6 +89,8 @@
     /// Whether the receiver forwards the feed and the events to the routers of its own failure
     /// domain.
     pub relay: bool,
+    /// Demand on services that are near their room or short of it, as the sender meters it.
+    pub demand: Vec<DemandReport>,
 }
 
 impl PeerMessage {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,5 +1,6 @@
 //! Exchange of messages between routers.
 
+mod demand;
 mod rounds;
 mod streams;
 
--- a/crates/edge/src/peers/rounds.rs
+++ b/crates/edge/src/peers/rounds.rs
@@ -67,10 +67,9 @@
         state.loads.rely_on_reports(self.peers.len() >= SMALL_FLEET);
         update_lapses(&mut state, &self.shared, now);
         drop(state);
-        if let Some(datagram) = self.next_round(now, interval) {
-            self.round_targets(now, timeout)
-                .into_iter()
-                .for_each(|address| send(&self.socket, &datagram, address));
+        if let Some(message) = self.next_round(now, interval) {
+            let targets = self.round_targets(now, timeout);
+            self.send_round(message, &targets, now);
         }
         self.tell_streams(now);
         self.request_repair(now);
@@ -273,7 +272,7 @@
     }
 
     /// The message of a round, if one is due and it carries a change or serves as a keepalive.
-    fn next_round(&mut self, now: Duration, interval: Duration) -> Option<Vec<u8>> {
+    fn next_round(&mut self, now: Duration, interval: Duration) -> Option<PeerMessage> {
         let last = self.last_round.as_ref().map(|(at, _)| *at);
         // Ticks may come a little early or late.
         if last.is_some_and(|last| now + ROUND_INTERVAL / 4 < last + interval) {
@@ -295,7 +294,7 @@
         }
         self.last_round = Some((now, comparable));
         message.known_peer = self.random_peer(now);
-        self.seal(&message)
+        Some(message)
     }
 
     /// One of the live routers, drawn anew for each message.
@@ -387,11 +386,15 @@
             return;
         }
         if let Some(datagram) = self.seal(message) {
-            to.iter()
-                .for_each(|address| send(&self.socket, &datagram, *address));
+            self.send_datagram(&datagram, to);
         }
     }
 
+    pub(super) fn send_datagram(&self, datagram: &[u8], to: &[SocketAddr]) {
+        to.iter()
+            .for_each(|address| send(&self.socket, datagram, *address));
+    }
+
     /// The fields that every message carries.
     pub(super) fn base_message(&self) -> PeerMessage {
         let now = self.shared.now();
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -65,6 +65,9 @@
     }
     state.loads.merge_reports(&message.load_reports, at);
     state.hot_subjects.merge(&message.hot_subjects, now);
+    if !message.demand.is_empty() {
+        state.admission.merge(router, message.demand, at);
+    }
     for (key, id) in message.prefixes {
         state.cache.record_remote(key, &id, now);
     }
