--- a/crates/edge/src/demand_budget.rs
+++ b/crates/edge/src/demand_budget.rs
@@ -5,6 +5,9 @@
 /// Bytes of a message of its own for demand. The fields that every message carries take up to 300, and a
 /// datagram holds 1,200.
 pub const MAX_DEMAND_BYTES: usize = 800;
+/// The same in a large fleet, where rounds take half of the 23 KB/s that a router may spend on control traffic.
+/// It holds two services with 12 customers each, or more with fewer.
+pub(crate) const LARGE_FLEET_DEMAND_BYTES: usize = 320;
 /// Most bytes of a report without its lists, of a rank and of a customer.
 const REPORT_BYTES: usize = 23;
 const RANK_BYTES: usize = 5;
--- a/crates/edge/src/peers/demand.rs
+++ b/crates/edge/src/peers/demand.rs
@@ -1,7 +1,7 @@
 //! Tells other routers the demand on services, beside the message of a round.
 
 use super::PeerExchange;
-use crate::demand_budget::{MAX_DEMAND_BYTES, fit_demand};
+use crate::demand_budget::{LARGE_FLEET_DEMAND_BYTES, MAX_DEMAND_BYTES, fit_demand};
 use crate::peer_message::PeerMessage;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,7 +15,12 @@
         if demand.is_empty() || to.is_empty() {
             return self.send_all(&message, to);
         }
-        let demand = fit_demand(demand, MAX_DEMAND_BYTES);
+        let limit = if self.is_large() {
+            LARGE_FLEET_DEMAND_BYTES
+        } else {
+            MAX_DEMAND_BYTES
+        };
+        let demand = fit_demand(demand, limit);
         let messages = u64::try_from(to.len()).unwrap_or_default();
         self.shared.metrics.demand_messages.inc_by(messages);
         // The reports of endpoints fill the rounds of a large fleet.
