--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,15 +18,18 @@
 //! assert!(retries.try_take("orders", 4, now));
 //! ```
 
+mod admission;
 mod answer_deadline;
 mod answer_end;
 mod bounded_io;
+mod buffered_answer;
 mod byte_budget;
 mod cache_map;
 mod call;
 mod constraints;
 mod crash_sync;
 mod crashes;
+mod demand_budget;
 mod departures;
 mod drain;
 mod endpoint_notices;
@@ -37,6 +40,7 @@
 mod feed;
 mod follower;
 mod health;
+mod hold_time;
 mod hot_subjects;
 mod idle_timer;
 mod ingress;
@@ -60,6 +64,8 @@
 mod relays;
 mod rest;
 mod retry_window;
+mod room_gate;
+mod room_watch;
 mod roster;
 mod router;
 mod routes;
@@ -85,6 +91,10 @@
 mod wall_time;
 mod whole_body;
 
+pub use admission::{
+    Admission, Admitted, Arrival, CustomerKey, DemandReport, EndpointRoom, RoomChange, RoomFigures,
+    RoomRefusal, ServiceKey, ServiceRoom,
+};
 pub use answer_end::{AnswerEnd, EndEvidence};
 pub use byte_budget::{ByteBudget, Reservation};
 pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
@@ -94,6 +104,7 @@
     EvacuationUpdate, Evacuations, Homes, KnownRouters, MAX_EVACUATED, domain_key,
 };
 pub use crash_sync::CrashSync;
+pub use demand_budget::{MAX_DEMAND_BYTES, demand_bytes, fit_demand};
 pub use departures::Departures;
 pub use drain::{Drain, DrainRequest};
 pub use feed::{ChangedRow, Feed, MAX_FEED_CHANGES};
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -1,5 +1,6 @@
 //! Messages between routers, and the queue of events that later messages carry.
 
+use crate::admission::DemandReport;
 use crate::cache_map::PrefixKey;
 use crate::constraints::{DomainKey, EvacuatedDomains};
 use crate::crash_sync::encoded_bytes;
@@ -47,7 +48,7 @@
 const MAX_QUEUED: usize = 512;
 
 /// A message from one router to another.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PeerMessage {
     /// Address at which the sender receives messages; `None` in a message that carries nothing but
     /// versions that began streams.
@@ -96,6 +97,8 @@
     pub relay: bool,
     /// The evacuated domains as the sender knows them; `None` if it knows no set yet.
     pub evacuations: Option<EvacuatedDomains>,
+    /// Demand on services that are near their room or short of it, as the sender meters it.
+    pub demand: Vec<DemandReport>,
 }
 
 impl PeerMessage {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of one router share.
 
+use crate::admission::Admission;
 use crate::byte_budget::ByteBudget;
 use crate::cache_map::CacheMap;
 use crate::constraints::{ColdEndpoint, ColdStarts, Evacuations, KnownRouters};
@@ -79,6 +80,8 @@
     /// Requests to cold endpoints; `None` if the operators set no limit.
     pub(crate) cold_starts: Option<ColdStarts>,
     pub(crate) loads: Loads,
+    /// Division of the services' room among requests.
+    pub(crate) admission: Admission,
     pub(crate) hot_subjects: HotSubjects,
     pub(crate) health: Health,
     pub(crate) cache: CacheMap,
@@ -315,6 +318,7 @@
                 evacuations: Evacuations::new(),
                 cold_starts: settings.cold.map(ColdStarts::new),
                 loads,
+                admission: Admission::new(settings.shares_room),
                 hot_subjects: HotSubjects::new(),
                 health: Health::new(),
                 cache: CacheMap::with_window(settings.reuse_window),
