Admission by room, customer and rank

In a surge each router sends what it has, so that a plain service rejects half of its arrivals and one customer takes the room of the others. Fixed limits for each router were ruled out: shares of routers are unequal and change within seconds.

Each router meters its own demand in slots, estimates that of the fleet from the reports of others, and divides the room by max-min fairness over customers and by urgency within a customer. A correction follows the fill that endpoints report. Shares are computed in refresh; decide looks up.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -3,12 +3,28 @@
 //! Answers a surge of up to ten times the usual load, in which every router sends what it has and the
 //! endpoints do work that is of no use any more. See docs/design/contention.md, section 5.3.
 
+mod customer_sizes;
+mod decision;
+mod fleet_demand;
+mod hold_times;
+mod meter;
+mod room;
+mod service;
+mod shares;
+mod spent_time;
+
+pub use shares::{CustomerDemand, Level, RankShares, split_room};
+
 use crate::manifest::ServiceName;
-use sequoiaridge_core::{RefusalReason, RouterId};
+use sequoiaridge_core::{RefusalReason, RouterId, hash_parts};
 use serde::{Deserialize, Serialize};
+use service::Service;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Time for which admission stays on after the last report of a pace.
+const PACE_REPORT_VALIDITY: Duration = Duration::from_secs(60);
+
 /// Identifies a service in messages between routers: the first half of a hash of its name.
 pub type ServiceKey = u32;
 /// Identifies a customer in messages between routers: the first half of a hash of its name.
@@ -130,7 +146,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Admission {
     always: bool,
-    services: BTreeMap<ServiceName, ()>,
+    /// When an endpoint of a service last reported the pace of its machine.
+    pace_reports: BTreeMap<ServiceName, Duration>,
+    services: BTreeMap<ServiceName, Service>,
 }
 
 impl Admission {
@@ -139,58 +157,92 @@
     pub fn new(always: bool) -> Admission {
         Admission {
             always,
+            pace_reports: BTreeMap::new(),
             services: BTreeMap::new(),
         }
     }
 
     /// Records that an endpoint of a service reported the pace of its machine.
     pub fn note_pace_report(&mut self, service: &str, now: Duration) {
-        let _ = (service, now);
+        match self.pace_reports.get_mut(service) {
+            Some(at) => *at = now,
+            None => {
+                self.pace_reports.insert(service.to_string(), now);
+            }
+        }
     }
 
     /// Whether admission applies to a service.
     pub fn is_on(&self, service: &str, now: Duration) -> bool {
-        let _ = (service, now);
-        self.always
+        let recent = |at: &Duration| now.saturating_sub(*at) < PACE_REPORT_VALIDITY;
+        self.always || self.pace_reports.get(service).is_some_and(recent)
     }
 
     /// Records for how long a request of a route held a slot, without the time that it waited for one.
     pub fn record_hold(&mut self, service: &str, route: &str, held: Duration, now: Duration) {
-        let _ = (service, route, held, now);
+        if self.is_on(service, now) {
+            self.service(service, now).record_hold(route, held, now);
+        }
     }
 
     /// Records a request and decides on it.
     pub fn decide(&mut self, arrival: &Arrival<'_>, now: Duration) -> Admitted {
-        let _ = (arrival, now);
-        Admitted::Yes
+        if !self.is_on(arrival.service, now) {
+            return Admitted::Yes;
+        }
+        self.service(arrival.service, now).decide(arrival, now)
     }
 
     /// Updates room, correction and shares of a service; to be called every 100 ms. Returns a change
     /// between short of room and not.
     pub fn refresh(&mut self, service: &ServiceRoom<'_>, now: Duration) -> Option<RoomChange> {
-        let _ = (service, now);
-        None
+        if !self.is_on(service.service, now) {
+            return None;
+        }
+        self.service(service.service, now).refresh(service, now)
     }
 
     /// What other routers need to know now; empty while no service is near its room.
     pub fn report(&self, now: Duration) -> Vec<DemandReport> {
-        let _ = now;
-        Vec::new()
+        let services = self.services.values();
+        services.filter_map(|service| service.report(now)).collect()
     }
 
     /// Merges what another router reports.
     pub fn merge(&mut self, router: &RouterId, reports: Vec<DemandReport>, now: Duration) {
-        let _ = (router, reports, now);
+        for report in reports {
+            let mut services = self.services.values_mut();
+            if let Some(service) = services.find(|service| service.key() == report.service) {
+                service.merge(router, report, now);
+            }
+        }
     }
 
     /// Figures of a service, if admission applies to it.
     pub fn figures(&self, service: &str) -> Option<RoomFigures> {
-        let _ = service;
-        None
+        self.services.get(service).map(Service::figures)
     }
 
     /// Drops what is too old to count.
     pub fn expire(&mut self, now: Duration) {
-        let _ = now;
+        self.pace_reports
+            .retain(|_, at| now.saturating_sub(*at) < PACE_REPORT_VALIDITY);
+        self.services.retain(|_, service| service.is_used(now));
+        for service in self.services.values_mut() {
+            service.expire(now);
+        }
+    }
+
+    fn service(&mut self, name: &str, now: Duration) -> &mut Service {
+        if !self.services.contains_key(name) {
+            let service = Service::new(key(name), now);
+            self.services.insert(name.to_string(), service);
+        }
+        self.services.get_mut(name).expect("was inserted above")
     }
 }
+
+/// Key of a name in messages between routers.
+fn key(name: &str) -> u32 {
+    (hash_parts(&[name.as_bytes()]) >> 32) as u32
+}
--- /dev/null
+++ b/crates/edge/src/admission/decision.rs
@@ -0,0 +1,56 @@
+//! The decision on one request, from shares that are already computed.
+//!
+//! Runs for every request of a surge on a tenth of a core, so it only looks up and compares.
+
+use super::shares::Shares;
+use super::{Admitted, Arrival, CustomerKey, RoomRefusal};
+use sequoiaridge_core::{RefusalReason, hash_parts};
+use std::time::Duration;
+
+/// A customer whose probability is below this share of the average one is refused for its own demand.
+const OWN_DEMAND: f64 = 0.9;
+
+/// Decides on a request while its service is short of room. `late` says that it competes for the room of
+/// callers that came back.
+pub fn decide(
+    shares: &Shares,
+    arrival: &Arrival<'_>,
+    customer: CustomerKey,
+    late: bool,
+) -> Admitted {
+    let usual = shares.customers.get(&customer);
+    let usual = usual.copied().unwrap_or(shares.unknown);
+    let probability = if late {
+        shares.late
+    } else {
+        shares.ranks.probability(arrival.rank, usual)
+    };
+    let drawn = hash_parts(&[arrival.attempt.as_bytes()]);
+    if unit(drawn) < probability {
+        return Admitted::Yes;
+    }
+    let reason = if usual < OWN_DEMAND * shares.average {
+        RefusalReason::CustomerShare
+    } else {
+        RefusalReason::Overload
+    };
+    Admitted::No(RoomRefusal {
+        reason,
+        retry_after: retry_after(arrival),
+        probability,
+        late,
+    })
+}
+
+/// Between one and three thirds of a third of the time left, by attempt, so that returns are spread and
+/// none comes at once. Callers honor at most a third of the time that they have left.
+fn retry_after(arrival: &Arrival<'_>) -> Duration {
+    let left = arrival.deadline.unwrap_or(arrival.limit);
+    let drawn = hash_parts(&[b"retry-after", arrival.attempt.as_bytes()]);
+    (left / 3).mul_f64((1.0 + 2.0 * unit(drawn)) / 3.0)
+}
+
+/// A hash as a number from 0 to 1.
+fn unit(hash: u64) -> f64 {
+    hash as f64 / u64::MAX as f64
+}
--- /dev/null
+++ b/crates/edge/src/admission/fleet_demand.rs
@@ -0,0 +1,143 @@
+//! Demand of the fleet on one service, estimated from the reports of a few routers.
+//!
+//! Answers a surge in fleets whose routers hear only some of the others: the mean over the routers
+//! heard from, times the number of routers. No router has to hear from any particular one.
+
+use super::meter::Demand;
+use super::{CustomerKey, DemandReport, ServiceKey};
+use sequoiaridge_core::RouterId;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Age up to which a report counts.
+const MAX_AGE: Duration = Duration::from_millis(1500);
+/// Ranks in one report.
+const MAX_RANKS: usize = 4;
+/// Customers by name in one report.
+const MAX_CUSTOMERS: usize = 12;
+/// Most routers whose reports are kept.
+const MAX_ROUTERS: usize = 1024;
+
+/// Demand of the fleet in slots.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetDemand {
+    /// Demand of requests that can be in time.
+    pub total: f64,
+    /// The same by rank.
+    pub ranks: BTreeMap<u8, f64>,
+    /// The same by customer, as far as customers are known.
+    pub customers: BTreeMap<CustomerKey, f64>,
+    /// Demand of the other customers.
+    pub others: f64,
+    /// Demand of callers that came back and can no longer be in time.
+    pub late: f64,
+    /// Routers that the estimate is based on, including this one.
+    pub heard: usize,
+    /// Routers that a router heard from stands for.
+    pub scale: f64,
+}
+
+/// The last report of each router.
+#[derive(Clone, Debug, Default)]
+pub struct PeerDemand {
+    routers: BTreeMap<RouterId, (Duration, DemandReport)>,
+}
+
+impl PeerDemand {
+    /// Replaces what a router reported.
+    pub fn merge(&mut self, router: &RouterId, report: DemandReport, now: Duration) {
+        if self.routers.len() < MAX_ROUTERS || self.routers.contains_key(router) {
+            self.routers.insert(router.clone(), (now, report));
+        }
+    }
+
+    /// Drops reports that are too old to count.
+    pub fn expire(&mut self, now: Duration) {
+        self.routers
+            .retain(|_, (at, _)| now.saturating_sub(*at) < MAX_AGE);
+    }
+
+    /// Estimates the demand of a fleet of `routers` from that of this router and the reports.
+    pub fn estimate(&self, own: &Demand, routers: usize, now: Duration) -> FleetDemand {
+        let mut fleet = FleetDemand {
+            total: own.total,
+            ranks: own.ranks.clone(),
+            customers: own.customers.clone(),
+            others: (own.total - own.customers.values().sum::<f64>()).max(0.0),
+            late: own.late,
+            heard: 1,
+            scale: 1.0,
+        };
+        for (at, report) in self.routers.values() {
+            if now.saturating_sub(*at) < MAX_AGE {
+                fleet.add(report);
+            }
+        }
+        fleet.scale = routers.max(fleet.heard) as f64 / fleet.heard as f64;
+        fleet.scale_up();
+        fleet
+    }
+}
+
+impl FleetDemand {
+    fn add(&mut self, report: &DemandReport) {
+        self.heard += 1;
+        self.total += slots(report.total);
+        self.late += slots(report.late);
+        self.others += slots(report.others.0);
+        for (rank, demand) in report.ranks.iter().take(MAX_RANKS) {
+            *self.ranks.entry(*rank).or_default() += slots(*demand);
+        }
+        for (customer, demand) in report.customers.iter().take(MAX_CUSTOMERS) {
+            *self.customers.entry(*customer).or_default() += slots(*demand);
+        }
+    }
+
+    fn scale_up(&mut self) {
+        let scale = self.scale;
+        self.total *= scale;
+        self.late *= scale;
+        self.others *= scale;
+        self.ranks.values_mut().for_each(|slots| *slots *= scale);
+        self.customers
+            .values_mut()
+            .for_each(|slots| *slots *= scale);
+    }
+}
+
+/// A reported figure, or 0 if it is no valid demand.
+fn slots(reported: f32) -> f64 {
+    if reported.is_finite() {
+        f64::from(reported.max(0.0))
+    } else {
+        0.0
+    }
+}
+
+/// What this router reports of its own demand.
+pub fn report(service: ServiceKey, own: &Demand) -> DemandReport {
+    let mut customers: Vec<(CustomerKey, f32)> = own
+        .customers
+        .iter()
+        .map(|(customer, slots)| (*customer, *slots as f32))
+        .collect();
+    customers.sort_by(|a, b| b.1.total_cmp(&a.1));
+    let others = customers.split_off(customers.len().min(MAX_CUSTOMERS));
+    let named: f32 = customers.iter().map(|(_, slots)| slots).sum();
+    DemandReport {
+        service,
+        total: own.total as f32,
+        ranks: own
+            .ranks
+            .iter()
+            .take(MAX_RANKS)
+            .map(|(rank, slots)| (*rank, *slots as f32))
+            .collect(),
+        late: own.late as f32,
+        customers,
+        others: (
+            (own.total as f32 - named).max(0.0),
+            u16::try_from(others.len()).unwrap_or(u16::MAX),
+        ),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/admission/meter.rs
@@ -0,0 +1,124 @@
+//! Demand that a router sees itself: arrivals of the last 0.8 s times the slots that they hold.
+//!
+//! Answers a surge that begins within a tenth of a second. Arrivals are summed in buckets of 100 ms, so
+//! that memory depends on the number of customers and not on the rate.
+
+use super::CustomerKey;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// Length of a bucket.
+const BUCKET: Duration = Duration::from_millis(100);
+/// Buckets that count.
+const BUCKETS: usize = 8;
+/// Shortest time that rates are computed over. A router that started 100 ms ago has seen too little.
+const MIN_SPAN: Duration = Duration::from_millis(300);
+/// Customers counted by name in one bucket; further ones count as others.
+const MAX_CUSTOMERS: usize = 1024;
+
+/// A request as it is metered.
+#[derive(Clone, Copy, Debug)]
+pub struct Metered {
+    /// Time for which it holds a slot, in seconds.
+    pub hold: f64,
+    /// Priority; 0 is the most urgent.
+    pub rank: u8,
+    /// Customer that sends it.
+    pub customer: CustomerKey,
+    /// Whether it competes only for the room of callers that came back.
+    pub late: bool,
+}
+
+/// Demand in slots.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Requests per second, of all kinds.
+    pub rate: f64,
+    /// Demand of requests that can be in time.
+    pub total: f64,
+    /// The same by rank.
+    pub ranks: BTreeMap<u8, f64>,
+    /// The same by customer.
+    pub customers: BTreeMap<CustomerKey, f64>,
+    /// Demand of callers that came back and can no longer be in time.
+    pub late: f64,
+}
+
+impl Demand {
+    /// Mean time in seconds for which a request holds a slot.
+    pub fn mean_hold(&self) -> Option<f64> {
+        (self.rate > 0.0).then(|| (self.total + self.late) / self.rate)
+    }
+
+    fn add(&mut self, other: &Demand, factor: f64) {
+        self.rate += other.rate * factor;
+        self.total += other.total * factor;
+        self.late += other.late * factor;
+        for (rank, slots) in &other.ranks {
+            *self.ranks.entry(*rank).or_default() += slots * factor;
+        }
+        for (customer, slots) in &other.customers {
+            *self.customers.entry(*customer).or_default() += slots * factor;
+        }
+    }
+}
+
+/// Meters the arrivals of one service.
+#[derive(Clone, Debug)]
+pub struct Meter {
+    since: Duration,
+    /// Start and sums of each bucket, the newest last.
+    buckets: VecDeque<(Duration, Demand)>,
+}
+
+impl Meter {
+    /// Creates a meter that starts at `now`.
+    pub fn new(now: Duration) -> Meter {
+        Meter {
+            since: now,
+            buckets: VecDeque::new(),
+        }
+    }
+
+    /// Records an arrival.
+    pub fn record(&mut self, arrival: Metered, now: Duration) {
+        let fresh = matches!(self.buckets.back(), Some((start, _)) if now < *start + BUCKET);
+        if !fresh {
+            if self.buckets.len() > BUCKETS {
+                self.buckets.pop_front();
+            }
+            self.buckets.push_back((now, Demand::default()));
+        }
+        let Some((_, sums)) = self.buckets.back_mut() else {
+            return;
+        };
+        sums.rate += 1.0;
+        if arrival.late {
+            sums.late += arrival.hold;
+            return;
+        }
+        sums.total += arrival.hold;
+        *sums.ranks.entry(arrival.rank).or_default() += arrival.hold;
+        if sums.customers.len() < MAX_CUSTOMERS || sums.customers.contains_key(&arrival.customer) {
+            *sums.customers.entry(arrival.customer).or_default() += arrival.hold;
+        }
+    }
+
+    /// Demand of the last 0.8 s.
+    pub fn demand(&self, now: Duration) -> Demand {
+        let window = BUCKET * BUCKETS as u32;
+        let span = now.saturating_sub(self.since).clamp(MIN_SPAN, window);
+        let mut demand = Demand::default();
+        for (start, sums) in &self.buckets {
+            if now < *start + window {
+                demand.add(sums, 1.0 / span.as_secs_f64());
+            }
+        }
+        demand
+    }
+
+    /// Slots that one request contributes to the demand of a window, given its holding time.
+    pub fn unit(hold: f64) -> f64 {
+        hold / (BUCKET * BUCKETS as u32).as_secs_f64()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/admission/room.rs
@@ -0,0 +1,92 @@
+//! Room of a service, with a correction that follows what the endpoints report.
+//!
+//! Answers wrong holding times, wrong counts of routers and slow endpoints: whatever is wrong, too many
+//! admitted requests show as waiting ones and too few as empty slots.
+
+use super::EndpointRoom;
+use std::time::Duration;
+
+/// Time between two steps of the correction. Reports are 100 to 300 ms old, so a step sees most of the
+/// effect of the one before.
+const STEP: Duration = Duration::from_millis(200);
+/// Bounds of the correction.
+const BOUNDS: (f64, f64) = (0.2, 4.0);
+/// Share of the shortest target that requests may wait.
+const WAIT_SHARE: f64 = 0.25;
+/// Share of its distance to 1 that the correction keeps with each step while nothing is refused, so that
+/// a twentieth is left after 2 s.
+const RETURN: f64 = 0.75;
+/// Fill from which demand beyond the room is believed. Below it slots are empty whatever is estimated.
+pub const BUSY_FILL: f64 = 0.8;
+
+/// Room of one service.
+#[derive(Clone, Debug)]
+pub struct Room {
+    slots: f64,
+    fill: f64,
+    correction: f64,
+    stepped: Duration,
+}
+
+impl Room {
+    /// Creates the room of a service without endpoints.
+    pub fn new(now: Duration) -> Room {
+        Room {
+            slots: 0.0,
+            fill: 0.0,
+            correction: 1.0,
+            stepped: now,
+        }
+    }
+
+    /// Takes over what is known of the endpoints.
+    pub fn observe(&mut self, endpoints: &[EndpointRoom]) {
+        let usable = || endpoints.iter().filter(|endpoint| endpoint.slots > 0);
+        self.slots = usable()
+            .map(|endpoint| f64::from(endpoint.slots) / endpoint.pace.max(0.1))
+            .sum();
+        let fill: f64 = usable()
+            .map(|endpoint| f64::from(endpoint.requests) / f64::from(endpoint.slots))
+            .sum();
+        self.fill = fill / usable().count().max(1) as f64;
+    }
+
+    /// Moves the correction, at most once per step. `hold` is the mean holding time in seconds.
+    pub fn correct(&mut self, target: Duration, hold: f64, refusing: bool, now: Duration) {
+        if now < self.stepped + STEP {
+            return;
+        }
+        self.stepped = now;
+        let target_fill = target_fill(target, hold);
+        if self.fill > 1.1 * target_fill {
+            self.correction *= 0.9;
+        } else if refusing && self.fill < BUSY_FILL {
+            self.correction *= 1.1;
+        } else if refusing && self.fill < 0.9 * target_fill {
+            self.correction *= 1.05;
+        } else if !refusing {
+            self.correction = 1.0 + (self.correction - 1.0) * RETURN;
+        }
+        self.correction = self.correction.clamp(BOUNDS.0, BOUNDS.1);
+    }
+
+    /// Room in slots, after the correction.
+    pub fn corrected(&self) -> f64 {
+        self.slots * self.correction
+    }
+
+    /// Correction of the room.
+    pub fn correction(&self) -> f64 {
+        self.correction
+    }
+
+    /// Running and waiting requests per slot, as a mean over the endpoints.
+    pub fn fill(&self) -> f64 {
+        self.fill
+    }
+}
+
+/// Fill at which requests wait for a quarter of the shortest target.
+fn target_fill(target: Duration, hold: f64) -> f64 {
+    1.0 + WAIT_SHARE * target.as_secs_f64() / hold.max(0.001)
+}
--- /dev/null
+++ b/crates/edge/src/admission/service.rs
@@ -0,0 +1,210 @@
+//! Admission at one service: connects demand, room and shares.
+//!
+//! Answers a surge at one service without an effect on the others of the router.
+
+use super::customer_sizes::CustomerSizes;
+use super::decision;
+use super::fleet_demand::{self, FleetDemand, PeerDemand};
+use super::hold_times::HoldTimes;
+use super::meter::{Demand, Meter, Metered};
+use super::room::{BUSY_FILL, Room};
+use super::shares::{CustomerDemand, Level, RankShares, Shares, split_room};
+use super::spent_time::{CallerState, SpentTime, caller_state};
+use super::{
+    Admitted, Arrival, DemandReport, RoomChange, RoomFigures, ServiceKey, ServiceRoom, key,
+};
+use sequoiaridge_core::RouterId;
+use std::time::Duration;
+
+/// Share of the room from which demand is reported to other routers.
+const REPORT_SHARE: f64 = 0.7;
+/// Fill from which demand is reported. In calm, what one router sees of hundreds is too little to tell.
+const REPORT_FILL: f64 = 0.4;
+/// Time for which reports go on after the demand was last near the room, so that others see it fall.
+const REPORT_HOLD: Duration = Duration::from_millis(1500);
+/// Time without demand beyond the room after which a service is no longer short of it.
+const SHORT_HOLD: Duration = Duration::from_secs(1);
+/// Time after which a service without requests or endpoints is dropped.
+const RETENTION: Duration = Duration::from_secs(120);
+
+/// State of one service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    key: ServiceKey,
+    used: Duration,
+    meter: Meter,
+    holds: HoldTimes,
+    spent: SpentTime,
+    peers: PeerDemand,
+    sizes: CustomerSizes,
+    room: Room,
+    own: Demand,
+    fleet: FleetDemand,
+    /// When demand was last near the room.
+    near: Option<Duration>,
+    /// When demand was last beyond the room, while the service is short of it.
+    short: Option<Duration>,
+    shares: Option<Shares>,
+}
+
+impl Service {
+    /// Creates the state of a service.
+    pub fn new(key: ServiceKey, now: Duration) -> Service {
+        Service {
+            key,
+            used: now,
+            meter: Meter::new(now),
+            holds: HoldTimes::default(),
+            spent: SpentTime::default(),
+            peers: PeerDemand::default(),
+            sizes: CustomerSizes::default(),
+            room: Room::new(now),
+            own: Demand::default(),
+            fleet: FleetDemand::default(),
+            near: None,
+            short: None,
+            shares: None,
+        }
+    }
+
+    /// Key of the service in messages.
+    pub fn key(&self) -> ServiceKey {
+        self.key
+    }
+
+    /// Records for how long a request of a route held a slot.
+    pub fn record_hold(&mut self, route: &str, held: Duration, now: Duration) {
+        self.holds.record(route, held, now);
+    }
+
+    /// Records a request and decides on it.
+    pub fn decide(&mut self, arrival: &Arrival<'_>, now: Duration) -> Admitted {
+        self.used = now;
+        let hold = self.holds.get(arrival.route, arrival.target);
+        let state = match arrival.deadline {
+            Some(deadline) if !arrival.resumed => {
+                let spent = self.spent.record(arrival.route, deadline, now);
+                caller_state(spent, hold, arrival.target)
+            }
+            _ => CallerState::InTime,
+        };
+        let customer = key(arrival.customer.unwrap_or_default());
+        // A caller that ignores `Retry-After` competes with the late ones, so that its repeats do not
+        // raise the share of its customer.
+        let late = state != CallerState::InTime;
+        let metered = Metered {
+            hold,
+            rank: arrival.rank,
+            customer,
+            late,
+        };
+        self.meter.record(metered, now);
+        match &self.shares {
+            Some(shares) if !arrival.resumed => decision::decide(shares, arrival, customer, late),
+            _ => Admitted::Yes,
+        }
+    }
+
+    /// Updates room, correction and shares.
+    pub fn refresh(&mut self, view: &ServiceRoom<'_>, now: Duration) -> Option<RoomChange> {
+        if !view.endpoints.is_empty() {
+            self.used = now;
+        }
+        self.own = self.meter.demand(now);
+        let hold = self.own.mean_hold();
+        let hold = hold.unwrap_or_else(|| (view.target / 4).as_secs_f64());
+        self.room.observe(&view.endpoints);
+        self.room
+            .correct(view.target, hold, self.shares.is_some(), now);
+        self.fleet = self.peers.estimate(&self.own, view.routers, now);
+        self.sizes.update(&self.fleet);
+        let was_short = self.short.is_some();
+        self.update_short(now);
+        self.shares = self.short.and_then(|_| self.shares(hold));
+        let is_short = self.short.is_some();
+        (was_short != is_short).then(|| RoomChange {
+            short: is_short,
+            demand: self.demand(),
+            room: self.room.corrected(),
+            correction: self.room.correction(),
+            routers_heard: self.fleet.heard,
+        })
+    }
+
+    fn demand(&self) -> f64 {
+        self.fleet.total + self.fleet.late
+    }
+
+    fn update_short(&mut self, now: Duration) {
+        let (demand, room) = (self.demand(), self.room.corrected());
+        if demand > REPORT_SHARE * room && self.room.fill() >= REPORT_FILL {
+            self.near = Some(now);
+        }
+        if room <= 0.0 {
+            // Without any endpoint, placement refuses with the reason that applies.
+            self.short = None;
+        } else if demand > room && (self.short.is_some() || self.room.fill() >= BUSY_FILL) {
+            self.short = Some(now);
+            self.near = Some(now);
+        } else if self.short.is_some_and(|at| now >= at + SHORT_HOLD) {
+            self.short = None;
+        }
+    }
+
+    /// Shares of customers and ranks; none if all fits.
+    fn shares(&self, hold: f64) -> Option<Shares> {
+        let (fleet, room) = (&self.fleet, self.room.corrected());
+        if self.demand() <= room {
+            return None;
+        }
+        let (new_room, late_room) = split_room(room, fleet.total, fleet.late);
+        let sized = self.sizes.sizes(fleet, hold);
+        let mut demands: Vec<CustomerDemand> = sized.known.values().copied().collect();
+        demands.push(CustomerDemand {
+            size: sized.least,
+            demand: sized.others,
+        });
+        let level = Level::find(&demands, new_room);
+        let customers = sized.known.iter();
+        let customers = customers.map(|(key, customer)| (*key, level.probability(customer.size)));
+        Some(Shares {
+            customers: customers.collect(),
+            unknown: level.probability(sized.least),
+            average: (new_room / fleet.total.max(f64::MIN_POSITIVE)).min(1.0),
+            ranks: RankShares::new(&fleet.ranks),
+            late: (late_room / fleet.late.max(f64::MIN_POSITIVE)).min(1.0),
+        })
+    }
+
+    /// What other routers need to know of this service.
+    pub fn report(&self, now: Duration) -> Option<DemandReport> {
+        let near = self.near.is_some_and(|at| now < at + REPORT_HOLD);
+        near.then(|| fleet_demand::report(self.key, &self.meter.demand(now)))
+    }
+
+    /// Merges what another router reports.
+    pub fn merge(&mut self, router: &RouterId, report: DemandReport, now: Duration) {
+        self.peers.merge(router, report, now);
+    }
+
+    /// Figures for metrics.
+    pub fn figures(&self) -> RoomFigures {
+        RoomFigures {
+            demand: self.demand(),
+            room: self.room.corrected(),
+            correction: self.room.correction(),
+        }
+    }
+
+    /// Whether requests or endpoints of the service were seen lately.
+    pub fn is_used(&self, now: Duration) -> bool {
+        now.saturating_sub(self.used) < RETENTION
+    }
+
+    /// Drops what is too old to count.
+    pub fn expire(&mut self, now: Duration) {
+        self.peers.expire(now);
+        self.holds.expire(now);
+        self.spent.expire(now);
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -84,8 +84,8 @@
 mod whole_body;
 
 pub use admission::{
-    Admission, Admitted, Arrival, CustomerKey, DemandReport, EndpointRoom, RoomChange, RoomFigures,
-    RoomRefusal, ServiceKey, ServiceRoom,
+    Admission, Admitted, Arrival, CustomerDemand, CustomerKey, DemandReport, EndpointRoom, Level,
+    RankShares, RoomChange, RoomFigures, RoomRefusal, ServiceKey, ServiceRoom, split_room,
 };
 pub use answer_end::{AnswerEnd, EndEvidence};
 pub use byte_budget::{ByteBudget, Reservation};
