--- /dev/null
+++ b/crates/edge/tests/admission_fleet/figures.rs
@@ -0,0 +1,231 @@
+//! What a play measures, and the bounds of docs/design/contention.md, section 4.
+
+use super::{CUSTOMERS, START, STEADY, Setup};
+use std::time::Duration;
+
+const SPAN: Duration = Duration::from_secs(2);
+
+/// Calls, and what of them was served, by the time of the call.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub calls: f64,
+    pub served: f64,
+    pub in_time: f64,
+}
+
+impl Counts {
+    pub fn served_share(&self) -> f64 {
+        self.served / self.calls.max(1.0)
+    }
+
+    pub fn in_time_share(&self) -> f64 {
+        self.in_time / self.calls.max(1.0)
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Figures {
+    /// Requests served within their target in each 2 s, by the time of the first event.
+    pub goodput: Vec<f64>,
+    pub calm_refusals: u32,
+    /// Refused attempts from 2 s after the surge on.
+    pub late_refusals: u32,
+    pub server_arrivals: f64,
+    pub rejected: f64,
+    /// What ran in the surge, and what of it was within target since its attempt and since its call.
+    pub run: f64,
+    pub run_in_time: f64,
+    pub run_in_time_of_call: f64,
+    pub all: Counts,
+    pub ranks: Vec<Counts>,
+    pub customers: Vec<Counts>,
+    /// Calm figures of each customer.
+    pub calm_customers: Vec<Counts>,
+    surge_end: Duration,
+    raw: Vec<(Duration, usize, usize)>,
+    runs: Vec<(Duration, Duration, Duration, Duration, usize, usize)>,
+    refusals: Vec<Duration>,
+    offers: Vec<(Duration, bool)>,
+}
+
+impl Figures {
+    pub fn call(&mut self, at: Duration, customer: usize, rank: usize) {
+        self.raw.push((at, customer, rank));
+    }
+
+    pub fn refused(&mut self, at: Duration, _customer: usize) {
+        self.refusals.push(at);
+    }
+
+    pub fn at_server(&mut self, at: Duration, accepted: bool) {
+        self.offers.push((at, accepted));
+    }
+
+    pub fn run(
+        &mut self,
+        call: Duration,
+        attempt: Duration,
+        answered: Duration,
+        target: Duration,
+        customer: usize,
+        rank: usize,
+    ) {
+        self.runs
+            .push((call, attempt, answered, target, customer, rank));
+    }
+
+    /// Adds up what was recorded.
+    pub fn finish(&mut self, setup: &Setup) {
+        self.surge_end = START + Duration::from_secs(setup.surge_seconds);
+        let surge = START..self.surge_end;
+        let calm = Duration::from_secs(1)..START;
+        self.ranks = vec![Counts::default(); setup.ranks.len()];
+        self.customers = vec![Counts::default(); CUSTOMERS];
+        self.calm_customers = vec![Counts::default(); CUSTOMERS];
+        for (at, customer, rank) in &self.raw {
+            if surge.contains(at) {
+                self.all.calls += 1.0;
+                self.ranks[*rank].calls += 1.0;
+                self.customers[*customer].calls += 1.0;
+            } else if calm.contains(at) {
+                self.calm_customers[*customer].calls += 1.0;
+            }
+        }
+        self.goodput = vec![0.0; (self.surge_end.as_secs() / 2 + 3) as usize];
+        for (call, attempt, answered, target, customer, rank) in &self.runs {
+            let in_time = *answered <= *call + *target;
+            let counts = if surge.contains(call) {
+                vec![
+                    &mut self.all,
+                    &mut self.ranks[*rank],
+                    &mut self.customers[*customer],
+                ]
+            } else if calm.contains(call) {
+                vec![&mut self.calm_customers[*customer]]
+            } else {
+                Vec::new()
+            };
+            for counts in counts {
+                counts.served += 1.0;
+                counts.in_time += f64::from(u8::from(in_time));
+            }
+            if surge.contains(answered) {
+                self.run += 1.0;
+                self.run_in_time += f64::from(u8::from(*answered <= *attempt + *target));
+                self.run_in_time_of_call += f64::from(u8::from(in_time));
+            }
+            let bin = (answered.as_millis() + 1000) / SPAN.as_millis();
+            if let (true, Some(goodput)) = (in_time, self.goodput.get_mut(bin as usize)) {
+                *goodput += 1.0;
+            }
+        }
+        let at_rest = |at: &&Duration| **at < START || **at >= self.surge_end + 3 * SPAN / 2;
+        self.calm_refusals = self.refusals.iter().filter(|at| **at < START).count() as u32;
+        self.late_refusals = self.refusals.iter().filter(at_rest).count() as u32;
+        for (at, accepted) in &self.offers {
+            if surge.contains(at) {
+                self.server_arrivals += 1.0;
+                self.rejected += f64::from(u8::from(!accepted));
+            }
+        }
+    }
+
+    /// Goodput of each 2 s of the surge.
+    pub fn surge_goodput(&self) -> &[f64] {
+        // Spans begin at odd seconds, as the surge does.
+        let first = ((START.as_secs() + 1) / 2) as usize;
+        let last = ((self.surge_end.as_secs() + 1) / 2) as usize;
+        &self.goodput[first..last]
+    }
+
+    pub fn worst_of_best(&self) -> f64 {
+        let spans = self.surge_goodput().iter();
+        let best = spans.clone().copied().fold(0.0, f64::max);
+        spans.copied().fold(f64::INFINITY, f64::min) / best
+    }
+
+    /// Summary for messages of failed checks.
+    pub fn summary(&self) -> String {
+        let ranks: Vec<String> = self
+            .ranks
+            .iter()
+            .map(|rank| format!("{:.2}/{:.2}", rank.served_share(), rank.in_time_share()))
+            .collect();
+        let steady: Vec<String> = STEADY
+            .iter()
+            .map(|customer| {
+                let (calm, now) = (self.calm_customers[*customer], self.customers[*customer]);
+                format!("{:.3}/{:.3}", now.in_time_share(), calm.in_time_share())
+            })
+            .collect();
+        let least = self
+            .customers
+            .iter()
+            .map(Counts::served_share)
+            .fold(1.0, f64::min);
+        format!(
+            "goodput {:?} worst {:.3}; rejected {:.3}; in time {:.3} of call {:.3}; all {:.3} ranks {ranks:?} \
+             steady {steady:?} least {least:.3}; refusals before {} after {}",
+            self.goodput,
+            self.worst_of_best(),
+            self.rejected / self.server_arrivals,
+            self.run_in_time / self.run,
+            self.run_in_time_of_call / self.run,
+            self.all.served_share(),
+            self.calm_refusals,
+            self.late_refusals,
+        )
+    }
+}
+
+/// Checks the bounds of requirements 1, 2, 4 and 5 and of calm.
+pub fn check_surge(name: &str, figures: &Figures) {
+    let summary = figures.summary();
+    println!("{name}: {summary}");
+    let mut broken = Vec::new();
+    let mut check = |holds: bool, bound: &'static str| {
+        if !holds {
+            broken.push(bound);
+        }
+    };
+    check(figures.calm_refusals == 0, "nothing is refused in calm");
+    check(
+        figures.late_refusals == 0,
+        "nothing is refused from 3 s after the surge",
+    );
+    check(
+        figures.worst_of_best() >= 0.9,
+        "goodput of each 2 s is 0.9 of the best",
+    );
+    check(
+        figures.rejected < 0.05 * figures.server_arrivals,
+        "one in twenty arrivals rejected",
+    );
+    check(
+        figures.run_in_time >= 0.9 * figures.run,
+        "nine in ten run in time",
+    );
+    for pair in figures.ranks.windows(2) {
+        let served = pair[0].served_share() >= pair[1].served_share() - 0.05;
+        let in_time = pair[0].in_time_share() >= pair[1].in_time_share() - 0.15;
+        check(served && in_time, "urgent ranks are no worse");
+    }
+    for customer in STEADY {
+        let (calm, now) = (
+            figures.calm_customers[customer],
+            figures.customers[customer],
+        );
+        let kept = now.in_time_share() >= 0.95 * calm.in_time_share();
+        check(kept, "steady customers within one in twenty");
+    }
+    for counts in figures.ranks.iter().chain(&figures.customers) {
+        let fair = counts.served_share() >= figures.all.served_share() / 4.0;
+        check(fair, "none below a quarter of the average");
+    }
+    let (before, after) = (
+        figures.goodput[2],
+        figures.goodput[figures.goodput.len() - 2],
+    );
+    check(after >= 0.9 * before, "back to normal in the 2 s after");
+    assert!(broken.is_empty(), "{name}: {broken:?}\n{summary}");
+}
--- /dev/null
+++ b/crates/edge/tests/admission_fleet/mod.rs
@@ -0,0 +1,497 @@
+//! A fleet of routers with admission in front of one service, over a virtual clock.
+//!
+//! Routers with unequal shares of the traffic exchange demand and loads as the real ones do: to all
+//! others every 100 ms up to 24 of them, otherwise to four others every 250 ms.
+
+#![allow(dead_code)]
+
+mod figures;
+mod server;
+
+pub use figures::{Figures, check_surge};
+
+use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
+use rand::{RngExt, SeedableRng};
+use sequoiaridge_edge::{
+    Admission, Admitted, Arrival, DemandReport, EndpointRoom, RoomRefusal, ServiceRoom,
+};
+use server::{Job, Server};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+pub const CUSTOMERS: usize = 40;
+/// Customers that stay at their calm rate in a surge: one large, two medium and one small.
+pub const STEADY: [usize; 4] = [3, 11, 17, 33];
+pub const START: Duration = Duration::from_secs(5);
+const HOP: Duration = Duration::from_millis(2);
+const PEER_HOP: Duration = Duration::from_millis(20);
+
+/// What callers do after a refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Callers {
+    /// They come back once after `Retry-After`.
+    Patient,
+    /// Those of one customer in four repeat at once, up to eight times.
+    SomeImpatient,
+}
+
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub routers: usize,
+    pub servers: usize,
+    pub slots: u32,
+    pub queue: usize,
+    pub rate: f64,
+    /// Seconds of a slot, and of these the part before the first event.
+    pub hold: f64,
+    pub first_event: f64,
+    /// Target and share of the traffic by rank.
+    pub ranks: Vec<(Duration, f64)>,
+    pub deadline: Duration,
+    pub surge: f64,
+    pub surge_seconds: u64,
+    /// Customers that send 12 times as much as the others during the surge.
+    pub hot: Vec<usize>,
+    pub callers: Callers,
+    pub cut_off: f64,
+    pub restarted: f64,
+    /// Factor between real and recorded holding times.
+    pub hold_error: f64,
+    /// Factor between the real and the known number of routers.
+    pub count_error: f64,
+    /// Share of the servers that run at a fifth of their speed in the surge, with their pace unknown.
+    pub slow: f64,
+    pub seed: u64,
+}
+
+/// Three servers of orders.
+pub fn plain(routers: usize, surge: f64) -> Setup {
+    Setup {
+        routers,
+        servers: 3,
+        slots: 6,
+        queue: 24,
+        rate: 190.0,
+        hold: 0.03,
+        first_event: 0.03,
+        ranks: vec![(Duration::from_millis(200), 1.0)],
+        deadline: Duration::from_secs(2),
+        surge,
+        surge_seconds: 12,
+        hot: Vec::new(),
+        callers: Callers::Patient,
+        cut_off: 0.0,
+        restarted: 0.0,
+        hold_error: 1.0,
+        count_error: 1.0,
+        slow: 0.0,
+        seed: 1,
+    }
+}
+
+/// Sixty model servers with three ranks.
+pub fn model(routers: usize, surge: f64) -> Setup {
+    let ms = Duration::from_millis;
+    Setup {
+        servers: 60,
+        slots: 64,
+        queue: 64,
+        rate: 488.0,
+        hold: 1.0,
+        first_event: 0.15,
+        ranks: vec![(ms(500), 0.3), (ms(1500), 0.5), (ms(4000), 0.2)],
+        deadline: Duration::from_secs(10),
+        ..plain(routers, surge)
+    }
+}
+
+/// One request of a caller with all its attempts.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    at: Duration,
+    customer: usize,
+    rank: usize,
+    attempts: u32,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    NextCall,
+    Attempt(usize),
+    AtServer(usize, Job),
+    SlotEnds(usize, Job),
+    Answer {
+        server: usize,
+        job: Job,
+        requests: u32,
+        run: bool,
+    },
+    Refresh(usize),
+    Exchange(usize),
+    Peer {
+        from: usize,
+        to: usize,
+        reports: Vec<DemandReport>,
+        loads: Vec<(Duration, u32)>,
+    },
+    Restart,
+}
+
+struct Router {
+    admission: Admission,
+    weight: f64,
+    cut_off: bool,
+    /// Time and requests of the last report of each server, and requests sent since.
+    loads: Vec<(Duration, u32)>,
+    sent: Vec<u32>,
+}
+
+pub struct Fleet {
+    setup: Setup,
+    rng: StdRng,
+    now: Duration,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: std::collections::BTreeMap<u64, Event>,
+    next_event: u64,
+    routers: Vec<Router>,
+    servers: Vec<Server>,
+    calls: Vec<Call>,
+    figures: Figures,
+}
+
+/// Plays a surge from 5 s on, and 6 s after it.
+pub fn play(setup: Setup) -> Figures {
+    let end = START + Duration::from_secs(setup.surge_seconds + 6);
+    let mut fleet = Fleet::new(setup);
+    while let Some(Reverse((at, id))) = fleet.queue.pop() {
+        if at > end {
+            break;
+        }
+        fleet.now = at;
+        let event = fleet.events.remove(&id).expect("each event is queued once");
+        fleet.handle(event);
+    }
+    fleet.figures.finish(&fleet.setup);
+    fleet.figures
+}
+
+impl Fleet {
+    fn new(setup: Setup) -> Fleet {
+        let mut rng = StdRng::seed_from_u64(setup.seed);
+        let cut_off = (setup.cut_off * setup.routers as f64).round() as usize;
+        let routers = (0..setup.routers).map(|index| Router {
+            admission: Admission::new(true),
+            weight: rng.random_range(-0.8_f64..0.8).exp(),
+            cut_off: index < cut_off,
+            loads: vec![(Duration::ZERO, 0); setup.servers],
+            sent: vec![0; setup.servers],
+        });
+        let routers = routers.collect();
+        let mut fleet = Fleet {
+            rng,
+            now: Duration::ZERO,
+            queue: BinaryHeap::new(),
+            events: Default::default(),
+            next_event: 0,
+            routers,
+            servers: (0..setup.servers)
+                .map(|_| Server::new(setup.slots, setup.queue))
+                .collect(),
+            calls: Vec::new(),
+            figures: Figures::default(),
+            setup,
+        };
+        for index in 0..fleet.setup.routers {
+            let phase = Duration::from_millis(fleet.rng.random_range(0..250));
+            fleet.schedule(phase, Event::Refresh(index));
+            fleet.schedule(phase, Event::Exchange(index));
+        }
+        fleet.schedule(Duration::ZERO, Event::NextCall);
+        fleet.schedule(START + Duration::from_secs(3), Event::Restart);
+        fleet
+    }
+
+    fn schedule(&mut self, delay: Duration, event: Event) {
+        self.queue
+            .push(Reverse((self.now + delay, self.next_event)));
+        self.events.insert(self.next_event, event);
+        self.next_event += 1;
+    }
+
+    fn in_surge(&self) -> bool {
+        self.now >= START && self.now < START + Duration::from_secs(self.setup.surge_seconds)
+    }
+
+    fn customer_rate(&self, customer: usize) -> f64 {
+        let calm = ((customer + 1) as f64).powf(-0.7);
+        if !self.in_surge() || STEADY.contains(&customer) {
+            calm
+        } else if self.setup.hot.contains(&customer) {
+            12.0 * self.setup.surge * calm
+        } else {
+            self.setup.surge * calm
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::NextCall => self.next_call(),
+            Event::Attempt(call) => self.attempt(call),
+            Event::AtServer(server, job) => self.at_server(server, job),
+            Event::SlotEnds(server, job) => self.slot_ends(server, job),
+            Event::Answer {
+                server,
+                job,
+                requests,
+                run,
+            } => self.answer(server, job, requests, run),
+            Event::Refresh(router) => self.refresh(router),
+            Event::Exchange(router) => self.exchange(router),
+            Event::Peer {
+                from,
+                to,
+                reports,
+                loads,
+            } => {
+                let now = self.now;
+                let router = &mut self.routers[to];
+                router.admission.merge(&format!("r{from}"), reports, now);
+                for (server, load) in loads.into_iter().enumerate() {
+                    if load.0 > router.loads[server].0 {
+                        router.loads[server] = load;
+                        router.sent[server] = 0;
+                    }
+                }
+            }
+            Event::Restart => {
+                let count = (self.setup.restarted * self.setup.routers as f64) as usize;
+                for router in self.routers.iter_mut().rev().take(count) {
+                    router.admission = Admission::new(true);
+                    router.loads.fill((Duration::ZERO, 0));
+                }
+            }
+        }
+    }
+
+    fn next_call(&mut self) {
+        let calm: f64 = (1..=CUSTOMERS).map(|n| (n as f64).powf(-0.7)).sum();
+        let rates: Vec<f64> = (0..CUSTOMERS).map(|c| self.customer_rate(c)).collect();
+        let rate = self.setup.rate * rates.iter().sum::<f64>() / calm;
+        let pause = -(1.0 - self.rng.random::<f64>()).ln() / rate;
+        let customer = pick(&mut self.rng, &rates);
+        let ranks: Vec<f64> = self.setup.ranks.iter().map(|(_, share)| *share).collect();
+        let rank = pick(&mut self.rng, &ranks);
+        self.calls.push(Call {
+            at: self.now,
+            customer,
+            rank,
+            attempts: 0,
+        });
+        self.figures.call(self.now, customer, rank);
+        self.attempt(self.calls.len() - 1);
+        self.schedule(Duration::from_secs_f64(pause), Event::NextCall);
+    }
+
+    fn attempt(&mut self, id: usize) {
+        self.calls[id].attempts += 1;
+        let call = self.calls[id];
+        let weights: Vec<f64> = self.routers.iter().map(|router| router.weight).collect();
+        let router = pick(&mut self.rng, &weights);
+        let arrival = Arrival {
+            attempt: &format!("{id}-{}-{}", call.attempts, self.setup.seed),
+            service: "s",
+            route: &format!("route-{}", call.rank),
+            customer: Some(&format!("customer-{}", call.customer)),
+            rank: call.rank as u8,
+            target: self.setup.ranks[call.rank].0,
+            deadline: Some(self.setup.deadline.saturating_sub(self.now - call.at)),
+            limit: self.setup.deadline,
+            resumed: false,
+        };
+        match self.routers[router].admission.decide(&arrival, self.now) {
+            Admitted::Yes => {
+                let job = Job {
+                    call: id,
+                    router,
+                    since: self.now,
+                    started: None,
+                    tries: 0,
+                };
+                self.send(job, None);
+            }
+            Admitted::No(refusal) => self.refused(id, Some(refusal)),
+        }
+    }
+
+    /// The caller learns that its attempt was refused.
+    fn refused(&mut self, id: usize, refusal: Option<RoomRefusal>) {
+        let call = self.calls[id];
+        self.figures.refused(self.now, call.customer);
+        let impatient = self.setup.callers == Callers::SomeImpatient && call.customer % 4 == 1;
+        if impatient && call.attempts < 9 {
+            self.schedule(Duration::from_millis(10), Event::Attempt(id));
+        } else if !impatient && call.attempts < 2 {
+            let left = self.setup.deadline.saturating_sub(self.now - call.at);
+            let pause = refusal.map_or(left / 6, |refusal| refusal.retry_after);
+            self.schedule(pause.min(left / 3), Event::Attempt(id));
+        }
+    }
+
+    /// Sends a job to the less loaded of two servers, as far as its router knows.
+    fn send(&mut self, job: Job, except: Option<usize>) {
+        let servers = (0..self.setup.servers).filter(|server| Some(*server) != except);
+        let drawn = servers.sample(&mut self.rng, 2);
+        let router = &mut self.routers[job.router];
+        let known = |server: &usize| router.loads[*server].1 + router.sent[*server];
+        let server = drawn.into_iter().min_by_key(known).expect("two servers");
+        router.sent[server] += 1;
+        self.schedule(HOP, Event::AtServer(server, job));
+    }
+
+    fn at_server(&mut self, server: usize, job: Job) {
+        let accepted = self.servers[server].offer(job);
+        self.figures.at_server(self.now, accepted);
+        if accepted {
+            self.start_next(server);
+        } else {
+            let requests = self.servers[server].requests();
+            self.schedule(
+                HOP,
+                Event::Answer {
+                    server,
+                    job,
+                    requests,
+                    run: false,
+                },
+            );
+        }
+    }
+
+    fn start_next(&mut self, server: usize) {
+        if let Some(mut job) = self.servers[server].start() {
+            job.started = Some(self.now);
+            let slow = (server as f64) < self.setup.slow * self.setup.servers as f64;
+            let pace = if slow && self.in_surge() { 5.0 } else { 1.0 };
+            // Half of the time is fixed, the rest varies between requests.
+            let hold = self.setup.hold * pace * self.rng.random_range(0.5..1.5);
+            let first = self.setup.first_event.min(hold);
+            let call = self.calls[job.call];
+            let late = self.now + Duration::from_secs_f64(first) + HOP;
+            let target = self.setup.ranks[call.rank].0;
+            self.figures
+                .run(call.at, job.since, late, target, call.customer, call.rank);
+            self.schedule(Duration::from_secs_f64(hold), Event::SlotEnds(server, job));
+        }
+    }
+
+    fn slot_ends(&mut self, server: usize, job: Job) {
+        self.servers[server].end();
+        let requests = self.servers[server].requests();
+        self.schedule(
+            HOP,
+            Event::Answer {
+                server,
+                job,
+                requests,
+                run: true,
+            },
+        );
+        self.start_next(server);
+    }
+
+    fn answer(&mut self, server: usize, mut job: Job, requests: u32, run: bool) {
+        let now = self.now;
+        let router = &mut self.routers[job.router];
+        router.loads[server] = (now, requests);
+        router.sent[server] = 0;
+        let call = self.calls[job.call];
+        if let (true, Some(started)) = (run, job.started) {
+            let held = (now - started).mul_f64(self.setup.hold_error);
+            let route = format!("route-{}", call.rank);
+            router.admission.record_hold("s", &route, held, now);
+        } else if job.tries == 0 {
+            job.tries = 1;
+            self.send(job, Some(server));
+        } else {
+            self.refused(job.call, None);
+        }
+    }
+
+    fn refresh(&mut self, index: usize) {
+        let targets = self.setup.ranks.iter().map(|(target, _)| *target);
+        let router = &mut self.routers[index];
+        let endpoint = |(load, sent): (&(Duration, u32), &u32)| EndpointRoom {
+            slots: self.setup.slots,
+            // A report older than 700 ms no longer counts beside what the router sent itself.
+            requests: if self.now < load.0 + Duration::from_millis(700) {
+                load.1
+            } else {
+                *sent
+            },
+            pace: 1.0,
+        };
+        let view = ServiceRoom {
+            service: "s",
+            endpoints: router
+                .loads
+                .iter()
+                .zip(&router.sent)
+                .map(endpoint)
+                .collect(),
+            routers: (self.setup.routers as f64 * self.setup.count_error).round() as usize,
+            target: targets.min().expect("a rank"),
+        };
+        router.admission.refresh(&view, self.now);
+        router.admission.expire(self.now);
+        if let (0, Some(figures)) = (index, router.admission.figures("s"))
+            && std::env::var("TEST_LOGS").is_ok()
+        {
+            let fill: Vec<u32> = self.servers.iter().take(3).map(Server::requests).collect();
+            println!("{:?} {fill:?} {figures:?}", self.now);
+        }
+        self.schedule(Duration::from_millis(100), Event::Refresh(index));
+    }
+
+    fn exchange(&mut self, from: usize) {
+        let all = self.setup.routers <= 25;
+        let pause = if all { 100 } else { 250 };
+        self.schedule(Duration::from_millis(pause), Event::Exchange(from));
+        if self.routers[from].cut_off {
+            return;
+        }
+        let others = (0..self.setup.routers).filter(|other| *other != from);
+        let drawn = others.sample(&mut self.rng, if all { 24 } else { 4 });
+        let reports = self.routers[from].admission.report(self.now);
+        let loads = self.routers[from].loads.clone();
+        for to in drawn
+            .into_iter()
+            .filter(|to| !self.routers[*to].cut_off)
+            .collect::<Vec<_>>()
+        {
+            let (reports, loads) = (reports.clone(), loads.clone());
+            self.schedule(
+                PEER_HOP,
+                Event::Peer {
+                    from,
+                    to,
+                    reports,
+                    loads,
+                },
+            );
+        }
+    }
+}
+
+/// Draws an index by weight.
+fn pick(rng: &mut StdRng, weights: &[f64]) -> usize {
+    let mut drawn = rng.random::<f64>() * weights.iter().sum::<f64>();
+    for (index, weight) in weights.iter().enumerate() {
+        drawn -= weight;
+        if drawn <= 0.0 {
+            return index;
+        }
+    }
+    weights.len() - 1
+}
--- /dev/null
+++ b/crates/edge/tests/admission_surge.rs
@@ -0,0 +1,31 @@
+//! A surge of 4 to 10 times the usual traffic of all customers, over a virtual clock.
+//!
+//! Guards against collapse: endpoints that run what is of no use any more, or reject what routers send.
+
+mod admission_fleet;
+
+use admission_fleet::{check_surge, model, plain, play};
+
+macro_rules! surges {
+    ($($test:ident: $service:ident, $routers:expr, $surge:expr;)*) => {
+        $(#[test]
+        fn $test() {
+            check_surge(stringify!($test), &play($service($routers, $surge)));
+        })*
+    };
+}
+
+surges! {
+    plain_7_routers_4_times: plain, 7, 4.0;
+    plain_7_routers_10_times: plain, 7, 10.0;
+    plain_31_routers_8_times: plain, 31, 8.0;
+    plain_84_routers_4_times: plain, 84, 4.0;
+    plain_84_routers_8_times: plain, 84, 8.0;
+    plain_84_routers_10_times: plain, 84, 10.0;
+    plain_300_routers_10_times: plain, 300, 10.0;
+    model_7_routers_10_times: model, 7, 10.0;
+    model_31_routers_8_times: model, 31, 8.0;
+    model_84_routers_4_times: model, 84, 4.0;
+    model_84_routers_10_times: model, 84, 10.0;
+    model_300_routers_10_times: model, 300, 10.0;
+}
