Answer the onset and the end of a surge sooner

Newer arrivals and reports weigh more, a brake answers the fill at once, and demand is assumed while requests wait at the start of a surge.

--- a/crates/edge/src/admission/customer_sizes.rs
+++ b/crates/edge/src/admission/customer_sizes.rs
@@ -15,9 +15,9 @@
 /// are worth about three.
 const SMOOTHED_WORTH: f64 = 3.0;
 /// Standard deviations that are subtracted from an estimate.
-const DOUBT: f64 = 1.0;
+const DOUBT: f64 = 1.5;
 /// Least size of a customer, relative to the mean one.
-const LEAST: f64 = 0.25;
+const LEAST: f64 = 0.1;
 /// Most customers that are tracked.
 const MAX_CUSTOMERS: usize = 2048;
 
--- a/crates/edge/src/admission/fleet_demand.rs
+++ b/crates/edge/src/admission/fleet_demand.rs
@@ -33,7 +33,7 @@
     pub late: f64,
     /// Routers that the estimate is based on, including this one.
     pub heard: usize,
-    /// Routers that a router heard from stands for.
+    /// Routers that one heard from just now stands for.
     pub scale: f64,
 }
 
@@ -68,19 +68,25 @@
             heard: 1,
             scale: 1.0,
         };
+        let mut weights = 1.0;
         for (at, report) in self.routers.values() {
-            if now.saturating_sub(*at) < MAX_AGE {
-                fleet.add(report);
+            // An older report weighs less, so that the start and the end of a surge show sooner.
+            let age = now.saturating_sub(*at).as_secs_f64();
+            let weight = 1.0 - age / MAX_AGE.as_secs_f64();
+            if weight > 0.0 {
+                weights += weight;
+                fleet.add(report, weight);
             }
         }
-        fleet.scale = routers.max(fleet.heard) as f64 / fleet.heard as f64;
-        fleet.scale_up();
+        fleet.scale = routers.max(fleet.heard) as f64 / weights;
+        fleet.scale_by(fleet.scale);
         fleet
     }
 }
 
 impl FleetDemand {
-    fn add(&mut self, report: &DemandReport) {
+    fn add(&mut self, report: &DemandReport, weight: f64) {
+        let slots = |reported| weight * slots(reported);
         self.heard += 1;
         self.total += slots(report.total);
         self.late += slots(report.late);
@@ -93,8 +99,8 @@
         }
     }
 
-    fn scale_up(&mut self) {
-        let scale = self.scale;
+    /// Multiplies all demand.
+    pub fn scale_by(&mut self, scale: f64) {
         self.total *= scale;
         self.late *= scale;
         self.others *= scale;
--- a/crates/edge/src/admission/meter.rs
+++ b/crates/edge/src/admission/meter.rs
@@ -9,8 +9,10 @@
 
 /// Length of a bucket.
 const BUCKET: Duration = Duration::from_millis(100);
-/// Buckets that count.
-const BUCKETS: usize = 8;
+/// Time for which arrivals count.
+const WINDOW: Duration = Duration::from_millis(800);
+/// Buckets that are kept.
+const BUCKETS: usize = 9;
 /// Shortest time that rates are computed over. A router that started 100 ms ago has seen too little.
 const MIN_SPAN: Duration = Duration::from_millis(300);
 /// Customers counted by name in one bucket; further ones count as others.
@@ -84,7 +86,7 @@
     pub fn record(&mut self, arrival: Metered, now: Duration) {
         let fresh = matches!(self.buckets.back(), Some((start, _)) if now < *start + BUCKET);
         if !fresh {
-            if self.buckets.len() > BUCKETS {
+            if self.buckets.len() >= BUCKETS {
                 self.buckets.pop_front();
             }
             self.buckets.push_back((now, Demand::default()));
@@ -104,14 +106,18 @@
         }
     }
 
-    /// Demand of the last 0.8 s.
+    /// Demand of the last 0.8 s. Newer arrivals weigh more, so that the start and the end of a surge show
+    /// sooner.
     pub fn demand(&self, now: Duration) -> Demand {
-        let window = BUCKET * BUCKETS as u32;
-        let span = now.saturating_sub(self.since).clamp(MIN_SPAN, window);
+        let window = WINDOW.as_secs_f64();
+        let span = now.saturating_sub(self.since).clamp(MIN_SPAN, WINDOW);
+        let span = span.as_secs_f64();
+        let weighted_span = span - span * span / (2.0 * window);
         let mut demand = Demand::default();
         for (start, sums) in &self.buckets {
-            if now < *start + window {
-                demand.add(sums, 1.0 / span.as_secs_f64());
+            let age = now.saturating_sub(*start + BUCKET / 2).as_secs_f64();
+            if age < window {
+                demand.add(sums, (1.0 - age / window) / weighted_span);
             }
         }
         demand
@@ -119,6 +125,6 @@
 
     /// Slots that one request contributes to the demand of a window, given its holding time.
     pub fn unit(hold: f64) -> f64 {
-        hold / (BUCKET * BUCKETS as u32).as_secs_f64()
+        hold / (WINDOW.as_secs_f64() / 2.0)
     }
 }
--- a/crates/edge/src/admission/room.rs
+++ b/crates/edge/src/admission/room.rs
@@ -16,6 +16,10 @@
 /// Share of its distance to 1 that the correction keeps with each step while nothing is refused, so that
 /// a twentieth is left after 2 s.
 const RETURN: f64 = 0.75;
+/// Share by which room shrinks if the fill is twice the aim, and the bounds of that. The correction alone
+/// sums up, as the queue does, and the two would swing.
+const BRAKE: f64 = 0.3;
+const BRAKES: (f64, f64) = (0.5, 1.1);
 /// Fill from which demand beyond the room is believed. Below it slots are empty whatever is estimated.
 pub const BUSY_FILL: f64 = 0.8;
 
@@ -24,7 +28,11 @@
 pub struct Room {
     slots: f64,
     fill: f64,
+    /// Fill beyond which requests wait for too long.
+    full: f64,
     correction: f64,
+    /// Factor that answers the fill at once.
+    brake: f64,
     stepped: Duration,
 }
 
@@ -34,7 +42,9 @@
         Room {
             slots: 0.0,
             fill: 0.0,
+            full: 1.0,
             correction: 1.0,
+            brake: 1.0,
             stepped: now,
         }
     }
@@ -51,18 +61,33 @@
         self.fill = fill / usable().count().max(1) as f64;
     }
 
-    /// Moves the correction, at most once per step. `hold` is the mean holding time in seconds.
-    pub fn correct(&mut self, target: Duration, hold: f64, refusing: bool, now: Duration) {
+    /// Moves the correction, at most once per step, and the brake. `hold` is the mean holding time in
+    /// seconds; `hold_back` says that the correction must not fall yet.
+    pub fn correct(
+        &mut self,
+        target: Duration,
+        hold: f64,
+        refusing: bool,
+        hold_back: bool,
+        now: Duration,
+    ) {
+        self.full = target_fill(target, hold);
+        // Half of the wait suffices to keep all slots busy, and leaves room for what routers do not know yet.
+        let aim = (1.0 + self.full) / 2.0;
+        self.brake = (1.0 - BRAKE * (self.fill / aim - 1.0)).clamp(BRAKES.0, BRAKES.1);
         if now < self.stepped + STEP {
             return;
         }
         self.stepped = now;
-        let target_fill = target_fill(target, hold);
-        if self.fill > 1.1 * target_fill {
-            self.correction *= 0.9;
+        if self.is_overfull() {
+            if !hold_back {
+                self.correction *= 0.9;
+            }
         } else if refusing && self.fill < BUSY_FILL {
-            self.correction *= 1.1;
-        } else if refusing && self.fill < 0.9 * target_fill {
+            // Slots are empty, but a service of long requests fills slowly.
+            let speed = (0.3 / (hold + 0.2)).min(1.0);
+            self.correction *= 1.0 + 0.3 * speed * (1.0 - self.fill / BUSY_FILL).max(0.2);
+        } else if refusing && self.fill < aim {
             self.correction *= 1.05;
         } else if !refusing {
             self.correction = 1.0 + (self.correction - 1.0) * RETURN;
@@ -70,9 +95,14 @@
         self.correction = self.correction.clamp(BOUNDS.0, BOUNDS.1);
     }
 
+    /// Whether requests wait for much longer than they should.
+    pub fn is_overfull(&self) -> bool {
+        self.fill > 1.1 * self.full
+    }
+
     /// Room in slots, after the correction.
     pub fn corrected(&self) -> f64 {
-        self.slots * self.correction
+        self.slots * self.correction * self.brake
     }
 
     /// Correction of the room.
--- a/crates/edge/src/admission/service.rs
+++ b/crates/edge/src/admission/service.rs
@@ -20,8 +20,15 @@
 const REPORT_SHARE: f64 = 0.7;
 /// Fill from which demand is reported. In calm, what one router sees of hundreds is too little to tell.
 const REPORT_FILL: f64 = 0.4;
+/// Fill from which demand is reported whatever this router sees itself.
+const REPORT_ANYWAY_FILL: f64 = 0.7;
 /// Time for which reports go on after the demand was last near the room, so that others see it fall.
 const REPORT_HOLD: Duration = Duration::from_millis(1500);
+/// Time after its start in which a surge may be larger than what is metered. After it, the correction
+/// answers what waits.
+const ONSET: Duration = Duration::from_secs(1);
+/// Growth of the assumed demand with each refresh while requests wait too long, and its decay.
+const ASSUMED: (f64, f64) = (1.5, 0.8);
 /// Time without demand beyond the room after which a service is no longer short of it.
 const SHORT_HOLD: Duration = Duration::from_secs(1);
 /// Time after which a service without requests or endpoints is dropped.
@@ -44,6 +51,8 @@
     near: Option<Duration>,
     /// When demand was last beyond the room, while the service is short of it.
     short: Option<Duration>,
+    /// Start of the surge, and demand in slots that is assumed until it is metered.
+    onset: Option<(Duration, f64)>,
     shares: Option<Shares>,
 }
 
@@ -63,6 +72,7 @@
             fleet: FleetDemand::default(),
             near: None,
             short: None,
+            onset: None,
             shares: None,
         }
     }
@@ -114,10 +124,13 @@
         let hold = self.own.mean_hold();
         let hold = hold.unwrap_or_else(|| (view.target / 4).as_secs_f64());
         self.room.observe(&view.endpoints);
+        let in_onset = self.onset.is_some_and(|(at, _)| now < at + ONSET);
+        let refusing = self.shares.is_some();
         self.room
-            .correct(view.target, hold, self.shares.is_some(), now);
+            .correct(view.target, hold, refusing, in_onset, now);
         self.fleet = self.peers.estimate(&self.own, view.routers, now);
         self.sizes.update(&self.fleet);
+        self.assume_demand(now);
         let was_short = self.short.is_some();
         self.update_short(now);
         self.shares = self.short.and_then(|_| self.shares(hold));
@@ -135,15 +148,40 @@
         self.fleet.total + self.fleet.late
     }
 
+    /// Assumes a growing demand while requests wait too long at the start of a surge. The routers know
+    /// of each other's demand some 300 ms later, and by then queues of a few requests overflow.
+    fn assume_demand(&mut self, now: Duration) {
+        let room = self.room.corrected();
+        let overfull = self.room.is_overfull();
+        let (at, assumed) = match self.onset {
+            Some(onset) => onset,
+            None if overfull => (now, room),
+            None => return,
+        };
+        let factor = if overfull { ASSUMED.0 } else { ASSUMED.1 };
+        let assumed = (assumed * factor).min(10.0 * room);
+        self.onset = Some((at, assumed));
+        let demand = self.demand();
+        if now < at + ONSET {
+            if assumed > demand && demand > 0.0 {
+                self.fleet.scale_by(assumed / demand);
+            }
+        } else if self.short.is_none() && !overfull {
+            self.onset = None;
+        }
+    }
+
     fn update_short(&mut self, now: Duration) {
         let (demand, room) = (self.demand(), self.room.corrected());
-        if demand > REPORT_SHARE * room && self.room.fill() >= REPORT_FILL {
+        let fill = self.room.fill();
+        let is_near = demand > REPORT_SHARE * room && fill >= REPORT_FILL;
+        if is_near || fill >= REPORT_ANYWAY_FILL {
             self.near = Some(now);
         }
         if room <= 0.0 {
             // Without any endpoint, placement refuses with the reason that applies.
             self.short = None;
-        } else if demand > room && (self.short.is_some() || self.room.fill() >= BUSY_FILL) {
+        } else if demand > room && (self.short.is_some() || fill >= BUSY_FILL) {
             self.short = Some(now);
             self.near = Some(now);
         } else if self.short.is_some_and(|at| now >= at + SHORT_HOLD) {
