Spread the others of reports over the customers that a router sees itself

With 7 routers most of 40 customers are in the sum of others of each report, and looked small, so that the level fell below all of them.

--- a/crates/edge/src/admission/customer_sizes.rs
+++ b/crates/edge/src/admission/customer_sizes.rs
@@ -14,8 +14,9 @@
 /// Independent estimates that the smoothed one is worth. Reports count for up to 1.5 s, so those of 4 s
 /// are worth about three.
 const SMOOTHED_WORTH: f64 = 3.0;
-/// Standard deviations that are subtracted from an estimate.
-const DOUBT: f64 = 1.5;
+/// Standard deviations that are subtracted from an estimate, and from a smoothed one.
+const DOUBT: f64 = 2.0;
+const SMOOTHED_DOUBT: f64 = 1.0;
 /// Least size of a customer, relative to the mean one.
 const LEAST: f64 = 0.1;
 /// Most customers that are tracked.
@@ -49,18 +50,23 @@
                 *self.smoothed.entry(*customer).or_default() += demand * WEIGHT;
             }
         }
-        let negligible = 1e-4 * fleet.total.max(1e-3);
+        let negligible = 1e-5 * (1.0 + fleet.total);
         self.smoothed.retain(|_, demand| *demand > negligible);
     }
 
     /// Sizes of customers, if a request holds a slot for `hold` seconds on average.
     pub fn sizes(&self, fleet: &FleetDemand, hold: f64) -> Sized {
         let unit = Meter::unit(hold) * fleet.scale;
-        let mean = fleet.total / self.smoothed.len().max(1) as f64;
+        let total = fleet.customers.values().sum::<f64>() + fleet.others;
+        let mean = total / self.smoothed.len().max(1) as f64;
         let least = LEAST * mean;
         let known = fleet.customers.iter().map(|(customer, demand)| {
             let smoothed = self.smoothed.get(customer).copied().unwrap_or_default();
-            let size = certain(*demand, unit).max(certain(smoothed, unit / SMOOTHED_WORTH));
+            let size = certain(*demand, unit, DOUBT).max(certain(
+                smoothed,
+                unit / SMOOTHED_WORTH,
+                SMOOTHED_DOUBT,
+            ));
             let customer_demand = CustomerDemand {
                 size: size.max(least),
                 demand: *demand,
@@ -70,7 +76,7 @@
         let mut known: BTreeMap<CustomerKey, CustomerDemand> = known.collect();
         for (customer, smoothed) in &self.smoothed {
             known.entry(*customer).or_insert_with(|| CustomerDemand {
-                size: certain(*smoothed, unit / SMOOTHED_WORTH).max(least),
+                size: certain(*smoothed, unit / SMOOTHED_WORTH, SMOOTHED_DOUBT).max(least),
                 demand: 0.0,
             });
         }
@@ -83,6 +89,6 @@
 }
 
 /// Demand that is certain, if one observed request stands for `unit` slots.
-fn certain(demand: f64, unit: f64) -> f64 {
-    (demand - DOUBT * (demand * unit).sqrt()).max(0.0)
+fn certain(demand: f64, unit: f64, doubt: f64) -> f64 {
+    (demand - doubt * (demand * unit).sqrt()).max(0.0)
 }
--- a/crates/edge/src/admission/fleet_demand.rs
+++ b/crates/edge/src/admission/fleet_demand.rs
@@ -25,9 +25,9 @@
     pub total: f64,
     /// The same by rank.
     pub ranks: BTreeMap<u8, f64>,
-    /// The same by customer, as far as customers are known.
+    /// Demand of such requests by customer over a longer time, as far as customers are known.
     pub customers: BTreeMap<CustomerKey, f64>,
-    /// Demand of the other customers.
+    /// Demand of the other customers over that time.
     pub others: f64,
     /// Demand of callers that came back and can no longer be in time.
     pub late: f64,
@@ -63,12 +63,13 @@
             total: own.total,
             ranks: own.ranks.clone(),
             customers: own.customers.clone(),
-            others: (own.total - own.customers.values().sum::<f64>()).max(0.0),
+            others: own.others,
             late: own.late,
             heard: 1,
             scale: 1.0,
         };
         let mut weights = 1.0;
+        let mut spread = OthersSpread::default();
         for (at, report) in self.routers.values() {
             // An older report weighs less, so that the start and the end of a surge show sooner.
             let age = now.saturating_sub(*at).as_secs_f64();
@@ -76,8 +77,10 @@
             if weight > 0.0 {
                 weights += weight;
                 fleet.add(report, weight);
+                spread.add(report, weight, own);
             }
         }
+        spread.apply(&mut fleet, own);
         fleet.scale = routers.max(fleet.heard) as f64 / weights;
         fleet.scale_by(fleet.scale);
         fleet
@@ -90,7 +93,6 @@
         self.heard += 1;
         self.total += slots(report.total);
         self.late += slots(report.late);
-        self.others += slots(report.others.0);
         for (rank, demand) in report.ranks.iter().take(MAX_RANKS) {
             *self.ranks.entry(*rank).or_default() += slots(*demand);
         }
@@ -111,6 +113,49 @@
     }
 }
 
+/// Spreads the sum of other customers in reports over those that the reports do not name, as this router
+/// sees them itself. With seven routers and 40 customers most are in that sum, and would look small.
+#[derive(Debug, Default)]
+struct OthersSpread {
+    /// Others in reports relative to this router's demand of the customers that the reports do not name.
+    factor: f64,
+    /// The part of the factor from reports that name a customer.
+    named: BTreeMap<CustomerKey, f64>,
+    /// Others in reports that name all customers of this router.
+    rest: f64,
+}
+
+impl OthersSpread {
+    fn add(&mut self, report: &DemandReport, weight: f64, own: &Demand) {
+        let others = weight * slots(report.others.0);
+        if others <= 0.0 {
+            return;
+        }
+        let named = || report.customers.iter().take(MAX_CUSTOMERS);
+        let own_named = named().filter_map(|(customer, _)| own.customers.get(customer));
+        let own_sum: f64 = own.customers.values().sum();
+        let own_others = own_sum - own_named.sum::<f64>();
+        if own_others <= 1e-9 * own_sum {
+            self.rest += others;
+            return;
+        }
+        let factor = others / own_others;
+        self.factor += factor;
+        for (customer, _) in named() {
+            *self.named.entry(*customer).or_default() += factor;
+        }
+    }
+
+    fn apply(&self, fleet: &mut FleetDemand, own: &Demand) {
+        fleet.others += self.rest;
+        for (customer, slots) in &own.customers {
+            let named = self.named.get(customer).copied().unwrap_or_default();
+            let share = slots * (self.factor - named).max(0.0);
+            *fleet.customers.entry(*customer).or_default() += share;
+        }
+    }
+}
+
 /// A reported figure, or 0 if it is no valid demand.
 fn slots(reported: f32) -> f64 {
     if reported.is_finite() {
@@ -129,7 +174,7 @@
         .collect();
     customers.sort_by(|a, b| b.1.total_cmp(&a.1));
     let others = customers.split_off(customers.len().min(MAX_CUSTOMERS));
-    let named: f32 = customers.iter().map(|(_, slots)| slots).sum();
+    let others_slots: f32 = others.iter().map(|(_, slots)| slots).sum();
     DemandReport {
         service,
         total: own.total as f32,
@@ -142,7 +187,7 @@
         late: own.late as f32,
         customers,
         others: (
-            (own.total as f32 - named).max(0.0),
+            own.others as f32 + others_slots,
             u16::try_from(others.len()).unwrap_or(u16::MAX),
         ),
     }
--- a/crates/edge/src/admission/meter.rs
+++ b/crates/edge/src/admission/meter.rs
@@ -15,8 +15,13 @@
 const BUCKETS: usize = 9;
 /// Shortest time that rates are computed over. A router that started 100 ms ago has seen too little.
 const MIN_SPAN: Duration = Duration::from_millis(300);
-/// Customers counted by name in one bucket; further ones count as others.
-const MAX_CUSTOMERS: usize = 1024;
+/// Time constant of the demand by customer in seconds. It is longer than the window, since a router sees
+/// few requests of each customer, and customers are compared only with each other.
+const CUSTOMER_TIME: f64 = 1.0;
+/// Customers counted by name; further ones count as others.
+const MAX_CUSTOMERS: usize = 2048;
+/// Demand in slots below which a customer is dropped.
+const NEGLIGIBLE: f64 = 1e-5;
 
 /// A request as it is metered.
 #[derive(Clone, Copy, Debug)]
@@ -40,8 +45,10 @@
     pub total: f64,
     /// The same by rank.
     pub ranks: BTreeMap<u8, f64>,
-    /// The same by customer.
+    /// The same by customer, over a longer time.
     pub customers: BTreeMap<CustomerKey, f64>,
+    /// Demand of the customers that are not counted by name, over the same time.
+    pub others: f64,
     /// Demand of callers that came back and can no longer be in time.
     pub late: f64,
 }
@@ -59,9 +66,27 @@
         for (rank, slots) in &other.ranks {
             *self.ranks.entry(*rank).or_default() += slots * factor;
         }
-        for (customer, slots) in &other.customers {
-            *self.customers.entry(*customer).or_default() += slots * factor;
-        }
+    }
+}
+
+/// A sum whose addends decay.
+#[derive(Clone, Copy, Debug, Default)]
+struct Decaying {
+    sum: f64,
+    at: Duration,
+}
+
+impl Decaying {
+    fn at(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.sum * (-age / CUSTOMER_TIME).exp()
+    }
+
+    fn add(&mut self, slots: f64, now: Duration) {
+        *self = Decaying {
+            sum: self.at(now) + slots,
+            at: now,
+        };
     }
 }
 
@@ -71,6 +96,8 @@
     since: Duration,
     /// Start and sums of each bucket, the newest last.
     buckets: VecDeque<(Duration, Demand)>,
+    customers: BTreeMap<CustomerKey, Decaying>,
+    others: Decaying,
 }
 
 impl Meter {
@@ -79,6 +106,8 @@
         Meter {
             since: now,
             buckets: VecDeque::new(),
+            customers: BTreeMap::new(),
+            others: Decaying::default(),
         }
     }
 
@@ -101,11 +130,21 @@
         }
         sums.total += arrival.hold;
         *sums.ranks.entry(arrival.rank).or_default() += arrival.hold;
-        if sums.customers.len() < MAX_CUSTOMERS || sums.customers.contains_key(&arrival.customer) {
-            *sums.customers.entry(arrival.customer).or_default() += arrival.hold;
+        let named = self.customers.len() < MAX_CUSTOMERS;
+        if named || self.customers.contains_key(&arrival.customer) {
+            let customer = self.customers.entry(arrival.customer).or_default();
+            customer.add(arrival.hold, now);
+        } else {
+            self.others.add(arrival.hold, now);
         }
     }
 
+    /// Drops customers that have not sent anything for a while.
+    pub fn expire(&mut self, now: Duration) {
+        self.customers
+            .retain(|_, customer| customer.at(now) > NEGLIGIBLE);
+    }
+
     /// Demand of the last 0.8 s. Newer arrivals weigh more, so that the start and the end of a surge show
     /// sooner.
     pub fn demand(&self, now: Duration) -> Demand {
@@ -120,11 +159,18 @@
                 demand.add(sums, (1.0 - age / window) / weighted_span);
             }
         }
+        let metered = now.saturating_sub(self.since).max(MIN_SPAN).as_secs_f64();
+        let time = CUSTOMER_TIME * (1.0 - (-metered / CUSTOMER_TIME).exp());
+        let customers = self.customers.iter();
+        let customers = customers.map(|(key, customer)| (*key, customer.at(now) / time));
+        demand.customers = customers.collect();
+        demand.others = self.others.at(now) / time;
         demand
     }
 
-    /// Slots that one request contributes to the demand of a window, given its holding time.
+    /// Demand of a customer that sent one request, given its holding time.
     pub fn unit(hold: f64) -> f64 {
-        hold / (WINDOW.as_secs_f64() / 2.0)
+        // Sums that decay vary as if they counted for twice their time constant.
+        hold / (2.0 * CUSTOMER_TIME)
     }
 }
--- a/crates/edge/src/admission/service.rs
+++ b/crates/edge/src/admission/service.rs
@@ -202,13 +202,15 @@
             size: sized.least,
             demand: sized.others,
         });
-        let level = Level::find(&demands, new_room);
+        let sum: f64 = demands.iter().map(|customer| customer.demand).sum();
+        let average = (new_room / fleet.total.max(f64::MIN_POSITIVE)).min(1.0);
+        let level = Level::find(&demands, average * sum);
         let customers = sized.known.iter();
         let customers = customers.map(|(key, customer)| (*key, level.probability(customer.size)));
         Some(Shares {
             customers: customers.collect(),
             unknown: level.probability(sized.least),
-            average: (new_room / fleet.total.max(f64::MIN_POSITIVE)).min(1.0),
+            average,
             ranks: RankShares::new(&fleet.ranks),
             late: (late_room / fleet.late.max(f64::MIN_POSITIVE)).min(1.0),
         })
@@ -241,6 +243,7 @@
 
     /// Drops what is too old to count.
     pub fn expire(&mut self, now: Duration) {
+        self.meter.expire(now);
         self.peers.expire(now);
         self.holds.expire(now);
         self.spent.expire(now);
--- a/crates/edge/tests/admission_fleet/figures.rs
+++ b/crates/edge/tests/admission_fleet/figures.rs
@@ -164,11 +164,16 @@
             .map(Counts::served_share)
             .fold(1.0, f64::min);
         format!(
-            "goodput {:?} worst {:.3}; rejected {:.3}; in time {:.3} of call {:.3}; all {:.3} ranks {ranks:?} \
+            "goodput {:?} worst {:.3}; rejected {:.3} ({} in 1 s); in time {:.3} of call {:.3}; all {:.3} ranks {ranks:?} \
              steady {steady:?} least {least:.3}; refusals before {} after {}",
             self.goodput,
             self.worst_of_best(),
             self.rejected / self.server_arrivals,
+            self.offers
+                .iter()
+                .filter(|(at, accepted)| !accepted && *at < START + SPAN / 2)
+                .count() as f64
+                / self.server_arrivals,
             self.run_in_time / self.run,
             self.run_in_time_of_call / self.run,
             self.all.served_share(),
--- a/crates/edge/tests/admission_fleet/mod.rs
+++ b/crates/edge/tests/admission_fleet/mod.rs
@@ -328,6 +328,14 @@
     /// The caller learns that its attempt was refused.
     fn refused(&mut self, id: usize, refusal: Option<RoomRefusal>) {
         let call = self.calls[id];
+        if STEADY.contains(&call.customer) && std::env::var("TEST_LOGS").is_ok() {
+            println!(
+                "steady {:.1} c{} a{} {refusal:?}",
+                self.now.as_secs_f64(),
+                call.customer,
+                call.attempts
+            );
+        }
         self.figures.refused(self.now, call.customer);
         let impatient = self.setup.callers == Callers::SomeImpatient && call.customer % 4 == 1;
         if impatient && call.attempts < 9 {
