--- a/crates/edge/src/admission/room.rs
+++ b/crates/edge/src/admission/room.rs
@@ -16,10 +16,13 @@
 /// Share of its distance to 1 that the correction keeps with each step while nothing is refused, so that
 /// a twentieth is left after 2 s.
 const RETURN: f64 = 0.75;
-/// Share by which room shrinks if the fill is twice the aim, and the bounds of that. The correction alone
-/// sums up, as the queue does, and the two would swing.
-const BRAKE: f64 = 0.3;
+/// Share by which room shrinks if requests wait a quarter of the target longer than is aimed at, and the
+/// bounds of that. The correction alone sums up, as the queue does, and the two would swing.
+const BRAKE: f64 = 0.25;
 const BRAKES: (f64, f64) = (0.5, 1.1);
+/// Share of the wait that is aimed at. A few waiting requests keep all slots busy; the rest of the
+/// queue takes what routers do not know of yet.
+const AIM: f64 = 0.3;
 /// Fill from which demand beyond the room is believed. Below it slots are empty whatever is estimated.
 pub const BUSY_FILL: f64 = 0.8;
 
@@ -72,9 +75,9 @@
         now: Duration,
     ) {
         self.full = target_fill(target, hold);
-        // Half of the wait suffices to keep all slots busy, and leaves room for what routers do not know yet.
-        let aim = (1.0 + self.full) / 2.0;
-        self.brake = (1.0 - BRAKE * (self.fill / aim - 1.0)).clamp(BRAKES.0, BRAKES.1);
+        let aim = 1.0 + AIM * (self.full - 1.0);
+        let excess = (self.fill - aim) / (self.full - 1.0).max(0.01);
+        self.brake = (1.0 - BRAKE * excess).clamp(BRAKES.0, BRAKES.1);
         if now < self.stepped + STEP {
             return;
         }
@@ -105,6 +108,11 @@
         self.slots * self.correction * self.brake
     }
 
+    /// Room in slots without regard to what waits.
+    pub fn unbraked(&self) -> f64 {
+        self.slots * self.correction
+    }
+
     /// Correction of the room.
     pub fn correction(&self) -> f64 {
         self.correction
--- a/crates/edge/src/admission/service.rs
+++ b/crates/edge/src/admission/service.rs
@@ -28,7 +28,7 @@
 /// answers what waits.
 const ONSET: Duration = Duration::from_secs(1);
 /// Growth of the assumed demand with each refresh while requests wait too long, and its decay.
-const ASSUMED: (f64, f64) = (1.5, 0.8);
+const ASSUMED: (f64, f64) = (2.0, 0.8);
 /// Time without demand beyond the room after which a service is no longer short of it.
 const SHORT_HOLD: Duration = Duration::from_secs(1);
 /// Time after which a service without requests or endpoints is dropped.
@@ -151,7 +151,7 @@
     /// Assumes a growing demand while requests wait too long at the start of a surge. The routers know
     /// of each other's demand some 300 ms later, and by then queues of a few requests overflow.
     fn assume_demand(&mut self, now: Duration) {
-        let room = self.room.corrected();
+        let room = self.room.unbraked();
         let overfull = self.room.is_overfull();
         let (at, assumed) = match self.onset {
             Some(onset) => onset,
@@ -159,7 +159,7 @@
             None => return,
         };
         let factor = if overfull { ASSUMED.0 } else { ASSUMED.1 };
-        let assumed = (assumed * factor).min(10.0 * room);
+        let assumed = (assumed * factor).min(8.0 * room);
         self.onset = Some((at, assumed));
         let demand = self.demand();
         if now < at + ONSET {
--- a/crates/edge/src/admission/shares.rs
+++ b/crates/edge/src/admission/shares.rs
@@ -10,8 +10,9 @@
 pub const FLOOR: f64 = 0.4;
 /// Share of a customer's probability that all ranks get alike; the rest is filled by urgency.
 const EVEN: f64 = 0.3;
-/// Room for callers that came back and can no longer be in time.
-const LATE_SHARE: f64 = 0.1;
+/// Room for callers that came back and can no longer be in time. Goodput must stay at 0.9 of its best,
+/// and the best is at the start of a surge, when nobody has come back yet.
+const LATE_SHARE: f64 = 0.06;
 /// Halvings of the interval in which the level is searched.
 const HALVINGS: u32 = 40;
 
