--- a/crates/edge/src/admission/customer_sizes.rs
+++ b/crates/edge/src/admission/customer_sizes.rs
@@ -19,13 +19,19 @@
 const SMOOTHED_DOUBT: f64 = 1.0;
 /// Least size of a customer, relative to the mean one.
 const LEAST: f64 = 0.1;
+/// Sum in slots below which a customer is dropped.
+const NEGLIGIBLE: f64 = 1e-6;
 /// Most customers that are tracked.
 const MAX_CUSTOMERS: usize = 2048;
 
-/// Smoothed demand by customer.
+/// Demand by customer, smoothed over a few seconds. Estimates from many routers weigh more than those
+/// from few, since in calm a router knows of no other.
 #[derive(Clone, Debug, Default)]
 pub struct CustomerSizes {
-    smoothed: BTreeMap<CustomerKey, f64>,
+    /// Decayed sums of the demand of the routers heard from.
+    sums: BTreeMap<CustomerKey, f64>,
+    /// Decayed number of these routers.
+    routers: f64,
 }
 
 /// Customers of one service.
@@ -42,48 +48,37 @@
 impl CustomerSizes {
     /// Smooths the demand of customers; to be called every 100 ms.
     pub fn update(&mut self, fleet: &FleetDemand) {
-        for smoothed in self.smoothed.values_mut() {
-            *smoothed *= 1.0 - WEIGHT;
-        }
+        self.sums.values_mut().for_each(|sum| *sum *= 1.0 - WEIGHT);
+        self.routers = self.routers * (1.0 - WEIGHT) + fleet.weights * WEIGHT;
         for (customer, demand) in &fleet.customers {
-            if self.smoothed.len() < MAX_CUSTOMERS || self.smoothed.contains_key(customer) {
-                *self.smoothed.entry(*customer).or_default() += demand * WEIGHT;
+            if self.sums.len() < MAX_CUSTOMERS || self.sums.contains_key(customer) {
+                *self.sums.entry(*customer).or_default() += demand / fleet.scale * WEIGHT;
             }
         }
-        let negligible = 1e-5 * (1.0 + fleet.total);
-        self.smoothed.retain(|_, demand| *demand > negligible);
+        self.sums.retain(|_, sum| *sum > NEGLIGIBLE);
     }
 
     /// Sizes of customers, if a request holds a slot for `hold` seconds on average.
     pub fn sizes(&self, fleet: &FleetDemand, hold: f64) -> Sized {
-        let unit = Meter::unit(hold) * fleet.scale;
         let total = fleet.customers.values().sum::<f64>() + fleet.others;
-        let mean = total / self.smoothed.len().max(1) as f64;
-        let least = LEAST * mean;
-        let known = fleet.customers.iter().map(|(customer, demand)| {
-            let smoothed = self.smoothed.get(customer).copied().unwrap_or_default();
-            let size = certain(*demand, unit, DOUBT).max(certain(
-                smoothed,
-                unit / SMOOTHED_WORTH,
-                SMOOTHED_DOUBT,
-            ));
-            let customer_demand = CustomerDemand {
-                size: size.max(least),
-                demand: *demand,
-            };
-            (*customer, customer_demand)
+        let least = LEAST * total / self.sums.len().max(1) as f64;
+        let unit = Meter::unit(hold);
+        // What stands for a router of the fleet, as a multiple of the smoothed sums.
+        let scale = fleet.scale * fleet.weights / self.routers.max(f64::MIN_POSITIVE);
+        let smoothed_unit = unit * scale / SMOOTHED_WORTH;
+        let known = self.sums.iter().map(|(customer, sum)| {
+            let demand = fleet.customers.get(customer).copied().unwrap_or_default();
+            let now = certain(demand, unit * fleet.scale, DOUBT);
+            let smoothed = certain(sum * scale, smoothed_unit, SMOOTHED_DOUBT);
+            let size = now.max(smoothed).max(least);
+            (*customer, CustomerDemand { size, demand })
         });
-        let mut known: BTreeMap<CustomerKey, CustomerDemand> = known.collect();
-        for (customer, smoothed) in &self.smoothed {
-            known.entry(*customer).or_insert_with(|| CustomerDemand {
-                size: certain(*smoothed, unit / SMOOTHED_WORTH, SMOOTHED_DOUBT).max(least),
-                demand: 0.0,
-            });
-        }
+        let known: BTreeMap<CustomerKey, CustomerDemand> = known.collect();
+        let named: f64 = known.values().map(|customer| customer.demand).sum();
         Sized {
             known,
             least,
-            others: fleet.others,
+            others: (total - named).max(0.0),
         }
     }
 }
--- a/crates/edge/src/admission/fleet_demand.rs
+++ b/crates/edge/src/admission/fleet_demand.rs
@@ -35,6 +35,8 @@
     pub heard: usize,
     /// Routers that one heard from just now stands for.
     pub scale: f64,
+    /// Routers heard from, where one that was heard a while ago counts as less than one.
+    pub weights: f64,
 }
 
 /// The last report of each router.
@@ -67,6 +69,7 @@
             late: own.late,
             heard: 1,
             scale: 1.0,
+            weights: 1.0,
         };
         let mut weights = 1.0;
         let mut spread = OthersSpread::default();
@@ -81,6 +84,7 @@
             }
         }
         spread.apply(&mut fleet, own);
+        fleet.weights = weights;
         fleet.scale = routers.max(fleet.heard) as f64 / weights;
         fleet.scale_by(fleet.scale);
         fleet
--- a/crates/edge/src/admission/room.rs
+++ b/crates/edge/src/admission/room.rs
@@ -31,6 +31,8 @@
 pub struct Room {
     slots: f64,
     fill: f64,
+    /// Fill of the third of the endpoints that is filled most.
+    top_fill: f64,
     /// Fill beyond which requests wait for too long.
     full: f64,
     correction: f64,
@@ -45,6 +47,7 @@
         Room {
             slots: 0.0,
             fill: 0.0,
+            top_fill: 0.0,
             full: 1.0,
             correction: 1.0,
             brake: 1.0,
@@ -58,10 +61,12 @@
         self.slots = usable()
             .map(|endpoint| f64::from(endpoint.slots) / endpoint.pace.max(0.1))
             .sum();
-        let fill: f64 = usable()
-            .map(|endpoint| f64::from(endpoint.requests) / f64::from(endpoint.slots))
-            .sum();
-        self.fill = fill / usable().count().max(1) as f64;
+        let fills = usable();
+        let fills = fills.map(|endpoint| f64::from(endpoint.requests) / f64::from(endpoint.slots));
+        let mut fills: Vec<f64> = fills.collect();
+        self.fill = mean(&fills);
+        fills.sort_by(|a, b| b.total_cmp(a));
+        self.top_fill = mean(&fills[..fills.len().div_ceil(3)]);
     }
 
     /// Moves the correction, at most once per step, and the brake. `hold` is the mean holding time in
@@ -82,7 +87,7 @@
             return;
         }
         self.stepped = now;
-        if self.is_overfull() {
+        if self.fill > 1.1 * self.full {
             if !hold_back {
                 self.correction *= 0.9;
             }
@@ -98,9 +103,10 @@
         self.correction = self.correction.clamp(BOUNDS.0, BOUNDS.1);
     }
 
-    /// Whether requests wait for much longer than they should.
+    /// Whether requests wait for much longer than they should at a third of the endpoints. In a surge a
+    /// router hears of one endpoint after the other, and all are as full as the first.
     pub fn is_overfull(&self) -> bool {
-        self.fill > 1.1 * self.full
+        self.top_fill > 1.1 * self.full
     }
 
     /// Room in slots, after the correction.
@@ -124,6 +130,10 @@
     }
 }
 
+fn mean(fills: &[f64]) -> f64 {
+    fills.iter().sum::<f64>() / fills.len().max(1) as f64
+}
+
 /// Fill at which requests wait for a quarter of the shortest target.
 fn target_fill(target: Duration, hold: f64) -> f64 {
     1.0 + WAIT_SHARE * target.as_secs_f64() / hold.max(0.001)
