--- a/crates/edge/src/admission/room.rs
+++ b/crates/edge/src/admission/room.rs
@@ -18,11 +18,25 @@
 const RETURN: f64 = 0.75;
 /// Share by which room shrinks if requests wait a quarter of the target longer than is aimed at, and the
 /// bounds of that. The correction alone sums up, as the queue does, and the two would swing.
-const BRAKE: f64 = 0.25;
+const BRAKE: f64 = 0.15;
 const BRAKES: (f64, f64) = (0.5, 1.1);
 /// Share of the wait that is aimed at. A few waiting requests keep all slots busy; the rest of the
 /// queue takes what routers do not know of yet.
 const AIM: f64 = 0.3;
+/// Change of the correction with each step if requests wait a quarter of the target longer than is aimed
+/// at, and the bounds of a change.
+const GAIN: f64 = 0.1;
+const CHANGES: (f64, f64) = (-0.1, 0.05);
+/// Holding time in seconds up to which a service follows within a step; slower ones are corrected slower.
+const SHORT_HOLD: f64 = 0.3;
+/// Longest fill that is aimed at. Queues of servers are bounded, and longer ones run nothing more.
+const MAX_FULL: f64 = 2.5;
+/// Fill below which refusals are wrong: the surge is over, or its demand was never there.
+const EMPTY_FILL: f64 = 0.5;
+/// Growth of the room with each refresh while that is so, its bound, and its decay afterwards.
+const SPARE_GROWTH: f64 = 0.3;
+const MAX_SPARE: f64 = 10.0;
+const SPARE_DECAY: f64 = 0.5;
 /// Fill from which demand beyond the room is believed. Below it slots are empty whatever is estimated.
 pub const BUSY_FILL: f64 = 0.8;
 
@@ -38,6 +52,8 @@
     correction: f64,
     /// Factor that answers the fill at once.
     brake: f64,
+    /// Factor that grows while slots are empty although requests are refused.
+    spare: f64,
     stepped: Duration,
 }
 
@@ -51,6 +67,7 @@
             full: 1.0,
             correction: 1.0,
             brake: 1.0,
+            spare: 1.0,
             stepped: now,
         }
     }
@@ -81,23 +98,24 @@
     ) {
         self.full = target_fill(target, hold);
         let aim = 1.0 + AIM * (self.full - 1.0);
+        // Relative to the wait that is allowed. Negative if slots are empty.
         let excess = (self.fill - aim) / (self.full - 1.0).max(0.01);
         self.brake = (1.0 - BRAKE * excess).clamp(BRAKES.0, BRAKES.1);
+        let speed = (SHORT_HOLD / (hold + SHORT_HOLD)).min(1.0);
+        self.spare = if refusing && self.fill < EMPTY_FILL {
+            (self.spare * (1.0 + SPARE_GROWTH * speed)).min(MAX_SPARE)
+        } else {
+            1.0 + (self.spare - 1.0) * SPARE_DECAY
+        };
         if now < self.stepped + STEP {
             return;
         }
         self.stepped = now;
-        if self.fill > 1.1 * self.full {
-            if !hold_back {
-                self.correction *= 0.9;
-            }
-        } else if refusing && self.fill < BUSY_FILL {
-            // Slots are empty, but a service of long requests fills slowly.
-            let speed = (0.3 / (hold + 0.2)).min(1.0);
-            self.correction *= 1.0 + 0.3 * speed * (1.0 - self.fill / BUSY_FILL).max(0.2);
-        } else if refusing && self.fill < aim {
-            self.correction *= 1.05;
-        } else if !refusing {
+        if refusing || excess > 1.0 {
+            let change = -GAIN * speed * excess;
+            let least = if hold_back { 0.0 } else { CHANGES.0 };
+            self.correction *= 1.0 + change.clamp(least, CHANGES.1);
+        } else {
             self.correction = 1.0 + (self.correction - 1.0) * RETURN;
         }
         self.correction = self.correction.clamp(BOUNDS.0, BOUNDS.1);
@@ -111,7 +129,7 @@
 
     /// Room in slots, after the correction.
     pub fn corrected(&self) -> f64 {
-        self.slots * self.correction * self.brake
+        self.slots * self.correction * self.brake * self.spare
     }
 
     /// Room in slots without regard to what waits.
@@ -136,5 +154,5 @@
 
 /// Fill at which requests wait for a quarter of the shortest target.
 fn target_fill(target: Duration, hold: f64) -> f64 {
-    1.0 + WAIT_SHARE * target.as_secs_f64() / hold.max(0.001)
+    (1.0 + WAIT_SHARE * target.as_secs_f64() / hold.max(0.001)).min(MAX_FULL)
 }
--- a/crates/edge/src/admission/service.rs
+++ b/crates/edge/src/admission/service.rs
@@ -159,7 +159,7 @@
             None => return,
         };
         let factor = if overfull { ASSUMED.0 } else { ASSUMED.1 };
-        let assumed = (assumed * factor).min(8.0 * room);
+        let assumed = (assumed * factor).min(4.0 * room);
         self.onset = Some((at, assumed));
         let demand = self.demand();
         if now < at + ONSET {
--- a/crates/edge/tests/admission_fleet/mod.rs
+++ b/crates/edge/tests/admission_fleet/mod.rs
@@ -3,7 +3,7 @@
 //! Routers with unequal shares of the traffic exchange demand and loads as the real ones do: to all
 //! others every 100 ms up to 24 of them, otherwise to four others every 250 ms.
 
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod figures;
 mod server;
