--- a/crates/edge/src/admission/meter.rs
+++ b/crates/edge/src/admission/meter.rs
@@ -17,7 +17,7 @@
 const MIN_SPAN: Duration = Duration::from_millis(300);
 /// Time constant of the demand by customer in seconds. It is longer than the window, since a router sees
 /// few requests of each customer, and customers are compared only with each other.
-const CUSTOMER_TIME: f64 = 1.2;
+const CUSTOMER_TIME: f64 = 0.6;
 /// Customers counted by name; further ones count as others.
 const MAX_CUSTOMERS: usize = 2048;
 /// Demand in slots below which a customer is dropped.
--- a/crates/edge/src/admission/room.rs
+++ b/crates/edge/src/admission/room.rs
@@ -22,7 +22,7 @@
 const BRAKES: (f64, f64) = (0.5, 1.1);
 /// Share of the wait that is aimed at. A few waiting requests keep all slots busy; the rest of the
 /// queue takes what routers do not know of yet.
-const AIM: f64 = 0.3;
+const AIM: f64 = 0.6;
 /// Change of the correction with each step if requests wait a quarter of the target longer than is aimed
 /// at, and the bounds of a change.
 const GAIN: f64 = 0.1;
@@ -30,7 +30,7 @@
 /// Holding time in seconds up to which a service follows within a step; slower ones are corrected slower.
 const SHORT_HOLD: f64 = 0.3;
 /// Longest fill that is aimed at. Queues of servers are bounded, and longer ones run nothing more.
-const MAX_FULL: f64 = 2.5;
+const MAX_FULL: f64 = 2.7;
 /// Fill below which refusals are wrong: the surge is over, or its demand was never there.
 const EMPTY_FILL: f64 = 0.5;
 /// Growth of the room with each refresh while that is so, its bound, and its decay afterwards.
@@ -112,7 +112,11 @@
         }
         self.stepped = now;
         if refusing || excess > 1.0 {
-            let change = -GAIN * speed * excess;
+            let change = if excess > 1.0 {
+                CHANGES.0
+            } else {
+                -GAIN * speed * excess
+            };
             let least = if hold_back { 0.0 } else { CHANGES.0 };
             self.correction *= 1.0 + change.clamp(least, CHANGES.1);
         } else {
