--- a/crates/edge/src/admission/customer_sizes.rs
+++ b/crates/edge/src/admission/customer_sizes.rs
@@ -15,8 +15,8 @@
 /// are worth about three.
 const SMOOTHED_WORTH: f64 = 3.0;
 /// Standard deviations that are subtracted from an estimate, and from a smoothed one.
-const DOUBT: f64 = 2.0;
-const SMOOTHED_DOUBT: f64 = 1.0;
+const DOUBT: f64 = 1.5;
+const SMOOTHED_DOUBT: f64 = 0.5;
 /// Least size of a customer, relative to the mean one.
 const LEAST: f64 = 0.1;
 /// Sum in slots below which a customer is dropped.
@@ -71,14 +71,14 @@
             let now = certain(demand, unit * fleet.scale, DOUBT);
             let smoothed = certain(sum * scale, smoothed_unit, SMOOTHED_DOUBT);
             let size = now.max(smoothed).max(least);
+            // A customer that happens to have sent little just now has a small size and will send more.
+            let demand = (demand + sum * scale) / 2.0;
             (*customer, CustomerDemand { size, demand })
         });
-        let known: BTreeMap<CustomerKey, CustomerDemand> = known.collect();
-        let named: f64 = known.values().map(|customer| customer.demand).sum();
         Sized {
-            known,
+            known: known.collect(),
             least,
-            others: (total - named).max(0.0),
+            others: fleet.others,
         }
     }
 }
--- a/crates/edge/src/admission/shares.rs
+++ b/crates/edge/src/admission/shares.rs
@@ -12,7 +12,7 @@
 const EVEN: f64 = 0.3;
 /// Room for callers that came back and can no longer be in time. Goodput must stay at 0.9 of its best,
 /// and the best is at the start of a surge, when nobody has come back yet.
-const LATE_SHARE: f64 = 0.06;
+const LATE_SHARE: f64 = 0.05;
 /// Halvings of the interval in which the level is searched.
 const HALVINGS: u32 = 40;
 
--- a/crates/edge/tests/admission_fleet/figures.rs
+++ b/crates/edge/tests/admission_fleet/figures.rs
@@ -154,6 +154,15 @@
         spans.copied().fold(f64::INFINITY, f64::min) / best
     }
 
+    /// What customers at their calm rate got in calm and in the surge.
+    fn steady(&self) -> (Counts, Counts) {
+        let sum = |customers: &[Counts]| {
+            let steady = STEADY.iter().map(|customer| customers[*customer]);
+            steady.fold(Counts::default(), Counts::plus)
+        };
+        (sum(&self.calm_customers), sum(&self.customers))
+    }
+
     /// Summary for messages of failed checks.
     pub fn summary(&self) -> String {
         let ranks: Vec<String> = self
@@ -175,7 +184,7 @@
             .fold(1.0, f64::min);
         format!(
             "goodput {:?} worst {:.3}; rejected {:.3} ({} in 1 s); in time {:.3} of call {:.3}; all {:.3} ranks {ranks:?} \
-             steady {steady:?} least {least:.3}; refusals before {} after {}",
+             steady {:.3} {steady:?} least {least:.3}; refusals before {} after {}",
             self.goodput,
             self.worst_of_best(),
             self.rejected / self.server_arrivals,
@@ -187,6 +196,7 @@
             self.run_in_time / self.run,
             self.run_in_time_of_call / self.run,
             self.all.served_share(),
+            self.steady().1.in_time_share(),
             self.calm_refusals,
             self.late_refusals,
         )
@@ -225,12 +235,7 @@
         let in_time = pair[0].in_time_share() >= pair[1].in_time_share() - 0.15;
         check(served && in_time, "urgent ranks are no worse");
     }
-    let steady = |customers: &[Counts]| {
-        STEADY.iter().fold(Counts::default(), |sum, customer| {
-            sum.plus(customers[*customer])
-        })
-    };
-    let (calm, now) = (steady(&figures.calm_customers), steady(&figures.customers));
+    let (calm, now) = figures.steady();
     check(
         now.in_time_share() >= 0.95 * calm.in_time_share(),
         "steady customers within one in twenty",
--- a/crates/edge/tests/admission_fleet/mod.rs
+++ b/crates/edge/tests/admission_fleet/mod.rs
@@ -88,7 +88,7 @@
         hold_error: 1.0,
         count_error: 1.0,
         slow: 0.0,
-        seed: 1,
+        seed: std::env::var("TEST_SEED").map_or(1, |seed| seed.parse().expect("a number")),
     }
 }
 
