--- a/crates/edge/src/admission/room.rs
+++ b/crates/edge/src/admission/room.rs
@@ -22,7 +22,7 @@
 const BRAKES: (f64, f64) = (0.5, 1.1);
 /// Share of the wait that is aimed at. A few waiting requests keep all slots busy; the rest of the
 /// queue takes what routers do not know of yet.
-const AIM: f64 = 0.6;
+const AIM: f64 = 0.55;
 /// Change of the correction with each step if requests wait a quarter of the target longer than is aimed
 /// at, and the bounds of a change.
 const GAIN: f64 = 0.1;
@@ -47,6 +47,8 @@
     fill: f64,
     /// Fill of the third of the endpoints that is filled most.
     top_fill: f64,
+    /// Rise of that fill since the last time.
+    rise: f64,
     /// Fill beyond which requests wait for too long.
     full: f64,
     correction: f64,
@@ -64,6 +66,7 @@
             slots: 0.0,
             fill: 0.0,
             top_fill: 0.0,
+            rise: 0.0,
             full: 1.0,
             correction: 1.0,
             brake: 1.0,
@@ -83,7 +86,9 @@
         let mut fills: Vec<f64> = fills.collect();
         self.fill = mean(&fills);
         fills.sort_by(|a, b| b.total_cmp(a));
-        self.top_fill = mean(&fills[..fills.len().div_ceil(3)]);
+        let top_fill = mean(&fills[..fills.len().div_ceil(3)]);
+        self.rise = top_fill - self.top_fill;
+        self.top_fill = top_fill;
     }
 
     /// Moves the correction, at most once per step, and the brake. `hold` is the mean holding time in
@@ -125,6 +130,11 @@
         self.correction = self.correction.clamp(BOUNDS.0, BOUNDS.1);
     }
 
+    /// Rise of the fill within a refresh, at the third of the endpoints that is filled most.
+    pub fn rise(&self) -> f64 {
+        self.rise
+    }
+
     /// Whether requests wait for much longer than they should at a third of the endpoints. In a surge a
     /// router hears of one endpoint after the other, and all are as full as the first.
     pub fn is_overfull(&self) -> bool {
--- a/crates/edge/src/admission/service.rs
+++ b/crates/edge/src/admission/service.rs
@@ -26,7 +26,7 @@
 const REPORT_HOLD: Duration = Duration::from_millis(1500);
 /// Time after its start in which a surge may be larger than what is metered. After it, the correction
 /// answers what waits.
-const ONSET: Duration = Duration::from_secs(1);
+const ONSET: Duration = Duration::from_millis(600);
 /// Growth of the assumed demand with each refresh while requests wait too long, and its decay.
 const ASSUMED: (f64, f64) = (2.0, 0.8);
 /// Time without demand beyond the room after which a service is no longer short of it.
@@ -155,7 +155,7 @@
         let overfull = self.room.is_overfull();
         let (at, assumed) = match self.onset {
             Some(onset) => onset,
-            None if overfull => (now, room),
+            None if overfull => (now, room * self.room.rise().clamp(0.75, 2.0)),
             None => return,
         };
         let factor = if overfull { ASSUMED.0 } else { ASSUMED.1 };
--- a/crates/edge/src/admission/spent_time.rs
+++ b/crates/edge/src/admission/spent_time.rs
@@ -15,8 +15,9 @@
 /// A caller that honors `Retry-After` comes back after a ninth of its time or later. One that comes back
 /// before has ignored it; the margin to a ninth allows for clocks.
 const EARLY: f64 = 0.1;
-/// Differences of deadlines below this share are taken as transport and rounding.
-const FIRST: f64 = 0.02;
+/// Differences of deadlines up to this number of seconds are taken as rounding. A larger share would let
+/// callers that repeat every few milliseconds pass as new ones.
+const ROUNDING: f64 = 0.005;
 
 /// Whether a request is a first attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,7 +70,7 @@
 /// must be answered within `target`.
 pub fn caller_state(spent: (Duration, Duration), hold: f64, target: Duration) -> CallerState {
     let (spent, first) = (spent.0.as_secs_f64(), spent.1.as_secs_f64());
-    if spent <= FIRST * first {
+    if spent <= ROUNDING {
         CallerState::InTime
     } else if spent < EARLY * first {
         CallerState::Early
--- a/crates/edge/tests/admission_fleet/figures.rs
+++ b/crates/edge/tests/admission_fleet/figures.rs
@@ -154,6 +154,11 @@
         spans.copied().fold(f64::INFINITY, f64::min) / best
     }
 
+    /// Attempts refused at any time.
+    pub fn refusals(&self) -> usize {
+        self.refusals.len()
+    }
+
     /// What customers at their calm rate got in calm and in the surge.
     fn steady(&self) -> (Counts, Counts) {
         let sum = |customers: &[Counts]| {
