--- a/crates/edge/src/admission/room.rs
+++ b/crates/edge/src/admission/room.rs
@@ -34,7 +34,7 @@
 /// Fill below which refusals are wrong: the surge is over, or its demand was never there.
 const EMPTY_FILL: f64 = 0.5;
 /// Growth of the room with each refresh while that is so, its bound, and its decay afterwards.
-const SPARE_GROWTH: f64 = 0.3;
+const SPARE_GROWTH: f64 = 0.5;
 const MAX_SPARE: f64 = 10.0;
 const SPARE_DECAY: f64 = 0.5;
 /// Fill from which demand beyond the room is believed. Below it slots are empty whatever is estimated.
--- a/crates/edge/src/admission/service.rs
+++ b/crates/edge/src/admission/service.rs
@@ -26,7 +26,7 @@
 const REPORT_HOLD: Duration = Duration::from_millis(1500);
 /// Time after its start in which a surge may be larger than what is metered. After it, the correction
 /// answers what waits.
-const ONSET: Duration = Duration::from_millis(600);
+const ONSET: Duration = Duration::from_millis(800);
 /// Growth of the assumed demand with each refresh while requests wait too long, and its decay.
 const ASSUMED: (f64, f64) = (2.0, 0.8);
 /// Time without demand beyond the room after which a service is no longer short of it.
