--- a/crates/edge/src/admission/room.rs
+++ b/crates/edge/src/admission/room.rs
@@ -27,6 +27,9 @@
 /// at, and the bounds of a change.
 const GAIN: f64 = 0.1;
 const CHANGES: (f64, f64) = (-0.1, 0.05);
+/// Largest fall with a step that makes the room as small as the demand. Reports of the end of a surge are
+/// older than its demand.
+const JUMP: f64 = -0.2;
 /// Holding time in seconds up to which a service follows within a step; slower ones are corrected slower.
 const SHORT_HOLD: f64 = 0.3;
 /// Longest fill that is aimed at. Queues of servers are bounded, and longer ones run nothing more.
@@ -92,11 +95,12 @@
     }
 
     /// Moves the correction, at most once per step, and the brake. `hold` is the mean holding time in
-    /// seconds; `hold_back` says that the correction must not fall yet.
+    /// seconds, `demand` what is known of the fleet's; `hold_back` says that the correction must not fall yet.
     pub fn correct(
         &mut self,
         target: Duration,
         hold: f64,
+        demand: f64,
         refusing: bool,
         hold_back: bool,
         now: Duration,
@@ -116,12 +120,13 @@
             return;
         }
         self.stepped = now;
-        if refusing || excess > 1.0 {
-            let change = if excess > 1.0 {
-                CHANGES.0
-            } else {
-                -GAIN * speed * excess
-            };
+        if !refusing && !hold_back && excess > 0.5 {
+            // More waits than the demand explains, so that the room is less than the demand.
+            let change = demand / (self.slots * self.correction).max(f64::MIN_POSITIVE) - 1.0;
+            self.correction *= 1.0 + change.clamp(JUMP, 0.0);
+        } else if refusing || excess > 0.0 {
+            // What waits beyond the allowed time counts twice.
+            let change = -GAIN * speed * (excess + (excess - 1.0).max(0.0));
             let least = if hold_back { 0.0 } else { CHANGES.0 };
             self.correction *= 1.0 + change.clamp(least, CHANGES.1);
         } else {
--- a/crates/edge/src/admission/service.rs
+++ b/crates/edge/src/admission/service.rs
@@ -126,8 +126,9 @@
         self.room.observe(&view.endpoints);
         let in_onset = self.onset.is_some_and(|(at, _)| now < at + ONSET);
         let refusing = self.shares.is_some();
+        let demand = self.demand();
         self.room
-            .correct(view.target, hold, refusing, in_onset, now);
+            .correct(view.target, hold, demand, refusing, in_onset, now);
         self.fleet = self.peers.estimate(&self.own, view.routers, now);
         self.sizes.update(&self.fleet);
         self.assume_demand(now);
