--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -1,7 +1,8 @@
 //! Admission under overload: divides the room of a service by rank and customer.
 //!
 //! Answers a surge of up to ten times the usual load, in which every router sends what it has and the
-//! endpoints do work that is of no use any more. See docs/design/contention.md, section 5.3.
+//! endpoints do work that is of no use any more. See docs/design/contention.md, section 5.3, and
+//! docs/design/admission.md.
 
 mod customer_sizes;
 mod decision;
@@ -71,7 +72,7 @@
     pub retry_after: Duration,
     /// Probability with which such a request is admitted.
     pub probability: f64,
-    /// Whether the caller came back too late to be in time.
+    /// Whether the caller came back too late to be in time, or before it was told to.
     pub late: bool,
 }
 
--- a/crates/edge/tests/admission_fleet/figures.rs
+++ b/crates/edge/tests/admission_fleet/figures.rs
@@ -143,8 +143,8 @@
     /// Goodput of each 2 s of the surge.
     pub fn surge_goodput(&self) -> &[f64] {
         // Spans begin at odd seconds, as the surge does.
-        let first = ((START.as_secs() + 1) / 2) as usize;
-        let last = ((self.surge_end.as_secs() + 1) / 2) as usize;
+        let first = START.as_secs().div_ceil(2) as usize;
+        let last = self.surge_end.as_secs().div_ceil(2) as usize;
         &self.goodput[first..last]
     }
 
