Tell returns from first attempts by a range of deadlines

Ruled out: the fingerprint of the request; returns mostly reach another router.

Change: deadlines of 0.8 of the longest and more are first attempts, and a refused caller is told to wait for a fifth of its time at least.

--- a/crates/edge/src/admission/decision.rs
+++ b/crates/edge/src/admission/decision.rs
@@ -3,12 +3,15 @@
 //! Runs for every request of a surge on a tenth of a core, so it only looks up and compares.
 
 use super::shares::Shares;
+use super::spent_time::MIN_WAIT_SHARE;
 use super::{Admitted, Arrival, CustomerKey, RoomRefusal};
 use sequoiaridge_core::{RefusalReason, hash_parts};
 use std::time::Duration;
 
 /// A customer whose probability is below this share of the average one is refused for its own demand.
 const OWN_DEMAND: f64 = 0.9;
+/// Share of the time left up to which callers honor `Retry-After`.
+const MAX_WAIT_SHARE: f64 = 1.0 / 3.0;
 
 /// Decides on a request while its service is short of room. `late` says that it competes for the room of
 /// callers that came back.
@@ -42,12 +45,12 @@
     })
 }
 
-/// Between one and three thirds of a third of the time left, by attempt, so that returns are spread and
-/// none comes at once. Callers honor at most a third of the time that they have left.
+/// Between a fifth and a third of the time left, by attempt, so that returns are spread and can be told from
+/// first attempts.
 fn retry_after(arrival: &Arrival<'_>) -> Duration {
     let left = arrival.deadline.unwrap_or(arrival.limit);
     let drawn = hash_parts(&[b"retry-after", arrival.attempt.as_bytes()]);
-    (left / 3).mul_f64((1.0 + 2.0 * unit(drawn)) / 3.0)
+    left.mul_f64(MIN_WAIT_SHARE + (MAX_WAIT_SHARE - MIN_WAIT_SHARE) * unit(drawn))
 }
 
 /// A hash as a number from 0 to 1.
--- a/crates/edge/src/admission/shares.rs
+++ b/crates/edge/src/admission/shares.rs
@@ -9,7 +9,7 @@
 /// Least probability of a customer, relative to the average one, so that none starves.
 pub const FLOOR: f64 = 0.4;
 /// Share of a customer's probability that all ranks get alike; the rest is filled by urgency.
-const EVEN: f64 = 0.3;
+const EVEN: f64 = 0.8;
 /// Room for callers that came back and can no longer be in time. Goodput must stay at 0.9 of its best,
 /// and the best is at the start of a surge, when nobody has come back yet.
 const LATE_SHARE: f64 = 0.05;
--- a/crates/edge/src/admission/spent_time.rs
+++ b/crates/edge/src/admission/spent_time.rs
@@ -1,31 +1,30 @@
 //! Time that a caller has already spent on earlier attempts of its request.
 //!
 //! Answers callers that come back after a refusal: their remaining time is smaller than that of a first
-//! attempt. One that can no longer be in time must not take the room of one that can.
+//! attempt. One that can no longer be in time must not take the room of one that can. Callers of one
+//! route differ in their patience, so deadlines of first attempts are a range and not one value.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Time after which the longest deadline of a route has decayed to half, if no longer one arrives.
+/// Time in which the longest deadline of a route decays to half if no longer one arrives.
 const HALF_LIFE_S: f64 = 60.0;
 /// Time after which a route that is not used is dropped.
 const RETENTION: Duration = Duration::from_secs(600);
 /// Most routes that are tracked for one service.
 const MAX_ROUTES: usize = 512;
-/// A caller that honors `Retry-After` comes back after a ninth of its time or later. One that comes back
-/// before has ignored it; the margin to a ninth allows for clocks.
-const EARLY: f64 = 0.1;
-/// Differences of deadlines up to this number of seconds are taken as rounding. A larger share would let
-/// callers that repeat every few milliseconds pass as new ones.
-const ROUNDING: f64 = 0.005;
+/// Deadlines below this share of the longest one are those of callers that came back. A caller that
+/// honors [`MIN_WAIT_SHARE`] comes back with less.
+const FIRST_SHARE: f64 = 0.8;
+/// Share of its time left that a refused caller is told to wait at least, so that its return can be told
+/// from a first attempt.
+pub const MIN_WAIT_SHARE: f64 = 1.0 - FIRST_SHARE;
 
-/// Whether a request is a first attempt.
+/// Whether a request competes for room with first attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallerState {
     /// A first attempt, or a return that can still be in time.
     InTime,
-    /// A return before the time that the caller was told.
-    Early,
     /// A return that can no longer be in time.
     Late,
 }
@@ -37,26 +36,24 @@
 }
 
 impl SpentTime {
-    /// Records the deadline of a request and returns what its caller has already spent, and of how much.
-    pub fn record(
-        &mut self,
-        route: &str,
-        deadline: Duration,
-        now: Duration,
-    ) -> (Duration, Duration) {
-        if let Some((longest, at)) = self.routes.get_mut(route) {
-            let age = now.saturating_sub(*at).as_secs_f64();
-            let decayed = longest.mul_f64(0.5_f64.powf(age / HALF_LIFE_S));
-            if deadline >= decayed {
-                (*longest, *at) = (deadline, now);
-                return (Duration::ZERO, deadline);
+    /// Records the deadline of a request and returns the time that its caller has spent: none for a first
+    /// attempt, and otherwise the difference to the longest deadline.
+    pub fn record(&mut self, route: &str, deadline: Duration, now: Duration) -> Duration {
+        let Some((longest, at)) = self.routes.get_mut(route) else {
+            if self.routes.len() < MAX_ROUTES {
+                self.routes.insert(route.to_string(), (deadline, now));
             }
-            return (decayed - deadline, decayed);
+            return Duration::ZERO;
+        };
+        let age = now.saturating_sub(*at).as_secs_f64();
+        let decayed = longest.mul_f64(0.5_f64.powf(age / HALF_LIFE_S));
+        if deadline >= decayed {
+            (*longest, *at) = (deadline, now);
         }
-        if self.routes.len() < MAX_ROUTES {
-            self.routes.insert(route.to_string(), (deadline, now));
+        if deadline >= decayed.mul_f64(FIRST_SHARE) {
+            return Duration::ZERO;
         }
-        (Duration::ZERO, deadline)
+        decayed - deadline
     }
 
     /// Drops routes that are not used.
@@ -66,17 +63,13 @@
     }
 }
 
-/// Classifies a caller that has spent `spent` of `first`, for a request that runs for `hold` seconds and
-/// must be answered within `target`.
-pub fn caller_state(spent: (Duration, Duration), hold: f64, target: Duration) -> CallerState {
-    let (spent, first) = (spent.0.as_secs_f64(), spent.1.as_secs_f64());
-    if spent <= ROUNDING {
+/// Classifies a caller that has spent `spent`, for a request that runs for `hold` seconds and must be
+/// answered within `target`.
+pub fn caller_state(spent: Duration, hold: f64, target: Duration) -> CallerState {
+    let target = target.as_secs_f64();
+    if spent.is_zero() || spent.as_secs_f64() + hold.min(target) <= target {
         CallerState::InTime
-    } else if spent < EARLY * first {
-        CallerState::Early
-    } else if spent + hold.min(target.as_secs_f64()) > target.as_secs_f64() {
-        CallerState::Late
     } else {
-        CallerState::InTime
+        CallerState::Late
     }
 }
