Let old load reports fade, and test learned speed and rule LIMIT

Cause of LIMIT: endpoints beyond the bound get no requests and so send no reports. The endpoints that stayed attract requests by their caches, up to that bound.

Ruled out: requests whose callers left (reports of 0.4 s ago hold about as many as now), and the choice of two among few holders (the counts of the chosen ones were close: 18.4 for 19.0).

Change: a report that is older than 400 ms loses half of its requests in 500 ms. An endpoint reports with each answer that it starts, so that one without newer reports has started none. Also: of several long pauses in a row, those after the first one count as pauses. Before, a router with a bad link never learned what is usual there, and engines that were slow had few complete samples.

--- a/crates/edge/src/load_reports.rs
+++ b/crates/edge/src/load_reports.rs
@@ -21,6 +21,10 @@
 const REPORT_BYTES: usize = 7;
 /// Age of an entry that holds a pace only: beyond that of any report that counts.
 const NO_REPORT_AGE: u8 = u8::MAX;
+/// Time within which a report reaches most routers of a large fleet.
+const NEWS_DELAY: Duration = Duration::from_millis(400);
+/// Time in which half of the requests of an endpoint end. They last about a second.
+const REQUESTS_HALF_LIFE: Duration = Duration::from_millis(500);
 /// Unit of a report's age in a message.
 const AGE_UNIT: Duration = Duration::from_millis(20);
 /// Transit time assumed for a message.
@@ -132,7 +136,7 @@
         let since = report.starts.iter().filter(|start| **start > report.at);
         let own = u32::try_from(since.count()).unwrap_or(u32::MAX);
         Some(ReportedLoad {
-            requests: u32::from(report.requests).saturating_add(own),
+            requests: remaining(report.requests, age).saturating_add(own),
             age,
         })
     }
@@ -155,6 +159,15 @@
     }
 }
 
+/// Requests of a report that have not ended after `age`. An endpoint reports with each answer that it starts,
+/// so that one without a newer report has started none. Without this, endpoints beyond the bound on load,
+/// which get no requests, keep their old counts, and with them the mean that the bound follows.
+fn remaining(requests: u16, age: Duration) -> u32 {
+    let unheard = age.saturating_sub(NEWS_DELAY).as_secs_f64();
+    let halves = unheard / REQUESTS_HALF_LIFE.as_secs_f64();
+    (f64::from(requests) * (-halves).exp2()).round() as u32
+}
+
 /// Merges the paces in the entries of another router.
 pub(crate) fn merge_paces(paces: &mut Paces, entries: &[ReportEntry], now: Duration) {
     for (key, _, _, pace) in entries {
--- a/crates/edge/src/pace/estimate.rs
+++ b/crates/edge/src/pace/estimate.rs
@@ -19,6 +19,9 @@
 /// suspicion. Prompts beside a stream make many such samples.
 const PAUSE_WEIGHT: f64 = 0.4;
 const RISE_WEIGHT: f64 = 0.15;
+/// Weight of a usual pause at an endpoint that counts as slow. Streams of an endpoint at half of the speed or
+/// less have none.
+const USUAL_WEIGHT: f64 = 0.6;
 /// Weight of the time of a plain answer. Their work differs from one to the next, and an endpoint of a
 /// plain service gets many of them.
 const ANSWER_WEIGHT: f64 = 0.05;
@@ -89,13 +92,26 @@
         let ratio = ratio.clamp(MIN_SAMPLE, MAX_SAMPLE);
         let before = self.pace(now);
         if before >= EFFECTIVE_PACE {
-            self.smooth_from(before, ratio, PAUSE_WEIGHT, now);
+            let is_usual = ratio < EFFECTIVE_PACE;
+            let weight = if is_usual { USUAL_WEIGHT } else { PAUSE_WEIGHT };
+            self.smooth_from(before, ratio, weight, now);
+            if is_usual && self.is_suspicion() {
+                self.pace = REFUTED_PACE;
+            }
             return;
         }
         if ratio < SUSPECT_SAMPLE {
             let is_refuted = self.is_suspicion();
-            let before = if is_refuted { before.min(REFUTED_PACE) } else { before };
-            let weight = if ratio > before { RISE_WEIGHT } else { PAUSE_WEIGHT };
+            let before = if is_refuted {
+                before.min(REFUTED_PACE)
+            } else {
+                before
+            };
+            let weight = if ratio > before {
+                RISE_WEIGHT
+            } else {
+                PAUSE_WEIGHT
+            };
             self.smooth_from(before, ratio, weight, now);
             return;
         }
--- a/crates/edge/src/pace/sampling.rs
+++ b/crates/edge/src/pace/sampling.rs
@@ -49,14 +49,16 @@
             return None;
         }
         self.events = events;
-        // The long pause was a sample already.
         let was_stalled = std::mem::take(&mut self.stalled);
+        // A single long pause was a sample already. Of several in a row, those after the first one count, or a
+        // router that sees only long pauses would never learn that they are usual there.
+        let is_single = was_stalled && !self.stalled_before;
         self.stalled_before = was_stalled;
         if let Some(last) = self.last.replace(now) {
             // Events that arrive together were produced over the whole pause.
             let count = u32::try_from(new).unwrap_or(u32::MAX);
             let pause = now.saturating_sub(last) / count;
-            let new = if was_stalled { new - 1 } else { new };
+            let new = if is_single { new - 1 } else { new };
             self.pauses.extend(std::iter::repeat_n(pause, new.min(64)));
         }
         if events < self.next || self.pauses.is_empty() {
@@ -80,11 +82,11 @@
         let stall = if self.stalled_before {
             Stall::Repeated
         } else {
+            self.pauses.clear();
             Stall::Single
         };
         self.stalled = true;
         self.next = self.next.min(self.events + EVENTS_AFTER_STALL);
-        self.pauses.clear();
         (now.saturating_sub(self.last.unwrap_or(now)), stall)
     }
 }
--- a/crates/edge/tests/engine_fleet/mod.rs
+++ b/crates/edge/tests/engine_fleet/mod.rs
@@ -29,9 +29,13 @@
 const SHARED_TOKENS: f64 = 10_000.0;
 /// Reading time, in tokens, of a prefix that is copied from another engine.
 const COPY_TOKENS: f64 = 400.0;
+/// Time after which callers give up a stream without an event.
+const PATIENCE: Duration = ms(2000);
+/// Requests that wait at an engine beyond its slots before it refuses more.
+const MAX_WAITING: u32 = 16;
 const CALM_BOUND: f64 = 2.0;
 
-pub fn ms(ms: u64) -> Duration {
+pub const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
@@ -111,6 +115,8 @@
 pub struct Counts {
     pub requests: u32,
     pub refused: u32,
+    /// Requests that engines rejected.
+    pub rejected: u32,
     pub over_bound: u32,
     /// Requests to an engine that had the subject cached.
     pub reused: u32,
@@ -130,6 +136,10 @@
         f64::from(self.reused) / f64::from(self.requests.max(1))
     }
 
+    pub fn in_time_share(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.first_events.max(1))
+    }
+
     pub fn share_of(&self, engines: Range<usize>) -> f64 {
         let sent: u32 = self.by_engine.range(engines).map(|(_, count)| count).sum();
         f64::from(sent) / f64::from(self.requests.max(1))
@@ -160,6 +170,8 @@
     /// Tokens that each prompt has in addition.
     pub extra_tokens: f64,
     pub counts: Counts,
+    /// Changes of paces that routers log.
+    pub changes: usize,
 }
 
 fn prompt(subject: u64) -> Prompt {
@@ -206,6 +218,7 @@
             new_share: 0.02,
             extra_tokens: 0.0,
             counts: Counts::default(),
+            changes: 0,
             scenario,
         }
     }
@@ -240,6 +253,17 @@
         }
     }
 
+    /// Mean share, over time, of the routers' views in which the pace of an endpoint takes effect.
+    pub fn mean_effective(&mut self, time: Duration) -> f64 {
+        let samples = time.as_millis() / 100;
+        let engines = 0..self.scenario.engines;
+        let shares = (0..samples).map(|_| {
+            self.run(ms(100));
+            self.effective(engines.clone())
+        });
+        shares.sum::<f64>() / samples as f64
+    }
+
     pub fn restore(&mut self, engines: Range<usize>) {
         for engine in &mut self.engines[engines] {
             engine.available = true;
@@ -281,7 +305,8 @@
         let loads = &mut self.loads;
         let engine = &mut self.engines[index];
         engine.streams.retain(|stream| {
-            let stays = stream.leaves_at.is_none_or(|at| now < at);
+            let waits = stream.events == 0 && now >= stream.begun + PATIENCE;
+            let stays = !waits && stream.leaves_at.is_none_or(|at| now < at);
             if !stays {
                 loads[stream.router].end(&id, 0);
             }
@@ -444,7 +469,8 @@
             .filter(|index| available(&self.engines[*index]))
             .collect();
         let ids = usable.iter().map(|index| self.ids[*index].as_str());
-        self.loads[router].paces_mut().refresh(SERVICE, ids, now);
+        let paces = self.loads[router].paces_mut();
+        self.changes += paces.refresh(SERVICE, ids, now).len();
         let own = &self.loads[router];
         let candidates: Vec<Candidate<'_>> = usable
             .iter()
@@ -482,6 +508,10 @@
         let bound = 2.0 * f64::from(total) / usable.len() as f64 + 3.0;
         self.counts.over_bound += u32::from(f64::from(self.engines[index].load()) > bound);
         *self.counts.by_engine.entry(index).or_default() += 1;
+        if self.engines[index].load() >= self.scenario.slots + MAX_WAITING {
+            self.counts.rejected += 1;
+            return;
+        }
         let ttl = Duration::from_secs(40);
         let holds = self.held[index]
             .get(&subject)
--- a/crates/edge/tests/limit_model.rs
+++ b/crates/edge/tests/limit_model.rs
@@ -1,37 +1,79 @@
-//! Rule LIMIT in calm traffic after half of the engines went away under a high load and came back with
-//! empty caches.
+//! Rule LIMIT in calm traffic, after half of the engines went away for 6 s under 1.8 times the load and came
+//! back with empty caches.
 
 mod engine_fleet;
 
-use engine_fleet::{Fleet, Scenario, ms};
+use engine_fleet::{Counts, Fleet, Scenario, ms};
 
-fn run(scenario: &Scenario, seed: u64) {
-    let engines = scenario.engines;
+/// Share of requests beyond the bound in five seconds of calm. The rule allows 0.03; in 31 routers the fault made
+/// 0.024 of it.
+const ALLOWED: f64 = 0.02;
+
+/// Plays the load. Returns the seconds of calm after the return, in which the callers of two fifths of the
+/// requests leave early.
+fn calm_after_return(scenario: &Scenario, seed: u64) -> Vec<Counts> {
+    let half = 0..scenario.engines / 2;
     let mut fleet = Fleet::new(scenario.clone(), seed);
-    let warm = fleet.run(ms(25_000));
-    let calm = fleet.run(ms(4000));
-    println!("calm over {:.3} reused {:.3} max {} {}", calm.over_bound_share(), calm.reused_share(), calm.max_load, warm.refused);
+    fleet.run(ms(25_000));
     fleet.factor = 1.8;
-    fleet.remove(0..engines / 2);
-    let loss = fleet.run(ms(6000));
-    println!("loss over {:.3} reused {:.3} max {} refused {}", loss.over_bound_share(), loss.reused_share(), loss.max_load, loss.refused);
-    fleet.restore(0..engines / 2);
+    fleet.remove(half.clone());
+    fleet.run(ms(6000));
+    fleet.restore(half);
     fleet.factor = 1.0;
     fleet.leave_share = 0.4;
-    for _ in 0..15 {
-        let c = fleet.run(ms(1000));
-        let mean: u32 = fleet.engines.iter().map(|e| e.load()).sum();
-        println!("{:?} over {:.3} reused {:.3} max {} mean {:.1} share {:.2} refused {}", fleet.now, c.over_bound_share(), c.reused_share(), c.max_load, f64::from(mean) / engines as f64, c.share_of(0..engines / 2), c.refused);
+    (0..15).map(|_| fleet.run(ms(1000))).collect()
+}
+
+/// The largest share of requests beyond the bound in five consecutive seconds.
+fn worst_share(seconds: &[Counts]) -> f64 {
+    let shares = seconds.windows(5).map(|window| {
+        let over: u32 = window.iter().map(|counts| counts.over_bound).sum();
+        let requests: u32 = window.iter().map(|counts| counts.requests).sum();
+        f64::from(over) / f64::from(requests)
+    });
+    shares.fold(0.0, f64::max)
+}
+
+fn check(scenario: &Scenario) {
+    for seed in 0..2 {
+        let seconds = calm_after_return(scenario, seed);
+        let worst = worst_share(&seconds);
+        let reused: u32 = seconds[3..].iter().map(|counts| counts.reused).sum();
+        let requests: u32 = seconds[3..].iter().map(|counts| counts.requests).sum();
+        let reused = f64::from(reused) / f64::from(requests);
+        println!("seed {seed}: worst {worst:.4}, reused {reused:.3}");
+        assert!(worst < ALLOWED, "seed {seed}: {worst:.4}");
+        assert!(reused > 0.85, "seed {seed}: {reused:.3}");
     }
 }
 
-/// Guards against routers that load the engines that stayed beyond twice the mean and 3, since these have the
-/// subjects cached (213 of 2,781 requests in five seconds of calm on the users' bench).
+/// Guards against routers that load the engines that stayed beyond twice the mean and 3: these have the subjects
+/// cached, and while they get nothing their old reports raise the mean (213 of 2,781 requests in five
+/// seconds of calm on the users' bench).
+#[test]
+fn engines_that_stayed_are_not_overloaded_in_a_fleet_of_84_routers() {
+    let learns = false;
+    check(&Scenario {
+        learns,
+        ..Scenario::default()
+    });
+}
+
+/// Guards against the same fault in a fleet with fewer routers and smaller engines (506 of 3,186 requests).
+#[test]
+fn engines_that_stayed_are_not_overloaded_in_a_fleet_of_31_routers() {
+    check(&Scenario {
+        routers: 31,
+        engines: 90,
+        slots: 24,
+        per_second: 600.0,
+        learns: false,
+        ..Scenario::default()
+    });
+}
+
+/// Guards against learned speeds that move so much load that the bound breaks.
 #[test]
-fn engines_that_come_back_take_their_share() {
-    let small = Scenario { learns: false, ..Scenario::default() };
-    run(&small, 0);
-    println!("---- 31/90");
-    let scales = Scenario { routers: 31, engines: 90, slots: 24, per_second: 600.0, ..small };
-    run(&scales, 0);
+fn learned_speed_keeps_the_bound() {
+    check(&Scenario::default());
 }
--- a/crates/edge/tests/load_model.rs
+++ b/crates/edge/tests/load_model.rs
@@ -40,11 +40,17 @@
     requests: u32,
     over_bound: u32,
     refused: u32,
+    /// Requests to endpoints that had the subject cached.
+    reused: u32,
     /// Requests to endpoints whose slots and queue of 36 were full.
     overflow: u32,
 }
 
 impl Outcome {
+    fn reused_share(&self) -> f64 {
+        f64::from(self.reused) / f64::from(self.requests)
+    }
+
     fn over_bound_share(&self) -> f64 {
         f64::from(self.over_bound) / f64::from(self.requests)
     }
@@ -252,6 +258,7 @@
         if counted {
             let load = self.load[endpoint];
             self.outcome.over_bound += u32::from(f64::from(load) > 2.0 * mean + 3.0);
+            self.outcome.reused += u32::from(choice.cached >= tokens);
             self.outcome.overflow += u32::from(load >= SLOTS + 36);
         }
         self.load[endpoint] += 1;
@@ -272,8 +279,15 @@
     for seed in 0..3 {
         let counts = Model::new(LoadSource::Counts, seed).run();
         let reports = Model::new(LoadSource::LoadReports, seed).run();
+        println!(
+            "reused {} {}",
+            counts.reused_share(),
+            reports.reused_share()
+        );
         println!("seed {seed}: counts {counts:?}, reports {reports:?}");
         assert!(reports.over_bound_share() < 0.03, "{reports:?}");
+        // It was 0.78 to 0.79 while old reports counted in full.
+        assert!(reports.reused_share() > 0.77, "{reports:?}");
         assert!(reports.over_bound_share() < counts.over_bound_share());
         assert!(f64::from(reports.refused) < 0.001 * f64::from(reports.requests));
         // Until the first reports arrive, all requests of a new hot subject go to one endpoint.
--- a/crates/edge/tests/pace_even.rs
+++ b/crates/edge/tests/pace_even.rs
@@ -1,19 +1,21 @@
-//! A fleet of even engines, also with long prompts everywhere or in a busy hour.
+//! A fleet of even engines: in calm, with longer prompts everywhere, and in a busy hour.
 
 mod engine_fleet;
 
 use engine_fleet::{Fleet, Scenario, ms};
 
-/// Highest share of the routers' views in which an endpoint is slow, in steps of 100 ms, and the mean.
-fn effective(fleet: &mut Fleet, steps: u32) -> (f64, f64) {
-    let engines = 0..fleet.scenario.engines;
-    let shares = (0..steps).map(|_| {
-        fleet.run(ms(100));
-        fleet.effective(engines.clone())
-    });
-    let shares: Vec<f64> = shares.collect();
-    let max = shares.iter().copied().fold(0.0, f64::max);
-    (max, shares.iter().sum::<f64>() / shares.len() as f64)
+/// Share of the routers' views in which an endpoint may count as slow for a moment, while it reads prompts.
+const NOISE: f64 = 0.01;
+
+fn check(fleet: &mut Fleet, what: &str) {
+    fleet.changes = 0;
+    let mean = fleet.mean_effective(ms(10_000));
+    println!("{what}: {mean:.4}, logged {}", fleet.changes);
+    assert!(mean < NOISE, "{what}: {mean:.4}");
+    assert_eq!(
+        fleet.changes, 0,
+        "{what}: an endpoint was slow for a second"
+    );
 }
 
 /// Guards against endpoints that get less because of noise, or because all of them are busier or read longer
@@ -23,11 +25,11 @@
     for seed in 0..2 {
         let mut fleet = Fleet::new(Scenario::default(), seed);
         fleet.run(ms(25_000));
-        println!("calm {:?}", effective(&mut fleet, 100));
+        check(&mut fleet, "calm");
         fleet.extra_tokens = 1500.0;
-        println!("long {:?}", effective(&mut fleet, 100));
+        check(&mut fleet, "longer prompts");
         fleet.extra_tokens = 0.0;
         fleet.factor = 2.5;
-        println!("busy {:?}", effective(&mut fleet, 100));
+        check(&mut fleet, "busy hour");
     }
 }
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -277,3 +277,52 @@
     let mean = choice.expect("an endpoint").mean;
     assert!((mean - f64::from(u32::MAX - 1)).abs() < 1.0, "{mean}");
 }
+
+/// Guards against a slow endpoint that gets as much as the others because it has the prompt cached: a fifth of the
+/// speed means a fifth of the bound.
+#[test]
+fn a_slow_holder_is_used_within_its_smaller_bound() {
+    let mut all = candidates(18);
+    for candidate in all.iter_mut().filter(|c| c.id == "e3") {
+        candidate.cached = 10_000;
+        candidate.pace = 5.0;
+        candidate.requests = 1;
+    }
+    assert_eq!(select(&all), "e3");
+    for candidate in all.iter_mut().filter(|c| c.id == "e3") {
+        candidate.requests = 2;
+    }
+    assert_ne!(select(&all), "e3");
+}
+
+/// Guards against refusals while endpoints have free slots, because all of them are slow.
+#[test]
+fn slow_endpoints_are_used_if_there_are_no_others() {
+    let mut all = candidates(18);
+    for candidate in &mut all {
+        candidate.pace = 8.0;
+    }
+    all[3].requests = 2;
+    assert_eq!(select(&all), "e3");
+}
+
+/// Guards against requests that run on a slow server of a plain service although another one, which has more to
+/// do, would answer sooner.
+#[test]
+fn a_plain_request_counts_its_own_time_on_a_slow_server() {
+    let mut all = candidates(3);
+    for candidate in &mut all {
+        candidate.slots = 6;
+        candidate.same_domain = true;
+    }
+    all[0].pace = 2.5;
+    all[0].requests = 0;
+    (all[1].requests, all[2].requests) = (5, 6);
+    let choose = |all: &[Candidate<'_>]| {
+        let choice = Placement::default().for_service(1, Duration::from_millis(50), all);
+        choice.expect("a server").id
+    };
+    assert_eq!(choose(&all), "e1");
+    (all[1].requests, all[2].requests) = (12, 12);
+    assert_eq!(choose(&all), "e0");
+}
