Let only streams that go on pass the bound on load

Cause: requests that the operators' constraints keep from some endpoints looked like streams that only some endpoints may run, so that an evacuation or a cold zone lifted the bound for all requests.

Result: placement's tests pass; the test of new requests now has an endpoint that may not run them, too.

--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -78,6 +78,8 @@
     /// Number of endpoints over which the subject is spread where counts are stale; see
     /// [`HotSubjects`](crate::HotSubjects).
     pub spread: usize,
+    /// Whether the request goes on with a stream, which only endpoints of its version may do.
+    pub resumes: bool,
 }
 
 /// Number of slots for which an endpoint may queue one request. Requests last about a second, so the last
@@ -112,6 +114,7 @@
             slack: 2.0,
             request_hash: None,
             spread: 1,
+            resumes: false,
         }
     }
 
@@ -148,7 +151,7 @@
             )
         };
         let best = available.iter().copied().max_by_key(order);
-        let mut best = best.or_else(|| self.beyond_bound(candidates, &usable))?;
+        let mut best = best.or_else(|| self.beyond_bound(&usable))?;
         let mut needs = None;
         if let Some(request_hash) = self.request_hash {
             let replicas = self.replicas(subject, &usable);
@@ -168,15 +171,11 @@
         Some(choice)
     }
 
-    /// The endpoint for a prompt that only some of them may run, if these are all beyond the load bound:
+    /// The endpoint for a stream that goes on, if all endpoints of its version are beyond the load bound:
     /// one of those with a free place, by its requests. In a release, the last endpoints of a version get
     /// the streams of many, and the mean of the others says nothing about what they can take.
-    fn beyond_bound<'a>(
-        &self,
-        candidates: &[Candidate<'_>],
-        usable: &[&'a Candidate<'a>],
-    ) -> Option<&'a Candidate<'a>> {
-        if candidates.iter().all(|candidate| candidate.eligible) {
+    fn beyond_bound<'a>(&self, usable: &[&'a Candidate<'a>]) -> Option<&'a Candidate<'a>> {
+        if !self.resumes {
             return None;
         }
         let usable = usable.iter().copied();
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -98,6 +98,7 @@
             return Err(self.refuse_constrained(&constraints));
         }
         let mut placement = Placement::with_bound(self.shared.settings.load_multiple);
+        placement.resumes = self.version.is_some();
         let subject = self.call.prompt.as_ref().map(Prompt::subject);
         let key = subject.as_ref().map_or(0, |subject| subject.key);
         if state.is_large() {
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -289,17 +289,28 @@
     }
     all[0].requests = 20;
     all[1].requests = 12;
-    assert_eq!(select(&all), "e1");
-    let mut stale = Placement::default();
+    let resumed = |all: &[Candidate<'_>]| {
+        let placement = Placement {
+            resumes: true,
+            ..Placement::default()
+        };
+        let choice = placement.for_prompt(&SUBJECT, all);
+        choice.map(|choice| choice.id)
+    };
+    assert_eq!(resumed(&all).as_deref(), Some("e1"));
+    let mut stale = Placement {
+        resumes: true,
+        ..Placement::default()
+    };
     for request_hash in 0..20 {
         stale.request_hash = Some(request_hash);
         let choice = stale.for_prompt(&SUBJECT, &all).expect("an endpoint");
         assert_eq!((choice.id.as_str(), choice.needs), ("e1", None));
     }
     all[1].requests = 60;
-    assert_eq!(select(&all), "e0");
+    assert_eq!(resumed(&all).as_deref(), Some("e0"));
     all[0].requests = 60;
-    assert_eq!(Placement::default().for_prompt(&SUBJECT, &all), None);
+    assert_eq!(resumed(&all), None);
 }
 
 /// Guards against new requests beyond the bound on load, which is given up only for streams that began
@@ -314,6 +325,8 @@
     all[0].requests = 200;
     all[0].avoid = false;
     assert_eq!(Placement::default().for_prompt(&SUBJECT, &all), None);
+    all[1].eligible = false;
+    assert_eq!(Placement::default().for_prompt(&SUBJECT, &all), None);
 }
 
 /// Guards against a slow endpoint that gets as much as the others because it has the prompt cached: a fifth of the
