Give the callers of the admission model their own patience

Change: each patient caller of the model waits for 0.85 to 1 of the longest deadline; impatient callers stay as they are.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -72,7 +72,7 @@
     pub retry_after: Duration,
     /// Probability with which such a request is admitted.
     pub probability: f64,
-    /// Whether the caller came back too late to be in time, or before it was told to.
+    /// Whether the caller came back too late to be in time.
     pub late: bool,
 }
 
--- a/crates/edge/src/admission/service.rs
+++ b/crates/edge/src/admission/service.rs
@@ -99,8 +99,6 @@
             _ => CallerState::InTime,
         };
         let customer = key(arrival.customer.unwrap_or_default());
-        // A caller that ignores `Retry-After` competes with the late ones, so that its repeats do not
-        // raise the share of its customer.
         let late = state != CallerState::InTime;
         let metered = Metered {
             hold,
--- a/crates/edge/tests/admission_fleet/mod.rs
+++ b/crates/edge/tests/admission_fleet/mod.rs
@@ -28,6 +28,8 @@
 pub const START: Duration = Duration::from_secs(5);
 const HOP: Duration = Duration::from_millis(2);
 const PEER_HOP: Duration = Duration::from_millis(20);
+/// Patience of callers, as a share of the longest deadline of their route.
+const PATIENCE: std::ops::RangeInclusive<f64> = 0.85..=1.0;
 
 /// What callers do after a refusal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,6 +116,8 @@
     at: Duration,
     customer: usize,
     rank: usize,
+    /// Time for which the caller waits.
+    deadline: Duration,
     attempts: u32,
 }
 
@@ -276,6 +280,10 @@
         }
     }
 
+    fn is_impatient(&self, customer: usize) -> bool {
+        self.setup.callers == Callers::SomeImpatient && customer % 4 == 1
+    }
+
     fn next_call(&mut self) {
         let calm: f64 = (1..=CUSTOMERS).map(|n| (n as f64).powf(-0.7)).sum();
         let rates: Vec<f64> = (0..CUSTOMERS).map(|c| self.customer_rate(c)).collect();
@@ -284,10 +292,16 @@
         let customer = pick(&mut self.rng, &rates);
         let ranks: Vec<f64> = self.setup.ranks.iter().map(|(_, share)| *share).collect();
         let rank = pick(&mut self.rng, &ranks);
+        let deadline = if self.is_impatient(customer) {
+            self.setup.deadline
+        } else {
+            self.setup.deadline.mul_f64(self.rng.random_range(PATIENCE))
+        };
         self.calls.push(Call {
             at: self.now,
             customer,
             rank,
+            deadline,
             attempts: 0,
         });
         self.figures.call(self.now, customer, rank);
@@ -307,7 +321,7 @@
             customer: Some(&format!("customer-{}", call.customer)),
             rank: call.rank as u8,
             target: self.setup.ranks[call.rank].0,
-            deadline: Some(self.setup.deadline.saturating_sub(self.now - call.at)),
+            deadline: Some(call.deadline.saturating_sub(self.now - call.at)),
             limit: self.setup.deadline,
             resumed: false,
         };
@@ -338,11 +352,11 @@
             );
         }
         self.figures.refused(self.now, call.customer);
-        let impatient = self.setup.callers == Callers::SomeImpatient && call.customer % 4 == 1;
+        let impatient = self.is_impatient(call.customer);
         if impatient && call.attempts < 9 {
             self.schedule(Duration::from_millis(10), Event::Attempt(id));
         } else if !impatient && call.attempts < 2 {
-            let left = self.setup.deadline.saturating_sub(self.now - call.at);
+            let left = call.deadline.saturating_sub(self.now - call.at);
             let pause = refusal.map_or(left / 6, |refusal| refusal.retry_after);
             self.schedule(pause.min(left / 3), Event::Attempt(id));
         }
