Place requests in the admission model as the router does

Cause: the model drew two servers by its own random choice on loads of its own making, so that it did not show the fleet that runs in deployments.

Change: each router of the model has a `Loads` table, which is filled by its own requests, by answers, and by counts (up to 24 others) or load reports of other routers; plain services use `Placement::for_service`. Model servers stand for engines, whose placement by cache is not played, and keep the draw of two.

--- a/crates/edge/tests/admission_fleet/mod.rs
+++ b/crates/edge/tests/admission_fleet/mod.rs
@@ -1,7 +1,9 @@
 //! A fleet of routers with admission in front of one service, over a virtual clock.
 //!
-//! Routers with unequal shares of the traffic exchange demand and loads as the real ones do: to all
-//! others every 100 ms up to 24 of them, otherwise to four others every 250 ms.
+//! Routers with unequal shares of the traffic exchange demand and loads as the real ones do: up to 24 of
+//! them send their own counts to all others every 100 ms, more of them pass load reports on to four others
+//! every 250 ms. Plain services are placed by the router's own `Placement::for_service`; all servers
+//! are in other domains than the routers, which leaves nothing but the expected wait to tell them apart.
 
 #![allow(dead_code, unused_imports)]
 
@@ -13,12 +15,14 @@
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
+use sequoiaridge_core::hash_parts;
 use sequoiaridge_edge::{
-    Admission, Admitted, Arrival, DemandReport, EndpointRoom, RoomRefusal, ServiceRoom,
+    Admission, Admitted, Arrival, Candidate, DemandReport, EndpointLoad, EndpointRoom, Loads,
+    PeerRouter, Placement, ReportEntry, RoomRefusal, ServiceRoom, Work,
 };
 use server::{Job, Server};
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
 pub const CUSTOMERS: usize = 40;
@@ -26,6 +30,8 @@
 /// needs 0.7 of what each customer gets in a surge of ten times.
 pub const STEADY: [usize; 4] = [3, 11, 17, 33];
 pub const START: Duration = Duration::from_secs(5);
+/// Run time that routers assume for a request to a plain service.
+const SERVICE_RUN_TIME: Duration = Duration::from_millis(50);
 const HOP: Duration = Duration::from_millis(2);
 const PEER_HOP: Duration = Duration::from_millis(20);
 /// Patience of callers, as a share of the longest deadline of their route.
@@ -139,18 +145,25 @@
         from: usize,
         to: usize,
         reports: Vec<DemandReport>,
-        loads: Vec<(Duration, u32)>,
+        loads: PeerLoads,
     },
     Restart,
 }
 
+/// What a message says of the servers' loads.
+#[derive(Clone, Debug)]
+enum PeerLoads {
+    /// The sender's own counts.
+    Counts(BTreeMap<String, Work>),
+    /// The newest reports that it knows.
+    Reports(Vec<ReportEntry>),
+}
+
 struct Router {
     admission: Admission,
     weight: f64,
     cut_off: bool,
-    /// Time and requests of the last report of each server, and requests sent since.
-    loads: Vec<(Duration, u32)>,
-    sent: Vec<u32>,
+    loads: Loads,
 }
 
 pub struct Fleet {
@@ -162,6 +175,7 @@
     next_event: u64,
     routers: Vec<Router>,
     servers: Vec<Server>,
+    server_ids: Vec<String>,
     calls: Vec<Call>,
     figures: Figures,
 }
@@ -190,8 +204,7 @@
             admission: Admission::new(true),
             weight: rng.random_range(-0.8_f64..0.8).exp(),
             cut_off: index < cut_off,
-            loads: vec![(Duration::ZERO, 0); setup.servers],
-            sent: vec![0; setup.servers],
+            loads: empty_loads(&setup),
         });
         let routers = routers.collect();
         let mut fleet = Fleet {
@@ -204,6 +217,7 @@
             servers: (0..setup.servers)
                 .map(|_| Server::new(setup.slots, setup.queue))
                 .collect(),
+            server_ids: (0..setup.servers).map(|n| format!("server-{n}")).collect(),
             calls: Vec::new(),
             figures: Figures::default(),
             setup,
@@ -262,11 +276,17 @@
             } => {
                 let now = self.now;
                 let router = &mut self.routers[to];
-                router.admission.merge(&format!("r{from}"), reports, now);
-                for (server, load) in loads.into_iter().enumerate() {
-                    if load.0 > router.loads[server].0 {
-                        router.loads[server] = load;
-                        router.sent[server] = 0;
+                let id = format!("r{from}");
+                router.admission.merge(&id, reports, now);
+                match loads {
+                    PeerLoads::Reports(entries) => router.loads.merge_reports(&entries, now),
+                    PeerLoads::Counts(work) => {
+                        let peer = PeerRouter {
+                            id: &id,
+                            domain: &String::new(),
+                            link_mbps: 100,
+                        };
+                        router.loads.set_peer_work(peer, work, false, now);
                     }
                 }
             }
@@ -274,7 +294,7 @@
                 let count = (self.setup.restarted * self.setup.routers as f64) as usize;
                 for router in self.routers.iter_mut().rev().take(count) {
                     router.admission = Admission::new(true);
-                    router.loads.fill((Duration::ZERO, 0));
+                    router.loads = empty_loads(&self.setup);
                 }
             }
         }
@@ -315,7 +335,7 @@
         let weights: Vec<f64> = self.routers.iter().map(|router| router.weight).collect();
         let router = pick(&mut self.rng, &weights);
         let arrival = Arrival {
-            attempt: &format!("{id}-{}-{}", call.attempts, self.setup.seed),
+            attempt: &self.attempt_id(id),
             service: "s",
             route: &format!("route-{}", call.rank),
             customer: Some(&format!("customer-{}", call.customer)),
@@ -362,17 +382,63 @@
         }
     }
 
-    /// Sends a job to the less loaded of two servers, as far as its router knows.
+    /// Sends a job to a server, as far as its router knows their loads.
     fn send(&mut self, job: Job, except: Option<usize>) {
-        let servers = (0..self.setup.servers).filter(|server| Some(*server) != except);
-        let drawn = servers.sample(&mut self.rng, 2);
+        let server = if self.setup.first_event < self.setup.hold {
+            self.choose_of_two(&job, except)
+        } else {
+            self.choose_by_wait(&job, except)
+        };
+        let Some(server) = server else {
+            return self.refused(job.call, None);
+        };
         let router = &mut self.routers[job.router];
-        let known = |server: &usize| router.loads[*server].1 + router.sent[*server];
-        let server = drawn.into_iter().min_by_key(known).expect("two servers");
-        router.sent[server] += 1;
+        router.loads.begin(&self.server_ids[server], 0, self.now);
         self.schedule(HOP, Event::AtServer(server, job));
     }
 
+    /// The less loaded of two servers, as for prompts that several engines have cached.
+    fn choose_of_two(&mut self, job: &Job, except: Option<usize>) -> Option<usize> {
+        let servers = (0..self.setup.servers).filter(|server| Some(*server) != except);
+        let drawn = servers.sample(&mut self.rng, 2);
+        let loads = &self.routers[job.router].loads;
+        let known = |server: &usize| loads.outstanding(&self.server_ids[*server], self.now);
+        drawn
+            .into_iter()
+            .min_by_key(|server| known(server).requests)
+    }
+
+    /// The server that the router itself chooses at a plain service.
+    fn choose_by_wait(&self, job: &Job, except: Option<usize>) -> Option<usize> {
+        let loads = &self.routers[job.router].loads;
+        let ids = self.server_ids.iter().enumerate();
+        let ids = ids.filter(|(server, _)| Some(*server) != except);
+        let candidates = ids.map(|(_, id)| Candidate {
+            id,
+            slots: self.setup.slots,
+            requests: loads.outstanding(id, self.now).requests,
+            unread: 0,
+            cached: 0,
+            eligible: true,
+            leaving: false,
+            same_domain: false,
+            avoid: false,
+            resting: false,
+            excluded: false,
+            pace: 1.0,
+        });
+        let candidates: Vec<Candidate<'_>> = candidates.collect();
+        let attempt = self.attempt_id(job.call);
+        let request_hash = hash_parts(&[attempt.as_bytes()]);
+        let placement = Placement::default();
+        let choice = placement.for_service(request_hash, SERVICE_RUN_TIME, &candidates)?;
+        self.server_ids.iter().position(|id| *id == choice.id)
+    }
+
+    fn attempt_id(&self, call: usize) -> String {
+        format!("{call}-{}-{}", self.calls[call].attempts, self.setup.seed)
+    }
+
     fn at_server(&mut self, server: usize, job: Job) {
         let accepted = self.servers[server].offer(job);
         self.figures.at_server(self.now, accepted);
@@ -427,8 +493,16 @@
     fn answer(&mut self, server: usize, mut job: Job, requests: u32, run: bool) {
         let now = self.now;
         let router = &mut self.routers[job.router];
-        router.loads[server] = (now, requests);
-        router.sent[server] = 0;
+        let load = EndpointLoad {
+            running: requests.min(self.setup.slots),
+            waiting: requests.saturating_sub(self.setup.slots),
+            slots: self.setup.slots,
+            pace_percent: None,
+        };
+        router.loads.end(&self.server_ids[server], 0);
+        router
+            .loads
+            .record_report(&self.server_ids[server], load, now);
         let call = self.calls[job.call];
         if let (true, Some(started)) = (run, job.started) {
             let held = (now - started).mul_f64(self.setup.hold_error);
@@ -445,24 +519,15 @@
     fn refresh(&mut self, index: usize) {
         let targets = self.setup.ranks.iter().map(|(target, _)| *target);
         let router = &mut self.routers[index];
-        let endpoint = |(load, sent): (&(Duration, u32), &u32)| EndpointRoom {
+        router.loads.expire(self.now, Duration::from_secs(3));
+        let endpoint = |id: &String| EndpointRoom {
             slots: self.setup.slots,
-            // A report older than 700 ms no longer counts beside what the router sent itself.
-            requests: if self.now < load.0 + Duration::from_millis(700) {
-                load.1
-            } else {
-                *sent
-            },
+            requests: router.loads.outstanding(id, self.now).requests,
             pace: 1.0,
         };
         let view = ServiceRoom {
             service: "s",
-            endpoints: router
-                .loads
-                .iter()
-                .zip(&router.sent)
-                .map(endpoint)
-                .collect(),
+            endpoints: self.server_ids.iter().map(endpoint).collect(),
             routers: (self.setup.routers as f64 * self.setup.count_error).round() as usize,
             target: targets.min().expect("a rank"),
         };
@@ -478,7 +543,7 @@
     }
 
     fn exchange(&mut self, from: usize) {
-        let all = self.setup.routers <= 25;
+        let all = !is_large(&self.setup);
         let pause = if all { 100 } else { 250 };
         self.schedule(Duration::from_millis(pause), Event::Exchange(from));
         if self.routers[from].cut_off {
@@ -487,7 +552,12 @@
         let others = (0..self.setup.routers).filter(|other| *other != from);
         let drawn = others.sample(&mut self.rng, if all { 24 } else { 4 });
         let reports = self.routers[from].admission.report(self.now);
-        let loads = self.routers[from].loads.clone();
+        let loads = &self.routers[from].loads;
+        let loads = if all {
+            PeerLoads::Counts(loads.own_work().clone())
+        } else {
+            PeerLoads::Reports(loads.newest_reports(self.now))
+        };
         for to in drawn
             .into_iter()
             .filter(|to| !self.routers[*to].cut_off)
@@ -507,6 +577,16 @@
     }
 }
 
+fn is_large(setup: &Setup) -> bool {
+    setup.routers > 25
+}
+
+fn empty_loads(setup: &Setup) -> Loads {
+    let mut loads = Loads::new();
+    loads.rely_on_reports(is_large(setup));
+    loads
+}
+
 /// Draws an index by weight.
 fn pick(rng: &mut StdRng, weights: &[f64]) -> usize {
     let mut drawn = rng.random::<f64>() * weights.iter().sum::<f64>();
