Draw the endpoint of a plain service in large fleets while admission is on

Cause: each router of a large fleet chose the endpoint with the shortest wait, and all of them the same one until newer reports arrived.

Ruled out: weights by the second and fourth power of the expected time.

Change: Placement::draws lets for_service draw by a hash of the request, in proportion to slots and the inverse of the expected time, within the load bound. It is set only in large fleets and while admission is on for the service.

--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -80,6 +80,9 @@
     pub spread: usize,
     /// Whether the request goes on with a stream, which only endpoints of its version may do.
     pub resumes: bool,
+    /// Set where the request counts of plain services are stale: an endpoint is drawn by a hash of the request
+    /// instead of the one with the shortest wait, which all routers would choose until newer counts arrive.
+    pub draws: bool,
 }
 
 /// Number of slots for which an endpoint may queue one request. Requests last about a second, so the last
@@ -115,6 +118,7 @@
             request_hash: None,
             spread: 1,
             resumes: false,
+            draws: false,
         }
     }
 
@@ -235,8 +239,9 @@
         (more > 0).then_some(replicas.len() + more)
     }
 
-    /// Chooses an endpoint for a request to a plain service: the one with the shortest expected wait.
-    /// Returns `None` if no candidate takes requests, or if the best one is full while another one rests.
+    /// Chooses an endpoint for a request to a plain service: the one with the shortest expected wait, or one
+    /// drawn by its slots and that wait. Returns `None` if no candidate takes requests, or if the chosen one is full
+    /// while another one rests.
     pub fn for_service(
         &self,
         request_hash: u64,
@@ -246,22 +251,56 @@
         let others_rest = candidates.iter().any(|c| c.resting && !c.excluded);
         let mean = mean(&counted_for_mean(candidates));
         let usable = usable(candidates.iter().filter(|c| c.eligible));
-        let cost = |candidate: &Candidate<'_>| {
-            let turns = f64::from(candidate.requests) / f64::from(candidate.slots.max(1));
-            let domain_cost = if candidate.same_domain {
-                Duration::ZERO
-            } else {
-                REMOTE_COST
+        let best = if self.draws {
+            let bound = mean * self.multiple + self.slack;
+            draw_by_wait(request_hash, work, &usable, bound)
+        } else {
+            let cost = |candidate: &Candidate<'_>| {
+                let rank = rank(request_hash, candidate.id);
+                (expected_time(candidate, work), rank)
             };
-            let cost = work.mul_f64(candidate.pace * (turns + 1.0)) + domain_cost;
-            (cost, rank(request_hash, candidate.id))
-        };
-        let best = usable.iter().min_by_key(|candidate| cost(candidate))?;
+            usable.iter().copied().min_by_key(|c| cost(c))
+        }?;
         let full = best.requests >= best.slots.saturating_mul(1 + QUEUED_PER_SLOT);
         (!others_rest || !full).then(|| choice(best, mean))
     }
 }
 
+/// Time until a plain service answers a request that works for `work`, if the endpoint runs as many turns
+/// before it as its slots need for its requests.
+fn expected_time(candidate: &Candidate<'_>, work: Duration) -> Duration {
+    let turns = f64::from(candidate.requests) / f64::from(candidate.slots.max(1));
+    let domain_cost = if candidate.same_domain {
+        Duration::ZERO
+    } else {
+        REMOTE_COST
+    };
+    work.mul_f64(candidate.pace * (turns + 1.0)) + domain_cost
+}
+
+/// Draws an endpoint by a hash of the request, in proportion to its slots and to the inverse of its expected time;
+/// a steeper preference moves the load from endpoint to endpoint in fleets of hundreds. Endpoints beyond the load
+/// bound are drawn only if all are.
+fn draw_by_wait<'a>(
+    request_hash: u64,
+    work: Duration,
+    usable: &[&'a Candidate<'a>],
+    bound: f64,
+) -> Option<&'a Candidate<'a>> {
+    let score = |candidate: &&Candidate<'_>| {
+        let time = expected_time(candidate, work).as_secs_f64();
+        let weight = f64::from(candidate.slots.max(1)) / time;
+        // The least of exponentially distributed numbers falls to each one in proportion to its weight.
+        let drawn = (rank(request_hash, candidate.id) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        -drawn.ln() / weight
+    };
+    let within = usable.iter().copied();
+    let within = within.filter(|candidate| load(candidate) < bound);
+    let least = within.min_by(|a, b| score(a).total_cmp(&score(b)));
+    let all = || usable.iter().copied();
+    least.or_else(|| all().min_by(|a, b| score(a).total_cmp(&score(b))))
+}
+
 /// Load of an endpoint when endpoints are compared: a slow one counts as if it held as many more requests as
 /// work takes longer there.
 fn load(candidate: &Candidate<'_>) -> f64 {
--- a/crates/edge/tests/admission_fleet/mod.rs
+++ b/crates/edge/tests/admission_fleet/mod.rs
@@ -430,7 +430,10 @@
         let candidates: Vec<Candidate<'_>> = candidates.collect();
         let attempt = self.attempt_id(job.call);
         let request_hash = hash_parts(&[attempt.as_bytes()]);
-        let placement = Placement::default();
+        let placement = Placement {
+            draws: is_large(&self.setup),
+            ..Placement::default()
+        };
         let choice = placement.for_service(request_hash, SERVICE_RUN_TIME, &candidates)?;
         self.server_ids.iter().position(|id| *id == choice.id)
     }
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -377,3 +377,31 @@
     (all[1].requests, all[2].requests) = (12, 12);
     assert_eq!(choose(&all), "e0");
 }
+
+/// Guards against a crowd: if all routers of a large fleet sent to the endpoint with the shortest wait in the same
+/// old reports, it would get the requests of all until newer ones arrive.
+#[test]
+fn requests_with_stale_counts_are_spread_by_expected_time() {
+    let mut all = candidates(3);
+    for (candidate, requests) in all.iter_mut().zip([6, 12, 18]) {
+        (candidate.slots, candidate.requests) = (6, requests);
+    }
+    let placement = Placement {
+        draws: true,
+        ..Placement::default()
+    };
+    let share = |all: &[Candidate<'_>], index: usize| {
+        let work = Duration::from_millis(50);
+        let drawn = (0..6000).filter_map(|hash| placement.for_service(hash, work, all));
+        drawn.filter(|choice| choice.id == all[index].id).count() as f64 / 6000.0
+    };
+    let (shortest, longest) = (share(&all, 0), share(&all, 2));
+    assert!((0.36..0.5).contains(&shortest), "{shortest}");
+    assert!((0.18..0.3).contains(&longest), "{longest}");
+    // An endpoint beyond the load bound gets nothing, and a slow one little.
+    all[2].requests = 100;
+    assert_eq!(share(&all, 2), 0.0);
+    all[2].requests = 6;
+    all[2].pace = 5.0;
+    assert!(share(&all, 2) < 0.15);
+}
