Refresh the room at once when an endpoint reports too many waiting requests

Cause: at ten times the load the queues of plain servers overflow within 65 ms, and a router looked at its room up to 100 ms after the first report that shows it.

Change: the first report of an overfull endpoint, while nothing is refused, wakes the watch of the room, at most 20 ms after the last refresh. The watch keeps its interval otherwise.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -16,6 +16,7 @@
 
 pub use shares::{CustomerDemand, Level, RankShares, split_room};
 
+use crate::call::EndpointLoad;
 use crate::manifest::ServiceName;
 use sequoiaridge_core::{RefusalReason, RouterId, hash_parts};
 use serde::{Deserialize, Serialize};
@@ -203,6 +204,23 @@
         self.service(service.service, now).refresh(service, now)
     }
 
+    /// Records the load that an endpoint reports; returns whether the service must be refreshed at once.
+    pub fn note_load(&mut self, service: &str, load: EndpointLoad, now: Duration) -> bool {
+        let Some(state) = self.services.get_mut(service) else {
+            return false;
+        };
+        let requests = load.running.saturating_add(load.waiting);
+        if load.slots > 0 {
+            state.note_fill(f64::from(requests) / f64::from(load.slots), now);
+        }
+        state.is_urgent()
+    }
+
+    /// Whether a service must be refreshed at once.
+    pub fn is_urgent(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(Service::is_urgent)
+    }
+
     /// What other routers need to know now; empty while no service is near its room.
     pub fn report(&self, now: Duration) -> Vec<DemandReport> {
         let services = self.services.values();
--- a/crates/edge/src/admission/room.rs
+++ b/crates/edge/src/admission/room.rs
@@ -143,7 +143,12 @@
     /// Whether requests wait for much longer than they should at a third of the endpoints. In a surge a
     /// router hears of one endpoint after the other, and all are as full as the first.
     pub fn is_overfull(&self) -> bool {
-        self.top_fill > 1.1 * self.full
+        self.is_overfull_at(self.top_fill)
+    }
+
+    /// Whether requests wait for much longer than they should at an endpoint of this fill.
+    pub fn is_overfull_at(&self, fill: f64) -> bool {
+        fill > 1.1 * self.full
     }
 
     /// Room in slots, after the correction.
--- a/crates/edge/src/admission/service.rs
+++ b/crates/edge/src/admission/service.rs
@@ -29,6 +29,8 @@
 const ONSET: Duration = Duration::from_millis(800);
 /// Growth of the assumed demand with each refresh while requests wait too long, and its decay.
 const ASSUMED: (f64, f64) = (2.0, 0.8);
+/// Least time between a refresh and one that a report asks for, so that reports cause a bounded load.
+const EARLY_REFRESH: Duration = Duration::from_millis(20);
 /// Time without demand beyond the room after which a service is no longer short of it.
 const SHORT_HOLD: Duration = Duration::from_secs(1);
 /// Time after which a service without requests or endpoints is dropped.
@@ -54,6 +56,9 @@
     /// Start of the surge, and demand in slots that is assumed until it is metered.
     onset: Option<(Duration, f64)>,
     shares: Option<Shares>,
+    refreshed: Duration,
+    /// Whether a refresh must not wait for its time.
+    urgent: bool,
 }
 
 impl Service {
@@ -74,6 +79,8 @@
             short: None,
             onset: None,
             shares: None,
+            refreshed: now,
+            urgent: false,
         }
     }
 
@@ -113,8 +120,21 @@
         }
     }
 
+    /// Records that an endpoint reports this fill. A queue fills and overflows between two refreshes, so that the
+    /// first report of an overfull endpoint asks for one at once.
+    pub fn note_fill(&mut self, fill: f64, now: Duration) {
+        let is_news = self.shares.is_none() && self.room.is_overfull_at(fill);
+        self.urgent |= is_news && now >= self.refreshed + EARLY_REFRESH;
+    }
+
+    /// Whether a refresh must not wait for its time.
+    pub fn is_urgent(&self) -> bool {
+        self.urgent
+    }
+
     /// Updates room, correction and shares.
     pub fn refresh(&mut self, view: &ServiceRoom<'_>, now: Duration) -> Option<RoomChange> {
+        (self.refreshed, self.urgent) = (now, false);
         if !view.endpoints.is_empty() {
             self.used = now;
         }
--- a/crates/edge/src/exchange_reports.rs
+++ b/crates/edge/src/exchange_reports.rs
@@ -90,6 +90,9 @@
         if load.pace_percent.is_some() {
             state.admission.note_pace_report(&self.service, now);
         }
+        if state.admission.note_load(&self.service, load, now) {
+            self.shared.note_endpoint_overfull();
+        }
     }
 
     /// Records how long the request took, for what a draining router accepts.
--- a/crates/edge/src/room_watch.rs
+++ b/crates/edge/src/room_watch.rs
@@ -25,7 +25,10 @@
     let mut period = tokio::time::interval(INTERVAL);
     period.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        period.tick().await;
+        tokio::select! {
+            _ = period.tick() => {}
+            () = shared.endpoint_overfull() => {}
+        }
         refresh_services(&shared, &mut watched);
     }
 }
@@ -57,7 +60,8 @@
         let interval = if is_near { INTERVAL } else { calm_interval };
         // Ticks may come a little early or late.
         let last = watched.get(service);
-        last.is_none_or(|last| now + INTERVAL / 4 >= *last + interval)
+        let is_urgent = state.admission.is_urgent(service);
+        is_urgent || last.is_none_or(|last| now + INTERVAL / 4 >= *last + interval)
     };
     let names = manifest.services.keys().map(String::as_str);
     let due: Vec<&str> = names.filter(|name| is_on(name) && is_due(name)).collect();
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -268,6 +268,8 @@
     origins_told: Notify,
     /// Wakes the task that tells other routers the versions that began streams.
     stream_begun: Notify,
+    /// Wakes the task that watches the room of services.
+    endpoint_overfull: Notify,
 }
 
 impl Shared {
@@ -299,6 +301,7 @@
             asking: Notify::new(),
             origins_told: Notify::new(),
             stream_begun: Notify::new(),
+            endpoint_overfull: Notify::new(),
             clock,
             dialect,
             metrics: Metrics::new(),
@@ -380,6 +383,16 @@
         self.stream_begun.notify_one();
     }
 
+    /// Makes this router look at the services whose endpoints report too many requests.
+    pub(crate) fn note_endpoint_overfull(&self) {
+        self.endpoint_overfull.notify_one();
+    }
+
+    /// Waits until an endpoint reports too many requests.
+    pub(crate) async fn endpoint_overfull(&self) {
+        self.endpoint_overfull.notified().await;
+    }
+
     /// Waits until a stream begins that the others are to be told of at once.
     pub(crate) async fn stream_begun(&self) {
         self.stream_begun.notified().await;
--- a/crates/edge/tests/admission_fleet/mod.rs
+++ b/crates/edge/tests/admission_fleet/mod.rs
@@ -506,6 +506,10 @@
         router
             .loads
             .record_report(&self.server_ids[server], load, now);
+        if router.admission.note_load("s", load, now) {
+            self.refresh_now(job.router);
+        }
+        let router = &mut self.routers[job.router];
         let call = self.calls[job.call];
         if let (true, Some(started)) = (run, job.started) {
             let held = (now - started).mul_f64(self.setup.hold_error);
@@ -520,6 +524,11 @@
     }
 
     fn refresh(&mut self, index: usize) {
+        self.refresh_now(index);
+        self.schedule(Duration::from_millis(100), Event::Refresh(index));
+    }
+
+    fn refresh_now(&mut self, index: usize) {
         let targets = self.setup.ranks.iter().map(|(target, _)| *target);
         let router = &mut self.routers[index];
         router.loads.expire(self.now, Duration::from_secs(3));
@@ -542,7 +551,6 @@
             let fill: Vec<u32> = self.servers.iter().take(3).map(Server::requests).collect();
             println!("{:?} {fill:?} {figures:?}", self.now);
         }
-        self.schedule(Duration::from_millis(100), Event::Refresh(index));
     }
 
     fn exchange(&mut self, from: usize) {
