Ask for an early refresh only once and only while admission is on

Cause: if admission had been switched off, a service that waited for an early refresh never got one, and each report of load woke the watch of the room.

Change: note_load does nothing while admission is off and tells only the first report that asks for a refresh.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -204,16 +204,19 @@
         self.service(service.service, now).refresh(service, now)
     }
 
-    /// Records the load that an endpoint reports; returns whether the service must be refreshed at once.
+    /// Records the load that an endpoint reports; returns whether the service must be refreshed at once and
+    /// did not have to before.
     pub fn note_load(&mut self, service: &str, load: EndpointLoad, now: Duration) -> bool {
+        if load.slots == 0 || !self.is_on(service, now) {
+            return false;
+        }
         let Some(state) = self.services.get_mut(service) else {
             return false;
         };
+        let was_urgent = state.is_urgent();
         let requests = load.running.saturating_add(load.waiting);
-        if load.slots > 0 {
-            state.note_fill(f64::from(requests) / f64::from(load.slots), now);
-        }
-        state.is_urgent()
+        state.note_fill(f64::from(requests) / f64::from(load.slots), now);
+        state.is_urgent() && !was_urgent
     }
 
     /// Whether a service must be refreshed at once.
