--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -16,6 +16,7 @@
 
 pub use shares::{CustomerDemand, Level, RankShares, split_room};
 
+use crate::call::EndpointLoad;
 use crate::manifest::ServiceName;
 use sequoiaridge_core::{RefusalReason, RouterId, hash_parts};
 use serde::{Deserialize, Serialize};
@@ -72,7 +73,7 @@
     pub retry_after: Duration,
     /// Probability with which such a request is admitted.
     pub probability: f64,
-    /// Whether the caller came back too late to be in time, or before it was told to.
+    /// Whether the caller came back too late to be in time.
     pub late: bool,
 }
 
@@ -203,6 +204,26 @@
         self.service(service.service, now).refresh(service, now)
     }
 
+    /// Records the load that an endpoint reports; returns whether the service must be refreshed at once and
+    /// did not have to before.
+    pub fn note_load(&mut self, service: &str, load: EndpointLoad, now: Duration) -> bool {
+        if load.slots == 0 || !self.is_on(service, now) {
+            return false;
+        }
+        let Some(state) = self.services.get_mut(service) else {
+            return false;
+        };
+        let was_urgent = state.is_urgent();
+        let requests = load.running.saturating_add(load.waiting);
+        state.note_fill(f64::from(requests) / f64::from(load.slots), now);
+        state.is_urgent() && !was_urgent
+    }
+
+    /// Whether a service must be refreshed at once.
+    pub fn is_urgent(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(Service::is_urgent)
+    }
+
     /// What other routers need to know now; empty while no service is near its room.
     pub fn report(&self, now: Duration) -> Vec<DemandReport> {
         let services = self.services.values();
