Refuse only once requests wait, and let them wait for half of what a run leaves of the target

Ruled out: the estimate of demand alone; it is noisy where requests come in clumps, but harmless while slots are free.

--- a/crates/edge/src/admission/room.rs
+++ b/crates/edge/src/admission/room.rs
@@ -4,6 +4,7 @@
 //! admitted requests show as waiting ones and too few as empty slots.
 
 use super::EndpointRoom;
+use crate::pace::EFFECTIVE_PACE;
 use std::time::Duration;
 
 /// Time between two steps of the correction. Reports are 100 to 300 ms old, so a step sees most of the
@@ -11,8 +12,10 @@
 const STEP: Duration = Duration::from_millis(200);
 /// Bounds of the correction.
 const BOUNDS: (f64, f64) = (0.2, 4.0);
-/// Share of the shortest target that requests may wait.
+/// Share of the shortest target that requests may wait at least, and the share of what a run leaves of it.
+/// Short waits absorb bursts that callers would otherwise notice as refusals.
 const WAIT_SHARE: f64 = 0.25;
+const SPARE_TIME_SHARE: f64 = 0.5;
 /// Share of its distance to 1 that the correction keeps with each step while nothing is refused, so that
 /// a twentieth is left after 2 s.
 const RETURN: f64 = 0.75;
@@ -84,10 +87,11 @@
         self.slots = usable()
             .map(|endpoint| f64::from(endpoint.slots) / endpoint.pace.max(0.1))
             .sum();
-        let fills = usable();
-        let fills = fills.map(|endpoint| f64::from(endpoint.requests) / f64::from(endpoint.slots));
-        let mut fills: Vec<f64> = fills.collect();
-        self.fill = mean(&fills);
+        let fills = usable().map(fill_of);
+        self.fill = mean(&fills.collect::<Vec<f64>>());
+        // What waits at a slow endpoint says nothing about the demand.
+        let fills = usable().filter(|endpoint| endpoint.pace < EFFECTIVE_PACE);
+        let mut fills: Vec<f64> = fills.map(fill_of).collect();
         fills.sort_by(|a, b| b.total_cmp(a));
         let top_fill = mean(&fills[..fills.len().div_ceil(3)]);
         self.rise = top_fill - self.top_fill;
@@ -106,7 +110,7 @@
         now: Duration,
     ) {
         self.full = target_fill(target, hold);
-        let aim = 1.0 + AIM * (self.full - 1.0);
+        let aim = self.aim();
         // Relative to the wait that is allowed. Negative if slots are empty.
         let excess = (self.fill - aim) / (self.full - 1.0).max(0.01);
         self.brake = (1.0 - BRAKE * excess).clamp(BRAKES.0, BRAKES.1);
@@ -135,6 +139,11 @@
         self.correction = self.correction.clamp(BOUNDS.0, BOUNDS.1);
     }
 
+    /// Fill that is aimed at while requests are refused.
+    pub fn aim(&self) -> f64 {
+        1.0 + AIM * (self.full - 1.0)
+    }
+
     /// Rise of the fill within a refresh, at the third of the endpoints that is filled most.
     pub fn rise(&self) -> f64 {
         self.rise
@@ -172,11 +181,18 @@
     }
 }
 
+/// Running and waiting requests of an endpoint per slot.
+fn fill_of(endpoint: &EndpointRoom) -> f64 {
+    f64::from(endpoint.requests) / f64::from(endpoint.slots)
+}
+
 fn mean(fills: &[f64]) -> f64 {
     fills.iter().sum::<f64>() / fills.len().max(1) as f64
 }
 
-/// Fill at which requests wait for a quarter of the shortest target.
+/// Fill at which requests wait for as long as they may.
 fn target_fill(target: Duration, hold: f64) -> f64 {
-    (1.0 + WAIT_SHARE * target.as_secs_f64() / hold.max(0.001)).min(MAX_FULL)
+    let target = target.as_secs_f64();
+    let wait = (WAIT_SHARE * target).max(SPARE_TIME_SHARE * (target - hold));
+    (1.0 + wait / hold.max(0.001)).min(MAX_FULL)
 }
--- a/crates/edge/src/admission/service.rs
+++ b/crates/edge/src/admission/service.rs
@@ -195,13 +195,15 @@
         let fill = self.room.fill();
         let is_near = demand > REPORT_SHARE * room && fill >= REPORT_FILL;
         let is_busy = fill >= BUSY_FILL || self.room.is_overfull();
+        // Demand that the endpoints still run in time is not refused, whatever is estimated.
+        let is_waiting = fill >= self.room.aim() || self.room.is_overfull();
         if is_near || is_busy || fill >= REPORT_ANYWAY_FILL {
             self.near = Some(now);
         }
         if room <= 0.0 {
             // Without any endpoint, placement refuses with the reason that applies.
             self.short = None;
-        } else if demand > room && (self.short.is_some() || is_busy) {
+        } else if demand > room && (self.short.is_some() || is_waiting) {
             self.short = Some(now);
             self.near = Some(now);
         } else if self.short.is_some_and(|at| now >= at + SHORT_HOLD) {
