--- a/crates/edge/tests/cold_endpoints.rs
+++ b/crates/edge/tests/cold_endpoints.rs
@@ -12,7 +12,7 @@
     overshoot: 1.5,
     tolerance: 5.0,
 };
-/// Requests per second that a cold endpoint of the helpdesk tolerates, and the budget that follows.
+/// Requests per second that a cold endpoint tolerates, and the budget that follows.
 const PER_SECOND: f64 = 17.0;
 const BUDGET: usize = 30;
 /// Numbers of routers.
