Look up what the paces of a service have in common once for a request

For each endpoint of a service, placement and the room of a service asked whether the service's paces are learned and what is usual there: three lookups by name for each endpoint. They are taken once now. Decisions are the same.

--- a/crates/edge/src/pace.rs
+++ b/crates/edge/src/pace.rs
@@ -46,6 +46,26 @@
     estimates: BTreeMap<ReportKey, Estimate>,
 }
 
+/// Paces of the endpoints of one service at one time. What they have in common is looked up once: large
+/// services have thousands of endpoints, all of which placement compares for each request.
+#[derive(Clone, Copy, Debug)]
+pub struct CurrentPaces<'a> {
+    /// `None` if the paces of the service are not learned, or none is known.
+    estimates: Option<&'a BTreeMap<ReportKey, Estimate>>,
+    usual: f64,
+    now: Duration,
+}
+
+impl CurrentPaces<'_> {
+    /// The pace of an endpoint: 1 unless its pace takes effect.
+    pub fn of(&self, id: &str) -> f64 {
+        let estimate = self.estimates.and_then(|known| known.get(&key(id)));
+        estimate.map_or(1.0, |estimate| {
+            effect::effective(estimate.compared(self.usual, self.now))
+        })
+    }
+}
+
 impl Paces {
     /// Creates a table in which every endpoint is as fast as usual.
     pub fn new() -> Paces {
@@ -160,17 +180,21 @@
     /// Current pace of an endpoint, for placement and for the capacity of its service: 1 unless its pace
     /// takes effect.
     pub fn pace(&self, service: &str, id: &str, now: Duration) -> f64 {
-        if !self.is_on(service, now) {
-            return 1.0;
-        }
-        let Some(estimate) = self.estimates.get(&key(id)) else {
-            return 1.0;
-        };
+        self.at(service, now).of(id)
+    }
+
+    /// The current paces of a service's endpoints, to look up many of them.
+    pub fn at<'a>(&'a self, service: &str, now: Duration) -> CurrentPaces<'a> {
+        let is_learned = self.is_on(service, now) && !self.estimates.is_empty();
         let usual = self
             .services
             .get(service)
             .map_or(1.0, |s| s.effects.usual());
-        effect::effective(estimate.compared(usual, now))
+        CurrentPaces {
+            estimates: is_learned.then_some(&self.estimates),
+            usual,
+            now,
+        }
     }
 
     /// Number of endpoints whose pace takes effect.
--- a/crates/edge/src/room_watch.rs
+++ b/crates/edge/src/room_watch.rs
@@ -96,11 +96,14 @@
     services: &[&'a str],
     now: Duration,
 ) -> BTreeMap<&'a str, Vec<EndpointRoom>> {
+    let paces = |service: &str| state.loads.paces().at(service, now);
     let none = || (Vec::new(), Vec::new());
-    let mut rooms: BTreeMap<&'a str, (Vec<EndpointRoom>, Vec<EndpointRoom>)> =
-        services.iter().map(|service| (*service, none())).collect();
+    let rooms = services
+        .iter()
+        .map(|service| (*service, (paces(service), none())));
+    let mut rooms: BTreeMap<&'a str, _> = rooms.collect();
     for entry in state.roster.all_accepting(now) {
-        let Some((usable, paused)) = rooms.get_mut(entry.service.as_str()) else {
+        let Some((paces, (usable, paused))) = rooms.get_mut(entry.service.as_str()) else {
             continue;
         };
         if state.rests.until(&entry.id, now).is_some() {
@@ -109,7 +112,7 @@
         let room = EndpointRoom {
             slots: entry.slots,
             requests: state.loads.outstanding(&entry.id, now).requests,
-            pace: state.loads.paces().pace(&entry.service, &entry.id, now),
+            pace: paces.of(&entry.id),
         };
         if state.health.is_paused(&entry.id, now) {
             paused.push(room);
@@ -119,7 +122,7 @@
     }
     let rooms = rooms.into_iter();
     rooms
-        .map(|(service, (usable, paused))| {
+        .map(|(service, (_, (usable, paused)))| {
             let endpoints = if usable.is_empty() { paused } else { usable };
             (service, endpoints)
         })
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -49,6 +49,7 @@
         let cached = state.cache.cached(&prefixes, now);
         let mut errors = 0.0;
         let mut candidates: Vec<Candidate<'_>> = Vec::new();
+        let paces = state.loads.paces().at(&self.service, now);
         for entry in state.roster.endpoints_of(&self.service, now) {
             if self.tried.contains(&entry.id) {
                 continue;
@@ -74,7 +75,7 @@
                 avoid: state.health.is_paused(&entry.id, now),
                 resting: state.rests.until(&entry.id, now).is_some(),
                 excluded: constraint == Some(&Exclusion::Evacuated),
-                pace: state.loads.paces().pace(&self.service, &entry.id, now),
+                pace: paces.of(&entry.id),
             });
             errors += state.health.errors(&entry.id);
         }
