--- a/crates/core/src/hash.rs
+++ b/crates/core/src/hash.rs
@@ -32,7 +32,13 @@
     xxh3_64(&buffer[..length])
 }
 
-/// The same for parts of any length.
+/// The first half of the hash of an id, which names it in messages that have no room for ids.
+pub fn id_key(id: &str) -> [u8; 4] {
+    let [a, b, c, d, ..] = hash_parts(&[id.as_bytes()]).to_le_bytes();
+    [a, b, c, d]
+}
+
+/// The same as [`hash_parts`] for parts of any length.
 fn hash_long(parts: &[&[u8]]) -> u64 {
     let mut state = Xxh3::new();
     for part in parts {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,7 +30,7 @@
     MAX_TOKENS, Team, valid_name,
 };
 pub use event::{Event, Severity};
-pub use hash::{hash_parts, hash64, token_digest};
+pub use hash::{hash_parts, hash64, id_key, token_digest};
 pub use id::{
     ChatKey, ClassName, CustomerId, DomainId, EndpointId, Fingerprint, InstanceId, ModelName,
     Nonce, RegionId, RouterId, TeamId, Version,
--- a/crates/edge/src/constraints/evacuations.rs
+++ b/crates/edge/src/constraints/evacuations.rs
@@ -2,7 +2,7 @@
 //! restart or are cut off from the registry.
 
 use crate::registry::Position;
-use sequoiaridge_core::{DomainId, hash_parts};
+use sequoiaridge_core::{DomainId, id_key};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -18,8 +18,7 @@
 
 /// The key of a failure domain.
 pub fn domain_key(domain: &str) -> DomainKey {
-    let [a, b, c, d, ..] = hash_parts(&[domain.as_bytes()]).to_le_bytes();
-    [a, b, c, d]
+    id_key(domain)
 }
 
 /// The evacuated domains as of a position of the registry.
--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -9,7 +9,7 @@
 use crate::feed::{ChangedRow, Feed, MAX_FEED_CHANGES};
 use crate::manifest::EndpointEntry;
 use crate::registry::Position;
-use sequoiaridge_core::{EndpointId, hash_parts};
+use sequoiaridge_core::{EndpointId, id_key};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -95,9 +95,8 @@
 impl Follower {
     /// Creates the state of router `id`, without any revision of the table.
     pub fn new(id: &str) -> Follower {
-        let [a, b, c, d, ..] = hash_parts(&[id.as_bytes()]).to_le_bytes();
         Follower {
-            own_key: ReaderKey::from_le_bytes([a, b, c, d]),
+            own_key: ReaderKey::from_le_bytes(id_key(id)),
             ..Follower::default()
         }
     }
--- a/crates/edge/src/load_reports.rs
+++ b/crates/edge/src/load_reports.rs
@@ -6,7 +6,7 @@
 //! that all routers learn within a few messages what an endpoint reported to one of them.
 
 use crate::pace::{PaceEntry, Paces};
-use sequoiaridge_core::hash_parts;
+use sequoiaridge_core::id_key;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -71,7 +71,7 @@
 
     /// Records a request that this router sends.
     pub fn begin(&mut self, id: &str, now: Duration) {
-        let report = self.reports.entry(key(id)).or_default();
+        let report = self.reports.entry(id_key(id)).or_default();
         if report.starts.len() >= MAX_STARTS {
             report.starts.remove(0);
         }
@@ -81,7 +81,7 @@
     /// Records the load that an endpoint reports with an answer.
     pub fn record(&mut self, id: &str, requests: u32, now: Duration) {
         let requests = u16::try_from(requests).unwrap_or(u16::MAX);
-        self.replace(key(id), requests, now);
+        self.replace(id_key(id), requests, now);
     }
 
     /// Merges the reports of another router.
@@ -128,7 +128,7 @@
     /// Outstanding requests at an endpoint: those that it reported, and those that this router has
     /// sent since. `None` if the last report is too old.
     pub fn outstanding(&self, id: &str, now: Duration) -> Option<ReportedLoad> {
-        let report = self.reports.get(&key(id))?;
+        let report = self.reports.get(&id_key(id))?;
         let age = now.saturating_sub(report.at);
         if report.at.is_zero() || age >= REPORT_TTL {
             return None;
@@ -183,8 +183,3 @@
         _ => 3,
     }
 }
-
-pub(crate) fn key(id: &str) -> ReportKey {
-    let [a, b, c, d, ..] = hash_parts(&[id.as_bytes()]).to_le_bytes();
-    [a, b, c, d]
-}
--- a/crates/edge/src/pace.rs
+++ b/crates/edge/src/pace.rs
@@ -16,9 +16,10 @@
 pub use scale::PaceEntry;
 
 use crate::call::EndpointLoad;
-use crate::load_reports::{ReportKey, key};
+use crate::load_reports::ReportKey;
 use effect::Effects;
 use estimate::Estimate;
+use sequoiaridge_core::id_key;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use switch::Switch;
@@ -59,7 +60,7 @@
 impl CurrentPaces<'_> {
     /// The pace of an endpoint: 1 unless its pace takes effect.
     pub fn of(&self, id: &str) -> f64 {
-        let estimate = self.estimates.and_then(|known| known.get(&key(id)));
+        let estimate = self.estimates.and_then(|known| known.get(&id_key(id)));
         estimate.map_or(1.0, |estimate| {
             effect::effective(estimate.compared(self.usual, self.now))
         })
@@ -87,7 +88,7 @@
     pub fn record_load(&mut self, service: &str, id: &str, load: &EndpointLoad, now: Duration) {
         if let Some(percent) = load.pace_percent {
             self.switch.record_figure(service, now);
-            let estimate = self.estimates.entry(key(id)).or_default();
+            let estimate = self.estimates.entry(id_key(id)).or_default();
             estimate.record_figure(f64::from(percent) / 100.0, now);
         }
     }
@@ -105,9 +106,9 @@
             return;
         }
         let times = &mut self.services.entry(service.to_string()).or_default().pauses;
-        let ratio = times.compare(key(id), pause, now);
+        let ratio = times.compare(id_key(id), pause, now);
         if let Some(ratio) = ratio {
-            let estimate = self.estimates.entry(key(id)).or_default();
+            let estimate = self.estimates.entry(id_key(id)).or_default();
             estimate.record_pause(ratio, run, now);
         }
     }
@@ -126,7 +127,7 @@
             return;
         };
         let ratio = pause.as_secs_f64() / usual.as_secs_f64();
-        let estimate = self.estimates.entry(key(id)).or_default();
+        let estimate = self.estimates.entry(id_key(id)).or_default();
         estimate.record_stall(ratio, stall, run, now);
     }
 
@@ -147,8 +148,8 @@
         });
         let time = time.div_f64(1.0 + queued);
         let service = self.services.entry(service.to_string()).or_default();
-        if let Some(ratio) = service.answers.compare(key(id), time, now) {
-            let estimate = self.estimates.entry(key(id)).or_default();
+        if let Some(ratio) = service.answers.compare(id_key(id), time, now) {
+            let estimate = self.estimates.entry(id_key(id)).or_default();
             estimate.record_answer(ratio, now);
         }
     }
--- a/crates/edge/src/pace/effect.rs
+++ b/crates/edge/src/pace/effect.rs
@@ -3,8 +3,8 @@
 
 use super::estimate::Estimate;
 use super::usual::usual_of;
-use crate::load_reports::{ReportKey, key};
-use sequoiaridge_core::EndpointId;
+use crate::load_reports::ReportKey;
+use sequoiaridge_core::{EndpointId, id_key};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -67,7 +67,7 @@
             return Vec::new();
         }
         self.refreshed = Some(now);
-        let known = ids.map(|id| (id, estimates.get(&key(id))));
+        let known = ids.map(|id| (id, estimates.get(&id_key(id))));
         let known: Vec<(&str, Option<&Estimate>)> = known.collect();
         let paces = known.iter();
         let paces = paces.map(|(_, estimate)| estimate.map_or(1.0, |e| e.pace(now)));
