Leave an entry out once another server answered at its address

An endpoint whose address another one has taken over answers 421. Its entry was reported as unreachable, which ejects it for 400 ms at first and 3 s at most, and an ejected endpoint is still used if all others are ejected, too. So the router sent requests to the stale address again and again until its row was gone. Requests that had chosen the entry and waited for a connection were sent as well.

Longer ejections were ruled out: an address that was reused does not return to its former endpoint. The entry is now left out of the choice, and of the room that admission counts, until it is listed with another address or start; the choice is checked again right before a request is sent. It is still reported as unreachable, which tells the other routers.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -397,7 +397,7 @@
     }
 
     /// Whether the chosen endpoint may no longer get the request, because it started to leave or
-    /// rest after the choice, its domain is evacuated, other requests took the router's share of a
+    /// rest after the choice, another endpoint answered at its address, its domain is evacuated, other requests took the router's share of a
     /// cold endpoint, or because the request was quarantined. A request that a cold endpoint may get
     /// is counted, so this is called right before it is sent.
     fn is_withdrawn(&self, entry: &EndpointEntry) -> bool {
@@ -406,6 +406,7 @@
         let block = state.quarantine.block(&self.suspects, now);
         state.roster.is_leaving(entry)
             || state.rests.until(&entry.id, now).is_some()
+            || state.health.is_misdirected(entry)
             || block.is_some_and(|block| !state.probes.is_probe(&block, &self.call.attempt))
             || state.evacuations.contains(&entry.domain)
             || !state.try_send_cold(entry, now)
@@ -533,8 +534,7 @@
         }
         if head.misdirected {
             self.sent -= 1;
-            self.report_unreachable(entry);
-            self.shared.pool.forget(&entry.id);
+            self.report_misdirected(entry);
         } else {
             self.record_load(&entry.id, head);
         }
--- a/crates/edge/src/exchange_reports.rs
+++ b/crates/edge/src/exchange_reports.rs
@@ -108,6 +108,21 @@
         endpoint_unreachable(&self.shared, &self.call.attempt, &entry.id, &entry.boot());
     }
 
+    /// Reports that another endpoint answered at the address of an entry, which is then left out until
+    /// the registry lists another address or start.
+    pub(crate) fn report_misdirected(&self, entry: &EndpointEntry) {
+        self.report_unreachable(entry);
+        self.shared.pool.forget(&entry.id);
+        let is_new = self.shared.lock_state().health.record_misdirected(entry);
+        if is_new {
+            log_request(
+                Event::EndpointDown,
+                &self.call.attempt,
+                format_args!("endpoint={} misdirected={}", entry.id, entry.address),
+            );
+        }
+    }
+
     /// Reports that the connection to an endpoint broke during an attempt.
     pub(crate) fn report_broken(&self, endpoint: &str) {
         self.shared.pool.forget(endpoint);
--- a/crates/edge/src/health.rs
+++ b/crates/edge/src/health.rs
@@ -1,8 +1,10 @@
 //! Health of endpoints, as this router's requests show it.
 
+use crate::manifest::EndpointEntry;
 use sequoiaridge_core::EndpointId;
 use sequoiaridge_policy::Backoff;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Times for which an endpoint is ejected after repeated failures; crashed endpoints are back
@@ -21,6 +23,8 @@
     failures: u32,
     paused_until: Duration,
     error_rate: f64,
+    /// Address and start of the entry at whose address another endpoint answered.
+    misdirected: Option<(SocketAddr, Option<u64>)>,
 }
 
 /// Failures and error rates by endpoint.
@@ -63,6 +67,22 @@
         record.error_rate += (sample - record.error_rate) / ERROR_WINDOW;
     }
 
+    /// Records that another endpoint answered at the address of an entry. Returns whether that was
+    /// not known.
+    pub fn record_misdirected(&mut self, entry: &EndpointEntry) -> bool {
+        let record = self.records.entry(entry.id.clone()).or_default();
+        let stale = Some((entry.address, entry.born));
+        std::mem::replace(&mut record.misdirected, stale) != stale
+    }
+
+    /// Whether another endpoint answered at the address of an entry. This does not lapse, unlike an
+    /// ejection: an address that was reused does not return to its former endpoint, which is listed
+    /// with another address or start if it comes back.
+    pub fn is_misdirected(&self, entry: &EndpointEntry) -> bool {
+        let record = self.records.get(&entry.id);
+        record.is_some_and(|record| record.misdirected == Some((entry.address, entry.born)))
+    }
+
     /// Forgets an endpoint that is gone or has restarted.
     pub fn forget(&mut self, id: &str) {
         self.records.remove(id);
--- a/crates/edge/src/room_watch.rs
+++ b/crates/edge/src/room_watch.rs
@@ -103,7 +103,7 @@
         let Some((usable, paused)) = rooms.get_mut(entry.service.as_str()) else {
             continue;
         };
-        if state.rests.until(&entry.id, now).is_some() {
+        if state.rests.until(&entry.id, now).is_some() || state.health.is_misdirected(entry) {
             continue;
         }
         let room = EndpointRoom {
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -50,7 +50,7 @@
         let mut errors = 0.0;
         let mut candidates: Vec<Candidate<'_>> = Vec::new();
         for entry in state.roster.endpoints_of(&self.service, now) {
-            if self.tried.contains(&entry.id) {
+            if self.tried.contains(&entry.id) || state.health.is_misdirected(entry) {
                 continue;
             }
             let constraint = constraints.get(&entry.id);
