Count misdirected attempts in the retry budget

An attempt that is answered 421 does not count against the route's limit on attempts, and it took nothing from the retry budget either, because the budget was asked only once an attempt counted there.

Each arrival beyond the first of a request now counts in the budget; the limit on attempts is as before. A request that has not run and has no budget left is refused with the reason `retry-budget`. A retry that was paid for and whose connection failed is no arrival, and the next one is not paid for again.

A token for each misdirected retry was ruled out: after a start of all, a router has two of them in 10 s (calculated), and requests with a single stale address would be refused. The retry after the first 421 of a request is therefore always made and counted as a debt, which later retries wait for. This bounds the arrivals to one for each request that meets a stale address, beside the budget; it does not keep the budget if more than about half of the entries are stale.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -61,8 +61,12 @@
     pub(crate) started: Duration,
     /// Time on the router's clock by which the answer must be complete.
     pub(crate) deadline: Duration,
-    /// Attempts sent to endpoints.
+    /// Attempts sent to endpoints, without those that were misdirected.
     pub(crate) sent: u32,
+    /// Attempts that arrived at another endpoint than the one they were meant for.
+    pub(crate) misdirected: u32,
+    /// Retries that were counted in the retry budget.
+    pub(crate) charged: u32,
     /// Endpoints that are not tried again.
     pub(crate) tried: Vec<EndpointId>,
     /// Whether an endpoint may have run the request.
@@ -165,7 +169,7 @@
             };
             last = Some(reason);
             self.tried.push(entry.id.clone());
-            if !self.may_retry() {
+            if let Err(reason) = self.take_retry(reason) {
                 return self.give_up(fallback, reason);
             }
             self.shared.metrics.retried(retry);
@@ -196,19 +200,33 @@
         );
     }
 
-    /// Whether the route's limit on attempts and the retry budget allow another attempt. A retry is
-    /// taken from the budget, while the first attempt is always allowed.
-    pub(crate) fn may_retry(&self) -> bool {
-        if self.sent == 0 {
-            return true;
+    /// Takes another attempt from the retry budget. Every arrival at a server beyond the first of a
+    /// request counts there, also a misdirected one, which does not count against the route's limit on
+    /// attempts. An attempt whose connection failed is no arrival, so the next one has been paid for.
+    ///
+    /// # Errors
+    ///
+    /// No further attempt is allowed. The reason is `reason`, the end of the last attempt, unless only
+    /// the budget keeps a request that has not run from another endpoint.
+    pub(crate) fn take_retry(&mut self, reason: RefusalReason) -> Result<(), RefusalReason> {
+        if self.sent > 0 && self.sent >= self.route.attempts {
+            return Err(reason);
         }
-        if self.sent >= self.route.attempts {
-            return false;
+        if self.charged >= self.sent + self.misdirected {
+            return Ok(());
         }
         let now = self.shared.now();
         let mut state = self.shared.lock_state();
         let routers = (state.contacts.len() + 1).max(state.loads.router_count());
-        state.retries.try_take(&self.service, routers, now)
+        if state.retries.try_take(&self.service, routers, now) {
+            self.charged += 1;
+            return Ok(());
+        }
+        Err(if self.may_have_run {
+            reason
+        } else {
+            RefusalReason::RetryBudget
+        })
     }
 
     /// Whether an answer is a server error that another endpoint may avoid.
@@ -534,6 +552,7 @@
         }
         if head.misdirected {
             self.sent -= 1;
+            self.misdirected += 1;
             self.report_misdirected(entry);
         } else {
             self.record_load(&entry.id, head);
--- a/crates/edge/src/exchange_reports.rs
+++ b/crates/edge/src/exchange_reports.rs
@@ -109,11 +109,20 @@
     }
 
     /// Reports that another endpoint answered at the address of an entry, which is then left out until
-    /// the registry lists another address or start.
-    pub(crate) fn report_misdirected(&self, entry: &EndpointEntry) {
+    /// the registry lists another address or start. Many routers may meet a stale address when the budget is
+    /// empty, as after a start of all: each has few requests and a small part of the fixed amount. So the
+    /// retry after the first such answer needs no budget, but counts there as a debt for later ones.
+    pub(crate) fn report_misdirected(&mut self, entry: &EndpointEntry) {
         self.report_unreachable(entry);
         self.shared.pool.forget(&entry.id);
-        let is_new = self.shared.lock_state().health.record_misdirected(entry);
+        let now = self.shared.now();
+        let mut state = self.shared.lock_state();
+        if self.misdirected == 1 {
+            self.charged += 1;
+            state.retries.record_retry(&self.service, now);
+        }
+        let is_new = state.health.record_misdirected(entry);
+        drop(state);
         if is_new {
             log_request(
                 Event::EndpointDown,
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -112,6 +112,8 @@
         started,
         deadline,
         sent: 0,
+        misdirected: 0,
+        charged: 0,
         tried: Vec::new(),
         may_have_run: false,
         fingerprint,
--- a/crates/edge/src/retry_window.rs
+++ b/crates/edge/src/retry_window.rs
@@ -56,10 +56,16 @@
         if f64::from(retries) + 1.0 > allowed {
             return false;
         }
-        self.bucket(service, now).retries += 1;
+        self.record_retry(service, now);
         true
     }
 
+    /// Counts a retry that is made whether or not the budget has one left. Beyond the budget it is a debt,
+    /// which further retries have to wait for until it has left the window.
+    pub fn record_retry(&mut self, service: &str, now: Duration) {
+        self.bucket(service, now).retries += 1;
+    }
+
     fn bucket(&mut self, service: &str, now: Duration) -> &mut Bucket {
         let index = (now.as_nanos() / self.bucket.as_nanos()) as u64;
         let buckets = self.services.entry(service.to_string()).or_default();
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -365,7 +365,8 @@
         }
         exchange.may_have_run = true;
         exchange.tried.push(origin.endpoint.clone());
-        if exchange.is_suspected() || !exchange.may_retry() {
+        let reason = RefusalReason::EndpointBroke;
+        if exchange.is_suspected() || exchange.take_retry(reason).is_err() {
             return false;
         }
         let Some(mut exchange) = self.exchange.take() else {
--- a/crates/edge/tests/tables.rs
+++ b/crates/edge/tests/tables.rs
@@ -296,6 +296,15 @@
     }
 }
 
+/// Guards against retries outside the budget that later ones do not wait for.
+#[test]
+fn a_retry_beyond_the_budget_is_a_debt() {
+    let mut budget = RetryWindow::new(0.0, Duration::from_secs(10), 4.0);
+    (0..3).for_each(|_| budget.record_retry("s", Duration::ZERO));
+    assert!(!budget.try_take("s", 1, Duration::from_secs(9)));
+    assert!(budget.try_take("s", 1, Duration::from_secs(11)));
+}
+
 proptest! {
     /// Guards against a sequence of requests that exceeds the budget: one router alone never
     /// retries more than the share of a window and the fixed number.
