--- a/crates/edge/src/exchange_reports.rs
+++ b/crates/edge/src/exchange_reports.rs
@@ -108,6 +108,30 @@
         endpoint_unreachable(&self.shared, &self.call.attempt, &entry.id, &entry.boot());
     }
 
+    /// Reports that another endpoint answered at the address of an entry, which is then left out until
+    /// the registry lists another address or start. Many routers may meet a stale address when the budget is
+    /// empty, as after a start of all: each has few requests and a small part of the fixed amount. So the
+    /// retry after the first such answer needs no budget, but counts there as a debt for later ones.
+    pub(crate) fn report_misdirected(&mut self, entry: &EndpointEntry) {
+        self.report_unreachable(entry);
+        self.shared.pool.forget(&entry.id);
+        let now = self.shared.now();
+        let mut state = self.shared.lock_state();
+        if self.misdirected == 1 {
+            self.charged += 1;
+            state.retries.record_retry(&self.service, now);
+        }
+        let is_new = state.health.record_misdirected(entry);
+        drop(state);
+        if is_new {
+            log_request(
+                Event::EndpointDown,
+                &self.call.attempt,
+                format_args!("endpoint={} misdirected={}", entry.id, entry.address),
+            );
+        }
+    }
+
     /// Reports that the connection to an endpoint broke during an attempt.
     pub(crate) fn report_broken(&self, endpoint: &str) {
         self.shared.pool.forget(endpoint);
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -51,7 +51,7 @@
         let mut candidates: Vec<Candidate<'_>> = Vec::new();
         let paces = state.loads.paces().at(&self.service, now);
         for entry in state.roster.endpoints_of(&self.service, now) {
-            if self.tried.contains(&entry.id) {
+            if self.tried.contains(&entry.id) || state.health.is_misdirected(entry) {
                 continue;
             }
             let constraint = constraints.get(&entry.id);
