Refuse what only the cold limit keeps back with a reason of its own

Cause: a request that only the limit on cold endpoints keeps from all endpoints was refused as "overload", with the Retry-After of a full service (200 to 600 ms). Another router may still have share left, and one that has just started has none at all for 2 s. A request that lost the share between choice and sending was refused as "endpoint-refused", although no endpoint had refused it.

Change: the reason "cold-limit" in logs and metrics. It is the last of its enum, so that the numbers of the other reasons between routers stay. Retry-After is 50 ms if this router has no share of any cold endpoint that the request may reach; otherwise it is drawn between 50 ms and the time until the first share returns, at most 1.1 s.

Ruled out: 50 ms in all cases.

--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -79,6 +79,8 @@
         NotReady => "not-ready",
         /// the router is draining
         Draining => "draining",
+        /// only cold endpoints are left, and they have had this router's share
+        ColdLimit => "cold-limit",
     }
 }
 
--- a/crates/edge/src/constraints/cold_starts.rs
+++ b/crates/edge/src/constraints/cold_starts.rs
@@ -67,14 +67,26 @@
         routers: &KnownRouters,
         now: Duration,
     ) -> bool {
+        self.next_send(endpoint, routers, now) == Some(now)
+    }
+
+    /// When this router may next send a request to a cold endpoint; `None` if it has no share there, or does
+    /// not know it yet.
+    pub fn next_send(
+        &mut self,
+        endpoint: &ColdEndpoint<'_>,
+        routers: &KnownRouters,
+        now: Duration,
+    ) -> Option<Duration> {
         if !routers.is_settled(now) {
-            return false;
+            return None;
         }
         let limit = self.limit;
         let sender = self.senders.entry(endpoint.id.to_string()).or_default();
         sender.asked_at = now;
         sender.drop_old(now);
-        sender.sent.len() < sender.share(&limit, endpoint, routers)
+        let share = sender.share(&limit, endpoint, routers);
+        sender.next_send(share, now)
     }
 
     /// Records a request that is sent to a cold endpoint now, unless it may not be sent. Returns whether
@@ -106,6 +118,14 @@
         }
     }
 
+    /// When a further request may be sent, with this many requests in a window.
+    fn next_send(&self, share: usize, now: Duration) -> Option<Duration> {
+        let Some(excess) = self.sent.len().checked_sub(share) else {
+            return Some(now);
+        };
+        Some(*self.sent.get(excess)? + WINDOW)
+    }
+
     /// Requests that this router may send in a window. They are derived again only when the list of
     /// routers, the start of the endpoint or its rate changed: ranking 370 routers takes several
     /// microseconds.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -123,7 +123,11 @@
                 Err(RefusalReason::Quarantined) => {
                     return self.give_up(fallback, RefusalReason::Quarantined);
                 }
-                Err(reason) => return self.give_up(fallback, last.unwrap_or(reason)),
+                Err(reason) => {
+                    // Of a lost share, the endpoints that are left say more.
+                    let last = last.filter(|last| *last != RefusalReason::ColdLimit);
+                    return self.give_up(fallback, last.unwrap_or(reason));
+                }
             };
             let entry = placed.entry.clone();
             let outcome = match self.attempt_until(placed, confirm_by).await {
@@ -237,6 +241,7 @@
         };
         let retry_after = match reason {
             RefusalReason::Quarantined => self.quarantine_left(),
+            RefusalReason::ColdLimit => self.cold_retry_after(),
             _ => self.retry_after_time(),
         };
         Err(Refusal {
@@ -328,8 +333,8 @@
             Some(request) => request,
             None => return Outcome::NotRun(RefusalReason::BadRequest, RetryReason::ConnectFailed),
         };
-        if self.is_withdrawn(entry) {
-            return Outcome::NotRun(RefusalReason::EndpointRefused, RetryReason::EndpointRefused);
+        if let Some(reason) = self.withdrawn(entry) {
+            return Outcome::NotRun(reason, RetryReason::EndpointRefused);
         }
         let subject = placed.subject;
         log_request(
@@ -396,19 +401,23 @@
             .await
     }
 
-    /// Whether the chosen endpoint may no longer get the request, because it started to leave or
-    /// rest after the choice, its domain is evacuated, other requests took the router's share of a
-    /// cold endpoint, or because the request was quarantined. A request that a cold endpoint may get
-    /// is counted, so this is called right before it is sent.
-    fn is_withdrawn(&self, entry: &EndpointEntry) -> bool {
+    /// Why the chosen endpoint may no longer get the request: it started to leave or rest after the
+    /// choice, its domain is evacuated, the request was quarantined, or other requests took the
+    /// router's share of a cold endpoint. A request that a cold endpoint may get is counted, so this
+    /// is called right before it is sent.
+    fn withdrawn(&self, entry: &EndpointEntry) -> Option<RefusalReason> {
         let now = self.shared.now();
         let mut state = self.shared.lock_state();
         let block = state.quarantine.block(&self.suspects, now);
-        state.roster.is_leaving(entry)
+        if state.roster.is_leaving(entry)
             || state.rests.until(&entry.id, now).is_some()
             || block.is_some_and(|block| !state.probes.is_probe(&block, &self.call.attempt))
             || state.evacuations.contains(&entry.domain)
-            || !state.try_send_cold(entry, now)
+        {
+            return Some(RefusalReason::EndpointRefused);
+        }
+        let has_share = state.try_send_cold(entry, now);
+        (!has_share).then_some(RefusalReason::ColdLimit)
     }
 
     /// Validates the head of an answer and reads the whole body, unless the answer is a stream or
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -32,7 +32,7 @@
 /// Largest number of parts of a prompt, counted from its end, that are suspected of a crash.
 const MAX_SUSPECT_PARTS: usize = 64;
 /// `Retry-After` of refusals after which the caller should try another router.
-const OTHER_ROUTER_RETRY_AFTER: Duration = Duration::from_millis(50);
+pub(crate) const OTHER_ROUTER_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Answers one request from a caller.
 pub(crate) async fn answer(
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod byte_budget;
 mod cache_map;
 mod call;
+mod cold_refusals;
 mod constraints;
 mod crash_sync;
 mod crashes;
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -150,7 +150,7 @@
     }
 
     /// Whether an endpoint has the version at which the stream must go on.
-    fn is_version(&self, entry: &EndpointEntry) -> bool {
+    pub(crate) fn is_version(&self, entry: &EndpointEntry) -> bool {
         let version = self.version.as_ref();
         version.is_none_or(|version| *version == entry.version)
     }
@@ -188,7 +188,7 @@
     }
 
     /// Logs that the operators' constraints keep the request from all endpoints, and returns why it is
-    /// refused. If only the limit on cold endpoints does, the request may be retried soon.
+    /// refused. If the limit on cold endpoints keeps some of them, another router may have share left.
     fn refuse_constrained(&self, constraints: &BTreeMap<EndpointId, Exclusion>) -> RefusalReason {
         let count = |cause| constraints.values().filter(|c| **c == cause).count();
         let cold = count(Exclusion::Cold);
@@ -203,7 +203,7 @@
             ),
         );
         if cold > 0 {
-            RefusalReason::Overload
+            RefusalReason::ColdLimit
         } else {
             RefusalReason::NoEndpoint
         }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -171,24 +171,40 @@
         self.check_cold(entry, now, ColdStarts::try_send)
     }
 
+    /// When this router may next send a request to a cold endpoint. `None` if it has no share there, or if
+    /// the limit does not apply.
+    pub(crate) fn next_cold_send(
+        &mut self,
+        entry: &EndpointEntry,
+        now: Duration,
+    ) -> Option<Duration> {
+        self.with_cold(entry, now, ColdStarts::next_send).flatten()
+    }
+
     fn check_cold(
         &mut self,
         entry: &EndpointEntry,
         now: Duration,
         check: impl Fn(&mut ColdStarts, &ColdEndpoint<'_>, &KnownRouters, Duration) -> bool,
     ) -> bool {
-        let Some(cold) = self.cold_start(entry, now) else {
-            return true;
-        };
+        self.with_cold(entry, now, check).unwrap_or(true)
+    }
+
+    /// Asks the limiter about an endpoint; `None` if the limit does not apply to it.
+    fn with_cold<T>(
+        &mut self,
+        entry: &EndpointEntry,
+        now: Duration,
+        ask: impl Fn(&mut ColdStarts, &ColdEndpoint<'_>, &KnownRouters, Duration) -> T,
+    ) -> Option<T> {
+        let cold = self.cold_start(entry, now)?;
         let endpoint = ColdEndpoint {
             id: &entry.id,
             boot: &entry.boot(),
             per_second: cold.per_second,
         };
-        let Some(starts) = &mut self.cold_starts else {
-            return true;
-        };
-        check(starts, &endpoint, &self.known_routers, now)
+        let starts = self.cold_starts.as_mut()?;
+        Some(ask(starts, &endpoint, &self.known_routers, now))
     }
 
     /// Rank of this router by link bandwidth, the fastest first, then by name: among all routers that are
