Hold requests for a share of a cold endpoint that returns in time

Cause: a request for which this router had used up its share of the cold endpoints was refused at once, although the share often returns within a fraction of the route's target.

Change: such a request is held before its first attempt if the share returns within an eighth of the route's target since its arrival. The share is booked, so held requests go on in their order and later ones do not overtake them at that endpoint. A booking permits nothing by itself: what was sent in the last 1.1 s decides again at the moment of sending, so the sum over all routers does not change. The wait ends with the request's deadline and at once with a drain. A booking is given back when its caller leaves or the request is placed elsewhere. At most as many requests are held as shares return, and their bodies stay reserved. The metric cold_holds counts them.

Ruled out: a queue of its own that is woken when a share returns. It needs a timer for each endpoint, and a request that has been woken can still lose the share to a new one until it is sent.

--- a/crates/edge/src/constraints.rs
+++ b/crates/edge/src/constraints.rs
@@ -11,7 +11,7 @@
 mod known_routers;
 
 pub use cold_share::ColdShare;
-pub use cold_starts::{ColdEndpoint, ColdStarts};
+pub use cold_starts::{ColdBooking, ColdEndpoint, ColdStarts};
 pub use evacuations::{
     DomainKey, EvacuatedDomains, EvacuationRow, EvacuationUpdate, Evacuations, MAX_EVACUATED,
     domain_key,
--- a/crates/edge/src/constraints/cold_starts.rs
+++ b/crates/edge/src/constraints/cold_starts.rs
@@ -24,11 +24,24 @@
     pub per_second: f64,
 }
 
+/// Share of a cold endpoint that is kept for one request until it is sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ColdBooking {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// When the request may be sent.
+    pub at: Duration,
+    ticket: u64,
+}
+
 /// What this router sent to one endpoint, and its share there.
 #[derive(Clone, Debug, Default)]
 struct Sender {
     /// Times of the requests within the window.
     sent: VecDeque<Duration>,
+    /// Times of the bookings of requests that are not sent yet, by ticket. Each counts from its time on like
+    /// a request within the window, so that later requests do not overtake it.
+    booked: BTreeMap<u64, Duration>,
     share: Option<Share>,
     /// When a request last asked for the endpoint.
     asked_at: Duration,
@@ -49,6 +62,8 @@
 pub struct ColdStarts {
     limit: ColdLimit,
     senders: BTreeMap<EndpointId, Sender>,
+    /// Number of bookings so far.
+    tickets: u64,
 }
 
 impl ColdStarts {
@@ -57,6 +72,7 @@
         ColdStarts {
             limit,
             senders: BTreeMap::new(),
+            tickets: 0,
         }
     }
 
@@ -78,6 +94,17 @@
         routers: &KnownRouters,
         now: Duration,
     ) -> Option<Duration> {
+        let (sender, share) = self.sender(endpoint, routers, now)?;
+        sender.next_send(share, now)
+    }
+
+    /// The requests to an endpoint within the window, and the share there; `None` if the share is not known.
+    fn sender(
+        &mut self,
+        endpoint: &ColdEndpoint<'_>,
+        routers: &KnownRouters,
+        now: Duration,
+    ) -> Option<(&mut Sender, usize)> {
         if !routers.is_settled(now) {
             return None;
         }
@@ -86,7 +113,64 @@
         sender.asked_at = now;
         sender.drop_old(now);
         let share = sender.share(&limit, endpoint, routers);
-        sender.next_send(share, now)
+        Some((sender, share))
+    }
+
+    /// Keeps the share that returns next for one request; `None` if none returns within the window.
+    pub fn book(
+        &mut self,
+        endpoint: &ColdEndpoint<'_>,
+        routers: &KnownRouters,
+        now: Duration,
+    ) -> Option<ColdBooking> {
+        let ticket = self.tickets + 1;
+        let (sender, share) = self.sender(endpoint, routers, now)?;
+        let at = sender.next_send(share, now)?;
+        sender.booked.insert(ticket, at);
+        self.tickets = ticket;
+        Some(ColdBooking {
+            endpoint: endpoint.id.to_string(),
+            at,
+            ticket,
+        })
+    }
+
+    /// Whether a request with a booking may be sent now. What was sent decides, so a booking never adds to
+    /// the share.
+    pub fn may_send_booked(
+        &mut self,
+        endpoint: &ColdEndpoint<'_>,
+        booking: &ColdBooking,
+        routers: &KnownRouters,
+        now: Duration,
+    ) -> bool {
+        self.sender(endpoint, routers, now)
+            .is_some_and(|(sender, share)| {
+                sender.booked.contains_key(&booking.ticket) && sender.sent.len() < share
+            })
+    }
+
+    /// Records a request with a booking that is sent now, unless it may not be sent. Returns whether it may.
+    pub fn send_booked(
+        &mut self,
+        endpoint: &ColdEndpoint<'_>,
+        booking: &ColdBooking,
+        routers: &KnownRouters,
+        now: Duration,
+    ) -> bool {
+        let may_send = self.may_send_booked(endpoint, booking, routers, now);
+        if may_send && let Some(sender) = self.senders.get_mut(endpoint.id) {
+            sender.booked.remove(&booking.ticket);
+            sender.sent.push_back(now);
+        }
+        may_send
+    }
+
+    /// Gives the share back of a request that is not sent to the endpoint after all.
+    pub fn cancel(&mut self, booking: &ColdBooking) {
+        if let Some(sender) = self.senders.get_mut(&booking.endpoint) {
+            sender.booked.remove(&booking.ticket);
+        }
     }
 
     /// Records a request that is sent to a cold endpoint now, unless it may not be sent. Returns whether
@@ -118,12 +202,25 @@
         }
     }
 
-    /// When a further request may be sent, with this many requests in a window.
+    /// When a further request may be sent, with this many requests in a window, such that each booking can
+    /// be sent at its time. `None` if all requests that will leave the window are waited for already.
     fn next_send(&self, share: usize, now: Duration) -> Option<Duration> {
-        let Some(excess) = self.sent.len().checked_sub(share) else {
-            return Some(now);
+        if self.booked.is_empty() {
+            return match self.sent.len().checked_sub(share) {
+                Some(excess) => Some(*self.sent.get(excess)? + WINDOW),
+                None => Some(now),
+            };
+        }
+        let ends = self.sent.iter().map(|at| *at + WINDOW);
+        let taken = |time: Duration| {
+            let sent = ends.clone().filter(|end| time < *end);
+            sent.count() + self.booked.values().filter(|at| **at <= time).count()
         };
-        Some(*self.sent.get(excess)? + WINDOW)
+        let mut times = std::iter::once(now).chain(ends.clone());
+        times.find(|from| {
+            let later = self.booked.values().filter(|at| *at > from);
+            later.chain([from]).all(|time| taken(*time) < share)
+        })
     }
 
     /// Requests that this router may send in a window. They are derived again only when the list of
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::answer_end::AnswerEnd;
 use crate::call::{AnswerHead, Attempt, Call, Prompt};
+use crate::cold_refusals::HeldShare;
 use crate::constraints::Homes;
 use crate::hold_time::HoldTime;
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName, SoftwareVersion};
@@ -80,6 +81,8 @@
     pub(crate) begun: bool,
     /// How long the last attempt holds a slot of its endpoint.
     pub(crate) hold: HoldTime,
+    /// The share of a cold endpoint that the request was held for.
+    pub(crate) held_share: Option<HeldShare>,
     pub(crate) _in_flight: InFlight,
 }
 
@@ -124,13 +127,20 @@
                     return self.give_up(fallback, RefusalReason::Quarantined);
                 }
                 Err(reason) => {
+                    let is_cold = reason == RefusalReason::ColdLimit && last.is_none();
+                    if is_cold && self.hold_for_share().await {
+                        continue;
+                    }
                     // Of a lost share, the endpoints that are left say more.
                     let last = last.filter(|last| *last != RefusalReason::ColdLimit);
                     return self.give_up(fallback, last.unwrap_or(reason));
                 }
             };
             let entry = placed.entry.clone();
-            let outcome = match self.attempt_until(placed, confirm_by).await {
+            self.keep_share_of(Some(&entry.id));
+            let outcome = self.attempt_until(placed, confirm_by).await;
+            self.keep_share_of(None);
+            let outcome = match outcome {
                 Ok(outcome) => outcome,
                 Err(reason) => return self.give_up(fallback, reason),
             };
@@ -416,7 +426,7 @@
         {
             return Some(RefusalReason::EndpointRefused);
         }
-        let has_share = state.try_send_cold(entry, now);
+        let has_share = state.try_send_cold(entry, self.cold_booking(), now);
         (!has_share).then_some(RefusalReason::ColdLimit)
     }
 
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -121,6 +121,7 @@
         tried_version: SoftwareVersion::new(),
         begun: false,
         hold: HoldTime::default(),
+        held_share: None,
         _in_flight: in_flight,
     });
     let answer = match exchange.find_version().await {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -101,7 +101,7 @@
 pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
 pub use call::{AnswerHead, Attempt, AttemptId, Call, EndpointLoad, Part, PartId, Prompt};
 pub use constraints::{
-    ColdEndpoint, ColdShare, ColdStarts, DomainKey, EvacuatedDomains, EvacuationRow,
+    ColdBooking, ColdEndpoint, ColdShare, ColdStarts, DomainKey, EvacuatedDomains, EvacuationRow,
     EvacuationUpdate, Evacuations, Homes, KnownRouters, MAX_EVACUATED, domain_key,
 };
 pub use crash_sync::CrashSync;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -132,6 +132,7 @@
     pub(crate) repairs: Counter,
     pub(crate) news_age: Histogram,
     answer_time: Histogram,
+    pub(crate) cold_holds: Counter,
     pub(crate) connections: Counter,
     pub(crate) requests: Counter,
     pub(crate) prompt_tokens: Counter,
@@ -174,6 +175,7 @@
             repairs: Counter::default(),
             news_age: Histogram::new(exponential_buckets(0.05, 2.0, 9)),
             answer_time: Histogram::new(exponential_buckets(0.001, 2.0, 15)),
+            cold_holds: Counter::default(),
             connections: Counter::default(),
             requests: Counter::default(),
             prompt_tokens: Counter::default(),
@@ -330,6 +332,11 @@
             "Time from a request to the head of its answer",
             self.answer_time.clone(),
         );
+        registry.register(
+            "cold_holds",
+            "Requests held until this router's share of a cold endpoint returned",
+            self.cold_holds.clone(),
+        );
         registry.register(
             "connections",
             "Connections to endpoints",
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -175,7 +175,7 @@
             }
         }
         for entry in cold {
-            if !state.may_send_cold(&entry, now) {
+            if !state.may_send_cold(&entry, self.cold_booking(), now) {
                 constraints.insert(entry.id, Exclusion::Cold);
             }
         }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -3,7 +3,7 @@
 use crate::admission::Admission;
 use crate::byte_budget::ByteBudget;
 use crate::cache_map::CacheMap;
-use crate::constraints::{ColdEndpoint, ColdStarts, Evacuations, KnownRouters};
+use crate::constraints::{ColdBooking, ColdEndpoint, ColdStarts, Evacuations, KnownRouters};
 use crate::departures::Departures;
 use crate::drain::{Drain, DrainRequest};
 use crate::feed::Feed;
@@ -161,33 +161,56 @@
         self.cold_starts.is_some() && self.cold_start(entry, now).is_some()
     }
 
-    /// Whether the limit on cold endpoints lets this router send a request to an endpoint now.
-    pub(crate) fn may_send_cold(&mut self, entry: &EndpointEntry, now: Duration) -> bool {
-        self.check_cold(entry, now, ColdStarts::may_send)
+    /// Whether the limit on cold endpoints lets this router send a request to an endpoint now. The request
+    /// may have a booking.
+    pub(crate) fn may_send_cold(
+        &mut self,
+        entry: &EndpointEntry,
+        booking: Option<&ColdBooking>,
+        now: Duration,
+    ) -> bool {
+        let may_send = match booking.filter(|booking| booking.endpoint == entry.id) {
+            Some(booking) => self.with_cold(entry, now, |starts, endpoint, routers, now| {
+                starts.may_send_booked(endpoint, booking, routers, now)
+            }),
+            None => self.with_cold(entry, now, ColdStarts::may_send),
+        };
+        may_send.unwrap_or(true)
     }
 
     /// The same at the moment of sending: a request that may be sent is counted.
-    pub(crate) fn try_send_cold(&mut self, entry: &EndpointEntry, now: Duration) -> bool {
-        self.check_cold(entry, now, ColdStarts::try_send)
+    pub(crate) fn try_send_cold(
+        &mut self,
+        entry: &EndpointEntry,
+        booking: Option<&ColdBooking>,
+        now: Duration,
+    ) -> bool {
+        let may_send = match booking.filter(|booking| booking.endpoint == entry.id) {
+            Some(booking) => self.with_cold(entry, now, |starts, endpoint, routers, now| {
+                starts.send_booked(endpoint, booking, routers, now)
+            }),
+            None => self.with_cold(entry, now, ColdStarts::try_send),
+        };
+        may_send.unwrap_or(true)
     }
 
-    /// When this router may next send a request to a cold endpoint. `None` if it has no share there, or if
-    /// the limit does not apply.
-    pub(crate) fn next_cold_send(
+    /// Keeps the share of a cold endpoint that returns next for a request.
+    pub(crate) fn book_cold(
         &mut self,
         entry: &EndpointEntry,
         now: Duration,
-    ) -> Option<Duration> {
-        self.with_cold(entry, now, ColdStarts::next_send).flatten()
+    ) -> Option<ColdBooking> {
+        self.with_cold(entry, now, ColdStarts::book).flatten()
     }
 
-    fn check_cold(
+    /// When this router may next send a request to a cold endpoint. `None` if it has no share there, or if
+    /// the limit does not apply.
+    pub(crate) fn next_cold_send(
         &mut self,
         entry: &EndpointEntry,
         now: Duration,
-        check: impl Fn(&mut ColdStarts, &ColdEndpoint<'_>, &KnownRouters, Duration) -> bool,
-    ) -> bool {
-        self.with_cold(entry, now, check).unwrap_or(true)
+    ) -> Option<Duration> {
+        self.with_cold(entry, now, ColdStarts::next_send).flatten()
     }
 
     /// Asks the limiter about an endpoint; `None` if the limit does not apply to it.
@@ -264,6 +287,8 @@
     drain: OnceLock<Drain>,
     /// Whether requests in flight are to be given up, because the process is about to end.
     giving_up: watch::Sender<bool>,
+    /// Whether the drain has started, for requests that are held.
+    draining: watch::Sender<bool>,
     /// Whether a configuration and the endpoints were read and the router became ready.
     ready: watch::Sender<bool>,
     /// Whether idle connections of callers are to be closed.
@@ -361,6 +386,7 @@
             }),
             drain: OnceLock::new(),
             giving_up: watch::Sender::new(false),
+            draining: watch::Sender::new(false),
             ready: watch::Sender::new(false),
             closing: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
@@ -516,7 +542,16 @@
     /// Starts the drain.
     pub(crate) fn start_drain(&self) -> Drain {
         let start = || Drain::new(self.clock.now(), self.settings.grace);
-        *self.drain.get_or_init(start)
+        let drain = *self.drain.get_or_init(start);
+        self.draining.send_replace(true);
+        drain
+    }
+
+    /// Completes once the drain has started.
+    pub(crate) async fn drain_started(&self) {
+        let mut draining = self.draining.subscribe();
+        // This value owns the sender, so the wait ends only with the change.
+        let _ = draining.wait_for(|draining| *draining).await;
     }
 
     /// Whether the router is draining.
--- a/crates/edge/tests/cold_endpoints.rs
+++ b/crates/edge/tests/cold_endpoints.rs
@@ -4,7 +4,9 @@
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
-use sequoiaridge_edge::{ColdEndpoint, ColdLimit, ColdShare, ColdStarts, KnownRouters};
+use sequoiaridge_edge::{
+    ColdBooking, ColdEndpoint, ColdLimit, ColdShare, ColdStarts, KnownRouters,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -33,6 +35,8 @@
     /// The routers that it knows and sends messages to.
     known: BTreeSet<usize>,
     starts: ColdStarts,
+    /// The request that is held until the router's share returns.
+    held: Option<ColdBooking>,
     /// When it read the list of routers; 0 for routers that run for long.
     joined_ms: u64,
     cut_off: bool,
@@ -78,6 +82,7 @@
                 routers,
                 known,
                 starts: ColdStarts::new(LIMIT),
+                held: None,
                 joined_ms,
                 cut_off: index < old && rng.random_bool(self.cut_off),
             }
@@ -100,9 +105,21 @@
         for now in (100_000..end).step_by(TICK_MS as usize) {
             self.exchange(&mut senders, now, &mut rng);
             for sender in senders.iter_mut().filter(|sender| now >= sender.joined_ms) {
+                let held = sender.held.take_if(|held| ms(now) >= held.at);
+                let sends = held.is_some_and(|held| {
+                    let starts = &mut sender.starts;
+                    starts.send_booked(&endpoint, &held, &sender.routers, ms(now))
+                });
+                if sends {
+                    sent.push((now, now + rng.random_range(0..100)));
+                }
                 while sender.starts.try_send(&endpoint, &sender.routers, ms(now)) {
                     sent.push((now, now + rng.random_range(0..100)));
                 }
+                if sender.held.is_none() && rng.random_bool(0.5) {
+                    let starts = &mut sender.starts;
+                    sender.held = starts.book(&endpoint, &sender.routers, ms(now));
+                }
             }
         }
         let within = |from: u64| {
@@ -229,3 +246,31 @@
         }
     }
 }
+
+/// Guards against requests that overtake held ones, against held ones that add to the share, and against a
+/// share that is lost with a held request that is given up.
+#[test]
+fn a_held_request_keeps_its_place() {
+    let mut routers = KnownRouters::new("edge-1");
+    routers.join(ms(0));
+    let mut starts = ColdStarts::new(LIMIT);
+    let endpoint = ColdEndpoint {
+        id: "e1",
+        boot: "7",
+        per_second: 0.5,
+    };
+    for at in [10_000, 10_100, 10_200, 10_300] {
+        assert!(starts.try_send(&endpoint, &routers, ms(at)));
+    }
+    let mut book = || starts.book(&endpoint, &routers, ms(10_500));
+    let held: Vec<ColdBooking> = (0..4).filter_map(|_| book()).collect();
+    assert_eq!(book(), None);
+    let times: Vec<Duration> = held.iter().map(|held| held.at).collect();
+    assert_eq!(times, [11_100, 11_200, 11_300, 11_400].map(ms));
+    assert!(!starts.try_send(&endpoint, &routers, ms(11_150)));
+    assert!(starts.send_booked(&endpoint, &held[0], &routers, ms(11_150)));
+    assert!(!starts.send_booked(&endpoint, &held[0], &routers, ms(11_250)));
+    starts.cancel(&held[1]);
+    assert!(starts.try_send(&endpoint, &routers, ms(11_250)));
+    assert!(!starts.try_send(&endpoint, &routers, ms(11_250)));
+}
