Show how much of a cold endpoint's budget a large fleet uses

With 31, 84 and 370 routers that know each other, 24 of the budget of 30 requests are sent in each 1.1 s: the four fifths that are allocated, with nothing lost to rounding, as 24 routers may send one request each. The test passes on the code before as well; it guards the figure.

--- a/crates/edge/tests/cold_endpoints.rs
+++ b/crates/edge/tests/cold_endpoints.rs
@@ -274,3 +274,21 @@
     assert!(starts.try_send(&endpoint, &routers, ms(11_250)));
     assert!(!starts.try_send(&endpoint, &routers, ms(11_250)));
 }
+
+/// Guards against a large fleet that leaves most of a cold endpoint's budget unused: four fifths of it, 24 of
+/// 30 requests in each 1.1 s, are sent if the routers know each other.
+#[test]
+fn a_large_fleet_uses_four_fifths_of_the_budget() {
+    for routers in [31, 84, 370] {
+        let fleet = Fleet {
+            routers,
+            cut_off: 0.0,
+            started: 0.0,
+            seconds: 8,
+        };
+        let (peak, all) = fleet.run(1);
+        assert_eq!(peak, 24, "{routers} routers");
+        // The routers of the model send after about a second, once they have heard 16 names.
+        assert!(all >= 6 * 24, "{routers} routers: {all}");
+    }
+}
