--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::answer_end::AnswerEnd;
 use crate::call::{AnswerHead, Attempt, Call, Prompt};
+use crate::cold_refusals::HeldShare;
 use crate::constraints::Homes;
 use crate::hold_time::HoldTime;
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName, SoftwareVersion};
@@ -84,6 +85,8 @@
     pub(crate) begun: bool,
     /// How long the last attempt holds a slot of its endpoint.
     pub(crate) hold: HoldTime,
+    /// The share of a cold endpoint that the request was held for.
+    pub(crate) held_share: Option<HeldShare>,
     pub(crate) _in_flight: InFlight,
 }
 
@@ -127,10 +130,21 @@
                 Err(RefusalReason::Quarantined) => {
                     return self.give_up(fallback, RefusalReason::Quarantined);
                 }
-                Err(reason) => return self.give_up(fallback, last.unwrap_or(reason)),
+                Err(reason) => {
+                    let is_cold = reason == RefusalReason::ColdLimit && last.is_none();
+                    if is_cold && self.hold_for_share().await {
+                        continue;
+                    }
+                    // Of a lost share, the endpoints that are left say more.
+                    let last = last.filter(|last| *last != RefusalReason::ColdLimit);
+                    return self.give_up(fallback, last.unwrap_or(reason));
+                }
             };
             let entry = placed.entry.clone();
-            let outcome = match self.attempt_until(placed, confirm_by).await {
+            self.keep_share_of(Some(&entry.id));
+            let outcome = self.attempt_until(placed, confirm_by).await;
+            self.keep_share_of(None);
+            let outcome = match outcome {
                 Ok(outcome) => outcome,
                 Err(reason) => return self.give_up(fallback, reason),
             };
@@ -255,6 +269,7 @@
         };
         let retry_after = match reason {
             RefusalReason::Quarantined => self.quarantine_left(),
+            RefusalReason::ColdLimit => self.cold_retry_after(),
             _ => self.retry_after_time(),
         };
         Err(Refusal {
@@ -346,8 +361,8 @@
             Some(request) => request,
             None => return Outcome::NotRun(RefusalReason::BadRequest, RetryReason::ConnectFailed),
         };
-        if self.is_withdrawn(entry) {
-            return Outcome::NotRun(RefusalReason::EndpointRefused, RetryReason::EndpointRefused);
+        if let Some(reason) = self.withdrawn(entry) {
+            return Outcome::NotRun(reason, RetryReason::EndpointRefused);
         }
         let subject = placed.subject;
         log_request(
@@ -414,20 +429,24 @@
             .await
     }
 
-    /// Whether the chosen endpoint may no longer get the request, because it started to leave or
-    /// rest after the choice, another endpoint answered at its address, its domain is evacuated, other requests took the router's share of a
-    /// cold endpoint, or because the request was quarantined. A request that a cold endpoint may get
-    /// is counted, so this is called right before it is sent.
-    fn is_withdrawn(&self, entry: &EndpointEntry) -> bool {
+    /// Why the chosen endpoint may no longer get the request: it started to leave or rest after the
+    /// choice, another endpoint answered at its address, its domain is evacuated, the request was
+    /// quarantined, or other requests took the router's share of a cold endpoint. A request that a
+    /// cold endpoint may get is counted, so this is called right before it is sent.
+    fn withdrawn(&self, entry: &EndpointEntry) -> Option<RefusalReason> {
         let now = self.shared.now();
         let mut state = self.shared.lock_state();
         let block = state.quarantine.block(&self.suspects, now);
-        state.roster.is_leaving(entry)
+        if state.roster.is_leaving(entry)
             || state.rests.until(&entry.id, now).is_some()
             || state.health.is_misdirected(entry)
             || block.is_some_and(|block| !state.probes.is_probe(&block, &self.call.attempt))
             || state.evacuations.contains(&entry.domain)
-            || !state.try_send_cold(entry, now)
+        {
+            return Some(RefusalReason::EndpointRefused);
+        }
+        let has_share = state.try_send_cold(entry, self.cold_booking(), now);
+        (!has_share).then_some(RefusalReason::ColdLimit)
     }
 
     /// Validates the head of an answer and reads the whole body, unless the answer is a stream or
