--- a/crates/router/src/reply.rs
+++ b/crates/router/src/reply.rs
@@ -93,6 +93,7 @@
         | R::VersionGone
         | R::Isolated
         | R::NotReady
-        | R::Draining => StatusCode::SERVICE_UNAVAILABLE,
+        | R::Draining
+        | R::ColdLimit => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
