Hold a known endpoint whose row another writer replaced

A row that names no endpoint ended the endpoint that its id listed before, at the router that read it and, as a removal in the feed, at all others.

A malformed row now changes nothing that is known of its id: neither the entry, nor an announcement that it leaves, nor its health, cached prefixes and connections. It is logged and counted (sequoiaridge_edge_endpoint_rows_rejected). A read may show only the last row of a key, so a removal right before such a row is not seen, and an endpoint that is silent stays overwritten; therefore a held one lapses after 3.6 s, as a silent one does, unless it writes its row again. A removal still ends it at once, and an odd row hides no removal or leaving in the same read.

Feeds, repairs and tables of other routers carry such rows as RowChange::Unreadable. Ruled out: leaving them out of feeds, since other routers would then never drop an endpoint that lapsed at the reader.

Two tests of roster.rs asked for the opposite and are replaced by those of overwritten_rows.rs: a_malformed_row_removes_only_its_own_endpoint (an odd row for an unknown id is reported and leaves the others alone) and an_endpoint_whose_row_cannot_be_read_does_not_come_back_with_an_old_row (the same order of rows, after the lapse).

Before: three of the four tests of overwritten_rows fail with the handling before. After: they pass, as do roster, feed, follower, tables, cold_rows and news.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -14,8 +14,41 @@
 /// fill slow links, so each router reads them from the registry instead.
 pub const MAX_FEED_CHANGES: usize = 120;
 
-/// A changed row of the endpoint table; `None` if it was removed or cannot be read.
-pub type ChangedRow = (EndpointId, Position, Option<EndpointEntry>);
+/// What became of a row of the endpoint table.
+///
+/// On the wire, the first two variants are what an `Option` of an entry is, as earlier routers send it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RowChange {
+    /// The row was removed.
+    Removed,
+    /// The row lists an endpoint.
+    Listed(EndpointEntry),
+    /// The row names no endpoint. The one that was listed before is held until it lapses.
+    Unreadable,
+}
+
+impl From<&Entry> for RowChange {
+    fn from(entry: &Entry) -> RowChange {
+        match entry {
+            Entry::Endpoint(entry) => RowChange::Listed(entry.clone()),
+            Entry::Malformed(_) => RowChange::Unreadable,
+            _ => RowChange::Removed,
+        }
+    }
+}
+
+impl From<RowChange> for Entry {
+    fn from(change: RowChange) -> Entry {
+        match change {
+            RowChange::Removed => Entry::Removed,
+            RowChange::Listed(entry) => Entry::Endpoint(entry),
+            RowChange::Unreadable => Entry::malformed("another router cannot read it"),
+        }
+    }
+}
+
+/// A changed row of the endpoint table.
+pub type ChangedRow = (EndpointId, Position, RowChange);
 
 /// The changes between two positions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,7 +109,7 @@
         let row = |(key, position, entry): ChangedRow| Row {
             key,
             position,
-            entry: entry.map_or(Entry::Removed, Entry::Endpoint),
+            entry: entry.into(),
         };
         Rows {
             rows: self.changed.into_iter().map(row).collect(),
--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -6,8 +6,7 @@
 //! peer, and no message makes a table look fresher than the read behind it. docs/platform.md has
 //! the rules and the bounds.
 
-use crate::feed::{ChangedRow, Feed, MAX_FEED_CHANGES};
-use crate::manifest::EndpointEntry;
+use crate::feed::{ChangedRow, Feed, MAX_FEED_CHANGES, RowChange};
 use crate::registry::Position;
 use sequoiaridge_core::{EndpointId, hash_parts};
 use serde::{Deserialize, Serialize};
@@ -79,7 +78,7 @@
     /// Revision up to which the registry has dropped its history.
     lost_up_to: Revision,
     /// Changes after `floor`.
-    recent: BTreeMap<(Revision, EndpointId), Option<EndpointEntry>>,
+    recent: BTreeMap<(Revision, EndpointId), RowChange>,
     /// Feeds that arrived before the changes that they follow.
     early: VecDeque<Feed>,
     /// Start of the current one-second window, and the changes sent as repairs in it.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -107,7 +107,7 @@
 pub use demand_budget::{MAX_DEMAND_BYTES, demand_bytes, fit_demand};
 pub use departures::Departures;
 pub use drain::{Drain, DrainRequest};
-pub use feed::{ChangedRow, Feed, MAX_FEED_CHANGES};
+pub use feed::{ChangedRow, Feed, MAX_FEED_CHANGES, RowChange};
 pub use follower::{Follower, Revision, TableDigest};
 pub use health::Health;
 pub use hot_subjects::{HotSubject, HotSubjects};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -124,6 +124,8 @@
     pub(crate) evacuated: Gauge,
     /// Rows of operators that cannot be read or applied.
     pub(crate) operator_rows_rejected: Counter,
+    /// Rows of endpoints that cannot be read.
+    pub(crate) endpoint_rows_rejected: Counter,
     /// Endpoints whose pace takes effect.
     pub(crate) slow_endpoints: Gauge,
     /// Streams in the row that this router saved last.
@@ -168,6 +170,7 @@
             resting: Gauge::default(),
             evacuated: Gauge::default(),
             operator_rows_rejected: Counter::default(),
+            endpoint_rows_rejected: Counter::default(),
             slow_endpoints: Gauge::default(),
             saved_streams: Gauge::default(),
             rests_ignored: Counter::default(),
@@ -305,6 +308,11 @@
             "Rows of operators that cannot be read or applied",
             self.operator_rows_rejected.clone(),
         );
+        registry.register(
+            "endpoint_rows_rejected",
+            "Rows of endpoints that cannot be read and name none",
+            self.endpoint_rows_rejected.clone(),
+        );
         registry.register(
             "slow_endpoints",
             "Endpoints that this router treats as slow: their pace is 1.5 or more",
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -1,6 +1,6 @@
 //! Endpoints as the registry lists them.
 
-use crate::feed::ChangedRow;
+use crate::feed::{ChangedRow, RowChange};
 use crate::leaving_starts::LeavingStarts;
 use crate::manifest::EndpointEntry;
 use crate::registry::{Entry, Position, Row, Rows};
@@ -22,6 +22,9 @@
 /// Time for which a row from a copy is not used if its endpoint was gone before. The row of an
 /// endpoint that is gone lapses after 3.6 s of silence.
 const DOUBT_TIME: Duration = Duration::from_secs(6);
+/// Time for which an endpoint is still used after another writer replaced its row by one that names no
+/// endpoint. A live endpoint writes its row again within it: the row of a silent one lapses after that time.
+const OVERWRITTEN_LAPSE_TIME: Duration = Duration::from_millis(3600);
 /// Removed rows whose positions are remembered, so that a stale read does not bring them back.
 const MAX_TOMBSTONES: usize = 4096;
 /// Rise of the time for which an endpoint is cold, over what is left of the known one, from which on it
@@ -41,7 +44,8 @@
     Gone(EndpointId),
     /// The row vanished around an outage of the registry; the endpoint is used a little longer.
     Lapsed(EndpointId),
-    /// The row cannot be read, for the given reason, and names no endpoint.
+    /// The row cannot be read, for the given reason, and names no endpoint. One that was listed before is
+    /// held until it lapses.
     Malformed(EndpointId, String),
 }
 
@@ -51,6 +55,8 @@
     position: Position,
     /// When the endpoint is no longer used, since its row vanished around an outage of the registry.
     lapses_at: Option<Duration>,
+    /// A later row of its id that names no endpoint.
+    overwritten: Option<Overwritten>,
     /// Until when the endpoint is not used, since it was gone before the registry came back from a
     /// copy that lists it.
     doubted_until: Option<Duration>,
@@ -60,7 +66,9 @@
 
 impl ListedEndpoint {
     fn is_lapsed(&self, now: Duration) -> bool {
-        self.lapses_at.is_some_and(|at| now >= at)
+        let overwritten = self.overwritten.map(|overwritten| overwritten.lapses_at);
+        let ends = [self.lapses_at, overwritten];
+        ends.into_iter().flatten().any(|at| now >= at)
     }
 
     fn is_doubted(&self, now: Duration) -> bool {
@@ -68,6 +76,14 @@
     }
 }
 
+/// A row that names no endpoint, in place of one that did.
+#[derive(Clone, Copy, Debug)]
+struct Overwritten {
+    position: Position,
+    /// When the endpoint is no longer used unless it writes its row again.
+    lapses_at: Duration,
+}
+
 /// A row that was removed.
 #[derive(Clone, Copy, Debug)]
 struct Tombstone {
@@ -129,7 +145,8 @@
     }
 
     /// All rows except those that vanished around an outage, for a router that starts. They say how
-    /// much longer endpoints are cold from now on.
+    /// much longer endpoints are cold from now on. A row that was overwritten comes before the one in its
+    /// place.
     pub fn rows(&self, now: Duration) -> Vec<ChangedRow> {
         let listed = self
             .listed
@@ -139,9 +156,12 @@
             cold: row.cold_until.saturating_sub(now),
             ..row.entry.clone()
         };
-        listed
-            .map(|(id, row)| (id.clone(), row.position, Some(entry(row))))
-            .collect()
+        let changes = listed.flat_map(|(id, row)| {
+            let known = (id.clone(), row.position, RowChange::Listed(entry(row)));
+            let unreadable = |by: Overwritten| (id.clone(), by.position, RowChange::Unreadable);
+            std::iter::once(known).chain(row.overwritten.map(unreadable))
+        });
+        changes.collect()
     }
 
     /// Until when an endpoint is cold; zero if it is not listed.
@@ -173,35 +193,42 @@
         }
     }
 
-    /// The rows that differ from what is listed. Of several rows of one endpoint, the last one counts.
+    /// The rows that differ from what is listed. Of several rows of one endpoint, the last one counts, but
+    /// one that names no endpoint hides none before it.
     /// An endpoint that is cold for longer than was known differs; one that warms up does not.
     pub fn new_changes(&self, rows: &[Row], now: Duration) -> Vec<ChangedRow> {
-        let mut last: BTreeMap<&EndpointId, &Row> = BTreeMap::new();
+        let mut last: BTreeMap<(&EndpointId, bool), &Row> = BTreeMap::new();
         for row in rows {
-            let kept = last.entry(&row.key).or_insert(row);
+            let is_unreadable = matches!(row.entry, Entry::Malformed(_));
+            let kept = last.entry((&row.key, is_unreadable)).or_insert(row);
             if row.position >= kept.position {
                 *kept = row;
             }
         }
         let mut changes = Vec::new();
-        for row in last.into_values() {
-            let known = self.listed.get(&row.key);
-            let entry = match &row.entry {
-                Entry::Endpoint(entry) => Some(entry.clone()),
-                _ => None,
-            };
-            let same = match (&entry, known) {
-                (Some(entry), Some(known)) => {
+        for ((id, _), row) in &last {
+            let known = self.listed.get(*id);
+            let change = RowChange::from(&row.entry);
+            let same = match (&change, known) {
+                (RowChange::Unreadable, known) => match last.get(&(*id, false)) {
+                    Some(readable) => {
+                        readable.position > row.position
+                            || !matches!(readable.entry, Entry::Endpoint(_))
+                    }
+                    None => known.is_none_or(|known| known.overwritten.is_some()),
+                },
+                (RowChange::Listed(entry), Some(known)) => {
                     let left = known.cold_until.saturating_sub(now);
                     known.lapses_at.is_none()
+                        && known.overwritten.is_none()
                         && known.entry.equals_except_cold(entry)
                         && entry.cold <= left + COLD_RISE
                 }
-                (None, None) => true,
+                (RowChange::Removed, None) => true,
                 _ => false,
             };
             if !same {
-                changes.push((row.key.clone(), row.position, entry));
+                changes.push((row.key.clone(), row.position, change));
             }
         }
         changes
@@ -288,9 +315,16 @@
     pub fn postpone_lapses(&mut self, verified_at: Duration, now: Duration) {
         let until = Some(now + self.lapse_time);
         for listed in self.listed.values_mut() {
-            if listed.lapses_at.is_some() && !listed.is_lapsed(verified_at) {
+            if listed.is_lapsed(verified_at) {
+                continue;
+            }
+            if listed.lapses_at.is_some() {
                 listed.lapses_at = listed.lapses_at.max(until);
             }
+            if let Some(overwritten) = &mut listed.overwritten {
+                let until = now + OVERWRITTEN_LAPSE_TIME;
+                overwritten.lapses_at = overwritten.lapses_at.max(until);
+            }
         }
     }
 
@@ -303,7 +337,11 @@
             .filter(|(_, listed)| listed.is_lapsed(verified_at));
         let gone: Vec<EndpointId> = gone.map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            self.listed.remove(id);
+            let listed = self.listed.remove(id);
+            if let Some(by) = listed.as_ref().and_then(|listed| listed.overwritten) {
+                let born = listed.and_then(|listed| listed.entry.born);
+                self.bury(id, by.position, born.unwrap_or(0));
+            }
         }
         gone.into_iter().map(RosterChange::Gone).collect()
     }
@@ -454,13 +492,25 @@
             Entry::Endpoint(entry) => self.insert_row(row.key, entry, row.position, now),
             Entry::Removed => self.remove_row(row.key, row.position, lapse, now),
             Entry::Malformed(reason) => {
-                self.remove_row(row.key.clone(), row.position, None, now);
+                self.note_overwritten(&row.key, row.position, now);
                 Some(RosterChange::Malformed(row.key, reason))
             }
             _ => None,
         }
     }
 
+    /// Records a row that names no endpoint. Nothing that is known of the id changes, except that a listed
+    /// endpoint lapses unless it writes its row again.
+    fn note_overwritten(&mut self, id: &str, position: Position, now: Duration) {
+        if let Some(listed) = self.listed.get_mut(id) {
+            let lapses_at = now + OVERWRITTEN_LAPSE_TIME;
+            listed.overwritten.get_or_insert(Overwritten {
+                position,
+                lapses_at,
+            });
+        }
+    }
+
     fn insert_row(
         &mut self,
         id: EndpointId,
@@ -487,10 +537,12 @@
             .filter(|known| known.position == position && known.entry.born == entry.born);
         let cold_until = same.map_or(now + entry.cold, |known| known.cold_until);
         self.tombstones.remove(&id);
+        let overwritten = self.listed.get(&id).and_then(|known| known.overwritten);
         let listed = ListedEndpoint {
             entry,
             position,
             lapses_at: None,
+            overwritten: overwritten.filter(|by| by.position > position),
             doubted_until: doubted.map(|at| at + DOUBT_TIME),
             cold_until,
         };
@@ -532,17 +584,13 @@
         lapse: Option<Duration>,
         now: Duration,
     ) -> Option<RosterChange> {
-        while self.tombstones.len() >= MAX_TOMBSTONES {
-            self.tombstones.pop_first();
-        }
         let known = self
             .listed
             .get(&id)
             .map(|listed| listed.entry.born.unwrap_or(0));
         let before = self.tombstones.get(&id).map(|tombstone| tombstone.born);
         let born = known.or(before).unwrap_or(0);
-        let tombstone = Tombstone { position, born };
-        self.tombstones.insert(id.clone(), tombstone);
+        self.bury(&id, position, born);
         let listed = self.listed.get_mut(&id)?;
         let in_use = !listed.entry.leaving && !listed.is_doubted(now);
         if let Some(lapse) = lapse.filter(|_| in_use) {
@@ -557,4 +605,13 @@
         self.listed.remove(&id);
         Some(RosterChange::Gone(id))
     }
+
+    /// Remembers the position at which a row went, so that earlier rows do not bring the endpoint back.
+    fn bury(&mut self, id: &str, position: Position, born: u64) {
+        while self.tombstones.len() >= MAX_TOMBSTONES {
+            self.tombstones.pop_first();
+        }
+        let tombstone = Tombstone { position, born };
+        self.tombstones.insert(id.to_string(), tombstone);
+    }
 }
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -255,11 +255,7 @@
 }
 
 fn changed_row(row: &Row) -> ChangedRow {
-    let entry = match &row.entry {
-        Entry::Endpoint(entry) => Some(entry.clone()),
-        _ => None,
-    };
-    (row.key.clone(), row.position, entry)
+    (row.key.clone(), row.position, (&row.entry).into())
 }
 
 /// Replaces the endpoints with the whole table as another router knew it, with its latest changes.
@@ -575,8 +571,7 @@
             }
             RosterChange::Lapsed(id) => log(Event::EndpointLapsed, &format!("endpoint={id}")),
             RosterChange::Malformed(id, reason) => {
-                forget_endpoint(state, shared, &id);
-                state.terminations.forget(&id);
+                shared.metrics.endpoint_rows_rejected.inc();
                 log(Event::EndpointMalformed, &format!("endpoint={id} {reason}"));
             }
         }
