Route callers' requests for the readiness path

The listener decides which paths it knows. At the callers' address the path is a request like any other. If the settings name one address for both, which failed before as the address was bound twice, there is one listener on which readiness comes before the routes. Metrics and held requests are not served there, since callers would reach them.

Before: both tests of readiness.rs fail (200 in place of 404; "Address already in use"). After: they pass, as do path, life, restored and leaving_and_rest.

--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -68,16 +68,27 @@
         registry: Arc<dyn Registry>,
     ) -> io::Result<EdgeRouter> {
         let callers = TcpListener::bind(settings.callers).await?;
-        let readiness = TcpListener::bind(settings.readiness).await?;
+        // Port 0 in the settings means any free port, so it names no address.
+        let is_shared = settings.callers == settings.readiness && settings.callers.port() != 0;
+        let readiness = if is_shared {
+            None
+        } else {
+            Some(TcpListener::bind(settings.readiness).await?)
+        };
         let (socket, lists) = bind_peers(settings.peers).await?;
-        // Port 0 in the settings means any free port.
         settings.callers = callers.local_addr()?;
-        settings.readiness = readiness.local_addr()?;
+        if let Some(readiness) = &readiness {
+            settings.readiness = readiness.local_addr()?;
+        }
         settings.peers = socket.local_addr()?;
         let (feeds, to_tell) = mpsc::unbounded_channel();
         let shared = Arc::new(Shared::new(settings, clock, dialect, feeds));
-        tokio::spawn(accept(callers, shared.clone(), Port::Callers));
-        tokio::spawn(accept(readiness, shared.clone(), Port::Readiness));
+        if let Some(readiness) = readiness {
+            tokio::spawn(accept(callers, shared.clone(), Port::Callers));
+            tokio::spawn(accept(readiness, shared.clone(), Port::Readiness));
+        } else {
+            tokio::spawn(accept(callers, shared.clone(), Port::Shared));
+        }
         tokio::spawn(reader::run(shared.clone(), registry.clone()));
         tokio::spawn(peers::run(shared.clone(), registry, socket, lists, to_tell));
         tokio::spawn(watch_room(shared.clone()));
@@ -162,6 +173,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Port {
     Callers,
+    /// Callers, and the readiness path, because the settings name one address for both.
+    Shared,
     Readiness,
     /// The readiness address, reached from this instance.
     Local,
@@ -231,11 +244,12 @@
     due: AnswerDeadline,
 ) -> Response<StreamBody> {
     let path = request.uri().path();
-    if path == shared.dialect.readiness_path() {
-        return response(readiness(&shared), Bytes::new());
-    }
+    let asks_readiness = path == shared.dialect.readiness_path();
     match port {
-        Port::Callers => ingress::answer(shared, request, due).await,
+        Port::Shared | Port::Readiness | Port::Local if asks_readiness => {
+            response(readiness(&shared), Bytes::new())
+        }
+        Port::Callers | Port::Shared => ingress::answer(shared, request, due).await,
         Port::Readiness | Port::Local if path == "/metrics" => {
             response(StatusCode::OK, shared.metrics.encode().into())
         }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -14,7 +14,7 @@
     pub domain: DomainId,
     /// Address at which it listens for callers.
     pub callers: SocketAddr,
-    /// Address at which it serves readiness and metrics.
+    /// Address at which it serves readiness and metrics. If it is that of callers, only readiness.
     pub readiness: SocketAddr,
     /// Address at which it listens for other routers.
     pub peers: SocketAddr,
