Refuse what would wait far beyond its target at its endpoint

Cause: while a service is short of room, admission follows the mean of its endpoints.

Change: for the first attempt of a new request, while demand exceeds the room, the wait at the chosen endpoint is estimated (admission/wait.rs): waiting / slots x mean holding time of the service x pace. If it is over 1.5 times what is left of the target, and placement finds no endpoint without such an estimate, the request is refused as not run (overload, wait_ms in its log line, outcome refused-wait). Reports of 400 ms or more give no estimate. Take-ups, further attempts, late returns and probes of suspects are exempt.

--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -13,8 +13,10 @@
 mod service;
 mod shares;
 mod spent_time;
+mod wait;
 
 pub use shares::{CustomerDemand, Level, RankShares, split_room};
+pub use wait::{EndpointQueue, WaitLimit};
 
 use crate::call::EndpointLoad;
 use crate::manifest::ServiceName;
@@ -75,6 +77,8 @@
     pub probability: f64,
     /// Whether the caller came back too late to be in time.
     pub late: bool,
+    /// How long it would wait at its endpoint, if that is why it is refused.
+    pub wait: Option<Duration>,
 }
 
 /// An endpoint of a service as a router knows it.
@@ -195,6 +199,35 @@
         self.service(arrival.service, now).decide(arrival, now)
     }
 
+    /// How long an admitted request may wait at an endpoint, `elapsed` after its arrival. `None` where the wait
+    /// must not refuse it: while its service is not short of room, if it takes up a stream, or if its caller came
+    /// back too late, since such requests have room of their own.
+    pub fn wait_limit(
+        &self,
+        arrival: &Arrival<'_>,
+        elapsed: Duration,
+        now: Duration,
+    ) -> Option<WaitLimit> {
+        if !self.is_on(arrival.service, now) {
+            return None;
+        }
+        let service = self.services.get(arrival.service)?;
+        service.wait_limit(arrival, elapsed, now)
+    }
+
+    /// Refuses an admitted request that would wait for `wait`, which is beyond its limit.
+    pub fn refuse_wait(&self, arrival: &Arrival<'_>, wait: Duration) -> RoomRefusal {
+        let service = self.services.get(arrival.service);
+        let probability = service.map_or(1.0, |service| service.probability(arrival));
+        RoomRefusal {
+            reason: RefusalReason::Overload,
+            retry_after: decision::retry_after(arrival),
+            probability,
+            late: false,
+            wait: Some(wait),
+        }
+    }
+
     /// Updates room, correction and shares of a service; to be called every 100 ms. Returns a change
     /// between short of room and not.
     pub fn refresh(&mut self, service: &ServiceRoom<'_>, now: Duration) -> Option<RoomChange> {
--- a/crates/edge/src/admission/decision.rs
+++ b/crates/edge/src/admission/decision.rs
@@ -26,7 +26,7 @@
     let probability = if late {
         shares.late
     } else {
-        shares.ranks.probability(arrival.rank, usual)
+        probability(shares, arrival.rank, customer)
     };
     let drawn = hash_parts(&[arrival.attempt.as_bytes()]);
     if unit(drawn) < probability {
@@ -42,12 +42,20 @@
         retry_after: retry_after(arrival),
         probability,
         late,
+        wait: None,
     })
 }
 
+/// Probability with which a request is admitted that is not a late return.
+pub fn probability(shares: &Shares, rank: u8, customer: CustomerKey) -> f64 {
+    let usual = shares.customers.get(&customer);
+    let usual = usual.copied().unwrap_or(shares.unknown);
+    shares.ranks.probability(rank, usual)
+}
+
 /// Between a fifth and a third of the time left, by attempt, so that returns are spread and can be told from
 /// first attempts.
-fn retry_after(arrival: &Arrival<'_>) -> Duration {
+pub fn retry_after(arrival: &Arrival<'_>) -> Duration {
     let left = arrival.deadline.unwrap_or(arrival.limit);
     let drawn = hash_parts(&[b"retry-after", arrival.attempt.as_bytes()]);
     left.mul_f64(MIN_WAIT_SHARE + (MAX_WAIT_SHARE - MIN_WAIT_SHARE) * unit(drawn))
--- a/crates/edge/src/admission/service.rs
+++ b/crates/edge/src/admission/service.rs
@@ -10,6 +10,7 @@
 use super::room::{BUSY_FILL, Room};
 use super::shares::{CustomerDemand, Level, RankShares, Shares, split_room};
 use super::spent_time::{CallerState, SpentTime, caller_state};
+use super::wait::WaitLimit;
 use super::{
     Admitted, Arrival, DemandReport, RoomChange, RoomFigures, ServiceKey, ServiceRoom, key,
 };
@@ -120,6 +121,37 @@
         }
     }
 
+    /// How long an admitted request may wait at an endpoint; `None` where the wait must not refuse it.
+    pub fn wait_limit(
+        &self,
+        arrival: &Arrival<'_>,
+        elapsed: Duration,
+        now: Duration,
+    ) -> Option<WaitLimit> {
+        if arrival.resumed || self.shares.is_none() {
+            return None;
+        }
+        let hold = self.holds.get(arrival.route, arrival.target);
+        let deadline = arrival.deadline;
+        let spent = deadline.map(|deadline| self.spent.get(arrival.route, deadline, now));
+        let spent = spent.unwrap_or_default();
+        let in_time = caller_state(spent, hold, arrival.target) == CallerState::InTime;
+        in_time.then(|| WaitLimit {
+            left: arrival.target.saturating_sub(spent + elapsed),
+            // Those that wait at the endpoint are of all routes.
+            hold: self.own.mean_hold().unwrap_or(hold),
+        })
+    }
+
+    /// Probability with which the shares admit a request that is not a late return.
+    pub fn probability(&self, arrival: &Arrival<'_>) -> f64 {
+        let customer = key(arrival.customer.unwrap_or_default());
+        let shares = self.shares.as_ref();
+        shares.map_or(1.0, |shares| {
+            decision::probability(shares, arrival.rank, customer)
+        })
+    }
+
     /// Records that an endpoint reports this fill. A queue fills and overflows between two refreshes, so that the
     /// first report of an overfull endpoint asks for one at once.
     pub fn note_fill(&mut self, fill: f64, now: Duration) {
--- a/crates/edge/src/admission/spent_time.rs
+++ b/crates/edge/src/admission/spent_time.rs
@@ -45,15 +45,19 @@
             }
             return Duration::ZERO;
         };
-        let age = now.saturating_sub(*at).as_secs_f64();
-        let decayed = longest.mul_f64(0.5_f64.powf(age / HALF_LIFE_S));
+        let decayed = decayed(*longest, *at, now);
         if deadline >= decayed {
             (*longest, *at) = (deadline, now);
         }
-        if deadline >= decayed.mul_f64(FIRST_SHARE) {
-            return Duration::ZERO;
-        }
-        decayed - deadline
+        spent_of(decayed, deadline)
+    }
+
+    /// The time that the caller of a recorded request has spent.
+    pub fn get(&self, route: &str, deadline: Duration, now: Duration) -> Duration {
+        let longest = self.routes.get(route);
+        longest.map_or(Duration::ZERO, |(longest, at)| {
+            spent_of(decayed(*longest, *at, now), deadline)
+        })
     }
 
     /// Drops routes that are not used.
@@ -63,6 +67,19 @@
     }
 }
 
+fn decayed(longest: Duration, at: Duration, now: Duration) -> Duration {
+    let age = now.saturating_sub(at).as_secs_f64();
+    longest.mul_f64(0.5_f64.powf(age / HALF_LIFE_S))
+}
+
+/// The time spent by a caller with this deadline, if first attempts have up to `longest`.
+fn spent_of(longest: Duration, deadline: Duration) -> Duration {
+    if deadline >= longest.mul_f64(FIRST_SHARE) {
+        return Duration::ZERO;
+    }
+    longest - deadline
+}
+
 /// Classifies a caller that has spent `spent`, for a request that runs for `hold` seconds and must be
 /// answered within `target`.
 pub fn caller_state(spent: Duration, hold: f64, target: Duration) -> CallerState {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,10 +1,12 @@
 //! One request of a caller: endpoint selection, attempts, retries, and the head of the answer.
 
+use crate::admission::RoomRefusal;
 use crate::answer_end::AnswerEnd;
 use crate::call::{AnswerHead, Attempt, Call, Prompt};
 use crate::constraints::Homes;
 use crate::hold_time::HoldTime;
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName, SoftwareVersion};
+use crate::room_gate::NotPlaced;
 use crate::selection::Placed;
 use crate::shared::{InFlight, Shared};
 use crate::started_answer::{AnswerBody, ArrivingBody, Framing, LoadGuard, StartedAnswer};
@@ -80,6 +82,8 @@
     pub(crate) begun: bool,
     /// How long the last attempt holds a slot of its endpoint.
     pub(crate) hold: HoldTime,
+    /// Why the request was refused for lack of room, for the log.
+    pub(crate) no_room: Option<RoomRefusal>,
     pub(crate) _in_flight: InFlight,
 }
 
@@ -120,10 +124,17 @@
             }
             let placed = match self.select_endpoint() {
                 Ok(placed) => placed,
-                Err(RefusalReason::Quarantined) => {
+                Err(NotPlaced::Wait(no_room)) => {
+                    let refusal = Refusal::from(&no_room);
+                    self.no_room = Some(no_room);
+                    return Err(refusal);
+                }
+                Err(NotPlaced::Refused(RefusalReason::Quarantined)) => {
                     return self.give_up(fallback, RefusalReason::Quarantined);
                 }
-                Err(reason) => return self.give_up(fallback, last.unwrap_or(reason)),
+                Err(NotPlaced::Refused(reason)) => {
+                    return self.give_up(fallback, last.unwrap_or(reason));
+                }
             };
             let entry = placed.entry.clone();
             let outcome = match self.attempt_until(placed, confirm_by).await {
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -121,15 +121,17 @@
         tried_version: SoftwareVersion::new(),
         begun: false,
         hold: HoldTime::default(),
+        no_room: None,
         _in_flight: in_flight,
     });
     let answer = match exchange.find_version().await {
         Ok(()) => {
-            if let Err(no_room) = exchange.ask_room() {
-                let (refusal, detail) = (Refusal::from(&no_room), exchange.room_detail(&no_room));
-                return refuse_with(&shared, Some(&exchange.call), &refusal, started, &detail);
+            let asked = exchange.ask_room();
+            exchange.no_room = asked.err();
+            match &exchange.no_room {
+                Some(no_room) => Err(Refusal::from(no_room)),
+                None => exchange.send_with_retries().await,
             }
-            exchange.send_with_retries().await
         }
         Err(reason) => exchange.give_up(None, reason),
     };
@@ -139,7 +141,8 @@
             if refusal.verdict == Verdict::MayHaveRun {
                 exchange.record_time();
             }
-            refuse(&shared, Some(&exchange.call), &refusal, started)
+            let detail = exchange.room_detail();
+            refuse_with(&shared, Some(&exchange.call), &refusal, started, &detail)
         }
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -92,8 +92,9 @@
 mod whole_body;
 
 pub use admission::{
-    Admission, Admitted, Arrival, CustomerDemand, CustomerKey, DemandReport, EndpointRoom, Level,
-    RankShares, RoomChange, RoomFigures, RoomRefusal, ServiceKey, ServiceRoom, split_room,
+    Admission, Admitted, Arrival, CustomerDemand, CustomerKey, DemandReport, EndpointQueue,
+    EndpointRoom, Level, RankShares, RoomChange, RoomFigures, RoomRefusal, ServiceKey, ServiceRoom,
+    WaitLimit, split_room,
 };
 pub use answer_end::{AnswerEnd, EndEvidence};
 pub use byte_budget::{ByteBudget, Reservation};
--- a/crates/edge/src/load.rs
+++ b/crates/edge/src/load.rs
@@ -1,7 +1,7 @@
 //! Outstanding work by endpoint: what this router sent, and what other routers report.
 
 use crate::call::EndpointLoad;
-use crate::load_reports::{LoadReports, ReportEntry, merge_paces};
+use crate::load_reports::{LoadReports, ReportEntry, ReportedLoad, merge_paces};
 use crate::pace::Paces;
 use sequoiaridge_core::{DomainId, EndpointId, RouterId};
 use serde::{Deserialize, Serialize};
@@ -213,6 +213,11 @@
         sum
     }
 
+    /// The newest report of an endpoint, with what this router has sent since.
+    pub fn reported(&self, id: &str, now: Duration) -> Option<ReportedLoad> {
+        self.reports.outstanding(id, now)
+    }
+
     fn forget(&mut self, router: &str) {
         let Some(peer) = self.peers.remove(router) else {
             return;
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -1,5 +1,6 @@
 //! Selects an endpoint for a request from the router's current state.
 
+use crate::admission::EndpointQueue;
 use crate::cache_map::prefixes;
 use crate::call::Prompt;
 use crate::exchange::Exchange;
@@ -8,6 +9,7 @@
 use crate::metrics::Exclusion;
 use crate::placement::{Candidate, Choice, Placement, Subject};
 use crate::quarantine_probe::is_designated;
+use crate::room_gate::NotPlaced;
 use crate::shared::RoutingState;
 use crate::started_answer::LoadGuard;
 use sequoiaridge_core::{EndpointId, Event, RefusalReason, hash_parts};
@@ -36,8 +38,8 @@
     ///
     /// # Errors
     ///
-    /// The request is quarantined, or no endpoint takes it.
-    pub(crate) fn select_endpoint(&self) -> Result<Placed, RefusalReason> {
+    /// The request is quarantined, no endpoint takes it, or it would wait too long at each that does.
+    pub(crate) fn select_endpoint(&self) -> Result<Placed, NotPlaced> {
         let now = self.shared.now();
         let mut state = self.shared.lock_state();
         if let Some(block) = state.quarantine.block(&self.suspects, now) {
@@ -86,16 +88,16 @@
             self.shared.metrics.excluded(Exclusion::Rest);
         }
         if candidates.iter().all(|candidate| candidate.leaving) {
-            return Err(RefusalReason::NoEndpoint);
+            return Err(RefusalReason::NoEndpoint.into());
         }
         if !candidates.iter().any(|c| c.eligible && !c.leaving) {
             let accepting = candidates.iter().filter(|c| !c.leaving);
             let entries = accepting.filter_map(|c| state.roster.get(c.id));
             let mut of_version = entries.filter(|entry| self.is_version(entry));
             if of_version.next().is_none() {
-                return Err(RefusalReason::VersionGone);
+                return Err(RefusalReason::VersionGone.into());
             }
-            return Err(self.refuse_constrained(&constraints));
+            return Err(self.refuse_constrained(&constraints).into());
         }
         let mut placement = Placement::with_bound(self.shared.settings.load_multiple);
         placement.resumes = self.version.is_some();
@@ -106,14 +108,34 @@
             placement.request_hash = Some(hash_parts(&[self.call.attempt.as_bytes()]));
             placement.spread = state.hot_subjects.spread(key, now);
         }
-        let choice = match &subject {
-            Some(subject) => placement.for_prompt(subject, &candidates),
+        let place = |candidates: &[Candidate<'_>]| match &subject {
+            Some(subject) => placement.for_prompt(subject, candidates),
             None => {
                 let request_hash = hash_parts(&[self.call.attempt.as_bytes()]);
-                placement.for_service(request_hash, SERVICE_RUN_TIME, &candidates)
+                placement.for_service(request_hash, SERVICE_RUN_TIME, candidates)
             }
         };
-        let choice = choice.ok_or(RefusalReason::Overload)?;
+        let choice = place(&candidates).ok_or(RefusalReason::Overload)?;
+        if let Some(limit) = self.wait_limit(&state, now) {
+            let excess_wait = |candidate: &Candidate<'_>| {
+                limit.excess_wait(&EndpointQueue {
+                    slots: candidate.slots,
+                    pace: candidate.pace,
+                    report: state.loads.reported(candidate.id, now),
+                })
+            };
+            let chosen = candidates.iter().find(|c| c.id == choice.id);
+            let chosen = chosen.and_then(|chosen| Some((chosen.avoid, excess_wait(chosen)?)));
+            if let Some((avoid, wait)) = chosen {
+                for candidate in &mut candidates {
+                    candidate.eligible &=
+                        candidate.avoid == avoid && excess_wait(candidate).is_none();
+                }
+                // The choice stands if another endpoint takes the request in time. Moving the request there
+                // cost goodput in the model of 300 routers, which all move theirs by the same old reports.
+                place(&candidates).ok_or_else(|| self.refuse_wait(&state, wait))?;
+            }
+        }
         if let Some(needs) = choice.needs {
             state.hot_subjects.raise(key, needs, now);
         }
--- a/crates/edge/tests/admission_fleet/figures.rs
+++ b/crates/edge/tests/admission_fleet/figures.rs
@@ -39,6 +39,8 @@
     pub calm_refusals: u32,
     /// Refused attempts from 2 s after the surge on.
     pub late_refusals: u32,
+    /// Attempts refused for their wait at the chosen server.
+    pub wait_refusals: u32,
     pub server_arrivals: f64,
     pub rejected: f64,
     /// What ran in the surge, and what of it was within target since its attempt and since its call.
@@ -189,7 +191,7 @@
             .fold(1.0, f64::min);
         format!(
             "goodput {:?} worst {:.3}; rejected {:.3} ({} in 1 s); in time {:.3} of call {:.3}; all {:.3} ranks {ranks:?} \
-             steady {:.3} {steady:?} least {least:.3}; refusals before {} after {}",
+             steady {:.3} {steady:?} least {least:.3}; refusals before {} after {} for wait {}",
             self.goodput,
             self.worst_of_best(),
             self.rejected / self.server_arrivals,
@@ -204,6 +206,7 @@
             self.steady().1.in_time_share(),
             self.calm_refusals,
             self.late_refusals,
+            self.wait_refusals,
         )
     }
 }
--- a/crates/edge/tests/admission_fleet/mod.rs
+++ b/crates/edge/tests/admission_fleet/mod.rs
@@ -17,8 +17,9 @@
 use rand::{RngExt, SeedableRng};
 use sequoiaridge_core::hash_parts;
 use sequoiaridge_edge::{
-    Admission, Admitted, Arrival, Candidate, DemandReport, EndpointLoad, EndpointRoom, Loads,
-    PeerRouter, Placement, ReportEntry, RoomRefusal, ServiceRoom, Work,
+    Admission, Admitted, Arrival, Candidate, DemandReport, EndpointLoad, EndpointQueue,
+    EndpointRoom, Loads, PeerRouter, Placement, ReportEntry, RoomRefusal, ServiceRoom, WaitLimit,
+    Work,
 };
 use server::{Job, Server};
 use std::cmp::Reverse;
@@ -354,6 +355,12 @@
                     started: None,
                     tries: 0,
                 };
+                let admission = &self.routers[router].admission;
+                let limit = admission.wait_limit(&arrival, Duration::ZERO, self.now);
+                if let Some(wait) = limit.and_then(|limit| self.excess_wait(&limit, router)) {
+                    let refusal = admission.refuse_wait(&arrival, wait);
+                    return self.refused(id, Some(refusal));
+                }
                 self.send(job, None);
             }
             Admitted::No(refusal) => self.refused(id, Some(refusal)),
@@ -371,6 +378,8 @@
                 call.attempts
             );
         }
+        let waits = refusal.as_ref().is_some_and(|no| no.wait.is_some());
+        self.figures.wait_refusals += u32::from(waits);
         self.figures.refused(self.now, call.customer);
         let impatient = self.is_impatient(call.customer);
         if impatient && call.attempts < 9 {
@@ -382,6 +391,20 @@
         }
     }
 
+    /// The least wait at any server, as far as a router knows, if it is beyond the limit at all of them.
+    fn excess_wait(&self, limit: &WaitLimit, router: usize) -> Option<Duration> {
+        let loads = &self.routers[router].loads;
+        let waits = self.server_ids.iter().map(|id| {
+            limit.excess_wait(&EndpointQueue {
+                slots: self.setup.slots,
+                pace: 1.0,
+                report: loads.reported(id, self.now),
+            })
+        });
+        // `None`, for a server that takes the request in time, orders before any wait.
+        waits.min().flatten()
+    }
+
     /// Sends a job to a server, as far as its router knows their loads.
     fn send(&mut self, job: Job, except: Option<usize>) {
         let server = if self.setup.first_event < self.setup.hold {
