--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,11 +1,13 @@
 //! One request of a caller: endpoint selection, attempts, retries, and the head of the answer.
 
+use crate::admission::RoomRefusal;
 use crate::answer_end::AnswerEnd;
 use crate::call::{AnswerHead, Attempt, Call, Prompt};
 use crate::cold_refusals::HeldShare;
 use crate::constraints::Homes;
 use crate::hold_time::HoldTime;
 use crate::manifest::{EndpointEntry, Kind, Route, ServiceName, SoftwareVersion};
+use crate::room_gate::NotPlaced;
 use crate::selection::Placed;
 use crate::shared::{InFlight, Shared};
 use crate::started_answer::{AnswerBody, ArrivingBody, Framing, LoadGuard, StartedAnswer};
@@ -87,6 +89,8 @@
     pub(crate) hold: HoldTime,
     /// The share of a cold endpoint that the request was held for.
     pub(crate) held_share: Option<HeldShare>,
+    /// Why the request was refused for lack of room, for the log.
+    pub(crate) no_room: Option<RoomRefusal>,
     pub(crate) _in_flight: InFlight,
 }
 
@@ -127,10 +131,15 @@
             }
             let placed = match self.select_endpoint() {
                 Ok(placed) => placed,
-                Err(RefusalReason::Quarantined) => {
+                Err(NotPlaced::Wait(no_room)) => {
+                    let refusal = Refusal::from(&no_room);
+                    self.no_room = Some(no_room);
+                    return Err(refusal);
+                }
+                Err(NotPlaced::Refused(RefusalReason::Quarantined)) => {
                     return self.give_up(fallback, RefusalReason::Quarantined);
                 }
-                Err(reason) => {
+                Err(NotPlaced::Refused(reason)) => {
                     let is_cold = reason == RefusalReason::ColdLimit && last.is_none();
                     if is_cold && self.hold_for_share().await {
                         continue;
