Keep a cold endpoint for a request that lost its share there

Two requests may choose a cold endpoint at the same time, and connect to it, before either of them is counted. The one that found the share used up right before it was sent left the endpoint out as one that it had tried. If no other was left, it was refused with `no-endpoint` and the pause of a service without endpoints, and it was not held for the share that returns. Later requests, which saw the used share at the choice, were held.

Ruled out: the share itself (`ColdStarts` counts right), and the order of checks in `withdrawn` (the share is taken last).

Nothing was sent to such an endpoint, so it is no longer left out. The next choice excludes it by its limit, and the request is held or refused with `cold-limit`. Each further round means that another request has used a share, so rounds end with the window's share.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -144,8 +144,6 @@
                     if is_cold && self.hold_for_share().await {
                         continue;
                     }
-                    // Of a lost share, the endpoints that are left say more.
-                    let last = last.filter(|last| *last != RefusalReason::ColdLimit);
                     return self.give_up(fallback, last.unwrap_or(reason));
                 }
             };
@@ -190,8 +188,11 @@
                     (reason, retry)
                 }
             };
-            last = Some(reason);
-            self.tried.push(entry.id.clone());
+            // Nothing was sent to an endpoint whose share was lost, and its share returns.
+            if reason != RefusalReason::ColdLimit {
+                last = Some(reason);
+                self.tried.push(entry.id.clone());
+            }
             if let Err(reason) = self.take_retry(reason) {
                 return self.give_up(fallback, reason);
             }
