Book no share of a cold endpoint at a stale address

An entry at whose address another endpoint answered is left out of the choice, but not of the endpoints whose share a request is held for. The share of such an entry is hardly used, so it returned first, always at once. The request was held for 1 ms, found the entry left out, and was refused, although the share of another endpoint returned in time. The `Retry-After` of the refusal followed the same share.

Ruled out: the booking itself, which is kept for its endpoint.

Held requests and their `Retry-After` now ignore such entries.

--- a/crates/edge/src/cold_refusals.rs
+++ b/crates/edge/src/cold_refusals.rs
@@ -120,6 +120,7 @@
         let cold = accepting.filter(|entry| {
             state.is_cold(entry, now)
                 && !self.tried.contains(&entry.id)
+                && !state.health.is_misdirected(entry)
                 && self.is_version(entry)
                 && !state.evacuations.contains(&entry.domain)
                 && self.homes.allow(&entry.domain, regions)
