Hold a request for a cold share after a stale address

A request is held for the share of a cold endpoint only if no attempt has failed before. One that met an address that another endpoint has taken over, or that could not be reached, was refused instead, with the reason of that attempt, although the share returned in time. Without the stale address it would have been served.

Ruled out: the retry budget, which pays for the retry after the first misdirected attempt.

A request of which nothing has reached its endpoint is now held like one that has not been tried. After an attempt that an endpoint got, requests are refused as before.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -140,8 +140,10 @@
                     return self.give_up(fallback, RefusalReason::Quarantined);
                 }
                 Err(NotPlaced::Refused(reason)) => {
-                    let is_cold = reason == RefusalReason::ColdLimit && last.is_none();
-                    if is_cold && self.hold_for_share().await {
+                    // A stale address, or one that cannot be reached, must not cost the request its hold.
+                    let may_hold = last.is_none() || self.sent == 0;
+                    if reason == RefusalReason::ColdLimit && may_hold && self.hold_for_share().await
+                    {
                         continue;
                     }
                     return self.give_up(fallback, last.unwrap_or(reason));
