Remember odd rows of endpoints that are not listed

A row that names no endpoint was noted only for an endpoint that was listed, with the position of the first of several such rows. A router that starts reads the registry's table and gets one of another router at the same time. If the other table was older and came second, it listed an endpoint in whose place the registry already had such a row. The endpoint was then used without a time at which it lapses, also if it had left. The same happened if the older table was between two such rows of a listed endpoint.

A tombstone for each such row was ruled out: a table that has both rows would no longer hold the endpoint.

The row is now remembered for ids that are not listed, at most 4,096 of them, and a further one raises the position. An endpoint that an older table lists lapses 3.6 s after the first of these rows.

Measured by the new test, with a table at position 7 after a row at position 8: the endpoint was in use after its time to lapse before, and is gone after. Whether routers meet this order in production was not measured.

--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -25,7 +25,8 @@
 /// Time for which an endpoint is still used after another writer replaced its row by one that names no
 /// endpoint. A live endpoint writes its row again within it: the row of a silent one lapses after that time.
 const OVERWRITTEN_LAPSE_TIME: Duration = Duration::from_millis(3600);
-/// Removed rows whose positions are remembered, so that a stale read does not bring them back.
+/// Removed rows whose positions are remembered, so that a stale read does not bring them back. Also the
+/// number of ids that are not listed of which a row that names no endpoint is remembered.
 const MAX_TOMBSTONES: usize = 4096;
 /// Rise of the time for which an endpoint is cold, over what is left of the known one, from which on it
 /// is a change for the other routers. Reads come at different delays, which differ by less.
@@ -106,6 +107,8 @@
     lapse_time: Duration,
     listed: BTreeMap<EndpointId, ListedEndpoint>,
     tombstones: BTreeMap<EndpointId, Tombstone>,
+    /// Rows that name no endpoint, of ids that are not listed. Another router's older table may list one.
+    unlisted: BTreeMap<EndpointId, Overwritten>,
     position: Position,
     /// Set once a table was read.
     era_entry: Option<EraEntry>,
@@ -125,6 +128,7 @@
             lapse_time: LAPSE_TIME,
             listed: BTreeMap::new(),
             tombstones: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
             position: Position::default(),
             era_entry: None,
             leaving_starts: LeavingStarts::default(),
@@ -502,13 +506,20 @@
     /// Records a row that names no endpoint. Nothing that is known of the id changes, except that a listed
     /// endpoint lapses unless it writes its row again.
     fn note_overwritten(&mut self, id: &str, position: Position, now: Duration) {
-        if let Some(listed) = self.listed.get_mut(id) {
-            let lapses_at = now + OVERWRITTEN_LAPSE_TIME;
-            listed.overwritten.get_or_insert(Overwritten {
-                position,
-                lapses_at,
-            });
-        }
+        let by = Overwritten {
+            position,
+            lapses_at: now + OVERWRITTEN_LAPSE_TIME,
+        };
+        let known = match self.listed.get_mut(id) {
+            Some(listed) => listed.overwritten.get_or_insert(by),
+            None => {
+                while self.unlisted.len() >= MAX_TOMBSTONES && !self.unlisted.contains_key(id) {
+                    self.unlisted.pop_first();
+                }
+                self.unlisted.entry(id.to_string()).or_insert(by)
+            }
+        };
+        known.position = known.position.max(position);
     }
 
     fn insert_row(
@@ -537,7 +548,10 @@
             .filter(|known| known.position == position && known.entry.born == entry.born);
         let cold_until = same.map_or(now + entry.cold, |known| known.cold_until);
         self.tombstones.remove(&id);
-        let overwritten = self.listed.get(&id).and_then(|known| known.overwritten);
+        let overwritten = match self.listed.get(&id) {
+            Some(known) => known.overwritten,
+            None => self.unlisted.remove(&id),
+        };
         let listed = ListedEndpoint {
             entry,
             position,
--- a/crates/edge/tests/overwritten_rows.rs
+++ b/crates/edge/tests/overwritten_rows.rs
@@ -152,6 +152,26 @@
     assert_eq!(accepting(&after, LAPSED), 1);
 }
 
+/// Guards against an endpoint that an older table of another router brings into use for good, after the
+/// registry's table showed a row that names no endpoint in its place.
+#[test]
+fn an_older_table_brings_no_overwritten_endpoint_back_for_good() {
+    for (mut roster, read) in [
+        (Roster::new(), vec![odd("e1", 8)]),
+        (Roster::new(), vec![odd("e1", 6), odd("e1", 8)]),
+        (roster(), vec![odd("e1", 6), odd("e1", 8)]),
+    ] {
+        roster.replace(rows(8, read), false, NOW);
+        roster.replace(rows(7, vec![listed("e1", 7, false)]), false, NOW);
+        assert_eq!(accepting(&roster, HELD), 1);
+        assert_eq!(accepting(&roster, LAPSED), 0);
+        let gone = [RosterChange::Gone("e1".to_string())];
+        assert_eq!(roster.expire(LAPSED), gone);
+        roster.apply(rows(9, vec![listed("e1", 9, false)]), false, LAPSED);
+        assert_eq!(accepting(&roster, LAPSED), 1, "it wrote again");
+    }
+}
+
 /// Guards against feeds that routers of the version before this one cannot read, because changes that it
 /// knows are encoded in another way.
 #[test]
