--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -140,12 +140,12 @@
                     return self.give_up(fallback, RefusalReason::Quarantined);
                 }
                 Err(NotPlaced::Refused(reason)) => {
-                    let is_cold = reason == RefusalReason::ColdLimit && last.is_none();
-                    if is_cold && self.hold_for_share().await {
+                    // A stale address, or one that cannot be reached, must not cost the request its hold.
+                    let may_hold = last.is_none() || self.sent == 0;
+                    if reason == RefusalReason::ColdLimit && may_hold && self.hold_for_share().await
+                    {
                         continue;
                     }
-                    // Of a lost share, the endpoints that are left say more.
-                    let last = last.filter(|last| *last != RefusalReason::ColdLimit);
                     return self.give_up(fallback, last.unwrap_or(reason));
                 }
             };
@@ -190,8 +190,11 @@
                     (reason, retry)
                 }
             };
-            last = Some(reason);
-            self.tried.push(entry.id.clone());
+            // Nothing was sent to an endpoint whose share was lost, and its share returns.
+            if reason != RefusalReason::ColdLimit {
+                last = Some(reason);
+                self.tried.push(entry.id.clone());
+            }
             if let Err(reason) = self.take_retry(reason) {
                 return self.give_up(fallback, reason);
             }
