--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -55,7 +55,7 @@
         Deadline => "deadline",
         /// no endpoint is up
         NoEndpoint => "no-endpoint",
-        /// the retry budget of the class and customer is used up
+        /// the retry budget of the class and customer, or of the service, is used up
         RetryBudget => "retry-budget",
         /// the request, or a part of its prompt, crashed several endpoints and is held back
         Quarantined => "quarantined",
