--- a/crates/edge/src/admission/wait.rs
+++ b/crates/edge/src/admission/wait.rs
@@ -47,6 +47,7 @@
         let waiting = report.requests.saturating_sub(queue.slots);
         let turns = f64::from(waiting) / f64::from(queue.slots);
         let wait = Duration::try_from_secs_f64(turns * self.hold * queue.pace).ok()?;
-        (wait > self.left.mul_f64(TOLERANCE)).then_some(wait)
+        // The target comes from the configuration, which does not bound it, so it is not multiplied.
+        (wait.div_f64(TOLERANCE) > self.left).then_some(wait)
     }
 }
