Share prompts, candidates and load reports between the models of fleets

The models of engines and of load each had the same prompt, announcement of cached prefixes, report of load and candidate.

Change: they are in tests/fleet_parts. The model of engines has one function for the time that a router with a bad link sees, tests begin with Fleet::warm where they ran 25 s of calm, limit_model.rs has one function for shares, and counters that no test read (rejected, max_load) and their methods are gone.

Ruled out: one file for the five small pace tests, since names of test targets would change.

--- a/crates/edge/tests/engine_fleet/mod.rs
+++ b/crates/edge/tests/engine_fleet/mod.rs
@@ -5,12 +5,15 @@
 //! requests. Routers pass load reports on to four others every 250 ms.
 #![allow(dead_code)]
 
+#[path = "../fleet_parts/mod.rs"]
+mod fleet_parts;
+
+use fleet_parts::{Use, announce, candidate, load_report, prompt};
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use sequoiaridge_edge::{
-    CacheMap, Candidate, EndpointLoad, HotSubjects, Loads, Part, Placement, Prompt, StreamSampler,
-    prefixes,
+    CacheMap, Candidate, HotSubjects, Loads, Placement, StreamSampler, prefixes,
 };
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -72,6 +75,16 @@
     }
 }
 
+impl Scenario {
+    /// When the router of a stream sees what its engine does at `at`.
+    fn seen(&self, stream: &Stream, at: Duration) -> Duration {
+        let time = at.saturating_sub(stream.begun);
+        let is_bad = stream.router < self.bad_links;
+        let factor = if is_bad { self.bad_link_factor } else { 1.0 };
+        stream.begun + time.mul_f64(factor)
+    }
+}
+
 struct Stream {
     router: usize,
     run: u64,
@@ -99,15 +112,6 @@
     pub fn load(&self) -> u32 {
         self.streams.len() as u32
     }
-
-    fn report(&self, slots: u32) -> EndpointLoad {
-        EndpointLoad {
-            running: self.load().min(slots),
-            waiting: self.load().saturating_sub(slots),
-            slots,
-            pace_percent: None,
-        }
-    }
 }
 
 /// Counts of requests in a window of time.
@@ -115,8 +119,6 @@
 pub struct Counts {
     pub requests: u32,
     pub refused: u32,
-    /// Requests that engines rejected.
-    pub rejected: u32,
     pub over_bound: u32,
     /// Requests to an engine that had the subject cached.
     pub reused: u32,
@@ -124,18 +126,9 @@
     pub in_time: u32,
     pub first_events: u32,
     pub by_engine: BTreeMap<usize, u32>,
-    pub max_load: u32,
 }
 
 impl Counts {
-    pub fn over_bound_share(&self) -> f64 {
-        f64::from(self.over_bound) / f64::from(self.requests.max(1))
-    }
-
-    pub fn reused_share(&self) -> f64 {
-        f64::from(self.reused) / f64::from(self.requests.max(1))
-    }
-
     pub fn in_time_share(&self) -> f64 {
         f64::from(self.in_time) / f64::from(self.first_events.max(1))
     }
@@ -159,7 +152,7 @@
     cache: CacheMap,
     /// Subjects that an engine has cached in truth.
     held: Vec<BTreeMap<u64, Duration>>,
-    unannounced: Vec<(Duration, u64, usize)>,
+    unannounced: Vec<Use>,
     repeated: Vec<Message>,
     next_run: u64,
     pub factor: f64,
@@ -174,20 +167,6 @@
     pub changes: usize,
 }
 
-fn prompt(subject: u64) -> Prompt {
-    let part = |id, tokens| Part { id, tokens };
-    Prompt {
-        model: "m".to_string(),
-        input: 11_300,
-        output: 100,
-        parts: vec![
-            part(1, 512),
-            part(1000 + subject, 10_000),
-            part(u64::MAX, 800),
-        ],
-    }
-}
-
 impl Fleet {
     pub fn new(scenario: Scenario, seed: u64) -> Fleet {
         let (routers, engines) = (scenario.routers, scenario.engines);
@@ -223,6 +202,13 @@
         }
     }
 
+    /// A fleet after 25 s of calm, in which its routers have learned the usual speed.
+    pub fn warm(scenario: Scenario, seed: u64) -> Fleet {
+        let mut fleet = Fleet::new(scenario, seed);
+        fleet.run(ms(25_000));
+        fleet
+    }
+
     /// Runs for a time, and returns what happened in it.
     pub fn run(&mut self, time: Duration) -> Counts {
         self.counts = Counts::default();
@@ -289,15 +275,14 @@
         for index in 0..self.engines.len() {
             self.run_engine(index);
         }
-        self.announce();
+        let uses = &mut self.unannounced;
+        announce(uses, &self.ids, &mut self.cache, self.now);
         self.gossip();
         let arrivals = self.scenario.per_second * self.factor * STEP.as_secs_f64();
         let count = arrivals as u32 + u32::from(self.rng.random_bool(arrivals.fract()));
         for _ in 0..count {
             self.request();
         }
-        let max = self.engines.iter().map(Engine::load).max();
-        self.counts.max_load = self.counts.max_load.max(max.unwrap_or(0));
     }
 
     fn run_engine(&mut self, index: usize) {
@@ -318,39 +303,23 @@
                 stream.is_running = true;
             }
             let running = engine.streams.iter().filter(|s| s.is_running).count();
-            let reading = engine
-                .streams
-                .iter()
-                .any(|s| s.is_running && s.unread > 0.0);
             if running == 0 {
                 engine.budget = engine.budget.min(0.0);
                 break;
             }
-            let mut cost = 2.8 + 0.0145 * running as f64;
-            if reading {
-                let first = engine
-                    .streams
-                    .iter()
-                    .find(|s| s.is_running && s.unread > 0.0);
-                let chunk = first.map_or(0.0, |s| s.unread.min(CHUNK_TOKENS));
-                cost += chunk / TOKENS_PER_MS;
-            }
-            cost *= engine.slowness;
+            let mut streams = engine.streams.iter();
+            let read = streams.find(|s| s.is_running && s.unread > 0.0);
+            let chunk = read.map_or(0.0, |s| s.unread.min(CHUNK_TOKENS));
+            let cost = (2.8 + 0.0145 * running as f64 + chunk / TOKENS_PER_MS) * engine.slowness;
             if engine.budget < cost {
                 break;
             }
             engine.budget -= cost;
             let at = now.saturating_sub(Duration::from_secs_f64(engine.budget / 1000.0));
-            let report = engine.report(slots);
+            let report = load_report(engine.load(), slots);
             let mut has_read = false;
             for stream in engine.streams.iter_mut().filter(|s| s.is_running) {
-                let bad = stream.router < self.scenario.bad_links;
-                let factor = if bad {
-                    self.scenario.bad_link_factor
-                } else {
-                    1.0
-                };
-                let seen = stream.begun + at.saturating_sub(stream.begun).mul_f64(factor);
+                let seen = self.scenario.seen(stream, at);
                 if !stream.head_sent {
                     stream.head_sent = true;
                     loads[stream.router].record_report(&id, report, at);
@@ -388,13 +357,7 @@
         }
         for stream in engine.streams.iter_mut().filter(|s| s.events > 0) {
             let paces = loads[stream.router].paces_mut();
-            let bad = stream.router < self.scenario.bad_links;
-            let factor = if bad {
-                self.scenario.bad_link_factor
-            } else {
-                1.0
-            };
-            let seen = stream.begun + now.saturating_sub(stream.begun).mul_f64(factor);
+            let seen = self.scenario.seen(stream, now);
             let Some(usual) = paces.usual_pause(SERVICE, now) else {
                 continue;
             };
@@ -405,20 +368,6 @@
         }
     }
 
-    fn announce(&mut self) {
-        let heard = self.now.saturating_sub(ms(2000));
-        let (cache, ids, now) = (&mut self.cache, &self.ids, self.now);
-        self.unannounced.retain(|(at, subject, engine)| {
-            if *at > heard {
-                return true;
-            }
-            for prefix in prefixes(&prompt(*subject)).iter().filter(|p| p.shared) {
-                cache.record_remote(prefix.key, &ids[*engine], now);
-            }
-            false
-        });
-    }
-
     fn gossip(&mut self) {
         let now = self.now;
         let due: Vec<Message> = self
@@ -461,12 +410,11 @@
         } else {
             1 + (draw.powf(1.4) * (SUBJECTS - 1) as f64) as u64
         };
-        let available = |engine: &Engine| engine.available;
         let prompt = prompt(subject);
         let keys = prefixes(&prompt);
         let cached = self.cache.cached(&keys, now);
         let usable: Vec<usize> = (0..self.engines.len())
-            .filter(|index| available(&self.engines[*index]))
+            .filter(|index| self.engines[*index].available)
             .collect();
         let ids = usable.iter().map(|index| self.ids[*index].as_str());
         let paces = self.loads[router].paces_mut();
@@ -474,19 +422,11 @@
         let own = &self.loads[router];
         let candidates: Vec<Candidate<'_>> = usable
             .iter()
-            .map(|index| Candidate {
-                id: &self.ids[*index],
-                slots: self.scenario.slots,
-                requests: own.outstanding(&self.ids[*index], now).requests,
-                unread: 0,
-                cached: cached.get(self.ids[*index].as_str()).copied().unwrap_or(0),
-                eligible: true,
-                leaving: false,
-                same_domain: false,
-                avoid: false,
-                resting: false,
-                excluded: false,
-                pace: own.paces().pace(SERVICE, &self.ids[*index], now),
+            .map(|index| self.ids[*index].as_str())
+            .map(|id| Candidate {
+                cached: cached.get(id).copied().unwrap_or(0),
+                pace: own.paces().pace(SERVICE, id, now),
+                ..candidate(id, self.scenario.slots, own.outstanding(id, now).requests)
             })
             .collect();
         let subject_key = prompt.subject();
@@ -509,7 +449,6 @@
         self.counts.over_bound += u32::from(f64::from(self.engines[index].load()) > bound);
         *self.counts.by_engine.entry(index).or_default() += 1;
         if self.engines[index].load() >= self.scenario.slots + MAX_WAITING {
-            self.counts.rejected += 1;
             return;
         }
         let ttl = Duration::from_secs(40);
--- a/crates/edge/tests/limit_model.rs
+++ b/crates/edge/tests/limit_model.rs
@@ -13,8 +13,7 @@
 /// requests leave early.
 fn calm_after_return(scenario: &Scenario, seed: u64) -> Vec<Counts> {
     let half = 0..scenario.engines / 2;
-    let mut fleet = Fleet::new(scenario.clone(), seed);
-    fleet.run(ms(25_000));
+    let mut fleet = Fleet::warm(scenario.clone(), seed);
     fleet.factor = 1.8;
     fleet.remove(half.clone());
     fleet.run(ms(6000));
@@ -24,23 +23,20 @@
     (0..15).map(|_| fleet.run(ms(1000))).collect()
 }
 
-/// The largest share of requests beyond the bound in five consecutive seconds.
-fn worst_share(seconds: &[Counts]) -> f64 {
-    let shares = seconds.windows(5).map(|window| {
-        let over: u32 = window.iter().map(|counts| counts.over_bound).sum();
-        let requests: u32 = window.iter().map(|counts| counts.requests).sum();
-        f64::from(over) / f64::from(requests)
-    });
-    shares.fold(0.0, f64::max)
+/// The share of requests in these seconds that `part` counts.
+fn share(seconds: &[Counts], part: fn(&Counts) -> u32) -> f64 {
+    let counted: u32 = seconds.iter().map(part).sum();
+    let requests: u32 = seconds.iter().map(|counts| counts.requests).sum();
+    f64::from(counted) / f64::from(requests)
 }
 
 fn check(scenario: &Scenario) {
     for seed in 0..2 {
         let seconds = calm_after_return(scenario, seed);
-        let worst = worst_share(&seconds);
-        let reused: u32 = seconds[3..].iter().map(|counts| counts.reused).sum();
-        let requests: u32 = seconds[3..].iter().map(|counts| counts.requests).sum();
-        let reused = f64::from(reused) / f64::from(requests);
+        let windows = seconds.windows(5);
+        let shares = windows.map(|window| share(window, |counts| counts.over_bound));
+        let worst = shares.fold(0.0, f64::max);
+        let reused = share(&seconds[3..], |counts| counts.reused);
         println!("seed {seed}: worst {worst:.4}, reused {reused:.3}");
         assert!(worst < ALLOWED, "seed {seed}: {worst:.4}");
         assert!(reused > 0.85, "seed {seed}: {reused:.3}");
--- a/crates/edge/tests/load_model.rs
+++ b/crates/edge/tests/load_model.rs
@@ -4,12 +4,14 @@
 //! so that a router sends an endpoint one request every 40 s. One subject gets a fifth of the
 //! traffic, and a fifth of the endpoints joins with an empty cache.
 
+mod fleet_parts;
+
+use fleet_parts::{Use, announce, candidate, load_report, prompt};
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use sequoiaridge_edge::{
-    CacheMap, Candidate, EndpointLoad, HotSubjects, Loads, Part, PeerRouter, Placement, Prompt,
-    Subject, Work, prefixes,
+    CacheMap, Candidate, HotSubjects, Loads, PeerRouter, Placement, Subject, Work, prefixes,
 };
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
@@ -67,28 +69,13 @@
     loads: Vec<Loads>,
     hot_subjects: Vec<HotSubjects>,
     cache: CacheMap,
-    /// Uses of subjects that other routers do not know yet: time, subject and endpoint.
-    unannounced: Vec<(Duration, u64, usize)>,
+    unannounced: Vec<Use>,
     load: Vec<u32>,
     available: usize,
     events: Events,
     outcome: Outcome,
 }
 
-fn prompt(subject: u64) -> Prompt {
-    let part = |id, tokens| Part { id, tokens };
-    Prompt {
-        model: "m".to_string(),
-        input: 11_300,
-        output: 100,
-        parts: vec![
-            part(1, 512),
-            part(1000 + subject, 10_000),
-            part(u64::MAX, 800),
-        ],
-    }
-}
-
 impl Model {
     fn new(source: LoadSource, seed: u64) -> Model {
         let mut loads = vec![Loads::new(); ROUTERS];
@@ -145,27 +132,12 @@
                 self.load[endpoint] -= 1;
                 self.loads[router].end(id, 0);
             } else {
-                let load = EndpointLoad {
-                    running: self.load[endpoint].min(SLOTS),
-                    waiting: self.load[endpoint].saturating_sub(SLOTS),
-                    slots: SLOTS,
-                    pace_percent: None,
-                };
+                let load = load_report(self.load[endpoint], SLOTS);
                 self.loads[router].record_report(id, load, now);
             }
         }
-        let heard = now.saturating_sub(Duration::from_secs(2));
-        let cache = &mut self.cache;
-        let endpoint_ids = &self.endpoint_ids;
-        self.unannounced.retain(|(at, subject, endpoint)| {
-            if *at > heard {
-                return true;
-            }
-            for prefix in prefixes(&prompt(*subject)).iter().filter(|p| p.shared) {
-                cache.record_remote(prefix.key, &endpoint_ids[*endpoint], now);
-            }
-            false
-        });
+        let uses = &mut self.unannounced;
+        announce(uses, &self.endpoint_ids, &mut self.cache, now);
     }
 
     fn exchange(&mut self, now: Duration) {
@@ -215,25 +187,11 @@
         let prompt = prompt(subject);
         let prefixes = prefixes(&prompt);
         let cached = self.cache.cached(&prefixes, now);
-        let candidates: Vec<Candidate<'_>> = (0..self.available)
-            .map(|index| Candidate {
-                id: &self.endpoint_ids[index],
-                slots: SLOTS,
-                requests: self.loads[router]
-                    .outstanding(&self.endpoint_ids[index], now)
-                    .requests,
-                unread: 0,
-                cached: cached
-                    .get(self.endpoint_ids[index].as_str())
-                    .copied()
-                    .unwrap_or(0),
-                eligible: true,
-                leaving: false,
-                same_domain: false,
-                avoid: false,
-                resting: false,
-                excluded: false,
-                pace: 1.0,
+        let ids = self.endpoint_ids[..self.available].iter();
+        let candidates: Vec<Candidate<'_>> = ids
+            .map(|id| Candidate {
+                cached: cached.get(id.as_str()).copied().unwrap_or(0),
+                ..candidate(id, SLOTS, self.loads[router].outstanding(id, now).requests)
             })
             .collect();
         let mut placement = Placement::with_bound(2.0);
--- a/crates/edge/tests/pace_bad_link.rs
+++ b/crates/edge/tests/pace_bad_link.rs
@@ -9,8 +9,7 @@
 #[test]
 fn a_router_with_a_bad_link_does_not_convince_the_fleet() {
     for seed in 0..2 {
-        let mut fleet = Fleet::new(Scenario::default(), seed);
-        fleet.run(ms(25_000));
+        let mut fleet = Fleet::warm(Scenario::default(), seed);
         fleet.scenario.bad_links = 1;
         fleet.scenario.bad_link_factor = 5.0;
         let turning = fleet.mean_effective(ms(3000));
--- a/crates/edge/tests/pace_even.rs
+++ b/crates/edge/tests/pace_even.rs
@@ -23,8 +23,7 @@
 #[test]
 fn no_endpoint_of_an_even_fleet_counts_as_slow() {
     for seed in 0..2 {
-        let mut fleet = Fleet::new(Scenario::default(), seed);
-        fleet.run(ms(25_000));
+        let mut fleet = Fleet::warm(Scenario::default(), seed);
         check(&mut fleet, "calm");
         fleet.extra_tokens = 1500.0;
         check(&mut fleet, "longer prompts");
--- a/crates/edge/tests/pace_messages.rs
+++ b/crates/edge/tests/pace_messages.rs
@@ -15,8 +15,7 @@
         ..Scenario::default()
     };
     for seed in 0..2 {
-        let mut fleet = Fleet::new(scenario.clone(), seed);
-        fleet.run(ms(25_000));
+        let mut fleet = Fleet::warm(scenario.clone(), seed);
         let noise = fleet.mean_effective(ms(3000));
         fleet.slow(0..24, 5.0);
         fleet.run(ms(1500));
--- a/crates/edge/tests/pace_recovery.rs
+++ b/crates/edge/tests/pace_recovery.rs
@@ -8,8 +8,7 @@
 #[test]
 fn recovered_engines_are_used_again_within_three_seconds() {
     for seed in 0..3 {
-        let mut fleet = Fleet::new(Scenario::default(), seed);
-        fleet.run(ms(25_000));
+        let mut fleet = Fleet::warm(Scenario::default(), seed);
         fleet.slow(0..24, 5.0);
         fleet.run(ms(9000));
         fleet.slow(0..24, 1.0);
--- a/crates/edge/tests/pace_slow.rs
+++ b/crates/edge/tests/pace_slow.rs
@@ -9,8 +9,7 @@
 #[test]
 fn load_moves_away_from_slow_engines_within_a_second() {
     for seed in 0..3 {
-        let mut fleet = Fleet::new(Scenario::default(), seed);
-        fleet.run(ms(25_000));
+        let mut fleet = Fleet::warm(Scenario::default(), seed);
         fleet.factor = 1.8;
         fleet.slow(0..24, 5.0);
         fleet.run(ms(1000));
@@ -31,8 +30,7 @@
 /// Guards against fast engines that pass for unusually fast when most are slow, while none counts as slow.
 #[test]
 fn the_few_fast_engines_are_what_is_usual() {
-    let mut fleet = Fleet::new(Scenario::default(), 0);
-    fleet.run(ms(25_000));
+    let mut fleet = Fleet::warm(Scenario::default(), 0);
     fleet.slow(0..24, 5.0);
     fleet.run(ms(2000));
     fleet.slow(24..42, 8.0);
