Define the surge tests of admission as tables of setups

Change: surge_tests! in admission_fleet takes a name and a setup on each line. Request, endpoint and view are in the model. Its events are in one map by time and order, an answer and a message to peers are built in one place, and the figures are added up from the calls themselves. Candidates and load reports come from fleet_parts.

--- a/crates/edge/tests/admission_calm.rs
+++ b/crates/edge/tests/admission_calm.rs
@@ -4,33 +4,14 @@
 
 mod admission_fleet;
 
-use admission_fleet::{model, plain, play};
-use sequoiaridge_edge::{Admission, Admitted, Arrival, DemandReport, EndpointRoom, ServiceRoom};
+use admission_fleet::{endpoint, model, plain, play, room};
+use sequoiaridge_edge::{Admission, Admitted, Arrival, DemandReport};
 use std::time::Duration;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
 fn arrival(attempt: &str) -> Arrival<'_> {
-    Arrival {
-        attempt,
-        service: "s",
-        route: "r",
-        customer: Some("c"),
-        rank: 0,
-        target: MS(200),
-        deadline: Some(MS(2000)),
-        limit: MS(2000),
-        resumed: false,
-    }
-}
-
-fn view(endpoints: Vec<EndpointRoom>) -> ServiceRoom<'static> {
-    ServiceRoom {
-        service: "s",
-        endpoints,
-        routers: 1,
-        target: MS(200),
-    }
+    admission_fleet::arrival(attempt, MS(200), MS(2000))
 }
 
 /// 1,000 requests a second for 3 s at an endpoint of six slots that holds `requests`; the number refused,
@@ -40,15 +21,11 @@
     requests: u32,
     changed: impl Fn(&mut Arrival<'_>),
 ) -> (u32, Option<Admitted>) {
-    let endpoint = EndpointRoom {
-        slots: 6,
-        requests,
-        pace: 1.0,
-    };
+    let room = room(vec![endpoint(6, requests)], MS(200));
     let (mut refused, mut last) = (0, None);
     for ms in 0..3000 {
         if ms % 100 == 0 {
-            admission.refresh(&view(vec![endpoint]), MS(ms));
+            admission.refresh(&room, MS(ms));
         }
         let attempt = format!("a-{ms}");
         let mut arrival = arrival(&attempt);
@@ -66,12 +43,8 @@
     for routers in [1, 7, 31, 84, 300] {
         for setup in [plain(routers, 1.0), model(routers, 1.0)] {
             let figures = play(setup);
-            assert_eq!(
-                figures.refusals(),
-                0,
-                "{routers} routers: {}",
-                figures.summary()
-            );
+            let summary = figures.summary();
+            assert_eq!(figures.refusals(), 0, "{routers} routers: {summary}");
         }
     }
 }
@@ -110,7 +83,7 @@
     let mut admission = Admission::new(true);
     for ms in 0..2000 {
         if ms % 100 == 0 {
-            admission.refresh(&view(Vec::new()), MS(ms));
+            admission.refresh(&room(Vec::new(), MS(200)), MS(ms));
         }
         let attempt = format!("a-{ms}");
         assert_eq!(admission.decide(&arrival(&attempt), MS(ms)), Admitted::Yes);
@@ -141,12 +114,7 @@
     report.others = (f32::NAN, u16::MAX);
     let reports: Vec<DemandReport> = vec![report];
     admission.merge(&"other".to_string(), reports, MS(3000));
-    let endpoint = EndpointRoom {
-        slots: 6,
-        requests: 20,
-        pace: 1.0,
-    };
-    admission.refresh(&view(vec![endpoint]), MS(3000));
+    admission.refresh(&room(vec![endpoint(6, 20)], MS(200)), MS(3000));
     let after = admission.figures("s").expect("figures").demand;
     assert!(
         after.is_finite() && after <= before * 1.1,
--- a/crates/edge/tests/admission_customers.rs
+++ b/crates/edge/tests/admission_customers.rs
@@ -4,7 +4,7 @@
 
 mod admission_fleet;
 
-use admission_fleet::{STEADY, Setup, check_surge, model, plain, play};
+use admission_fleet::{STEADY, Setup, model, plain, surge_tests};
 
 /// The largest customer surges within a surge of all.
 fn one(setup: Setup) -> Setup {
@@ -23,27 +23,18 @@
     }
 }
 
-macro_rules! customers {
-    ($($test:ident: $kind:ident, $service:ident, $routers:expr, $surge:expr;)*) => {
-        $(#[test]
-        fn $test() {
-            check_surge(stringify!($test), &play($kind($service($routers, $surge))));
-        })*
-    };
-}
-
-customers! {
-    one_at_plain_7: one, plain, 7, 4.0;
-    one_at_plain_31: one, plain, 31, 4.0;
-    one_at_plain_84: one, plain, 84, 4.0;
-    one_at_plain_300: one, plain, 300, 4.0;
-    one_at_model_31: one, model, 31, 4.0;
-    one_at_model_84: one, model, 84, 4.0;
-    one_at_model_300: one, model, 300, 4.0;
-    many_at_plain_7: many, plain, 7, 1.0;
-    many_at_plain_31: many, plain, 31, 1.0;
-    many_at_plain_84: many, plain, 84, 1.0;
-    many_at_plain_300: many, plain, 300, 1.0;
-    many_at_model_84: many, model, 84, 1.0;
-    many_at_model_300: many, model, 300, 1.0;
+surge_tests! {
+    one_at_plain_7: one(plain(7, 4.0));
+    one_at_plain_31: one(plain(31, 4.0));
+    one_at_plain_84: one(plain(84, 4.0));
+    one_at_plain_300: one(plain(300, 4.0));
+    one_at_model_31: one(model(31, 4.0));
+    one_at_model_84: one(model(84, 4.0));
+    one_at_model_300: one(model(300, 4.0));
+    many_at_plain_7: many(plain(7, 1.0));
+    many_at_plain_31: many(plain(31, 1.0));
+    many_at_plain_84: many(plain(84, 1.0));
+    many_at_plain_300: many(plain(300, 1.0));
+    many_at_model_84: many(model(84, 1.0));
+    many_at_model_300: many(model(300, 1.0));
 }
--- a/crates/edge/tests/admission_fleet/figures.rs
+++ b/crates/edge/tests/admission_fleet/figures.rs
@@ -1,6 +1,6 @@
 //! What a play measures, and the bounds of docs/design/contention.md, section 4.
 
-use super::{CUSTOMERS, START, STEADY, Setup};
+use super::{CUSTOMERS, Call, START, STEADY, Setup};
 use std::time::Duration;
 
 const SPAN: Duration = Duration::from_secs(2);
@@ -31,6 +31,16 @@
     }
 }
 
+/// A call that a server ran.
+#[derive(Debug)]
+pub struct Run {
+    pub(super) call: Call,
+    /// When its last attempt began.
+    pub attempt: Duration,
+    pub answered: Duration,
+    pub target: Duration,
+}
+
 #[derive(Debug, Default)]
 pub struct Figures {
     /// Requests served within their target in each 2 s, by the time at which
@@ -53,66 +63,40 @@
     /// Calm figures of each customer.
     pub calm_customers: Vec<Counts>,
     surge_end: Duration,
-    raw: Vec<(Duration, usize, usize)>,
-    runs: Vec<(Duration, Duration, Duration, Duration, usize, usize)>,
-    refusals: Vec<Duration>,
-    offers: Vec<(Duration, bool)>,
+    pub(super) runs: Vec<Run>,
+    pub(super) refusals: Vec<Duration>,
+    /// Arrivals at servers, and whether they were accepted.
+    pub(super) offers: Vec<(Duration, bool)>,
 }
 
 impl Figures {
-    pub fn call(&mut self, at: Duration, customer: usize, rank: usize) {
-        self.raw.push((at, customer, rank));
-    }
-
-    pub fn refused(&mut self, at: Duration, _customer: usize) {
-        self.refusals.push(at);
-    }
-
-    pub fn at_server(&mut self, at: Duration, accepted: bool) {
-        self.offers.push((at, accepted));
-    }
-
-    pub fn run(
-        &mut self,
-        call: Duration,
-        attempt: Duration,
-        answered: Duration,
-        target: Duration,
-        customer: usize,
-        rank: usize,
-    ) {
-        self.runs
-            .push((call, attempt, answered, target, customer, rank));
-    }
-
     /// Adds up what was recorded.
-    pub fn finish(&mut self, setup: &Setup) {
+    pub(super) fn finish(&mut self, setup: &Setup, calls: &[Call]) {
         self.surge_end = START + Duration::from_secs(setup.surge_seconds);
         let surge = START..self.surge_end;
         let calm = Duration::from_secs(1)..START;
         self.ranks = vec![Counts::default(); setup.ranks.len()];
         self.customers = vec![Counts::default(); CUSTOMERS];
         self.calm_customers = vec![Counts::default(); CUSTOMERS];
-        for (at, customer, rank) in &self.raw {
-            if surge.contains(at) {
+        for call in calls {
+            if surge.contains(&call.at) {
                 self.all.calls += 1.0;
-                self.ranks[*rank].calls += 1.0;
-                self.customers[*customer].calls += 1.0;
-            } else if calm.contains(at) {
-                self.calm_customers[*customer].calls += 1.0;
+                self.ranks[call.rank].calls += 1.0;
+                self.customers[call.customer].calls += 1.0;
+            } else if calm.contains(&call.at) {
+                self.calm_customers[call.customer].calls += 1.0;
             }
         }
+        let first_event = Duration::from_secs_f64(setup.first_event);
         self.goodput = vec![0.0; (self.surge_end.as_secs() / 2 + 3) as usize];
-        for (call, attempt, answered, target, customer, rank) in &self.runs {
-            let in_time = *answered <= *call + *target;
-            let counts = if surge.contains(call) {
-                vec![
-                    &mut self.all,
-                    &mut self.ranks[*rank],
-                    &mut self.customers[*customer],
-                ]
-            } else if calm.contains(call) {
-                vec![&mut self.calm_customers[*customer]]
+        for run in &self.runs {
+            let in_time = run.answered <= run.call.at + run.target;
+            let customer = run.call.customer;
+            let counts = if surge.contains(&run.call.at) {
+                let rank = &mut self.ranks[run.call.rank];
+                vec![&mut self.all, rank, &mut self.customers[customer]]
+            } else if calm.contains(&run.call.at) {
+                vec![&mut self.calm_customers[customer]]
             } else {
                 Vec::new()
             };
@@ -120,12 +104,13 @@
                 counts.served += 1.0;
                 counts.in_time += f64::from(u8::from(in_time));
             }
-            if surge.contains(answered) {
+            if surge.contains(&run.answered) {
                 self.run += 1.0;
-                self.run_in_time += f64::from(u8::from(*answered <= *attempt + *target));
+                let in_time_of_attempt = run.answered <= run.attempt + run.target;
+                self.run_in_time += f64::from(u8::from(in_time_of_attempt));
                 self.run_in_time_of_call += f64::from(u8::from(in_time));
             }
-            let served = answered.saturating_sub(Duration::from_secs_f64(setup.first_event));
+            let served = run.answered.saturating_sub(first_event);
             let bin = (served.as_millis() + 1000) / SPAN.as_millis();
             if let (true, Some(goodput)) = (in_time, self.goodput.get_mut(bin as usize)) {
                 *goodput += 1.0;
@@ -244,23 +229,16 @@
         check(served && in_time, "urgent ranks are no worse");
     }
     for customer in STEADY {
-        let (calm, now) = (
-            figures.calm_customers[customer],
-            figures.customers[customer],
-        );
-        check(
-            now.in_time_share() >= 0.95 * calm.in_time_share(),
-            "each steady customer within one in twenty",
-        );
+        let calm = figures.calm_customers[customer].in_time_share();
+        let kept = figures.customers[customer].in_time_share() >= 0.95 * calm;
+        check(kept, "each steady customer within one in twenty");
     }
     for counts in figures.ranks.iter().chain(&figures.customers) {
         let fair = counts.served_share() >= figures.all.served_share() / 4.0;
         check(fair, "none below a quarter of the average");
     }
-    let (before, after) = (
-        figures.goodput[2],
-        figures.goodput[figures.goodput.len() - 2],
-    );
+    let goodput = &figures.goodput;
+    let (before, after) = (goodput[2], goodput[goodput.len() - 2]);
     check(after >= 0.9 * before, "back to normal in the 2 s after");
     assert!(broken.is_empty(), "{name}: {broken:?}\n{summary}");
 }
--- a/crates/edge/tests/admission_fleet/mod.rs
+++ b/crates/edge/tests/admission_fleet/mod.rs
@@ -5,25 +5,27 @@
 //! every 250 ms. Plain services are placed by the router's own `Placement::for_service`; all servers
 //! are in other domains than the routers, which leaves nothing but the expected wait to tell them apart.
 
-#![allow(dead_code, unused_imports)]
+#![allow(dead_code, unused_imports, unused_macros)]
 
 mod figures;
+#[path = "../fleet_parts/mod.rs"]
+mod fleet_parts;
 mod server;
 
 pub use figures::{Figures, check_surge};
 
+use figures::Run;
+use fleet_parts::{candidate, load_report};
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use sequoiaridge_core::hash_parts;
 use sequoiaridge_edge::{
-    Admission, Admitted, Arrival, Candidate, DemandReport, EndpointLoad, EndpointQueue,
-    EndpointRoom, Loads, PeerRouter, Placement, ReportEntry, RoomRefusal, ServiceRoom, WaitLimit,
-    Work,
+    Admission, Admitted, Arrival, Candidate, DemandReport, EndpointQueue, EndpointRoom, Loads,
+    PeerRouter, Placement, ReportEntry, RoomRefusal, ServiceRoom, WaitLimit, Work,
 };
 use server::{Job, Server};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 pub const CUSTOMERS: usize = 40;
@@ -76,6 +78,52 @@
     pub seed: u64,
 }
 
+/// Defines tests that play a setup and check the bounds on a surge, one a line.
+macro_rules! surge_tests {
+    ($($test:ident: $setup:expr;)*) => {
+        $(#[test]
+        fn $test() {
+            let figures = $crate::admission_fleet::play($setup);
+            $crate::admission_fleet::check_surge(stringify!($test), &figures);
+        })*
+    };
+}
+pub(crate) use surge_tests;
+
+/// A new request of the most urgent rank, whose caller waits until the longest deadline of the route.
+pub fn arrival(attempt: &str, target: Duration, limit: Duration) -> Arrival<'_> {
+    Arrival {
+        attempt,
+        service: "s",
+        route: "r",
+        customer: Some("c"),
+        rank: 0,
+        target,
+        deadline: Some(limit),
+        limit,
+        resumed: false,
+    }
+}
+
+/// What the only router of a service knows of its endpoints.
+pub fn room(endpoints: Vec<EndpointRoom>, target: Duration) -> ServiceRoom<'static> {
+    ServiceRoom {
+        service: "s",
+        endpoints,
+        routers: 1,
+        target,
+    }
+}
+
+/// An endpoint at the usual pace.
+pub fn endpoint(slots: u32, requests: u32) -> EndpointRoom {
+    EndpointRoom {
+        slots,
+        requests,
+        pace: 1.0,
+    }
+}
+
 /// Three servers of orders.
 pub fn plain(routers: usize, surge: f64) -> Setup {
     Setup {
@@ -142,15 +190,18 @@
     },
     Refresh(usize),
     Exchange(usize),
-    Peer {
-        from: usize,
-        to: usize,
-        reports: Vec<DemandReport>,
-        loads: PeerLoads,
-    },
+    Peer(usize, PeerUpdate),
     Restart,
 }
 
+/// A message of one router to others.
+#[derive(Clone, Debug)]
+struct PeerUpdate {
+    from: String,
+    reports: Vec<DemandReport>,
+    loads: PeerLoads,
+}
+
 /// What a message says of the servers' loads.
 #[derive(Clone, Debug)]
 enum PeerLoads {
@@ -171,8 +222,8 @@
     setup: Setup,
     rng: StdRng,
     now: Duration,
-    queue: BinaryHeap<Reverse<(Duration, u64)>>,
-    events: std::collections::BTreeMap<u64, Event>,
+    /// Events by time, and by the order in which they were scheduled.
+    events: BTreeMap<(Duration, u64), Event>,
     next_event: u64,
     routers: Vec<Router>,
     servers: Vec<Server>,
@@ -185,15 +236,14 @@
 pub fn play(setup: Setup) -> Figures {
     let end = START + Duration::from_secs(setup.surge_seconds + 6);
     let mut fleet = Fleet::new(setup);
-    while let Some(Reverse((at, id))) = fleet.queue.pop() {
+    while let Some(((at, _), event)) = fleet.events.pop_first() {
         if at > end {
             break;
         }
         fleet.now = at;
-        let event = fleet.events.remove(&id).expect("each event is queued once");
         fleet.handle(event);
     }
-    fleet.figures.finish(&fleet.setup);
+    fleet.figures.finish(&fleet.setup, &fleet.calls);
     fleet.figures
 }
 
@@ -211,8 +261,7 @@
         let mut fleet = Fleet {
             rng,
             now: Duration::ZERO,
-            queue: BinaryHeap::new(),
-            events: Default::default(),
+            events: BTreeMap::new(),
             next_event: 0,
             routers,
             servers: (0..setup.servers)
@@ -234,9 +283,8 @@
     }
 
     fn schedule(&mut self, delay: Duration, event: Event) {
-        self.queue
-            .push(Reverse((self.now + delay, self.next_event)));
-        self.events.insert(self.next_event, event);
+        let key = (self.now + delay, self.next_event);
+        self.events.insert(key, event);
         self.next_event += 1;
     }
 
@@ -269,21 +317,15 @@
             } => self.answer(server, job, requests, run),
             Event::Refresh(router) => self.refresh(router),
             Event::Exchange(router) => self.exchange(router),
-            Event::Peer {
-                from,
-                to,
-                reports,
-                loads,
-            } => {
+            Event::Peer(to, update) => {
                 let now = self.now;
                 let router = &mut self.routers[to];
-                let id = format!("r{from}");
-                router.admission.merge(&id, reports, now);
-                match loads {
+                router.admission.merge(&update.from, update.reports, now);
+                match update.loads {
                     PeerLoads::Reports(entries) => router.loads.merge_reports(&entries, now),
                     PeerLoads::Counts(work) => {
                         let peer = PeerRouter {
-                            id: &id,
+                            id: &update.from,
                             domain: &String::new(),
                             link_mbps: 100,
                         };
@@ -325,7 +367,6 @@
             deadline,
             attempts: 0,
         });
-        self.figures.call(self.now, customer, rank);
         self.attempt(self.calls.len() - 1);
         self.schedule(Duration::from_secs_f64(pause), Event::NextCall);
     }
@@ -380,7 +421,7 @@
         }
         let waits = refusal.as_ref().is_some_and(|no| no.wait.is_some());
         self.figures.wait_refusals += u32::from(waits);
-        self.figures.refused(self.now, call.customer);
+        self.figures.refusals.push(self.now);
         let impatient = self.is_impatient(call.customer);
         if impatient && call.attempts < 9 {
             self.schedule(Duration::from_millis(10), Event::Attempt(id));
@@ -436,20 +477,8 @@
         let loads = &self.routers[job.router].loads;
         let ids = self.server_ids.iter().enumerate();
         let ids = ids.filter(|(server, _)| Some(*server) != except);
-        let candidates = ids.map(|(_, id)| Candidate {
-            id,
-            slots: self.setup.slots,
-            requests: loads.outstanding(id, self.now).requests,
-            unread: 0,
-            cached: 0,
-            eligible: true,
-            leaving: false,
-            same_domain: false,
-            avoid: false,
-            resting: false,
-            excluded: false,
-            pace: 1.0,
-        });
+        let requests = |id: &String| loads.outstanding(id, self.now).requests;
+        let candidates = ids.map(|(_, id)| candidate(id, self.setup.slots, requests(id)));
         let candidates: Vec<Candidate<'_>> = candidates.collect();
         let attempt = self.attempt_id(job.call);
         let request_hash = hash_parts(&[attempt.as_bytes()]);
@@ -467,23 +496,25 @@
 
     fn at_server(&mut self, server: usize, job: Job) {
         let accepted = self.servers[server].offer(job);
-        self.figures.at_server(self.now, accepted);
+        self.figures.offers.push((self.now, accepted));
         if accepted {
             self.start_next(server);
         } else {
-            let requests = self.servers[server].requests();
-            self.schedule(
-                HOP,
-                Event::Answer {
-                    server,
-                    job,
-                    requests,
-                    run: false,
-                },
-            );
+            self.send_answer(server, job, false);
         }
     }
 
+    /// Tells the router of a job whether it was run, and how much the server has to do now.
+    fn send_answer(&mut self, server: usize, job: Job, run: bool) {
+        let answer = Event::Answer {
+            server,
+            job,
+            requests: self.servers[server].requests(),
+            run,
+        };
+        self.schedule(HOP, answer);
+    }
+
     fn start_next(&mut self, server: usize) {
         if let Some(mut job) = self.servers[server].start() {
             job.started = Some(self.now);
@@ -494,41 +525,29 @@
             let first = self.setup.first_event.min(hold);
             let call = self.calls[job.call];
             let late = self.now + Duration::from_secs_f64(first) + HOP;
-            let target = self.setup.ranks[call.rank].0;
-            self.figures
-                .run(call.at, job.since, late, target, call.customer, call.rank);
+            self.figures.runs.push(Run {
+                call,
+                attempt: job.since,
+                answered: late,
+                target: self.setup.ranks[call.rank].0,
+            });
             self.schedule(Duration::from_secs_f64(hold), Event::SlotEnds(server, job));
         }
     }
 
     fn slot_ends(&mut self, server: usize, job: Job) {
         self.servers[server].end();
-        let requests = self.servers[server].requests();
-        self.schedule(
-            HOP,
-            Event::Answer {
-                server,
-                job,
-                requests,
-                run: true,
-            },
-        );
+        self.send_answer(server, job, true);
         self.start_next(server);
     }
 
     fn answer(&mut self, server: usize, mut job: Job, requests: u32, run: bool) {
         let now = self.now;
         let router = &mut self.routers[job.router];
-        let load = EndpointLoad {
-            running: requests.min(self.setup.slots),
-            waiting: requests.saturating_sub(self.setup.slots),
-            slots: self.setup.slots,
-            pace_percent: None,
-        };
-        router.loads.end(&self.server_ids[server], 0);
-        router
-            .loads
-            .record_report(&self.server_ids[server], load, now);
+        let load = load_report(requests, self.setup.slots);
+        let id = &self.server_ids[server];
+        router.loads.end(id, 0);
+        router.loads.record_report(id, load, now);
         if router.admission.note_load("s", load, now) {
             self.refresh_now(job.router);
         }
@@ -555,16 +574,12 @@
         let targets = self.setup.ranks.iter().map(|(target, _)| *target);
         let router = &mut self.routers[index];
         router.loads.expire(self.now, Duration::from_secs(3));
-        let endpoint = |id: &String| EndpointRoom {
-            slots: self.setup.slots,
-            requests: router.loads.outstanding(id, self.now).requests,
-            pace: 1.0,
-        };
+        let requests = |id: &String| router.loads.outstanding(id, self.now).requests;
+        let ids = self.server_ids.iter();
+        let endpoints = ids.map(|id| endpoint(self.setup.slots, requests(id)));
         let view = ServiceRoom {
-            service: "s",
-            endpoints: self.server_ids.iter().map(endpoint).collect(),
             routers: (self.setup.routers as f64 * self.setup.count_error).round() as usize,
-            target: targets.min().expect("a rank"),
+            ..room(endpoints.collect(), targets.min().expect("a rank"))
         };
         router.admission.refresh(&view, self.now);
         router.admission.expire(self.now);
@@ -592,21 +607,15 @@
         } else {
             PeerLoads::Reports(loads.newest_reports(self.now))
         };
-        for to in drawn
-            .into_iter()
-            .filter(|to| !self.routers[*to].cut_off)
-            .collect::<Vec<_>>()
-        {
-            let (reports, loads) = (reports.clone(), loads.clone());
-            self.schedule(
-                PEER_HOP,
-                Event::Peer {
-                    from,
-                    to,
-                    reports,
-                    loads,
-                },
-            );
+        let update = PeerUpdate {
+            from: format!("r{from}"),
+            reports,
+            loads,
+        };
+        for to in drawn {
+            if !self.routers[to].cut_off {
+                self.schedule(PEER_HOP, Event::Peer(to, update.clone()));
+            }
         }
     }
 }
--- a/crates/edge/tests/admission_wait.rs
+++ b/crates/edge/tests/admission_wait.rs
@@ -5,45 +5,24 @@
 
 mod admission_fleet;
 
-use admission_fleet::{Setup, plain, play};
-use sequoiaridge_edge::{
-    Admission, Arrival, EndpointQueue, EndpointRoom, ReportedLoad, ServiceRoom, WaitLimit,
-};
+use admission_fleet::{Setup, endpoint, plain, play, room};
+use sequoiaridge_edge::{Admission, Arrival, EndpointQueue, ReportedLoad, WaitLimit};
 use std::time::Duration;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
 fn arrival(attempt: &str) -> Arrival<'_> {
-    Arrival {
-        attempt,
-        service: "s",
-        route: "r",
-        customer: Some("c"),
-        rank: 0,
-        target: MS(500),
-        deadline: Some(MS(4000)),
-        limit: MS(4000),
-        resumed: false,
-    }
+    admission_fleet::arrival(attempt, MS(500), MS(4000))
 }
 
 /// Admission after 2 s of `rate` requests a second that hold a slot for 100 ms, at an endpoint of 10 slots that
 /// holds `requests`. It runs 100 requests a second.
 fn loaded(rate: u64, requests: u32) -> Admission {
     let mut admission = Admission::new(true);
+    let room = room(vec![endpoint(10, requests)], MS(500));
     for n in 0..2 * rate {
         let now = MS(1000 * n / rate);
         if n % (rate / 10) == 0 {
-            let room = ServiceRoom {
-                service: "s",
-                endpoints: vec![EndpointRoom {
-                    slots: 10,
-                    requests,
-                    pace: 1.0,
-                }],
-                routers: 1,
-                target: MS(500),
-            };
             admission.refresh(&room, now);
         }
         admission.record_hold("s", "r", MS(100), now);
