Define the cold endpoint of the tests once

Three places in cold_endpoints.rs spelled out the same endpoint.

Ruled out: a constructor for a fleet without faults, which needs more lines than it saves.

--- a/crates/edge/tests/cold_endpoints.rs
+++ b/crates/edge/tests/cold_endpoints.rs
@@ -17,6 +17,12 @@
 /// Requests per second that a cold endpoint tolerates, and the budget that follows.
 const PER_SECOND: f64 = 17.0;
 const BUDGET: usize = 30;
+/// An endpoint that tolerates these requests.
+const ENDPOINT: ColdEndpoint<'static> = ColdEndpoint {
+    id: "e1",
+    boot: "7",
+    per_second: PER_SECOND,
+};
 /// Numbers of routers.
 const SIZES: &[usize] = &[1, 7, 31, 84, 370];
 const TICK_MS: u64 = 20;
@@ -96,11 +102,6 @@
         let end = 100_000 + self.seconds * 1000;
         let mut rng = StdRng::seed_from_u64(seed);
         let mut senders = self.senders(&mut rng);
-        let endpoint = ColdEndpoint {
-            id: "e1",
-            boot: "7",
-            per_second: PER_SECOND,
-        };
         let mut sent: Vec<(u64, u64)> = Vec::new();
         for now in (100_000..end).step_by(TICK_MS as usize) {
             self.exchange(&mut senders, now, &mut rng);
@@ -108,17 +109,17 @@
                 let held = sender.held.take_if(|held| ms(now) >= held.at);
                 let sends = held.is_some_and(|held| {
                     let starts = &mut sender.starts;
-                    starts.send_booked(&endpoint, &held, &sender.routers, ms(now))
+                    starts.send_booked(&ENDPOINT, &held, &sender.routers, ms(now))
                 });
                 if sends {
                     sent.push((now, now + rng.random_range(0..100)));
                 }
-                while sender.starts.try_send(&endpoint, &sender.routers, ms(now)) {
+                while sender.starts.try_send(&ENDPOINT, &sender.routers, ms(now)) {
                     sent.push((now, now + rng.random_range(0..100)));
                 }
                 if sender.held.is_none() && rng.random_bool(0.5) {
                     let starts = &mut sender.starts;
-                    sender.held = starts.book(&endpoint, &sender.routers, ms(now));
+                    sender.held = starts.book(&ENDPOINT, &sender.routers, ms(now));
                 }
             }
         }
@@ -222,12 +223,7 @@
 fn a_router_without_a_list_sends_nothing() {
     let routers = KnownRouters::new("edge-1");
     let mut starts = ColdStarts::new(LIMIT);
-    let endpoint = ColdEndpoint {
-        id: "e1",
-        boot: "7",
-        per_second: PER_SECOND,
-    };
-    assert!(!starts.try_send(&endpoint, &routers, ms(600_000)));
+    assert!(!starts.try_send(&ENDPOINT, &routers, ms(600_000)));
 }
 
 /// Guards against shares whose sum exceeds four fifths of the budget, for any number of routers and rate.
@@ -255,9 +251,8 @@
     routers.join(ms(0));
     let mut starts = ColdStarts::new(LIMIT);
     let endpoint = ColdEndpoint {
-        id: "e1",
-        boot: "7",
         per_second: 0.5,
+        ..ENDPOINT
     };
     for at in [10_000, 10_100, 10_200, 10_300] {
         assert!(starts.try_send(&endpoint, &routers, ms(at)));
