--- a/crates/edge/src/admission/decision.rs
+++ b/crates/edge/src/admission/decision.rs
@@ -21,12 +21,11 @@
     customer: CustomerKey,
     late: bool,
 ) -> Admitted {
-    let usual = shares.customers.get(&customer);
-    let usual = usual.copied().unwrap_or(shares.unknown);
+    let usual = usual(shares, customer);
     let probability = if late {
         shares.late
     } else {
-        probability(shares, arrival.rank, customer)
+        shares.ranks.probability(arrival.rank, usual)
     };
     let drawn = hash_parts(&[arrival.attempt.as_bytes()]);
     if unit(drawn) < probability {
@@ -48,9 +47,13 @@
 
 /// Probability with which a request is admitted that is not a late return.
 pub fn probability(shares: &Shares, rank: u8, customer: CustomerKey) -> f64 {
-    let usual = shares.customers.get(&customer);
-    let usual = usual.copied().unwrap_or(shares.unknown);
-    shares.ranks.probability(rank, usual)
+    shares.ranks.probability(rank, usual(shares, customer))
+}
+
+/// Probability of a customer's requests, over all ranks.
+fn usual(shares: &Shares, customer: CustomerKey) -> f64 {
+    let known = shares.customers.get(&customer);
+    known.copied().unwrap_or(shares.unknown)
 }
 
 /// Between a fifth and a third of the time left, by attempt, so that returns are spread and can be told from
