--- a/crates/edge/src/cold_refusals.rs
+++ b/crates/edge/src/cold_refusals.rs
@@ -3,8 +3,8 @@
 
 use crate::constraints::ColdBooking;
 use crate::exchange::Exchange;
-use crate::ingress::OTHER_ROUTER_RETRY_AFTER;
 use crate::manifest::EndpointEntry;
+use crate::retry_after::OTHER_ROUTER_RETRY_AFTER;
 use crate::shared::RoutingState;
 use crate::shared::Shared;
 use rand::RngExt;
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -7,6 +7,7 @@
 use crate::exchange::Exchange;
 use crate::hold_time::HoldTime;
 use crate::manifest::{CallerLimits, Route, SoftwareVersion};
+use crate::retry_after::OTHER_ROUTER_RETRY_AFTER;
 use crate::routes::RouteTable;
 use crate::shared::{InFlight, Shared};
 use crate::started_answer::{AnswerBody, StartedAnswer};
@@ -31,8 +32,6 @@
 const MAX_START_WAIT: Duration = Duration::from_millis(250);
 /// Largest number of parts of a prompt, counted from its end, that are suspected of a crash.
 const MAX_SUSPECT_PARTS: usize = 64;
-/// `Retry-After` of refusals after which the caller should try another router.
-pub(crate) const OTHER_ROUTER_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Answers one request from a caller.
 pub(crate) async fn answer(
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -64,6 +64,7 @@
 mod registry;
 mod relays;
 mod rest;
+mod retry_after;
 mod retry_window;
 mod room_gate;
 mod room_watch;
