Split stream_body.rs by responsibility

`stream_body/unfinished_event.rs` holds back the event that is not complete, with its reservation; `stall_watch.rs` decides when a stream is a sample of its endpoint's pace; `origin.rs` is the endpoint that sends the stream; and `resumption.rs` decides whether a stream may go on elsewhere and sends its request there.

The first two depend neither on shared.rs nor on exchange.rs: the stall watch gets a function that records a sample. Log lines, metrics and the order of what is recorded are the same.

--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -1,30 +1,26 @@
 //! Body of an answer to a caller: a buffered body, or a stream that is resumed if its endpoint fails.
 
+mod origin;
+mod resumption;
+mod stall_watch;
+mod unfinished_event;
+
 use crate::answer_deadline::AnswerDeadline;
 use crate::answer_end::AnswerEnd;
-use crate::byte_budget::Reservation;
-use crate::call::AnswerHead;
-use crate::event_scan::{EVENT_END, EventScan};
-use crate::exchange::{CONFIRM_TIME, Exchange};
-use crate::manifest::Kind;
-use crate::pace::StreamSampler;
-use crate::silence_watch::SilenceWatch;
+use crate::exchange::Exchange;
 use crate::started_answer::{AnswerBody, ArrivingBody, EndCheck, Framing, StartedAnswer};
 use crate::terminations::Loss;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use displaydoc::Display;
 use http_body::{Body, Frame, SizeHint};
-use sequoiaridge_core::{EndpointId, Event, Refusal, RefusalReason, RetryReason, hash_parts};
+use origin::Origin;
+use resumption::{Failure, Resumed, may_resume};
+use sequoiaridge_core::{Event, Refusal, hash_parts};
 use sequoiaridge_log::log_request;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
-use tokio::time::{Instant, Sleep, timeout};
-
-/// Longest event of a resumable stream in bytes. Events of such streams are buffered until they are
-/// complete, as far as the memory allows.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+use tokio::time::{Instant, Sleep};
+use unfinished_event::UnfinishedEvent;
 
 /// Number of events from which an answer has progressed.
 const PROGRESS_EVENTS: usize = 2;
@@ -43,10 +39,6 @@
 
 impl std::error::Error for BodyError {}
 
-/// Future of a stream that is being resumed: it returns the exchange with the new answer.
-type Resumed =
-    Pin<Box<dyn Future<Output = (Box<Exchange>, Result<StartedAnswer, Refusal>)> + Send>>;
-
 enum Source {
     Whole(Option<Bytes>),
     Arriving(Box<ArrivingBody>),
@@ -57,55 +49,6 @@
 /// What a poll of a body returns; `None` at its end.
 type PolledFrame = Option<Result<Frame<Bytes>, BodyError>>;
 
-/// How an answer from an endpoint failed.
-#[derive(Clone, Copy, Debug)]
-enum Failure {
-    /// The connection broke.
-    Broke,
-    /// The endpoint is silent and cannot be reached.
-    Unreachable,
-    /// The endpoint has ended after its answer, most likely as planned.
-    Ended,
-}
-
-/// The endpoint that sends a stream, with the connection reuse that its answer allows.
-struct Origin {
-    endpoint: EndpointId,
-    address: SocketAddr,
-    watch: SilenceWatch,
-    idle: Option<Duration>,
-    close: bool,
-    framing: Framing,
-    events: EventScan,
-    sampler: StreamSampler,
-    /// Usual pause between events of the service, as of the last sample.
-    usual_pause: Option<Duration>,
-    /// Wakes the stream when its pause becomes longer than usual.
-    stall: Option<Pin<Box<Sleep>>>,
-}
-
-impl Origin {
-    fn new(
-        endpoint: EndpointId,
-        address: SocketAddr,
-        head: &AnswerHead,
-        framing: Framing,
-    ) -> Origin {
-        Origin {
-            endpoint,
-            address,
-            watch: SilenceWatch::new(),
-            idle: head.idle,
-            close: head.close,
-            framing,
-            events: EventScan::default(),
-            sampler: StreamSampler::new(),
-            usual_pause: None,
-            stall: None,
-        }
-    }
-}
-
 /// Body of an answer: either complete, or a stream that may continue on another endpoint when one fails.
 pub(crate) struct StreamBody {
     source: Source,
@@ -117,9 +60,7 @@
     /// Whether nothing shows that more was to come than has arrived, so that the answer counts as
     /// whole if no other endpoint goes on.
     may_be_whole: bool,
-    /// Bytes of an event that is not complete yet, and their reservation.
-    partial: BytesMut,
-    partial_bytes: Option<Reservation>,
+    unfinished: UnfinishedEvent,
     deadline: Option<Pin<Box<Sleep>>>,
     /// Tells the task of the caller's connection when the body must end, since a body is not polled while
     /// its caller does not read.
@@ -139,8 +80,7 @@
             origin: None,
             ending: None,
             may_be_whole: false,
-            partial: BytesMut::new(),
-            partial_bytes: None,
+            unfinished: UnfinishedEvent::default(),
             deadline: None,
             due: AnswerDeadline::default(),
             success: false,
@@ -169,8 +109,7 @@
             origin: Some(origin),
             ending: None,
             may_be_whole: false,
-            partial: BytesMut::new(),
-            partial_bytes: None,
+            unfinished: UnfinishedEvent::default(),
             deadline: Some(deadline),
             due,
             success: answer.status.is_success(),
@@ -190,17 +129,13 @@
         let (Some(origin), Some(exchange)) = (&mut self.origin, &self.exchange) else {
             return;
         };
-        let Some(stall) = &mut origin.stall else {
-            return;
-        };
-        if stall.as_mut().poll(cx).is_ready() {
-            origin.stall = None;
+        if origin.stall.poll_stall(cx).is_ready() {
             let now = exchange.shared.now();
-            let stall = origin.sampler.stall(now);
+            let sample = origin.stall.sample(now);
             let mut state = exchange.shared.lock_state();
             let paces = state.loads.paces_mut();
             let (service, run) = (&exchange.service, run_of(exchange));
-            paces.record_stall(service, &origin.endpoint, run, stall, now);
+            paces.record_stall(service, &origin.endpoint, run, sample, now);
         }
     }
 
@@ -215,13 +150,7 @@
         if !self.resumable() {
             return data;
         }
-        let data = if self.partial.is_empty() && data.ends_with(EVENT_END) {
-            data
-        } else {
-            self.partial.extend_from_slice(&data);
-            let end = self.partial.windows(2).rposition(|pair| pair == EVENT_END);
-            self.partial.split_to(end.map_or(0, |end| end + 2)).freeze()
-        };
+        let data = self.unfinished.complete(data);
         if let Some(exchange) = &mut self.exchange
             && !data.is_empty()
         {
@@ -354,48 +283,16 @@
         let (Some(exchange), Some(origin)) = (&mut self.exchange, &self.origin) else {
             return false;
         };
-        match failure {
-            Failure::Broke => exchange.report_broken(&origin.endpoint),
-            Failure::Unreachable | Failure::Ended => {
-                exchange.shared.pool.forget(&origin.endpoint);
-            }
-        }
-        if !may_resume(exchange.route.kind) {
-            return false;
-        }
-        exchange.may_have_run = true;
-        exchange.tried.push(origin.endpoint.clone());
-        let reason = RefusalReason::EndpointBroke;
-        if exchange.is_suspected() || exchange.take_retry(reason).is_err() {
+        let endpoint = &origin.endpoint;
+        if !resumption::take_attempt(exchange, endpoint, failure) {
             return false;
         }
-        let Some(mut exchange) = self.exchange.take() else {
+        let Some(exchange) = self.exchange.take() else {
             return false;
         };
-        self.partial.clear();
-        exchange.shared.metrics.retried(RetryReason::StreamResumed);
-        log_request(
-            Event::CallRetried,
-            &exchange.call.attempt,
-            format_args!(
-                "reason={} from={} after_event={:?} chunks={}",
-                RetryReason::StreamResumed.as_str(),
-                origin.endpoint,
-                exchange.call.resume,
-                self.frames
-            ),
-        );
-        exchange.log_own_resume();
-        let confirms = self.may_be_whole;
-        self.source = Source::Resuming(Box::pin(async move {
-            let answer = if confirms {
-                let answer = timeout(CONFIRM_TIME, exchange.send_with_retries()).await;
-                answer.unwrap_or_else(|_| exchange.give_up(None, RefusalReason::EndpointSilent))
-            } else {
-                exchange.send_with_retries().await
-            };
-            (exchange, answer)
-        }));
+        self.unfinished.clear();
+        let resumed = resumption::resume(exchange, endpoint, self.frames, self.may_be_whole);
+        self.source = Source::Resuming(resumed);
         true
     }
 
@@ -476,7 +373,7 @@
         self.scan_events(&data);
         self.may_be_whole &= data.is_empty();
         let data = self.pass_on(data);
-        if !self.reserve_partial() {
+        if !self.reserve_unfinished() {
             return Some(self.break_off());
         }
         if data.is_empty() {
@@ -490,20 +387,11 @@
     }
 
     /// Reserves the bytes of the event that is not complete yet. Returns false if it is too long.
-    fn reserve_partial(&mut self) -> bool {
-        let length = self.partial.len();
-        if length == 0 {
-            self.partial_bytes = None;
-            return true;
-        }
+    fn reserve_unfinished(&mut self) -> bool {
         let Some(exchange) = &self.exchange else {
             return true;
         };
-        let bytes = &exchange.shared.bytes;
-        let held = self
-            .partial_bytes
-            .get_or_insert_with(|| bytes.reservation());
-        length <= MAX_EVENT_BYTES && held.grow(length)
+        self.unfinished.reserve(&exchange.shared.bytes)
     }
 
     /// Ends an answer that is longer than it may be.
@@ -543,31 +431,18 @@
     }
 }
 
-/// Samples the endpoint with the events that arrived, and sets when the next pause is too long.
+/// Samples the endpoint with the events that arrived.
 fn sample_events(origin: &mut Origin, exchange: &Exchange) {
     let now = exchange.shared.now();
-    let sample = origin.sampler.record(origin.events.ends, now);
-    if sample.is_some() || origin.usual_pause.is_none() && origin.events.ends == 1 {
+    let (service, endpoint) = (&exchange.service, &origin.endpoint);
+    origin.stall.record(origin.events.ends, now, |pause| {
         let mut state = exchange.shared.lock_state();
         let paces = state.loads.paces_mut();
-        if let Some(pause) = sample {
-            let run = run_of(exchange);
-            paces.record_pause(&exchange.service, &origin.endpoint, run, pause, now);
+        if let Some(pause) = pause {
+            paces.record_pause(service, endpoint, run_of(exchange), pause, now);
         }
-        origin.usual_pause = paces.usual_pause(&exchange.service, now);
-    }
-    let stall_at = origin
-        .usual_pause
-        .and_then(|usual| origin.sampler.stall_at(usual));
-    let Some(stall_at) = stall_at else {
-        origin.stall = None;
-        return;
-    };
-    let at = Instant::now() + stall_at.saturating_sub(now);
-    match &mut origin.stall {
-        Some(stall) => stall.as_mut().reset(at),
-        None => origin.stall = Some(Box::pin(tokio::time::sleep_until(at))),
-    }
+        paces.usual_pause(service, now)
+    });
 }
 
 /// Tells the stream of an exchange apart from others.
@@ -575,11 +450,6 @@
     hash_parts(&[exchange.call.attempt.as_bytes()])
 }
 
-/// Whether an answer that was partly passed on can continue on another endpoint.
-fn may_resume(kind: Kind) -> bool {
-    kind.streams() && kind.repeatable()
-}
-
 impl Body for StreamBody {
     type Data = Bytes;
     type Error = BodyError;
