Split roster.rs by responsibility

`roster/listed.rs` is what is held of one endpoint, `roster/overwritten.rs` the rows that name no endpoint, `roster/tombstones.rs` the removed rows up to a bound, and `roster/differences.rs` decides which rows of a read are passed on. None depends on the roster itself.

--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -1,13 +1,21 @@
 //! Endpoints as the registry lists them.
 
-use crate::feed::{ChangedRow, RowChange};
+mod differences;
+mod listed;
+mod overwritten;
+mod tombstones;
+
+use crate::feed::ChangedRow;
 use crate::leaving_starts::LeavingStarts;
 use crate::manifest::EndpointEntry;
 use crate::registry::{Entry, Position, Row, Rows};
 use crate::version_history::ServiceVersions;
+use listed::{Listed, ListedEndpoint};
+use overwritten::{Overwritten, UnlistedRows};
 use sequoiaridge_core::{DomainId, EndpointId};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::{Duration, SystemTime};
+use tombstones::Tombstones;
 
 /// Time for which an endpoint is still used after its row vanished around an outage of the
 /// registry, unless it is set. The rows of live endpoints are back within 2 s of the registry's
@@ -22,15 +30,6 @@
 /// Time for which a row from a copy is not used if its endpoint was gone before. The row of an
 /// endpoint that is gone lapses after 3.6 s of silence.
 const DOUBT_TIME: Duration = Duration::from_secs(6);
-/// Time for which an endpoint is still used after another writer replaced its row by one that names no
-/// endpoint. A live endpoint writes its row again within it: the row of a silent one lapses after that time.
-const OVERWRITTEN_LAPSE_TIME: Duration = Duration::from_millis(3600);
-/// Removed rows whose positions are remembered, so that a stale read does not bring them back. Also the
-/// number of ids that are not listed of which a row that names no endpoint is remembered.
-const MAX_TOMBSTONES: usize = 4096;
-/// Rise of the time for which an endpoint is cold, over what is left of the known one, from which on it
-/// is a change for the other routers. Reads come at different delays, which differ by less.
-const COLD_RISE: Duration = Duration::from_millis(500);
 
 /// What a change in the registry means for an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,49 +49,6 @@
     Malformed(EndpointId, String),
 }
 
-#[derive(Clone, Debug)]
-struct ListedEndpoint {
-    entry: EndpointEntry,
-    position: Position,
-    /// When the endpoint is no longer used, since its row vanished around an outage of the registry.
-    lapses_at: Option<Duration>,
-    /// A later row of its id that names no endpoint.
-    overwritten: Option<Overwritten>,
-    /// Until when the endpoint is not used, since it was gone before the registry came back from a
-    /// copy that lists it.
-    doubted_until: Option<Duration>,
-    /// Until when the endpoint is cold, by its row or by an answer of its own.
-    cold_until: Duration,
-}
-
-impl ListedEndpoint {
-    fn is_lapsed(&self, now: Duration) -> bool {
-        let overwritten = self.overwritten.map(|overwritten| overwritten.lapses_at);
-        let ends = [self.lapses_at, overwritten];
-        ends.into_iter().flatten().any(|at| now >= at)
-    }
-
-    fn is_doubted(&self, now: Duration) -> bool {
-        self.doubted_until.is_some_and(|until| now < until)
-    }
-}
-
-/// A row that names no endpoint, in place of one that did.
-#[derive(Clone, Copy, Debug)]
-struct Overwritten {
-    position: Position,
-    /// When the endpoint is no longer used unless it writes its row again.
-    lapses_at: Duration,
-}
-
-/// A row that was removed.
-#[derive(Clone, Copy, Debug)]
-struct Tombstone {
-    position: Position,
-    /// Start of the endpoint that the row named, in ms since the epoch; 0 if it is not known.
-    born: u64,
-}
-
 /// How the roster came into the current era of the registry.
 #[derive(Clone, Copy, Debug)]
 struct EraEntry {
@@ -105,10 +61,9 @@
 #[derive(Clone, Debug)]
 pub struct Roster {
     lapse_time: Duration,
-    listed: BTreeMap<EndpointId, ListedEndpoint>,
-    tombstones: BTreeMap<EndpointId, Tombstone>,
-    /// Rows that name no endpoint, of ids that are not listed. Another router's older table may list one.
-    unlisted: BTreeMap<EndpointId, Overwritten>,
+    listed: Listed,
+    tombstones: Tombstones,
+    unlisted: UnlistedRows,
     position: Position,
     /// Set once a table was read.
     era_entry: Option<EraEntry>,
@@ -126,9 +81,9 @@
     pub fn new() -> Roster {
         Roster {
             lapse_time: LAPSE_TIME,
-            listed: BTreeMap::new(),
-            tombstones: BTreeMap::new(),
-            unlisted: BTreeMap::new(),
+            listed: Listed::new(),
+            tombstones: Tombstones::default(),
+            unlisted: UnlistedRows::default(),
             position: Position::default(),
             era_entry: None,
             leaving_starts: LeavingStarts::default(),
@@ -156,15 +111,7 @@
             .listed
             .iter()
             .filter(|(_, row)| row.lapses_at.is_none());
-        let entry = |row: &ListedEndpoint| EndpointEntry {
-            cold: row.cold_until.saturating_sub(now),
-            ..row.entry.clone()
-        };
-        let changes = listed.flat_map(|(id, row)| {
-            let known = (id.clone(), row.position, RowChange::Listed(entry(row)));
-            let unreadable = |by: Overwritten| (id.clone(), by.position, RowChange::Unreadable);
-            std::iter::once(known).chain(row.overwritten.map(unreadable))
-        });
+        let changes = listed.flat_map(|(id, row)| row.changes(id, now));
         changes.collect()
     }
 
@@ -201,41 +148,7 @@
     /// one that names no endpoint hides none before it.
     /// An endpoint that is cold for longer than was known differs; one that warms up does not.
     pub fn new_changes(&self, rows: &[Row], now: Duration) -> Vec<ChangedRow> {
-        let mut last: BTreeMap<(&EndpointId, bool), &Row> = BTreeMap::new();
-        for row in rows {
-            let is_unreadable = matches!(row.entry, Entry::Malformed(_));
-            let kept = last.entry((&row.key, is_unreadable)).or_insert(row);
-            if row.position >= kept.position {
-                *kept = row;
-            }
-        }
-        let mut changes = Vec::new();
-        for ((id, _), row) in &last {
-            let known = self.listed.get(*id);
-            let change = RowChange::from(&row.entry);
-            let same = match (&change, known) {
-                (RowChange::Unreadable, known) => match last.get(&(*id, false)) {
-                    Some(readable) => {
-                        readable.position > row.position
-                            || !matches!(readable.entry, Entry::Endpoint(_))
-                    }
-                    None => known.is_none_or(|known| known.overwritten.is_some()),
-                },
-                (RowChange::Listed(entry), Some(known)) => {
-                    let left = known.cold_until.saturating_sub(now);
-                    known.lapses_at.is_none()
-                        && known.overwritten.is_none()
-                        && known.entry.equals_except_cold(entry)
-                        && entry.cold <= left + COLD_RISE
-                }
-                (RowChange::Removed, None) => true,
-                _ => false,
-            };
-            if !same {
-                changes.push((row.key.clone(), row.position, change));
-            }
-        }
-        changes
+        differences::new_changes(&self.listed, rows, now)
     }
 
     /// Applies changed rows. `after_outage` says that the registry was unreachable a short time
@@ -291,26 +204,7 @@
     /// The difference between a whole table and this roster since `revision`: rows that changed,
     /// and rows that are gone.
     pub fn diff(&self, table: Rows, revision: Position) -> Rows {
-        let present: BTreeSet<&EndpointId> = table.rows.iter().map(|row| &row.key).collect();
-        let listed = self
-            .listed
-            .iter()
-            .filter(|(_, row)| row.lapses_at.is_none());
-        let missing = listed.filter(|(id, _)| !present.contains(id));
-        let gone: Vec<Row> = missing
-            .map(|(id, _)| Row {
-                key: id.clone(),
-                position: table.position,
-                entry: Entry::Removed,
-            })
-            .collect();
-        let rows = table.rows.into_iter();
-        let changed = rows.filter(|row| row.position > revision);
-        Rows {
-            rows: changed.chain(gone).collect(),
-            position: table.position,
-            next: None,
-        }
+        differences::removed_and_changed(&self.listed, table, revision)
     }
 
     /// Starts the time for lapsed rows to come back anew, because the registry is away: the endpoints
@@ -326,8 +220,7 @@
                 listed.lapses_at = listed.lapses_at.max(until);
             }
             if let Some(overwritten) = &mut listed.overwritten {
-                let until = now + OVERWRITTEN_LAPSE_TIME;
-                overwritten.lapses_at = overwritten.lapses_at.max(until);
+                overwritten.postpone(now);
             }
         }
     }
@@ -344,7 +237,7 @@
             let listed = self.listed.remove(id);
             if let Some(by) = listed.as_ref().and_then(|listed| listed.overwritten) {
                 let born = listed.and_then(|listed| listed.entry.born);
-                self.bury(id, by.position, born.unwrap_or(0));
+                self.tombstones.bury(id, by.position, born.unwrap_or(0));
             }
         }
         gone.into_iter().map(RosterChange::Gone).collect()
@@ -506,18 +399,10 @@
     /// Records a row that names no endpoint. Nothing that is known of the id changes, except that a listed
     /// endpoint lapses unless it writes its row again.
     fn note_overwritten(&mut self, id: &str, position: Position, now: Duration) {
-        let by = Overwritten {
-            position,
-            lapses_at: now + OVERWRITTEN_LAPSE_TIME,
-        };
+        let by = Overwritten::new(position, now);
         let known = match self.listed.get_mut(id) {
             Some(listed) => listed.overwritten.get_or_insert(by),
-            None => {
-                while self.unlisted.len() >= MAX_TOMBSTONES && !self.unlisted.contains_key(id) {
-                    self.unlisted.pop_first();
-                }
-                self.unlisted.entry(id.to_string()).or_insert(by)
-            }
+            None => self.unlisted.get_or_insert(id, by),
         };
         known.position = known.position.max(position);
     }
@@ -604,7 +489,7 @@
             .map(|listed| listed.entry.born.unwrap_or(0));
         let before = self.tombstones.get(&id).map(|tombstone| tombstone.born);
         let born = known.or(before).unwrap_or(0);
-        self.bury(&id, position, born);
+        self.tombstones.bury(&id, position, born);
         let listed = self.listed.get_mut(&id)?;
         let in_use = !listed.entry.leaving && !listed.is_doubted(now);
         if let Some(lapse) = lapse.filter(|_| in_use) {
@@ -619,13 +504,4 @@
         self.listed.remove(&id);
         Some(RosterChange::Gone(id))
     }
-
-    /// Remembers the position at which a row went, so that earlier rows do not bring the endpoint back.
-    fn bury(&mut self, id: &str, position: Position, born: u64) {
-        while self.tombstones.len() >= MAX_TOMBSTONES {
-            self.tombstones.pop_first();
-        }
-        let tombstone = Tombstone { position, born };
-        self.tombstones.insert(id.to_string(), tombstone);
-    }
 }
