Split shared.rs, and ask the limit on cold endpoints with an optional booking

`ColdStarts` had `may_send` and `may_send_booked`, `try_send` and `send_booked`, between which shared.rs chose twice. Each pair is one function with an optional booking now; a booking of another endpoint counts as none there, as it did in shared.rs. The tests in cold_endpoints.rs pass the booking, with the same assertions.

--- a/crates/edge/src/constraints/cold_starts.rs
+++ b/crates/edge/src/constraints/cold_starts.rs
@@ -76,14 +76,24 @@
         }
     }
 
-    /// Whether a request may be sent to a cold endpoint now.
+    /// Whether a request may be sent to a cold endpoint now. If it has a booking there, what was sent decides,
+    /// so a booking never adds to the share.
     pub fn may_send(
         &mut self,
         endpoint: &ColdEndpoint<'_>,
+        booking: Option<&ColdBooking>,
         routers: &KnownRouters,
         now: Duration,
     ) -> bool {
-        self.next_send(endpoint, routers, now) == Some(now)
+        let Some((sender, share)) = self.sender(endpoint, routers, now) else {
+            return false;
+        };
+        match booking.filter(|booking| booking.endpoint == endpoint.id) {
+            Some(booking) => {
+                sender.booked.contains_key(&booking.ticket) && sender.sent.len() < share
+            }
+            None => sender.next_send(share, now) == Some(now),
+        }
     }
 
     /// When this router may next send a request to a cold endpoint; `None` if it has no share there, or does
@@ -135,37 +145,6 @@
         })
     }
 
-    /// Whether a request with a booking may be sent now. What was sent decides, so a booking never adds to
-    /// the share.
-    pub fn may_send_booked(
-        &mut self,
-        endpoint: &ColdEndpoint<'_>,
-        booking: &ColdBooking,
-        routers: &KnownRouters,
-        now: Duration,
-    ) -> bool {
-        self.sender(endpoint, routers, now)
-            .is_some_and(|(sender, share)| {
-                sender.booked.contains_key(&booking.ticket) && sender.sent.len() < share
-            })
-    }
-
-    /// Records a request with a booking that is sent now, unless it may not be sent. Returns whether it may.
-    pub fn send_booked(
-        &mut self,
-        endpoint: &ColdEndpoint<'_>,
-        booking: &ColdBooking,
-        routers: &KnownRouters,
-        now: Duration,
-    ) -> bool {
-        let may_send = self.may_send_booked(endpoint, booking, routers, now);
-        if may_send && let Some(sender) = self.senders.get_mut(endpoint.id) {
-            sender.booked.remove(&booking.ticket);
-            sender.sent.push_back(now);
-        }
-        may_send
-    }
-
     /// Gives the share back of a request that is not sent to the endpoint after all.
     pub fn cancel(&mut self, booking: &ColdBooking) {
         if let Some(sender) = self.senders.get_mut(&booking.endpoint) {
@@ -178,11 +157,15 @@
     pub fn try_send(
         &mut self,
         endpoint: &ColdEndpoint<'_>,
+        booking: Option<&ColdBooking>,
         routers: &KnownRouters,
         now: Duration,
     ) -> bool {
-        let may_send = self.may_send(endpoint, routers, now);
+        let may_send = self.may_send(endpoint, booking, routers, now);
         if may_send && let Some(sender) = self.senders.get_mut(endpoint.id) {
+            if let Some(booking) = booking.filter(|booking| booking.endpoint == endpoint.id) {
+                sender.booked.remove(&booking.ticket);
+            }
             sender.sent.push_back(now);
         }
         may_send
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,275 +1,31 @@
 //! State that the tasks of one router share.
 
-use crate::admission::Admission;
+mod cold_limit;
+mod routing_state;
+
+pub(crate) use routing_state::{Contact, RoutingState, SMALL_FLEET};
+
 use crate::byte_budget::ByteBudget;
-use crate::cache_map::CacheMap;
-use crate::constraints::{ColdBooking, ColdEndpoint, ColdStarts, Evacuations, KnownRouters};
-use crate::departures::Departures;
 use crate::drain::{Drain, DrainRequest};
 use crate::feed::Feed;
-use crate::follower::{Follower, Revision};
-use crate::health::Health;
-use crate::hot_subjects::HotSubjects;
-use crate::load::Loads;
-use crate::manifest::{ColdStart, EndpointEntry, Route, SoftwareVersion};
+use crate::manifest::Route;
 use crate::metrics::Metrics;
-use crate::open_runs::OpenRuns;
-use crate::peer_message::Outbox;
-use crate::quarantine_probe::QuarantineProbes;
-use crate::registry::{Dialect, Era, Position, Table};
-use crate::rest::Rests;
-use crate::retry_window::RetryWindow;
-use crate::roster::Roster;
-use crate::routes::RouteTable;
-use crate::run_times::RunTimes;
-use crate::schedule::ReaderRank;
+use crate::registry::{Dialect, Era, Table};
 use crate::settings::EdgeSettings;
-use crate::stream_news::StreamNews;
-use crate::stream_versions::{StreamId, StreamVersions};
-use crate::terminations::Terminations;
+use crate::stream_versions::StreamId;
 use crate::upstream::ConnectionPool;
-use crate::version_history::VersionHistory;
-use sequoiaridge_core::{Clock, DomainId, RouterId, Version};
-use sequoiaridge_policy::Quarantine;
+use sequoiaridge_core::Clock;
 use sequoiaridge_wire::PeerKeys;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, UNIX_EPOCH};
 use tokio::sync::futures::Notified;
 use tokio::sync::{Notify, mpsc, watch};
 
-/// Crashes after which a request, or a part of prompts, is quarantined.
-const QUARANTINE_STRIKES: u32 = 3;
-/// Length of a quarantine after the last crash. The operators' limit on further attempts never resets, so
-/// each quarantine that ends may count against it; callers keep retrying for up to a day.
-const QUARANTINE_TIME: Duration = Duration::from_secs(24 * 3600);
-/// Time for which crashes are not attributed to a request that succeeded.
-const TRUST_TIME: Duration = Duration::from_secs(60);
-/// Time for which crashes are not attributed to a part that succeeded. A success reaches hundreds of
-/// routers within it; a part that crashes endpoints from some moment on is held that much later.
-const PART_TRUST_TIME: Duration = Duration::from_secs(2);
-/// Number of other routers from which on a fleet counts as large. In smaller fleets every router sends its
-/// full state to every other one ten times a second; in larger ones such messages cost more than they are
-/// worth.
-pub(crate) const SMALL_FLEET: usize = 24;
 /// Bodies of requests and answers may take one part in this many of the memory. The rest is for connection
 /// buffers and everything else.
 const BODY_MEMORY_DIVISOR: usize = 4;
-/// Largest number of requests and parts that the quarantine tracks.
-const MAX_SUSPECTS: usize = 4096;
-
-/// Everything that routing decisions read, behind one lock.
-pub(crate) struct RoutingState {
-    pub(crate) routes: Option<Arc<RouteTable>>,
-    pub(crate) roster: Roster,
-    pub(crate) endpoints: Follower,
-    pub(crate) configuration: Follower,
-    /// Registry position at which the configuration was read.
-    pub(crate) config_position: Position,
-    /// When the registry last became reachable again after an outage for the whole fleet.
-    pub(crate) registry_returned: Option<Duration>,
-    /// All other known routers.
-    pub(crate) contacts: BTreeMap<RouterId, Contact>,
-    /// The same routers, as those among which the budgets of cold endpoints are divided.
-    pub(crate) known_routers: KnownRouters,
-    /// The failure domains that operators evacuate.
-    pub(crate) evacuations: Evacuations,
-    /// Requests to cold endpoints; `None` if the operators set no limit.
-    pub(crate) cold_starts: Option<ColdStarts>,
-    pub(crate) loads: Loads,
-    /// Division of the services' room among requests.
-    pub(crate) admission: Admission,
-    pub(crate) hot_subjects: HotSubjects,
-    pub(crate) health: Health,
-    pub(crate) cache: CacheMap,
-    pub(crate) outbox: Outbox,
-    pub(crate) retries: RetryWindow,
-    pub(crate) quarantine: Quarantine,
-    pub(crate) probes: QuarantineProbes,
-    pub(crate) terminations: Terminations,
-    pub(crate) rests: Rests,
-    pub(crate) departures: Departures,
-    pub(crate) open_runs: OpenRuns,
-    pub(crate) run_times: RunTimes,
-    /// Versions that began the streams of late.
-    pub(crate) streams: StreamVersions,
-    /// Streams that other routers are to be told of.
-    pub(crate) stream_news: StreamNews,
-    /// Streams whose version other routers are to be asked for.
-    pub(crate) asked_streams: BTreeSet<StreamId>,
-    /// Software versions that the services had of late.
-    pub(crate) versions: VersionHistory,
-    /// Number of routers that save the streams of all in a large fleet, and whether this one does.
-    pub(crate) stream_keepers: usize,
-    pub(crate) keeps_streams: bool,
-}
-
-impl RoutingState {
-    /// Version of the configuration in force; 0 if there is none.
-    pub(crate) fn version(&self) -> Version {
-        let routes = self.routes.as_ref();
-        routes.map_or(0, |routes| routes.manifest().version)
-    }
-
-    /// How far this router knows a table.
-    pub(crate) fn follower(&mut self, table: Table) -> &mut Follower {
-        match table {
-            Table::Configuration => &mut self.configuration,
-            Table::Endpoints | Table::Routers => &mut self.endpoints,
-        }
-    }
-
-    /// Whether the fleet is so large that messages go to some of the routers only.
-    pub(crate) fn is_large(&self) -> bool {
-        self.contacts.len() >= SMALL_FLEET
-    }
-
-    /// Number of routers in the fleet, including this one.
-    pub(crate) fn routers(&self) -> usize {
-        (self.contacts.len() + 1).max(self.loads.router_count())
-    }
-
-    /// The version of a service, if it had no other one for as long as a stream can have run that
-    /// began before `begun`. The list of endpoints must be known as of then: another router may have
-    /// begun the stream at a version that this one has not heard of.
-    pub(crate) fn sole_version(
-        &self,
-        service: &str,
-        begun: Duration,
-        now: Duration,
-    ) -> Option<SoftwareVersion> {
-        let is_known = self.endpoints.is_known_as_of(begun);
-        let sole = self.versions.sole(service, now).filter(|_| is_known);
-        sole.cloned()
-    }
-
-    /// What an endpoint tolerates now because it is cold; `None` if it is not, or if its service sets no
-    /// limit.
-    fn cold_start(&self, entry: &EndpointEntry, now: Duration) -> Option<ColdStart> {
-        let routes = self.routes.as_ref()?;
-        let cold = routes.manifest().services.get(&entry.service)?.cold?;
-        let ended = self.evacuations.ended_at(&entry.domain);
-        let returned = ended.is_some_and(|ended| now < ended + cold.time);
-        (returned || now < self.roster.cold_until(&entry.id)).then_some(cold)
-    }
-
-    /// Whether the limit on cold endpoints applies to an endpoint.
-    pub(crate) fn is_cold(&self, entry: &EndpointEntry, now: Duration) -> bool {
-        self.cold_starts.is_some() && self.cold_start(entry, now).is_some()
-    }
-
-    /// Whether the limit on cold endpoints lets this router send a request to an endpoint now. The request
-    /// may have a booking.
-    pub(crate) fn may_send_cold(
-        &mut self,
-        entry: &EndpointEntry,
-        booking: Option<&ColdBooking>,
-        now: Duration,
-    ) -> bool {
-        let may_send = match booking.filter(|booking| booking.endpoint == entry.id) {
-            Some(booking) => self.with_cold(entry, now, |starts, endpoint, routers, now| {
-                starts.may_send_booked(endpoint, booking, routers, now)
-            }),
-            None => self.with_cold(entry, now, ColdStarts::may_send),
-        };
-        may_send.unwrap_or(true)
-    }
-
-    /// The same at the moment of sending: a request that may be sent is counted.
-    pub(crate) fn try_send_cold(
-        &mut self,
-        entry: &EndpointEntry,
-        booking: Option<&ColdBooking>,
-        now: Duration,
-    ) -> bool {
-        let may_send = match booking.filter(|booking| booking.endpoint == entry.id) {
-            Some(booking) => self.with_cold(entry, now, |starts, endpoint, routers, now| {
-                starts.send_booked(endpoint, booking, routers, now)
-            }),
-            None => self.with_cold(entry, now, ColdStarts::try_send),
-        };
-        may_send.unwrap_or(true)
-    }
-
-    /// Keeps the share of a cold endpoint that returns next for a request.
-    pub(crate) fn book_cold(
-        &mut self,
-        entry: &EndpointEntry,
-        now: Duration,
-    ) -> Option<ColdBooking> {
-        self.with_cold(entry, now, ColdStarts::book).flatten()
-    }
-
-    /// When this router may next send a request to a cold endpoint. `None` if it has no share there, or if
-    /// the limit does not apply.
-    pub(crate) fn next_cold_send(
-        &mut self,
-        entry: &EndpointEntry,
-        now: Duration,
-    ) -> Option<Duration> {
-        self.with_cold(entry, now, ColdStarts::next_send).flatten()
-    }
-
-    /// Asks the limiter about an endpoint; `None` if the limit does not apply to it.
-    fn with_cold<T>(
-        &mut self,
-        entry: &EndpointEntry,
-        now: Duration,
-        ask: impl Fn(&mut ColdStarts, &ColdEndpoint<'_>, &KnownRouters, Duration) -> T,
-    ) -> Option<T> {
-        let cold = self.cold_start(entry, now)?;
-        let endpoint = ColdEndpoint {
-            id: &entry.id,
-            boot: &entry.boot(),
-            per_second: cold.per_second,
-        };
-        let starts = self.cold_starts.as_mut()?;
-        Some(ask(starts, &endpoint, &self.known_routers, now))
-    }
-
-    /// Rank of this router by link bandwidth, the fastest first, then by name: among all routers that are
-    /// heard in a small fleet, among those of its failure domain in a large one.
-    pub(crate) fn reader_rank(&self, settings: &EdgeSettings) -> ReaderRank {
-        let own = (Reverse(settings.link), &settings.id);
-        let large = self.is_large();
-        let before = if large {
-            let contacts = self.contacts.iter();
-            let near = contacts.filter(|(_, contact)| contact.domain == settings.domain);
-            near.filter(|(id, contact)| (Reverse(contact.link), *id) < own)
-                .count()
-        } else {
-            let heard = self.loads.peers();
-            heard
-                .filter(|peer| (Reverse(peer.link_mbps), peer.id) < own)
-                .count()
-        };
-        ReaderRank {
-            before,
-            routers: self.routers(),
-            large,
-        }
-    }
-}
-
-/// What this router knows of another one.
-#[derive(Clone, Debug)]
-pub(crate) struct Contact {
-    /// Address at which it listens for other routers.
-    pub(crate) address: SocketAddr,
-    pub(crate) domain: DomainId,
-    /// Bandwidth of its link in Mbit/s; 0 until it is heard.
-    pub(crate) link: u32,
-    /// How far it knows the endpoints.
-    pub(crate) endpoints: Option<Revision>,
-    /// Version of the configuration that it has in force.
-    pub(crate) configuration: Option<Version>,
-    /// When it was last heard.
-    pub(crate) heard: Option<Duration>,
-}
-
 /// State of one router.
 ///
 /// There are two locks: one on [`RoutingState`], one on the idle connections in [`ConnectionPool`].
@@ -321,13 +77,6 @@
         dialect: Arc<dyn Dialect>,
         feeds: mpsc::UnboundedSender<Option<Feed>>,
     ) -> Shared {
-        let retries = RetryWindow::new(
-            settings.retry_share,
-            settings.retry_window,
-            settings.retry_extra,
-        );
-        let mut loads = Loads::new();
-        loads.paces_mut().learn_all(settings.shares_room);
         let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         Shared {
             incarnation: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
@@ -350,40 +99,7 @@
             bytes: ByteBudget::new(
                 usize::try_from(settings.memory).unwrap_or(usize::MAX) / BODY_MEMORY_DIVISOR,
             ),
-            state: Mutex::new(RoutingState {
-                routes: None,
-                roster: Roster::with_bound(settings.leave_bound),
-                endpoints: Follower::new(&settings.id),
-                configuration: Follower::new(&settings.id),
-                config_position: Position::default(),
-                registry_returned: None,
-                contacts: BTreeMap::new(),
-                known_routers: KnownRouters::new(&settings.id),
-                evacuations: Evacuations::new(),
-                cold_starts: settings.cold.map(ColdStarts::new),
-                loads,
-                admission: Admission::new(settings.shares_room),
-                hot_subjects: HotSubjects::new(),
-                health: Health::new(),
-                cache: CacheMap::with_window(settings.reuse_window),
-                outbox: Outbox::default(),
-                retries,
-                quarantine: Quarantine::new(QUARANTINE_STRIKES, QUARANTINE_TIME, MAX_SUSPECTS)
-                    .with_trust_window(TRUST_TIME)
-                    .with_part_trust_window(PART_TRUST_TIME),
-                probes: QuarantineProbes::new(),
-                terminations: Terminations::new(),
-                rests: Rests::new(),
-                departures: Departures::new(),
-                open_runs: OpenRuns::default(),
-                run_times: RunTimes::new(),
-                streams: StreamVersions::default(),
-                stream_news: StreamNews::default(),
-                asked_streams: BTreeSet::new(),
-                versions: VersionHistory::new(),
-                stream_keepers: 0,
-                keeps_streams: false,
-            }),
+            state: Mutex::new(RoutingState::new(&settings)),
             drain: OnceLock::new(),
             giving_up: watch::Sender::new(false),
             draining: watch::Sender::new(false),
--- a/crates/edge/tests/cold_endpoints.rs
+++ b/crates/edge/tests/cold_endpoints.rs
@@ -109,12 +109,15 @@
                 let held = sender.held.take_if(|held| ms(now) >= held.at);
                 let sends = held.is_some_and(|held| {
                     let starts = &mut sender.starts;
-                    starts.send_booked(&ENDPOINT, &held, &sender.routers, ms(now))
+                    starts.try_send(&ENDPOINT, Some(&held), &sender.routers, ms(now))
                 });
                 if sends {
                     sent.push((now, now + rng.random_range(0..100)));
                 }
-                while sender.starts.try_send(&ENDPOINT, &sender.routers, ms(now)) {
+                while sender
+                    .starts
+                    .try_send(&ENDPOINT, None, &sender.routers, ms(now))
+                {
                     sent.push((now, now + rng.random_range(0..100)));
                 }
                 if sender.held.is_none() && rng.random_bool(0.5) {
@@ -223,7 +226,7 @@
 fn a_router_without_a_list_sends_nothing() {
     let routers = KnownRouters::new("edge-1");
     let mut starts = ColdStarts::new(LIMIT);
-    assert!(!starts.try_send(&ENDPOINT, &routers, ms(600_000)));
+    assert!(!starts.try_send(&ENDPOINT, None, &routers, ms(600_000)));
 }
 
 /// Guards against shares whose sum exceeds four fifths of the budget, for any number of routers and rate.
@@ -255,19 +258,19 @@
         ..ENDPOINT
     };
     for at in [10_000, 10_100, 10_200, 10_300] {
-        assert!(starts.try_send(&endpoint, &routers, ms(at)));
+        assert!(starts.try_send(&endpoint, None, &routers, ms(at)));
     }
     let mut book = || starts.book(&endpoint, &routers, ms(10_500));
     let held: Vec<ColdBooking> = (0..4).filter_map(|_| book()).collect();
     assert_eq!(book(), None);
     let times: Vec<Duration> = held.iter().map(|held| held.at).collect();
     assert_eq!(times, [11_100, 11_200, 11_300, 11_400].map(ms));
-    assert!(!starts.try_send(&endpoint, &routers, ms(11_150)));
-    assert!(starts.send_booked(&endpoint, &held[0], &routers, ms(11_150)));
-    assert!(!starts.send_booked(&endpoint, &held[0], &routers, ms(11_250)));
+    assert!(!starts.try_send(&endpoint, None, &routers, ms(11_150)));
+    assert!(starts.try_send(&endpoint, Some(&held[0]), &routers, ms(11_150)));
+    assert!(!starts.try_send(&endpoint, Some(&held[0]), &routers, ms(11_250)));
     starts.cancel(&held[1]);
-    assert!(starts.try_send(&endpoint, &routers, ms(11_250)));
-    assert!(!starts.try_send(&endpoint, &routers, ms(11_250)));
+    assert!(starts.try_send(&endpoint, None, &routers, ms(11_250)));
+    assert!(!starts.try_send(&endpoint, None, &routers, ms(11_250)));
 }
 
 /// Guards against a large fleet that leaves most of a cold endpoint's budget unused: four fifths of it, 24 of
