Compute the deadline of a request once

ingress.rs computed it in the check for a drain and again for the exchange. What is admitted is a struct with the deadline in place of a tuple of five.

--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -59,11 +59,17 @@
         shared.wait_ready(MAX_START_WAIT).await;
     }
     let admitted = admit_call(&shared, &call, started);
-    let (route, customer, priority, homes, limits) = match admitted {
+    let Admitted {
+        route,
+        customer,
+        priority,
+        homes,
+        limits,
+        deadline,
+    } = match admitted {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(&shared, Some(&call), &refusal, started),
     };
-    let deadline = started + call.time_limit(route.timeout);
     let time_left = deadline.saturating_sub(shared.now());
     let body = tokio::select! {
         body = collect_body(&shared, body, limits.body, time_left) => body,
@@ -149,7 +155,16 @@
     }
 }
 
-type Admitted = (Arc<Route>, Option<CustomerId>, u8, Homes, CallerLimits);
+/// What the configuration says of a call that the router takes.
+struct Admitted {
+    route: Arc<Route>,
+    customer: Option<CustomerId>,
+    priority: u8,
+    homes: Homes,
+    limits: CallerLimits,
+    /// Time on the router's clock by which the answer must be complete.
+    deadline: Duration,
+}
 
 /// Selects the route, checks the API key, and refuses requests that a draining router no longer takes.
 fn admit_call(shared: &Shared, call: &Call, started: Duration) -> Result<Admitted, Refusal> {
@@ -167,19 +182,21 @@
         ));
     };
     let (customer, priority, homes) = customer(&routes, route, call)?;
-    if !shared.accepts(route, started + call.time_limit(route.timeout)) {
+    let deadline = started + call.time_limit(route.timeout);
+    if !shared.accepts(route, deadline) {
         return Err(Refusal::not_run(
             RefusalReason::Draining,
             OTHER_ROUTER_RETRY_AFTER,
         ));
     }
-    Ok((
-        route.clone(),
+    Ok(Admitted {
+        route: route.clone(),
         customer,
         priority,
         homes,
-        routes.manifest().limits.clone(),
-    ))
+        limits: routes.manifest().limits.clone(),
+        deadline,
+    })
 }
 
 fn customer(
