Define fixtures of routes and rows in one place

Routes, customers and limits were defined in manifest_check.rs, routes.rs and homes.rs, and endpoints and rows in roster.rs, overwritten_rows.rs, cold_rows.rs and entry_bounds.rs.

Assertions are unchanged. Only homes.rs uses other values than before: its routes have another host, a service and two attempts, and its customer has a key, none of which `Homes` reads.

--- a/crates/edge/tests/cold_rows.rs
+++ b/crates/edge/tests/cold_rows.rs
@@ -1,34 +1,21 @@
 //! What rows and answers say of endpoints that are cold.
 
-use sequoiaridge_edge::{EndpointEntry, Entry, Position, Roster, Row, RowChange, Rows};
-use std::time::Duration;
+mod row_parts;
 
-const NOW: Duration = Duration::from_secs(100);
+use row_parts::NOW;
+use sequoiaridge_edge::{EndpointEntry, Entry, Roster, Row, RowChange};
+use std::time::Duration;
 
 fn row(version: u64, cold_ms: u64) -> Row {
-    Row {
-        key: "e1".to_string(),
-        position: Position::new(1, version),
-        entry: Entry::Endpoint(EndpointEntry {
-            id: "e1".to_string(),
-            service: "model".to_string(),
-            address: "10.0.0.1:80".parse().expect("an address"),
-            domain: "a".to_string(),
-            slots: 8,
-            leaving: false,
-            cold: Duration::from_millis(cold_ms),
-            born: Some(1),
-            version: "v1".to_string(),
-        }),
-    }
+    let entry = EndpointEntry {
+        cold: Duration::from_millis(cold_ms),
+        ..row_parts::entry("e1", false)
+    };
+    row_parts::row("e1", version, Entry::Endpoint(entry))
 }
 
 fn apply(roster: &mut Roster, row: Row, now: Duration) {
-    let rows = Rows {
-        position: row.position,
-        rows: vec![row],
-        next: None,
-    };
+    let rows = row_parts::rows_at(row.position, vec![row]);
     roster.apply(rows, false, now);
 }
 
--- a/crates/edge/tests/entry_bounds.rs
+++ b/crates/edge/tests/entry_bounds.rs
@@ -1,20 +1,11 @@
 //! Rows of endpoints that no endpoint can be as they say.
 
+mod row_parts;
+
 use sequoiaridge_edge::{EndpointEntry, Entry};
-use std::time::Duration;
 
 fn entry() -> EndpointEntry {
-    EndpointEntry {
-        id: "e1".to_string(),
-        version: "v1".to_string(),
-        service: "model".to_string(),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        domain: "a".to_string(),
-        slots: 8,
-        leaving: false,
-        cold: Duration::ZERO,
-        born: Some(1),
-    }
+    row_parts::entry("e1", false)
 }
 
 fn is_endpoint(entry: EndpointEntry) -> bool {
--- a/crates/edge/tests/homes.rs
+++ b/crates/edge/tests/homes.rs
@@ -1,32 +1,21 @@
 //! Routes and customers whose requests must stay in some regions.
 
-use sequoiaridge_edge::{Customer, Homes, Kind, Route};
+mod manifest_parts;
+
+use sequoiaridge_edge::{Customer, Homes, Route};
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 fn route(regions: Option<&[&str]>) -> Route {
     Route {
-        name: "read".to_string(),
-        host: "site.example".to_string(),
-        prefix: "/read/".to_string(),
-        kind: Kind::Idempotent,
-        timeout: Duration::from_secs(1),
-        target: Duration::from_millis(300),
-        pause: None,
-        priority: 0,
-        services: Vec::new(),
-        attempts: 1,
-        anonymous: false,
         regions: regions.map(names),
+        ..manifest_parts::route("read", "/read/")
     }
 }
 
 fn customer(regions: Option<&[&str]>) -> Customer {
     Customer {
-        name: "bakery".to_string(),
-        keys: Vec::new(),
-        priority: None,
         regions: regions.map(names),
+        ..manifest_parts::customer("bakery", "k1")
     }
 }
 
--- a/crates/edge/tests/manifest_check.rs
+++ b/crates/edge/tests/manifest_check.rs
@@ -1,38 +1,14 @@
 //! The check of a configuration before it is sent.
 
+mod manifest_parts;
+
+use manifest_parts::{customer, limits, route};
 use sequoiaridge_edge::{
-    CallerLimits, Customer, Field, Finding, Kind, Manifest, Route, Section, Service, Severity,
-    check_manifest, manifest_differences,
+    Field, Finding, Manifest, Section, Service, Severity, check_manifest, manifest_differences,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-fn route(name: &str, prefix: &str) -> Route {
-    Route {
-        name: name.to_string(),
-        host: "a.example".to_string(),
-        prefix: prefix.to_string(),
-        kind: Kind::Idempotent,
-        timeout: Duration::from_secs(1),
-        target: Duration::from_millis(300),
-        pause: None,
-        priority: 0,
-        services: vec![("app".to_string(), 1)],
-        attempts: 2,
-        anonymous: false,
-        regions: None,
-    }
-}
-
-fn customer(name: &str, key: &str) -> Customer {
-    Customer {
-        name: name.to_string(),
-        keys: vec![key.to_string()],
-        priority: None,
-        regions: None,
-    }
-}
-
 fn manifest() -> Manifest {
     let service = Service {
         health: "/healthz".to_string(),
@@ -44,12 +20,7 @@
         version: 7,
         routes: vec![route("read", "/read/"), route("order", "/order/")],
         services: BTreeMap::from([("app".to_string(), service)]),
-        limits: CallerLimits {
-            head: 16_384,
-            body: 1 << 20,
-            arrival: Duration::from_secs(3),
-            idle: Duration::from_secs(15),
-        },
+        limits: limits(),
         customers: vec![customer("bakery", "k1"), customer("hotel", "k2")],
     }
 }
--- a/crates/edge/tests/overwritten_rows.rs
+++ b/crates/edge/tests/overwritten_rows.rs
@@ -1,60 +1,25 @@
 //! Rows that name no endpoint, also in place of one that did.
 
+mod row_parts;
+
+use row_parts::{NOW, accepting, entry, roster, row, rows};
 use sequoiaridge_edge::{
-    EndpointEntry, Entry, Feed, Position, Roster, RosterChange, Row, RowChange, Rows,
+    EndpointEntry, Entry, Feed, Position, Roster, RosterChange, Row, RowChange,
 };
 use std::time::{Duration, SystemTime};
 
-const NOW: Duration = Duration::from_secs(100);
 /// Before and after the time in which a live endpoint writes its row again.
 const HELD: Duration = Duration::from_millis(103_500);
 const LAPSED: Duration = Duration::from_millis(103_700);
 
 fn listed(id: &str, version: u64, leaving: bool) -> Row {
-    let entry = EndpointEntry {
-        id: id.to_string(),
-        service: "model".to_string(),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        domain: "a".to_string(),
-        slots: 8,
-        leaving,
-        cold: Duration::ZERO,
-        born: Some(1),
-        version: "v1".to_string(),
-    };
-    row(id, version, Entry::Endpoint(entry))
-}
-
-fn row(id: &str, version: u64, entry: Entry) -> Row {
-    Row {
-        key: id.to_string(),
-        position: Position::new(1, version),
-        entry,
-    }
+    row(id, version, Entry::Endpoint(entry(id, leaving)))
 }
 
 fn odd(id: &str, version: u64) -> Row {
     row(id, version, Entry::malformed("no version"))
 }
 
-fn rows(version: u64, rows: Vec<Row>) -> Rows {
-    Rows {
-        rows,
-        position: Position::new(1, version),
-        next: None,
-    }
-}
-
-fn roster() -> Roster {
-    let mut roster = Roster::new();
-    roster.apply(rows(5, vec![listed("e1", 5, false)]), false, NOW);
-    roster
-}
-
-fn accepting(roster: &Roster, now: Duration) -> usize {
-    roster.accepting("model", now).count()
-}
-
 /// A roster after the changes that another one passes on when it reads these rows.
 fn told(read: &[Row], to: u64) -> Roster {
     let feed = Feed {
--- a/crates/edge/tests/roster.rs
+++ b/crates/edge/tests/roster.rs
@@ -1,64 +1,16 @@
 //! Endpoints that join, leave, lapse and return.
 
+mod row_parts;
+
+use row_parts::{NOW, accepting, entry, roster, row, row_at, rows, rows_at};
 use sequoiaridge_edge::{EndpointEntry, Entry, Feed, Position, Roster, RosterChange, Row, Rows};
 use std::time::{Duration, SystemTime};
 
-const NOW: Duration = Duration::from_secs(100);
-
-fn entry(id: &str, leaving: bool) -> EndpointEntry {
-    EndpointEntry {
-        id: id.to_string(),
-        service: "model".to_string(),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        domain: "a".to_string(),
-        slots: 8,
-        leaving,
-        cold: Duration::ZERO,
-        born: Some(1),
-        version: "v1".to_string(),
-    }
-}
-
-fn row(id: &str, version: u64, entry: Entry) -> Row {
-    row_at(Position::new(1, version), id, entry)
-}
-
-fn row_at(position: Position, id: &str, entry: Entry) -> Row {
-    Row {
-        key: id.to_string(),
-        position,
-        entry,
-    }
-}
-
-fn rows(version: u64, rows: Vec<Row>) -> Rows {
-    rows_at(Position::new(1, version), rows)
-}
-
-fn rows_at(position: Position, rows: Vec<Row>) -> Rows {
-    Rows {
-        rows,
-        position,
-        next: None,
-    }
-}
-
-fn roster() -> Roster {
-    let mut roster = Roster::new();
-    let joined = row("e1", 5, Entry::Endpoint(entry("e1", false)));
-    roster.apply(rows(5, vec![joined]), false, NOW);
-    roster
-}
-
 /// A wall time in seconds since the epoch.
 fn wall(seconds: u64) -> SystemTime {
     SystemTime::UNIX_EPOCH + Duration::from_secs(seconds)
 }
 
-fn accepting(roster: &Roster, now: Duration) -> usize {
-    roster.accepting("model", now).count()
-}
-
 /// Guards against requests to an endpoint that is listed as leaving.
 #[test]
 fn a_leaving_endpoint_is_closed_at_once() {
--- a/crates/edge/tests/routes.rs
+++ b/crates/edge/tests/routes.rs
@@ -1,24 +1,16 @@
 //! Selection of routes, customers and services.
 
-use sequoiaridge_edge::{CallerLimits, Customer, Kind, Manifest, Route, RouteTable};
+mod manifest_parts;
+
+use manifest_parts::limits;
+use sequoiaridge_edge::{Customer, Manifest, Route, RouteTable};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 fn route(name: &str, prefix: &str) -> Route {
     Route {
-        name: name.to_string(),
-        host: "a.example".to_string(),
-        prefix: prefix.to_string(),
-        kind: Kind::Idempotent,
-        timeout: Duration::from_secs(1),
-        target: Duration::from_millis(300),
-        pause: None,
-        priority: 0,
         services: vec![("one".to_string(), 9), ("two".to_string(), 1)],
-        attempts: 2,
-        anonymous: false,
-        regions: None,
+        ..manifest_parts::route(name, prefix)
     }
 }
 
@@ -27,12 +19,7 @@
         version: 1,
         routes: vec![route("short", "/a/"), route("long", "/a/b/")],
         services: BTreeMap::new(),
-        limits: CallerLimits {
-            head: 16_384,
-            body: 1 << 20,
-            arrival: Duration::from_secs(3),
-            idle: Duration::from_secs(15),
-        },
+        limits: limits(),
         customers,
     }))
 }
