Drop reports of unreachable endpoints that have waited

Reports of unreachable endpoints now have a time in the queue and are dropped after 1 s, and so are those of a message that waited that long before it was read or relayed. The messages stay the same on the wire.

--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -85,7 +85,7 @@
     let now = shared.now();
     let mut state = shared.lock_state();
     let until = state.health.record_failure(endpoint, now);
-    state.outbox.add_unreachable(endpoint);
+    state.outbox.add_unreachable(endpoint, now);
     let runs = state.terminations.record_end(endpoint, boot, now);
     record_own_crashes(&mut state, shared, &runs);
     drop(state);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -125,7 +125,7 @@
 pub use metrics::example_metrics;
 pub use open_runs::{OpenRuns, RunProgress};
 pub use pace::{EFFECTIVE_PACE, PaceChange, PaceEntry, Paces, Stall, StreamSampler};
-pub use peer_message::PeerMessage;
+pub use peer_message::{Outbox, PeerMessage};
 pub use placement::{Candidate, Choice, Placement, Subject};
 pub use quarantine_probe::{QuarantineProbes, is_designated};
 pub use registry::{
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -44,6 +44,9 @@
 const REPORT_BYTES: usize = 7;
 /// Messages that carry each event other than a prefix, because datagrams get lost.
 const SENDS_PER_EVENT: u8 = 3;
+/// Time after which a report of an unreachable endpoint is dropped. A router that was paused sends and
+/// reads old ones when it runs on, when the endpoint may be back.
+const UNREACHABLE_TTL: Duration = Duration::from_secs(1);
 /// Most items of each kind in the queue; beyond that, the oldest are dropped.
 const MAX_QUEUED: usize = 512;
 
@@ -152,6 +155,15 @@
             && self.unreachable.is_empty())
     }
 
+    /// The endpoints that could not be reached, unless the message waited for too long before it was read.
+    pub(crate) fn unreachable_after(&self, delay: Duration) -> &[EndpointId] {
+        if delay < UNREACHABLE_TTL {
+            &self.unreachable
+        } else {
+            &[]
+        }
+    }
+
     /// The part of the message that a relay forwards under its own name. `delay` is how long the
     /// message waited at the relay; it is added to the age of each event.
     pub(crate) fn forwarded(&self, delay: Duration, base: PeerMessage) -> PeerMessage {
@@ -160,7 +172,7 @@
             crashes: aged_by(&self.crashes, delay),
             succeeded: aged_by(&self.succeeded, delay),
             leaving: aged_by(&self.leaving, delay),
-            unreachable: self.unreachable.clone(),
+            unreachable: self.unreachable_after(delay).to_vec(),
             feed: self.feed.clone(),
             ..base
         }
@@ -172,7 +184,7 @@
 
 /// Events that wait to be sent to the other routers.
 #[derive(Debug, Default)]
-pub(crate) struct Outbox {
+pub struct Outbox {
     prefixes: VecDeque<(PrefixKey, EndpointId)>,
     /// Each crash with the time at which it happened, and the number of messages still to carry it.
     crashes: VecDeque<((Crash, Duration), u8)>,
@@ -180,7 +192,8 @@
     leaving: VecDeque<((LeavingStart, Duration), u8)>,
     /// Whether an event must be sent at once, ahead of the next regular message.
     is_urgent: bool,
-    unreachable: VecDeque<(EndpointId, u8)>,
+    /// Each endpoint with the time at which it could not be reached.
+    unreachable: VecDeque<((EndpointId, Duration), u8)>,
 }
 
 impl Outbox {
@@ -226,16 +239,19 @@
     }
 
     /// Queues an endpoint that could not be reached.
-    pub(crate) fn add_unreachable(&mut self, id: &str) {
-        if self.unreachable.iter().all(|(known, _)| known != id) {
-            self.unreachable
-                .push_back((id.to_string(), SENDS_PER_EVENT));
+    pub fn add_unreachable(&mut self, id: &str, now: Duration) {
+        let mut queued = self.unreachable.iter_mut();
+        if let Some(((_, at), _)) = queued.find(|((known, _), _)| known == id) {
+            *at = now;
+        } else {
+            let item = ((id.to_string(), now), SENDS_PER_EVENT);
+            self.unreachable.push_back(item);
             trim(&mut self.unreachable);
         }
     }
 
     /// Adds queued events to a message, as many as fit.
-    pub(crate) fn fill(&mut self, message: &mut PeerMessage, now: Duration) {
+    pub fn fill(&mut self, message: &mut PeerMessage, now: Duration) {
         let work = message.work.as_deref().map_or(0, work_bytes);
         let successes = message.succeeded.len() * SUCCESS_ENTRY_BYTES;
         let mut free_bytes =
@@ -257,8 +273,12 @@
             id.len() + boot.len()
         });
         message.leaving = aged(leaving, now);
-        message.unreachable =
-            take_fitting(&mut self.unreachable, &mut endpoint_bytes, |id| id.len());
+        self.unreachable
+            .retain(|((_, at), _)| now < *at + UNREACHABLE_TTL);
+        let unreachable = take_fitting(&mut self.unreachable, &mut endpoint_bytes, |(id, _)| {
+            id.len()
+        });
+        message.unreachable = unreachable.into_iter().map(|(id, _)| id).collect();
         free_bytes = free_bytes.min(endpoint_bytes);
         while let Some((key, id)) = self.prefixes.pop_front() {
             let Some(left) = free_bytes.checked_sub(id.len() + PREFIX_ENTRY_BYTES) else {
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -40,6 +40,8 @@
     at: Duration,
 ) {
     let now = shared.now();
+    let delay = now.saturating_sub(at);
+    let unreachable = message.unreachable_after(delay).to_vec();
     let mut state = shared.lock_state();
     apply_endpoint_gossip(
         &mut state,
@@ -77,12 +79,11 @@
     for (key, id) in message.prefixes {
         state.cache.record_remote(key, &id, now);
     }
-    for id in message.unreachable {
+    for id in unreachable {
         state.health.suspect(&id, now);
         let runs = state.terminations.reported_unreachable(&id, now);
         record_own_crashes(&mut state, shared, &runs);
     }
-    let delay = now.saturating_sub(at);
     for crash in message.crashes {
         let age = crash.age() + delay;
         let (endpoint, boot) = (&crash.value.endpoint, &crash.value.boot);
