Attribute abandoned runs to the start on which they ran

The server had crashed and come back 5.9 s before, and its row still had the earlier boot id. A caller left a run that was sent after that crash was known (earlier=1). 1.8 s later the registry listed the new boot id, and the router took that for a crash under the abandoned run. It reported the crash to the others, where it counted against the last answer for 3 s.

A new boot id that the registry lists late shows the termination that was known before the run was sent, and nothing new. Such a run is now one of the new start, under which a later end of that start still counts. Runs whose connections were lost are judged as before.

The test in ends.rs failed before the change; it also checks that a run counts if another termination is known after it was sent.

--- a/crates/edge/src/terminations.rs
+++ b/crates/edge/src/terminations.rs
@@ -169,7 +169,8 @@
     }
 
     /// Records that the registry lists an endpoint with a new boot id. Returns the runs under which
-    /// it terminated.
+    /// it terminated. Abandoned runs that were sent after the last known termination are not among
+    /// them: they ran on the start that is listed only now.
     pub fn record_restart(&mut self, endpoint: &str, boot: &str, now: Duration) -> Vec<Run> {
         let Some(state) = self.endpoints.get_mut(endpoint) else {
             return Vec::new();
@@ -181,6 +182,13 @@
                 CONNECTION_LOST_TTL
             }
         };
+        let (known_boot, known) = (state.boot.as_str(), state.terminations);
+        for PendingRun { run, loss, .. } in &mut state.pending {
+            let is_later = run.boot == known_boot && (1..=run.earlier).contains(&known);
+            if *loss == Loss::Abandoned && is_later {
+                (run.boot, run.earlier) = (boot.to_string(), 0);
+            }
+        }
         let runs = take_matching(&mut state.pending, |pending| {
             pending.run.boot != boot && now < pending.at + ttl(pending.loss)
         });
--- a/crates/edge/tests/ends.rs
+++ b/crates/edge/tests/ends.rs
@@ -157,6 +157,27 @@
     assert!(terminations.record_restart("e", "2", ms(2100)).is_empty());
 }
 
+/// Guards against a crash that counts for a run whose caller left, although the endpoint had restarted
+/// before the run was sent and the registry lists the new boot id only now (found by the soak, seed 1).
+#[test]
+fn a_restart_that_is_listed_late_is_no_crash_of_a_later_run() {
+    for has_terminated_again in [false, true] {
+        let mut terminations = Terminations::new();
+        let first = begin(&terminations, 1);
+        terminations.record_loss(&first, Loss::ConnectionLost, ms(0));
+        assert_eq!(terminations.record_end("e", "1", ms(1)).len(), 1);
+        terminations.record_reachable("e");
+        let later = begin(&terminations, 2);
+        terminations.record_loss(&later, Loss::Abandoned, ms(2500));
+        if has_terminated_again {
+            terminations.apply_crash(&crash_of(&later));
+        }
+        let crashed = terminations.record_restart("e", "2", ms(4000));
+        let expected: &[u64] = if has_terminated_again { &[2] } else { &[] };
+        assert_eq!(fingerprints(&crashed), expected);
+    }
+}
+
 /// Guards against requests of other routers that count as crashes because a partitioned router
 /// reports an endpoint as unreachable.
 #[test]
