--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -39,6 +39,8 @@
     at: Duration,
 ) {
     let now = shared.now();
+    let delay = now.saturating_sub(at);
+    let unreachable = message.unreachable_after(delay).to_vec();
     let mut state = shared.lock_state();
     apply_endpoint_gossip(
         &mut state,
@@ -76,12 +78,11 @@
     for (key, id) in message.prefixes {
         state.cache.record_remote(key, &id, now);
     }
-    for id in message.unreachable {
+    for id in unreachable {
         state.health.suspect(&id, now);
         let runs = state.terminations.reported_unreachable(&id, now);
         record_own_crashes(&mut state, shared, &runs);
     }
-    let delay = now.saturating_sub(at);
     for crash in message.crashes {
         let age = crash.age() + delay;
         let (endpoint, boot) = (&crash.value.endpoint, &crash.value.boot);
@@ -412,7 +413,7 @@
     }
 }
 
-/// Records whether a start that was not listed before is leaving.
+/// Records that a start that was not listed before is leaving, if it is.
 fn note_listed_start(
     state: &mut RoutingState,
     id: &str,
@@ -422,8 +423,6 @@
     let boot = state.roster.last_boot(id);
     if state.roster.get(id).is_some_and(|entry| entry.leaving) {
         state.departures.record(id, &boot, stayed_until, now);
-    } else {
-        state.departures.clear(id, &boot);
     }
 }
 
