Hash and score each endpoint once in placement

At 3,000 endpoints, a choice hashed each endpoint up to three times, sorted all by rank to take the first one or two, and computed both scores of a draw anew in each comparison.

Now ranks are taken only where cached prefixes do not decide, replicas only if a subject may need more of them or is spread, the first ones are selected instead of sorted, and a score is computed once. The mean needs no lists.

--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -129,7 +129,7 @@
     /// before and may go on only at some endpoints goes beyond the bound rather than to none of them.
     /// Returns `None` if no endpoint takes the prompt.
     pub fn for_prompt(&self, subject: &Subject, candidates: &[Candidate<'_>]) -> Option<Choice> {
-        let mean = mean(&counted_for_mean(candidates));
+        let mean = mean_load(candidates);
         let usable = usable(candidates.iter().filter(|c| c.eligible));
         let bound = mean * self.multiple + self.slack;
         let available = usable.iter().copied();
@@ -142,31 +142,41 @@
                 .filter(|c| f64::from(c.requests) < bound && c.requests < max_requests(c));
             available.extend(open.min_by(|a, b| load(a).total_cmp(&load(b))));
         }
-        let order = |candidate: &&Candidate<'_>| {
-            let has = candidate.cached >= subject.tokens;
-            let cached = if has { candidate.cached } else { 0 };
-            let work = if has { load(candidate) } else { 0.0 };
-            let rank = rank(subject.key, candidate.id);
-            (
-                has,
-                cached / MIN_GAIN_TOKENS,
-                Reverse(in_thousandths(work)),
-                rank,
-            )
+        let holds = |candidate: &&Candidate<'_>| candidate.cached >= subject.tokens;
+        let holders: Vec<&Candidate<'_>> = available.iter().copied().filter(holds).collect();
+        let by_rank = |candidate: &&Candidate<'_>| rank(subject.key, candidate.id);
+        let best = if holders.is_empty() {
+            available.into_iter().max_by_key(by_rank)
+        } else {
+            let order = |candidate: &&Candidate<'_>| {
+                let load = Reverse(in_thousandths(load(candidate)));
+                (candidate.cached / MIN_GAIN_TOKENS, load, by_rank(candidate))
+            };
+            holders.iter().copied().max_by_key(order)
         };
-        let best = available.iter().copied().max_by_key(order);
         let mut best = best.or_else(|| self.beyond_bound(&usable))?;
         let mut needs = None;
         if let Some(request_hash) = self.request_hash {
-            let replicas = self.replicas(subject, &usable);
-            // A request that only some endpoints may run says nothing about what a subject needs.
-            if candidates.iter().all(|candidate| candidate.eligible) {
-                needs = self.needs(&replicas, mean, bound);
-            }
+            // A request that only some endpoints may run says nothing about what a subject needs. None needs more
+            // while all are below the bound.
+            let may_need = candidates.iter().all(|candidate| candidate.eligible)
+                && usable.iter().any(|candidate| load(candidate) >= bound);
             // An endpoint that has more than the subject cached, such as the chat itself, is kept.
-            if best.cached < subject.tokens + MIN_GAIN_TOKENS {
-                let picked = self.pick_replica(request_hash, subject, &replicas, &available, bound);
-                best = picked.unwrap_or(best);
+            let picks = best.cached < subject.tokens + MIN_GAIN_TOKENS;
+            let is_spread = self.spread > 1;
+            if may_need || picks && is_spread {
+                let replicas =
+                    first_by_rank(subject.key, usable.iter().copied(), self.spread.max(1));
+                if may_need {
+                    needs = self.needs(&replicas, mean, bound);
+                }
+                if picks && is_spread {
+                    let open = replicas.into_iter().filter(|c| has_room(c, bound));
+                    best = less_loaded_of_two(request_hash, open).unwrap_or(best);
+                }
+            }
+            if picks && !is_spread {
+                best = less_loaded_of_two(request_hash, holders.into_iter()).unwrap_or(best);
             }
         }
         let mut choice = choice(best, mean);
@@ -190,42 +200,6 @@
         }
     }
 
-    /// Picks one of the replicas of a hot subject or, for any other subject, one of the endpoints that
-    /// have it cached; `None` if there is none within the load bound.
-    fn pick_replica<'a>(
-        &self,
-        request_hash: u64,
-        subject: &Subject,
-        replicas: &[&'a Candidate<'a>],
-        available: &[&'a Candidate<'a>],
-        bound: f64,
-    ) -> Option<&'a Candidate<'a>> {
-        if self.spread > 1 {
-            let replicas = replicas.iter().copied();
-            return less_loaded_of_two(
-                request_hash,
-                replicas.filter(|replica| has_room(replica, bound)),
-            );
-        }
-        let holders = available.iter().copied();
-        less_loaded_of_two(request_hash, holders.filter(|c| c.cached >= subject.tokens))
-    }
-
-    /// The endpoints over which a subject is spread: the first by rendezvous hash.
-    fn replicas<'a>(
-        &self,
-        subject: &Subject,
-        usable: &[&'a Candidate<'a>],
-    ) -> Vec<&'a Candidate<'a>> {
-        let mut ranked: Vec<(u64, &Candidate<'_>)> = usable
-            .iter()
-            .map(|candidate| (rank(subject.key, candidate.id), *candidate))
-            .collect();
-        ranked.sort_by_key(|(rank, _)| Reverse(*rank));
-        let replicas = ranked.into_iter().take(self.spread.max(1));
-        replicas.map(|(_, replica)| replica).collect()
-    }
-
     /// Number of endpoints that a subject needs so that its replicas get below the load bound, or `None`
     /// if they are below it. Each further endpoint is assumed to take the requests between the mean and
     /// the bound.
@@ -249,7 +223,7 @@
         candidates: &[Candidate<'_>],
     ) -> Option<Choice> {
         let others_rest = candidates.iter().any(|c| c.resting && !c.excluded);
-        let mean = mean(&counted_for_mean(candidates));
+        let mean = mean_load(candidates);
         let usable = usable(candidates.iter().filter(|c| c.eligible));
         let best = if self.draws {
             let bound = mean * self.multiple + self.slack;
@@ -294,11 +268,12 @@
         let drawn = (rank(request_hash, candidate.id) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
         -drawn.ln() / weight
     };
-    let within = usable.iter().copied();
-    let within = within.filter(|candidate| load(candidate) < bound);
-    let least = within.min_by(|a, b| score(a).total_cmp(&score(b)));
-    let all = || usable.iter().copied();
-    least.or_else(|| all().min_by(|a, b| score(a).total_cmp(&score(b))))
+    let all = || usable.iter().copied().map(|c| (score(&c), c));
+    let within = usable.iter().copied().filter(|c| load(c) < bound);
+    let within = within.map(|c| (score(&c), c));
+    let least = within.min_by(|a, b| a.0.total_cmp(&b.0));
+    let least = least.or_else(|| all().min_by(|a, b| a.0.total_cmp(&b.0)));
+    least.map(|(_, candidate)| candidate)
 }
 
 /// Load of an endpoint when endpoints are compared: a slow one counts as if it held as many more requests as
@@ -335,23 +310,23 @@
 /// The candidates that take requests and are not avoided, or all that take requests if all are avoided.
 fn usable<'a>(candidates: impl Iterator<Item = &'a Candidate<'a>>) -> Vec<&'a Candidate<'a>> {
     let available = candidates.filter(|c| !c.leaving && !c.resting && !c.excluded);
-    let available: Vec<&Candidate<'_>> = available.collect();
-    if available.iter().all(|candidate| candidate.avoid) {
-        return available;
+    let mut available: Vec<&Candidate<'_>> = available.collect();
+    if available.iter().any(|candidate| !candidate.avoid) {
+        available.retain(|candidate| !candidate.avoid);
     }
     available
-        .into_iter()
-        .filter(|candidate| !candidate.avoid)
-        .collect()
 }
 
-/// The candidates whose load enters the mean: the usable ones and those that rest. Without the latter,
-/// each resting endpoint would raise the bound, and with it the load of the others.
-fn counted_for_mean<'a>(candidates: &'a [Candidate<'a>]) -> Vec<&'a Candidate<'a>> {
-    let resting = candidates.iter();
-    let resting = resting.filter(|c| c.resting && !c.leaving && !c.excluded);
-    let usable = usable(candidates.iter());
-    usable.into_iter().chain(resting).collect()
+/// Mean of the requests outstanding at the usable candidates and those that rest. Without the latter, each resting
+/// endpoint would raise the bound, and with it the load of the others.
+fn mean_load(candidates: &[Candidate<'_>]) -> f64 {
+    let accepting = || candidates.iter().filter(|c| !c.leaving && !c.excluded);
+    let all_avoided = accepting().all(|c| c.resting || c.avoid);
+    let counted = accepting().filter(|c| c.resting || all_avoided || !c.avoid);
+    let (sum, count) = counted.fold((0, 0), |(sum, count), candidate| {
+        (sum + u64::from(candidate.requests), count + 1)
+    });
+    sum as f64 / f64::from(count.max(1))
 }
 
 /// Picks two endpoints by hash and returns the one with fewer requests.
@@ -359,18 +334,29 @@
     request_hash: u64,
     candidates: impl Iterator<Item = &'a Candidate<'a>>,
 ) -> Option<&'a Candidate<'a>> {
-    let mut ranked: Vec<_> = candidates
-        .map(|candidate| (rank(request_hash, candidate.id), candidate))
-        .collect();
-    ranked.sort_by_key(|(rank, _)| Reverse(*rank));
-    let picked = ranked.into_iter().take(2).map(|(_, candidate)| candidate);
+    let picked = first_by_rank(request_hash, candidates, 2).into_iter();
     picked.min_by(|a, b| load(a).total_cmp(&load(b)))
 }
 
-fn mean(candidates: &[&Candidate<'_>]) -> f64 {
-    let requests = candidates.iter();
-    let sum: f64 = requests.map(|c| f64::from(c.requests)).sum();
-    sum / candidates.len().max(1) as f64
+/// The first candidates by rendezvous hash, in that order.
+fn first_by_rank<'a>(
+    key: u64,
+    candidates: impl Iterator<Item = &'a Candidate<'a>>,
+    count: usize,
+) -> Vec<&'a Candidate<'a>> {
+    let ranked = candidates.enumerate();
+    let mut ranked: Vec<_> = ranked
+        .map(|(at, candidate)| (Reverse(rank(key, candidate.id)), at, candidate))
+        .collect();
+    if count < ranked.len() {
+        ranked.select_nth_unstable_by_key(count, |(rank, at, _)| (*rank, *at));
+        ranked.truncate(count);
+    }
+    ranked.sort_unstable_by_key(|(rank, at, _)| (*rank, *at));
+    ranked
+        .into_iter()
+        .map(|(.., candidate)| candidate)
+        .collect()
 }
 
 fn rank(key: u64, id: &str) -> u64 {
