Compare only the paces that may take effect

Each refresh of the paces looked all endpoints up, computed how far each estimate has faded and sorted them, up to 20 times a second; each choice looked all up once more.

Estimates fade towards 1, so that one that was below the effective pace at its last change takes no effect until the next. Those above it are kept in a list of their own. The usual pace is above 1 only if half of the endpoints are, so that a refresh can stop early; otherwise the median is selected among those above 1, and the lower quartile is looked at only if an estimate is below half of the median. Ruled out: sums of paces, since they fade at different rates.

--- a/crates/edge/src/pace.rs
+++ b/crates/edge/src/pace.rs
@@ -6,6 +6,7 @@
 
 mod effect;
 mod estimate;
+mod estimates;
 mod sampling;
 mod scale;
 mod switch;
@@ -19,6 +20,7 @@
 use crate::load_reports::ReportKey;
 use effect::Effects;
 use estimate::Estimate;
+use estimates::Estimates;
 use sequoiaridge_core::id_key;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -44,7 +46,7 @@
 pub struct Paces {
     switch: Switch,
     services: BTreeMap<String, ServicePaces>,
-    estimates: BTreeMap<ReportKey, Estimate>,
+    estimates: Estimates,
 }
 
 /// Paces of the endpoints of one service at one time. What they have in common is looked up once: large
@@ -52,7 +54,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct CurrentPaces<'a> {
     /// `None` if the paces of the service are not learned, or none is known.
-    estimates: Option<&'a BTreeMap<ReportKey, Estimate>>,
+    estimates: Option<&'a Estimates>,
     usual: f64,
     now: Duration,
 }
@@ -60,7 +62,12 @@
 impl CurrentPaces<'_> {
     /// The pace of an endpoint: 1 unless its pace takes effect.
     pub fn of(&self, id: &str) -> f64 {
-        let estimate = self.estimates.and_then(|known| known.get(&id_key(id)));
+        self.of_key(id_key(id))
+    }
+
+    /// The same by the endpoint's key.
+    pub fn of_key(&self, key: ReportKey) -> f64 {
+        let estimate = self.estimates.and_then(|known| known.raised(key));
         estimate.map_or(1.0, |estimate| {
             effect::effective(estimate.compared(self.usual, self.now))
         })
@@ -88,8 +95,9 @@
     pub fn record_load(&mut self, service: &str, id: &str, load: &EndpointLoad, now: Duration) {
         if let Some(percent) = load.pace_percent {
             self.switch.record_figure(service, now);
-            let estimate = self.estimates.entry(id_key(id)).or_default();
-            estimate.record_figure(f64::from(percent) / 100.0, now);
+            let pace = f64::from(percent) / 100.0;
+            self.estimates
+                .change(id_key(id), |estimate| estimate.record_figure(pace, now));
         }
     }
 
@@ -108,8 +116,9 @@
         let times = &mut self.services.entry(service.to_string()).or_default().pauses;
         let ratio = times.compare(id_key(id), pause, now);
         if let Some(ratio) = ratio {
-            let estimate = self.estimates.entry(id_key(id)).or_default();
-            estimate.record_pause(ratio, run, now);
+            self.estimates.change(id_key(id), |estimate| {
+                estimate.record_pause(ratio, run, now)
+            });
         }
     }
 
@@ -127,8 +136,9 @@
             return;
         };
         let ratio = pause.as_secs_f64() / usual.as_secs_f64();
-        let estimate = self.estimates.entry(id_key(id)).or_default();
-        estimate.record_stall(ratio, stall, run, now);
+        self.estimates.change(id_key(id), |estimate| {
+            estimate.record_stall(ratio, stall, run, now);
+        });
     }
 
     /// Records the time of a plain answer, with the load that the endpoint reported with it.
@@ -149,8 +159,8 @@
         let time = time.div_f64(1.0 + queued);
         let service = self.services.entry(service.to_string()).or_default();
         if let Some(ratio) = service.answers.compare(id_key(id), time, now) {
-            let estimate = self.estimates.entry(id_key(id)).or_default();
-            estimate.record_answer(ratio, now);
+            self.estimates
+                .change(id_key(id), |estimate| estimate.record_answer(ratio, now));
         }
     }
 
@@ -169,13 +179,24 @@
         service: &str,
         ids: impl Iterator<Item = &'a str>,
         now: Duration,
+    ) -> Vec<PaceChange> {
+        let endpoints = ids.map(|id| (id, id_key(id)));
+        self.refresh_keyed(service, endpoints, now)
+    }
+
+    /// The same for endpoints with their keys.
+    pub fn refresh_keyed<'a>(
+        &mut self,
+        service: &str,
+        endpoints: impl Iterator<Item = (&'a str, ReportKey)>,
+        now: Duration,
     ) -> Vec<PaceChange> {
         if !self.is_on(service, now) {
             self.services.remove(service);
             return Vec::new();
         }
         let service = self.services.entry(service.to_string()).or_default();
-        service.effects.refresh(ids, &self.estimates, now)
+        service.effects.refresh(endpoints, &self.estimates, now)
     }
 
     /// Current pace of an endpoint, for placement and for the capacity of its service: 1 unless its pace
@@ -184,16 +205,18 @@
         self.at(service, now).of(id)
     }
 
+    /// The usual pace of a service's endpoints, with which estimates are compared.
+    pub fn usual_pace(&self, service: &str) -> f64 {
+        let service = self.services.get(service);
+        service.map_or(1.0, |service| service.effects.usual())
+    }
+
     /// The current paces of a service's endpoints, to look up many of them.
     pub fn at<'a>(&'a self, service: &str, now: Duration) -> CurrentPaces<'a> {
         let is_learned = self.is_on(service, now) && !self.estimates.is_empty();
-        let usual = self
-            .services
-            .get(service)
-            .map_or(1.0, |s| s.effects.usual());
         CurrentPaces {
             estimates: is_learned.then_some(&self.estimates),
-            usual,
+            usual: self.usual_pace(service),
             now,
         }
     }
@@ -205,14 +228,14 @@
 
     /// What the other routers are told of an endpoint's pace.
     pub(crate) fn entry(&self, key: &ReportKey, now: Duration) -> PaceEntry {
-        let estimate = self.estimates.get(key);
+        let estimate = self.estimates.get(*key);
         estimate.map_or(PaceEntry::default(), |estimate| estimate.entry(now))
     }
 
     /// The endpoints whose pace takes effect, those sampled last first, for messages of a small fleet.
     pub(crate) fn slowest(&self, now: Duration) -> Vec<(ReportKey, PaceEntry)> {
-        let all = self.estimates.iter();
-        let paces = all.map(|(key, estimate)| (*key, estimate, estimate.pace(now)));
+        let raised = self.estimates.all_raised();
+        let paces = raised.map(|(key, estimate)| (key, estimate, estimate.pace(now)));
         let mut slow: Vec<_> = paces
             .filter(|(_, _, pace)| *pace >= EFFECTIVE_PACE)
             .collect();
@@ -227,14 +250,13 @@
     /// Merges what another router said at `at` of an endpoint's pace.
     pub(crate) fn merge(&mut self, key: ReportKey, entry: PaceEntry, at: Duration) {
         if let Some(estimate) = Estimate::received(entry, at) {
-            self.estimates.entry(key).or_default().replace(estimate);
+            self.estimates.change(key, |known| known.replace(estimate));
         }
     }
 
     /// Drops what is too old to count.
     pub fn expire(&mut self, now: Duration) {
-        self.estimates
-            .retain(|_, estimate| now < estimate.at() + MAX_AGE);
+        self.estimates.expire(MAX_AGE, now);
         self.switch.expire(now);
         for service in self.services.values_mut() {
             service.pauses.expire(now);
--- a/crates/edge/src/pace/estimate.rs
+++ b/crates/edge/src/pace/estimate.rs
@@ -74,6 +74,11 @@
         self.at
     }
 
+    /// The pace as of the last sample. Until the next one it fades towards 1.
+    pub(super) fn last(&self) -> f64 {
+        self.pace
+    }
+
     /// Records a pace that the endpoint reported.
     pub(super) fn record_figure(&mut self, pace: f64, now: Duration) {
         *self = Estimate {
--- a/crates/edge/src/pace/usual.rs
+++ b/crates/edge/src/pace/usual.rs
@@ -9,7 +9,7 @@
 /// follows a change of all endpoints within three seconds.
 const ENDPOINTS: usize = 16;
 /// Fewest endpoints with which one of them can be compared.
-const MIN_ENDPOINTS: usize = 3;
+pub(super) const MIN_ENDPOINTS: usize = 3;
 /// Time for which the last time of an endpoint counts.
 const MAX_AGE: Duration = Duration::from_secs(20);
 
@@ -54,9 +54,13 @@
     if values.len() < MIN_ENDPOINTS {
         return None;
     }
-    values.sort_by(f64::total_cmp);
-    let median = values[(values.len() - 1) / 2];
-    let quartile = values[(values.len() - 1) / 4];
+    let (middle, first) = ((values.len() - 1) / 2, (values.len() - 1) / 4);
+    let (lower, median, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
+    let median = *median;
+    let quartile = match first < middle {
+        true => *lower.select_nth_unstable_by(first, f64::total_cmp).1,
+        false => median,
+    };
     Some(if quartile * 2.0 < median {
         quartile
     } else {
