Read what is known of the endpoints in one pass

A choice passed over the endpoints of its service two or three times and looked each id up in the tables of health, rests, work, reports, paces and constraints, in that of health four times. A refresh of the room did the same.

Now one pass reads the tables that are sorted by id beside each other. Reports are looked up by number, which is derived from the hash of the id when a row arrives. Operators' constraints are passed over only where some apply. Only the third of the fills that enters the room is sorted, and only the reports that a message carries get their paces.

--- a/crates/edge/benches/endpoints.rs
+++ b/crates/edge/benches/endpoints.rs
@@ -12,9 +12,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sequoiaridge_edge::{
-    Admission, Candidate, EndpointEntry, EndpointLoad, EndpointRoom, Entry, Era, Evacuations,
-    Health, Homes, Loads, PaceEntry, Placement, Position, ReportEntry, RestRequest, Rests, Roster,
-    Row, Rows, ServiceRoom, Subject, Work,
+    Admission, Candidate, EndpointEntry, EndpointLoad, EndpointRoom, EndpointTables, Entry, Era,
+    Health, Loads, PaceEntry, Placement, Position, ReportEntry, RestRequest, Rests, Roster, Row,
+    Rows, ServiceRoom, Subject,
 };
 use std::collections::BTreeMap;
 use std::hint::black_box;
@@ -42,8 +42,6 @@
     loads: Loads,
     health: Health,
     rests: Rests,
-    evacuations: Evacuations,
-    homes: Homes,
     admission: Admission,
     cached: BTreeMap<String, u64>,
     message: Vec<ReportEntry>,
@@ -71,8 +69,6 @@
             loads: Loads::new(),
             health: Health::new(),
             rests: Rests::new(),
-            evacuations: Evacuations::new(),
-            homes: Homes::default(),
             admission: Admission::new(true),
             cached: BTreeMap::new(),
             message: Vec::new(),
@@ -125,70 +121,59 @@
 
     /// Chooses an endpoint for a prompt or a plain request.
     fn choose(&self, is_prompt: bool, number: u64, now: Duration) -> usize {
-        let mut constraints: BTreeMap<String, ()> = BTreeMap::new();
-        let regions = BTreeMap::new();
-        for entry in self.roster.accepting(SERVICE, now) {
-            if self.evacuations.contains(&entry.domain) || !self.homes.allow(&entry.domain, &regions)
-            {
-                constraints.insert(entry.id.clone(), ());
-            }
-        }
         let paces = self.loads.paces().at(SERVICE, now);
         let mut candidates: Vec<Candidate<'_>> = Vec::new();
-        let mut errors = 0.0;
-        for entry in self.roster.endpoints_of(SERVICE, now) {
-            if self.health.is_misdirected(entry) {
+        for endpoint in self.tables().scan(|entry| entry.service == SERVICE, now) {
+            let (entry, health) = (endpoint.entry, endpoint.health);
+            if health.is_misdirected(entry) {
                 continue;
             }
-            let constraint = constraints.get(&entry.id);
-            let cached = self.cached.get(entry.id.as_str()).copied();
-            let Work { requests, unread } = self.loads.outstanding(&entry.id, now);
             candidates.push(Candidate {
                 id: &entry.id,
                 slots: entry.slots,
-                requests,
-                unread,
-                cached: cached.unwrap_or(0),
-                eligible: constraint.is_none(),
-                leaving: self.roster.is_leaving(entry),
+                requests: endpoint.work.requests,
+                unread: endpoint.work.unread,
+                cached: self.cached.get(&entry.id).copied().unwrap_or(0),
+                eligible: true,
+                leaving: endpoint.leaving,
                 same_domain: entry.domain == "domain-1",
-                avoid: self.health.is_paused(&entry.id, now),
-                resting: self.rests.until(&entry.id, now).is_some(),
+                avoid: health.is_paused(now) || health.is_failing(0.0),
+                resting: endpoint.resting,
                 excluded: false,
-                pace: paces.of(&entry.id),
+                pace: paces.of_key(endpoint.key),
             });
-            errors += self.health.errors(&entry.id);
-        }
-        let errors = errors / f64::max(candidates.len() as f64, 1.0);
-        for candidate in &mut candidates {
-            candidate.avoid |= self.health.is_failing(candidate.id, errors);
         }
         place(is_prompt, number, &candidates)
     }
 
+    fn tables(&self) -> EndpointTables<'_> {
+        EndpointTables {
+            roster: &self.roster,
+            loads: &self.loads,
+            health: &self.health,
+            rests: &self.rests,
+        }
+    }
+
     /// Refreshes the room of the service.
     fn refresh_room(&mut self, now: Duration) {
         let paces = self.loads.paces().at(SERVICE, now);
-        let mut endpoints = Vec::new();
-        let mut paused = Vec::new();
-        for entry in self.roster.accepting(SERVICE, now) {
-            if self.rests.until(&entry.id, now).is_some() || self.health.is_misdirected(entry) {
-                continue;
-            }
-            let room = EndpointRoom {
-                slots: entry.slots,
-                requests: self.loads.outstanding(&entry.id, now).requests,
-                pace: paces.of(&entry.id),
-            };
-            if self.health.is_paused(&entry.id, now) {
-                paused.push(room);
-            } else {
-                endpoints.push(room);
-            }
-        }
+        let endpoints = self.tables().scan(|entry| entry.service == SERVICE, now);
+        let usable = endpoints.filter(|endpoint| {
+            let health = endpoint.health;
+            !(endpoint.leaving
+                || endpoint.resting
+                || health.is_misdirected(endpoint.entry)
+                || health.is_paused(now))
+        });
+        let rooms = usable.map(|endpoint| EndpointRoom {
+            slots: endpoint.entry.slots,
+            requests: endpoint.work.requests,
+            pace: paces.of_key(endpoint.key),
+        });
         let room = ServiceRoom {
             service: SERVICE,
-            endpoints,
+            endpoints: rooms.collect(),
             routers: ROUTERS,
             target: Duration::from_millis(400),
         };
@@ -197,9 +182,9 @@
 
     /// Compares the paces of the service's endpoints.
     fn refresh_paces(&mut self, now: Duration) -> usize {
-        let endpoints = self.roster.endpoints_of(SERVICE, now);
-        let ids = endpoints.map(|entry| entry.id.as_str());
-        self.loads.paces_mut().refresh(SERVICE, ids, now).len()
+        let endpoints = self.roster.keys_of(SERVICE, now);
+        let paces = self.loads.paces_mut();
+        paces.refresh_keyed(SERVICE, endpoints, now).len()
     }
 
     fn run(&mut self, work: &str, times: u64) {
--- a/crates/edge/src/admission/room.rs
+++ b/crates/edge/src/admission/room.rs
@@ -92,8 +92,14 @@
         // What waits at a slow endpoint says nothing about the demand.
         let fills = usable().filter(|endpoint| endpoint.pace < EFFECTIVE_PACE);
         let mut fills: Vec<f64> = fills.map(fill_of).collect();
-        fills.sort_by(|a, b| b.total_cmp(a));
-        let top_fill = mean(&fills[..fills.len().div_ceil(3)]);
+        let top = fills.len().div_ceil(3);
+        if top < fills.len() {
+            fills.select_nth_unstable_by(top, |a, b| b.total_cmp(a));
+            fills.truncate(top);
+        }
+        // In order, so that the sum is rounded the same way each time.
+        fills.sort_unstable_by(|a, b| b.total_cmp(a));
+        let top_fill = mean(&fills);
         self.rise = top_fill - self.top_fill;
         self.top_fill = top_fill;
     }
--- a/crates/edge/src/constraints/homes.rs
+++ b/crates/edge/src/constraints/homes.rs
@@ -22,9 +22,17 @@
         }
     }
 
+    /// Whether no homes apply.
+    pub fn allow_all(&self) -> bool {
+        self.route.is_none() && self.customer.is_none()
+    }
+
     /// Whether the endpoints of a failure domain may get the request. A domain in no known region may
     /// be anywhere, so it is allowed only where no homes apply.
     pub fn allow(&self, domain: &str, regions: &BTreeMap<DomainId, RegionId>) -> bool {
+        if self.allow_all() {
+            return true;
+        }
         let region = regions.get(domain);
         let allows = |homes: &Option<Vec<RegionId>>| {
             homes
--- a/crates/edge/src/exchange_reports.rs
+++ b/crates/edge/src/exchange_reports.rs
@@ -59,9 +59,9 @@
 
     /// Compares the paces of the service's endpoints, and logs what takes effect or no longer does.
     pub(crate) fn refresh_paces(&self, state: &mut RoutingState, now: Duration) {
-        let endpoints = state.roster.endpoints_of(&self.service, now);
-        let ids = endpoints.map(|entry| entry.id.as_str());
-        let changes = state.loads.paces_mut().refresh(&self.service, ids, now);
+        let endpoints = state.roster.keys_of(&self.service, now);
+        let paces = state.loads.paces_mut();
+        let changes = paces.refresh_keyed(&self.service, endpoints, now);
         let slow = i64::try_from(state.loads.paces().slow_count()).unwrap_or(i64::MAX);
         self.shared.metrics.slow_endpoints.set(slow);
         for change in changes {
--- a/crates/edge/src/health.rs
+++ b/crates/edge/src/health.rs
@@ -1,6 +1,7 @@
 //! Health of endpoints, as this router's requests show it.
 
 use crate::manifest::EndpointEntry;
+use crate::sorted_walk::SortedWalk;
 use sequoiaridge_core::EndpointId;
 use sequoiaridge_policy::Backoff;
 use std::collections::BTreeMap;
@@ -18,8 +19,9 @@
 /// Excess over the other endpoints' error rate from which an endpoint is avoided.
 const ERROR_EXCESS: f64 = 0.25;
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Record {
+/// What this router's requests showed of one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EndpointHealth {
     failures: u32,
     paused_until: Duration,
     error_rate: f64,
@@ -27,10 +29,32 @@
     misdirected: Option<(SocketAddr, Option<u64>)>,
 }
 
+impl EndpointHealth {
+    /// Whether another endpoint answered at the address of an entry; see [`Health::is_misdirected`].
+    pub fn is_misdirected(&self, entry: &EndpointEntry) -> bool {
+        self.misdirected == Some((entry.address, entry.born))
+    }
+
+    /// Whether the endpoint is ejected now.
+    pub fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until
+    }
+
+    /// Error rate among the latest answers.
+    pub fn errors(&self) -> f64 {
+        self.error_rate
+    }
+
+    /// Whether the error rate is clearly above `others`, the mean of the endpoints.
+    pub fn is_failing(&self, others: f64) -> bool {
+        self.error_rate > others + ERROR_EXCESS
+    }
+}
+
 /// Failures and error rates by endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    records: BTreeMap<EndpointId, Record>,
+    records: BTreeMap<EndpointId, EndpointHealth>,
 }
 
 impl Health {
@@ -80,7 +104,7 @@
     /// with another address or start if it comes back.
     pub fn is_misdirected(&self, entry: &EndpointEntry) -> bool {
         let record = self.records.get(&entry.id);
-        record.is_some_and(|record| record.misdirected == Some((entry.address, entry.born)))
+        record.is_some_and(|record| record.is_misdirected(entry))
     }
 
     /// Forgets an endpoint that is gone or has restarted.
@@ -90,14 +114,19 @@
 
     /// Whether the endpoint is ejected now.
     pub fn is_paused(&self, id: &str, now: Duration) -> bool {
-        self.records
-            .get(id)
-            .is_some_and(|record| now < record.paused_until)
+        let record = self.records.get(id);
+        record.is_some_and(|record| record.is_paused(now))
+    }
+
+    /// Looks up the records of ascending ids.
+    pub(crate) fn walk(&self) -> SortedWalk<'_, EndpointId, EndpointHealth> {
+        SortedWalk::new(&self.records)
     }
 
     /// Whether the endpoint's error rate is clearly above `others`, the mean of the endpoints.
     pub fn is_failing(&self, id: &str, others: f64) -> bool {
-        self.errors(id) > others + ERROR_EXCESS
+        let record = self.records.get(id).copied().unwrap_or_default();
+        record.is_failing(others)
     }
 
     /// Error rate among the latest answers.
--- a/crates/edge/src/leaving_starts.rs
+++ b/crates/edge/src/leaving_starts.rs
@@ -1,6 +1,7 @@
 //! Starts of endpoints that announced in an answer that they are leaving.
 
 use crate::manifest::EndpointEntry;
+use crate::sorted_walk::SortedWalk;
 use sequoiaridge_core::EndpointId;
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
@@ -31,6 +32,12 @@
         starts.is_some_and(|starts| starts.contains_key(&entry.boot()))
     }
 
+    /// Looks up ascending ids. Those of endpoints that are gone stay in the table, so it may be as long as the
+    /// roster.
+    pub(crate) fn walk(&self) -> LeavingWalk<'_> {
+        LeavingWalk(SortedWalk::new(&self.starts))
+    }
+
     /// Records that a start is listed; `is_new` says that the endpoint was not listed before. Other
     /// starts are over. But an answer from after the listed start began must have come from that
     /// start, which the registry lists only now, so its announcement is kept for the listed start.
@@ -53,3 +60,14 @@
         }
     }
 }
+
+/// Lookups of ascending ids among the leaving starts.
+pub(crate) struct LeavingWalk<'a>(SortedWalk<'a, EndpointId, BTreeMap<String, SystemTime>>);
+
+impl LeavingWalk<'_> {
+    /// Whether the listed start has announced that it is leaving.
+    pub(crate) fn contains(&mut self, entry: &EndpointEntry) -> bool {
+        let starts = self.0.find(&entry.id);
+        starts.is_some_and(|starts| starts.contains_key(&entry.boot()))
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,7 @@
 mod departures;
 mod drain;
 mod endpoint_notices;
+mod endpoint_scan;
 mod entry_bounds;
 mod event_scan;
 mod exchange;
@@ -79,6 +80,7 @@
 mod shared;
 mod silence_watch;
 mod snapshot;
+mod sorted_walk;
 mod started_answer;
 mod stream_body;
 mod stream_news;
@@ -109,12 +111,13 @@
 pub use demand_budget::{MAX_DEMAND_BYTES, demand_bytes, fit_demand};
 pub use departures::Departures;
 pub use drain::{Drain, DrainRequest};
+pub use endpoint_scan::{EndpointTables, ScannedEndpoint};
 pub use feed::{ChangedRow, Feed, MAX_FEED_CHANGES, RowChange};
 pub use follower::{Follower, Revision, TableDigest};
-pub use health::Health;
+pub use health::{EndpointHealth, Health};
 pub use hot_subjects::{HotSubject, HotSubjects};
 pub use load::{Loads, PeerRouter, Work};
-pub use load_reports::{LoadReports, ReportEntry, ReportedLoad};
+pub use load_reports::{LoadReports, ReportEntry, ReportKey, ReportedLoad};
 pub use manifest::{
     CallerLimits, ColdStart, Customer, EndpointEntry, Engine, Kind, Manifest, Route, RouterEntry,
     Service, ServiceName, SoftwareVersion, software_version,
--- a/crates/edge/src/load.rs
+++ b/crates/edge/src/load.rs
@@ -1,9 +1,10 @@
 //! Outstanding work by endpoint: what this router sent, and what other routers report.
 
 use crate::call::EndpointLoad;
-use crate::load_reports::{LoadReports, ReportEntry, ReportedLoad, merge_paces};
+use crate::load_reports::{LoadReports, ReportEntry, ReportKey, ReportedLoad, merge_paces};
 use crate::pace::Paces;
-use sequoiaridge_core::{DomainId, EndpointId, RouterId};
+use crate::sorted_walk::SortedWalk;
+use sequoiaridge_core::{DomainId, EndpointId, RouterId, id_key};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -68,6 +69,22 @@
     reports_only: bool,
 }
 
+/// Lookups of ascending ids among the outstanding work.
+pub(crate) struct WorkWalk<'a> {
+    loads: &'a Loads,
+    own: SortedWalk<'a, EndpointId, Work>,
+    others: SortedWalk<'a, EndpointId, Work>,
+    now: Duration,
+}
+
+impl WorkWalk<'_> {
+    /// Work of all routers at one endpoint; see [`Loads::outstanding`].
+    pub(crate) fn outstanding(&mut self, id: &str, key: ReportKey) -> Work {
+        let (own, others) = (self.own.find(id), self.others.find(id));
+        self.loads.sum(own, others, key, self.now)
+    }
+}
+
 impl Loads {
     /// Creates an empty table.
     pub fn new() -> Loads {
@@ -202,10 +219,30 @@
     /// Work of all routers at one endpoint. If the endpoint reported more requests a short time ago
     /// than the routers' counts add up to, its report counts.
     pub fn outstanding(&self, id: &str, now: Duration) -> Work {
-        let own = self.own.get(id).copied().unwrap_or_default();
-        let mut sum = self.others.get(id).copied().unwrap_or_default();
-        sum.add(own);
-        if let Some(report) = self.reports.outstanding(id, now)
+        let (own, others) = (self.own.get(id), self.others.get(id));
+        self.sum(own, others, id_key(id), now)
+    }
+
+    /// Looks up the outstanding work of ascending ids.
+    pub(crate) fn walk(&self, now: Duration) -> WorkWalk<'_> {
+        WorkWalk {
+            loads: self,
+            own: SortedWalk::new(&self.own),
+            others: SortedWalk::new(&self.others),
+            now,
+        }
+    }
+
+    fn sum(
+        &self,
+        own: Option<&Work>,
+        others: Option<&Work>,
+        key: ReportKey,
+        now: Duration,
+    ) -> Work {
+        let mut sum = others.copied().unwrap_or_default();
+        sum.add(own.copied().unwrap_or_default());
+        if let Some(report) = self.reports.outstanding_at(key, now)
             && (self.reports_only || report.age < MAX_REPORT_AGE)
         {
             sum.requests = sum.requests.max(report.requests);
--- a/crates/edge/src/load_reports.rs
+++ b/crates/edge/src/load_reports.rs
@@ -19,6 +19,8 @@
 const MAX_REPORT_BYTES: usize = 704;
 /// Bytes of a report without its number of requests: key, age, pace and age of the pace.
 const REPORT_BYTES: usize = 7;
+/// Most reports that may fit in a message.
+const MAX_REPORTS: usize = MAX_REPORT_BYTES / (REPORT_BYTES + 1);
 /// Age of an entry that holds a pace only: beyond that of any report that counts.
 const NO_REPORT_AGE: u8 = u8::MAX;
 /// Time within which a report reaches most routers of a large fleet.
@@ -51,7 +53,8 @@
 /// The newest report of each endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct LoadReports {
-    reports: BTreeMap<ReportKey, Report>,
+    /// By key as a number of the same order, which is compared faster.
+    reports: BTreeMap<u32, Report>,
 }
 
 /// The load of an endpoint, with the age of the report behind it.
@@ -71,7 +74,7 @@
 
     /// Records a request that this router sends.
     pub fn begin(&mut self, id: &str, now: Duration) {
-        let report = self.reports.entry(id_key(id)).or_default();
+        let report = self.reports.entry(number(id_key(id))).or_default();
         if report.starts.len() >= MAX_STARTS {
             report.starts.remove(0);
         }
@@ -97,24 +100,31 @@
 
     /// The newest reports, for a message, with the paces of their endpoints.
     pub fn newest(&self, paces: &Paces, now: Duration) -> Vec<ReportEntry> {
-        let mut entries: Vec<(Duration, ReportEntry)> = Vec::new();
-        for (key, report) in &self.reports {
+        let aged = self.reports.iter().map(|(key, report)| {
             let age = now.saturating_sub(report.at);
-            if report.at.is_zero() || age >= REPORT_TTL {
-                continue;
-            }
-            let units = age.as_millis() / AGE_UNIT.as_millis();
-            let units = u8::try_from(units).unwrap_or(u8::MAX);
-            entries.push((age, (*key, report.requests, units, paces.entry(key, now))));
+            (age, *key, report)
+        });
+        let counting =
+            |(age, _, report): &(Duration, u32, &Report)| !report.at.is_zero() && *age < REPORT_TTL;
+        let mut newest: Vec<(Duration, u32, &Report)> = aged.filter(counting).collect();
+        let order = |(age, key, _): &(Duration, u32, &Report)| (*age, *key);
+        if newest.len() > MAX_REPORTS {
+            newest.select_nth_unstable_by_key(MAX_REPORTS, order);
+            newest.truncate(MAX_REPORTS);
         }
-        entries.sort_by_key(|(age, _)| *age);
+        newest.sort_unstable_by_key(order);
         let mut bytes = 0;
-        let entries = entries.into_iter().map(|(_, entry)| entry);
-        let fitting = entries.take_while(|(_, requests, ..)| {
-            bytes += REPORT_BYTES + varint_bytes(*requests);
+        let fitting = newest.into_iter().take_while(|(_, _, report)| {
+            bytes += REPORT_BYTES + varint_bytes(report.requests);
             bytes <= MAX_REPORT_BYTES
         });
-        fitting.collect()
+        let entries = fitting.map(|(age, number, report)| {
+            let units = age.as_millis() / AGE_UNIT.as_millis();
+            let units = u8::try_from(units).unwrap_or(u8::MAX);
+            let key = number.to_be_bytes();
+            (key, report.requests, units, paces.entry(&key, now))
+        });
+        entries.collect()
     }
 
     /// Entries that hold only the paces of the slow endpoints, for a fleet in which routers exchange their
@@ -128,7 +138,12 @@
     /// Outstanding requests at an endpoint: those that it reported, and those that this router has
     /// sent since. `None` if the last report is too old.
     pub fn outstanding(&self, id: &str, now: Duration) -> Option<ReportedLoad> {
-        let report = self.reports.get(&id_key(id))?;
+        self.outstanding_at(id_key(id), now)
+    }
+
+    /// The same by the endpoint's key.
+    pub(crate) fn outstanding_at(&self, key: ReportKey, now: Duration) -> Option<ReportedLoad> {
+        let report = self.reports.get(&number(key))?;
         let age = now.saturating_sub(report.at);
         if report.at.is_zero() || age >= REPORT_TTL {
             return None;
@@ -150,7 +165,7 @@
     }
 
     fn replace(&mut self, key: ReportKey, requests: u16, at: Duration) {
-        let report = self.reports.entry(key).or_default();
+        let report = self.reports.entry(number(key)).or_default();
         if at > report.at {
             report.at = at;
             report.requests = requests;
@@ -163,6 +178,9 @@
 /// so that one without a newer report has started none. Without this, endpoints beyond the bound on load,
 /// which get no requests, keep their old counts, and with them the mean that the bound follows.
 fn remaining(requests: u16, age: Duration) -> u32 {
+    if requests == 0 || age <= NEWS_DELAY {
+        return u32::from(requests);
+    }
     let unheard = age.saturating_sub(NEWS_DELAY).as_secs_f64();
     let halves = unheard / REQUESTS_HALF_LIFE.as_secs_f64();
     (f64::from(requests) * (-halves).exp2()).round() as u32
@@ -175,6 +193,11 @@
     }
 }
 
+/// A key as a number of the same order.
+fn number(key: ReportKey) -> u32 {
+    u32::from_be_bytes(key)
+}
+
 /// Bytes of a number in the encoding of messages, which writes seven bits in each.
 fn varint_bytes(number: u16) -> usize {
     match number {
--- a/crates/edge/src/rest.rs
+++ b/crates/edge/src/rest.rs
@@ -75,6 +75,11 @@
         until.filter(|until| now < *until)
     }
 
+    /// The ends of the rests, of which some may have passed.
+    pub(crate) fn ends(&self) -> &BTreeMap<EndpointId, Duration> {
+        &self.until
+    }
+
     /// Removes and returns the endpoints whose rest has ended.
     pub fn expire(&mut self, now: Duration) -> Vec<EndpointId> {
         let ended = self.until.iter().filter(|(_, until)| now >= **until);
--- a/crates/edge/src/room_watch.rs
+++ b/crates/edge/src/room_watch.rs
@@ -1,9 +1,10 @@
 //! Keeps the room of each service up to date that admission applies to.
 //!
-//! Looking at an endpoint takes about a microsecond, and large fleets have thousands on a tenth of a core.
+//! Looking at an endpoint takes a fraction of a microsecond, and large fleets have thousands on a tenth of a core.
 //! So while a service has plenty of room in a large fleet, it is looked at less often.
 
 use crate::admission::{EndpointRoom, RoomChange, RoomFigures, ServiceRoom};
+use crate::endpoint_scan::EndpointTables;
 use crate::manifest::{Manifest, ServiceName};
 use crate::shared::{RoutingState, Shared};
 use sequoiaridge_core::Event;
@@ -102,19 +103,26 @@
         .iter()
         .map(|service| (*service, (paces(service), none())));
     let mut rooms: BTreeMap<&'a str, _> = rooms.collect();
-    for entry in state.roster.all_accepting(now) {
+    let tables = EndpointTables {
+        roster: &state.roster,
+        loads: &state.loads,
+        health: &state.health,
+        rests: &state.rests,
+    };
+    for endpoint in tables.scan(|entry| services.contains(&entry.service.as_str()), now) {
+        let entry = endpoint.entry;
         let Some((paces, (usable, paused))) = rooms.get_mut(entry.service.as_str()) else {
             continue;
         };
-        if state.rests.until(&entry.id, now).is_some() || state.health.is_misdirected(entry) {
+        if endpoint.leaving || endpoint.resting || endpoint.health.is_misdirected(entry) {
             continue;
         }
         let room = EndpointRoom {
             slots: entry.slots,
-            requests: state.loads.outstanding(&entry.id, now).requests,
-            pace: paces.of(&entry.id),
+            requests: endpoint.work.requests,
+            pace: paces.of_key(endpoint.key),
         };
-        if state.health.is_paused(&entry.id, now) {
+        if endpoint.health.is_paused(now) {
             paused.push(room);
         } else {
             usable.push(room);
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -2,10 +2,11 @@
 
 use crate::feed::{ChangedRow, RowChange};
 use crate::leaving_starts::LeavingStarts;
+use crate::load_reports::ReportKey;
 use crate::manifest::EndpointEntry;
 use crate::registry::{Entry, Position, Row, Rows};
 use crate::version_history::ServiceVersions;
-use sequoiaridge_core::{DomainId, EndpointId};
+use sequoiaridge_core::{DomainId, EndpointId, id_key};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime};
 
@@ -53,6 +54,8 @@
 #[derive(Clone, Debug)]
 struct ListedEndpoint {
     entry: EndpointEntry,
+    /// Key in messages, which every choice of an endpoint needs.
+    key: ReportKey,
     position: Position,
     /// When the endpoint is no longer used, since its row vanished around an outage of the registry.
     lapses_at: Option<Duration>,
@@ -77,6 +80,16 @@
     }
 }
 
+/// An endpoint in a pass over the roster.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Listed<'a> {
+    pub(crate) entry: &'a EndpointEntry,
+    pub(crate) key: ReportKey,
+    /// Whether it accepts no new requests.
+    pub(crate) leaving: bool,
+    pub(crate) cold_until: Duration,
+}
+
 /// A row that names no endpoint, in place of one that did.
 #[derive(Clone, Copy, Debug)]
 struct Overwritten {
@@ -360,11 +373,6 @@
             .filter(|entry| !self.is_leaving(entry))
     }
 
-    /// Endpoints of all services that accept new requests.
-    pub fn all_accepting(&self, now: Duration) -> impl Iterator<Item = &EndpointEntry> {
-        self.usable(now).filter(|entry| !self.is_leaving(entry))
-    }
-
     /// Endpoints of a service, including those that are leaving, but without those that only a copy
     /// of the registry lists.
     pub fn endpoints_of<'a>(
@@ -376,12 +384,42 @@
             .filter(move |entry| entry.service == service)
     }
 
+    /// Endpoints in use that `is_wanted` selects, in the order of their ids.
+    pub(crate) fn listed<'a>(
+        &'a self,
+        is_wanted: impl Fn(&EndpointEntry) -> bool + 'a,
+        now: Duration,
+    ) -> impl Iterator<Item = Listed<'a>> {
+        let wanted = self.used(now).filter(move |row| is_wanted(&row.entry));
+        let mut announced = self.leaving_starts.walk();
+        wanted.map(move |row| Listed {
+            entry: &row.entry,
+            key: row.key,
+            leaving: row.entry.leaving || announced.contains(&row.entry),
+            cold_until: row.cold_until,
+        })
+    }
+
     /// Endpoints of all services, without those that only a copy of the registry lists.
     fn usable(&self, now: Duration) -> impl Iterator<Item = &EndpointEntry> {
-        let is_used =
-            move |listed: &&ListedEndpoint| !listed.is_lapsed(now) && !listed.is_doubted(now);
-        let listed = self.listed.values().filter(is_used);
-        listed.map(|listed| &listed.entry)
+        self.used(now).map(|listed| &listed.entry)
+    }
+
+    /// Ids and keys of the endpoints of a service, including those that are leaving.
+    pub fn keys_of<'a>(
+        &'a self,
+        service: &'a str,
+        now: Duration,
+    ) -> impl Iterator<Item = (&'a str, ReportKey)> + 'a {
+        let rows = self
+            .used(now)
+            .filter(move |row| row.entry.service == service);
+        rows.map(|row| (row.entry.id.as_str(), row.key))
+    }
+
+    fn used(&self, now: Duration) -> impl Iterator<Item = &ListedEndpoint> {
+        let listed = self.listed.values();
+        listed.filter(move |listed| !listed.is_lapsed(now) && !listed.is_doubted(now))
     }
 
     /// An endpoint by id.
@@ -553,6 +591,7 @@
             None => self.unlisted.remove(&id),
         };
         let listed = ListedEndpoint {
+            key: id_key(&entry.id),
             entry,
             position,
             lapses_at: None,
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -3,14 +3,15 @@
 use crate::admission::EndpointQueue;
 use crate::cache_map::prefixes;
 use crate::call::Prompt;
+use crate::endpoint_scan::EndpointTables;
 use crate::exchange::Exchange;
-use crate::load::Work;
 use crate::manifest::EndpointEntry;
 use crate::metrics::Exclusion;
 use crate::placement::{Candidate, Choice, Placement, Subject};
 use crate::quarantine_probe::is_designated;
 use crate::room_gate::NotPlaced;
 use crate::shared::RoutingState;
+use crate::sorted_walk::SortedWalk;
 use crate::started_answer::LoadGuard;
 use sequoiaridge_core::{EndpointId, Event, RefusalReason, hash_parts};
 use sequoiaridge_log::log_request;
@@ -52,38 +53,49 @@
         let mut errors = 0.0;
         let mut candidates: Vec<Candidate<'_>> = Vec::new();
         let paces = state.loads.paces().at(&self.service, now);
-        for entry in state.roster.endpoints_of(&self.service, now) {
-            if self.tried.contains(&entry.id) || state.health.is_misdirected(entry) {
+        let mut erring = Vec::new();
+        let tables = EndpointTables {
+            roster: &state.roster,
+            loads: &state.loads,
+            health: &state.health,
+            rests: &state.rests,
+        };
+        let mut excluded = SortedWalk::new(&constraints);
+        let mut holders = SortedWalk::new(&cached);
+        for endpoint in tables.scan(|entry| entry.service == self.service, now) {
+            let (entry, health) = (endpoint.entry, endpoint.health);
+            if self.tried.contains(&entry.id) || health.is_misdirected(entry) {
                 continue;
             }
-            let constraint = constraints.get(&entry.id);
+            let constraint = excluded.find(&entry.id);
             // Tokens are not copied from where the request may not go, either.
             let is_readable = !matches!(constraint, Some(Exclusion::Evacuated | Exclusion::Region));
-            let cached = cached.get(entry.id.as_str()).copied();
-            let Work { requests, unread } = state.loads.outstanding(&entry.id, now);
-            let leaving = state.roster.is_leaving(entry);
-            if leaving && !entry.leaving {
+            let cached = holders.find(&entry.id).copied();
+            if endpoint.leaving && !entry.leaving {
                 self.shared.metrics.excluded(Exclusion::Leaving);
             }
             candidates.push(Candidate {
                 id: &entry.id,
                 slots: entry.slots,
-                requests,
-                unread,
+                requests: endpoint.work.requests,
+                unread: endpoint.work.unread,
                 cached: cached.filter(|_| is_readable).unwrap_or(0),
                 eligible: self.is_version(entry) && constraint.is_none(),
-                leaving,
+                leaving: endpoint.leaving,
                 same_domain: entry.domain == self.shared.settings.domain,
-                avoid: state.health.is_paused(&entry.id, now),
-                resting: state.rests.until(&entry.id, now).is_some(),
+                avoid: health.is_paused(now),
+                resting: endpoint.resting,
                 excluded: constraint == Some(&Exclusion::Evacuated),
-                pace: paces.of(&entry.id),
+                pace: paces.of_key(endpoint.key),
             });
-            errors += state.health.errors(&entry.id);
+            if health.errors() > 0.0 {
+                errors += health.errors();
+                erring.push((candidates.len() - 1, health));
+            }
         }
         let errors = errors / f64::max(candidates.len() as f64, 1.0);
-        for candidate in &mut candidates {
-            candidate.avoid |= state.health.is_failing(candidate.id, errors);
+        for (at, health) in erring {
+            candidates[at].avoid |= health.is_failing(errors);
         }
         if candidates.iter().any(|c| c.resting && !c.leaving) {
             self.shared.metrics.excluded(Exclusion::Rest);
@@ -187,13 +199,22 @@
     ) -> BTreeMap<EndpointId, Exclusion> {
         let regions = &self.shared.settings.regions;
         let mut constraints = BTreeMap::new();
+        let cold_limit = state.cold_limit(&self.service);
+        if state.evacuations.is_empty() && self.homes.allow_all() && cold_limit.is_none() {
+            return constraints;
+        }
         let mut cold = Vec::new();
-        for entry in state.roster.accepting(&self.service, now) {
+        let listed = state
+            .roster
+            .listed(|entry| entry.service == self.service, now);
+        for listed in listed.filter(|listed| !listed.leaving) {
+            let entry = listed.entry;
+            let is_cold = |limit| state.is_cold_until(entry, limit, listed.cold_until, now);
             if state.evacuations.contains(&entry.domain) {
                 constraints.insert(entry.id.clone(), Exclusion::Evacuated);
             } else if !self.homes.allow(&entry.domain, regions) {
                 constraints.insert(entry.id.clone(), Exclusion::Region);
-            } else if state.is_cold(entry, now) {
+            } else if cold_limit.is_some_and(is_cold) {
                 cold.push(entry.clone());
             }
         }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -151,9 +151,27 @@
     fn cold_start(&self, entry: &EndpointEntry, now: Duration) -> Option<ColdStart> {
         let routes = self.routes.as_ref()?;
         let cold = routes.manifest().services.get(&entry.service)?.cold?;
+        let until = self.roster.cold_until(&entry.id);
+        self.is_cold_until(entry, cold, until, now).then_some(cold)
+    }
+
+    /// What cold endpoints of a service tolerate; `None` if no limit applies to them.
+    pub(crate) fn cold_limit(&self, service: &str) -> Option<ColdStart> {
+        self.cold_starts.as_ref()?;
+        self.routes.as_ref()?.manifest().services.get(service)?.cold
+    }
+
+    /// Whether an endpoint is cold of which the roster says until when it is, or because the evacuation of its
+    /// domain ended.
+    pub(crate) fn is_cold_until(
+        &self,
+        entry: &EndpointEntry,
+        limit: ColdStart,
+        until: Duration,
+        now: Duration,
+    ) -> bool {
         let ended = self.evacuations.ended_at(&entry.domain);
-        let returned = ended.is_some_and(|ended| now < ended + cold.time);
-        (returned || now < self.roster.cold_until(&entry.id)).then_some(cold)
+        now < until || ended.is_some_and(|ended| now < ended + limit.time)
     }
 
     /// Whether the limit on cold endpoints applies to an endpoint.
