--- a/crates/edge/src/roster/differences.rs
+++ b/crates/edge/src/roster/differences.rs
@@ -1,6 +1,6 @@
 //! Decides which rows of a read differ from what is listed, and are passed on to other routers.
 
-use super::listed::Listed;
+use super::listed::ListedEndpoints;
 use crate::feed::{ChangedRow, RowChange};
 use crate::registry::{Entry, Position, Row, Rows};
 use sequoiaridge_core::EndpointId;
@@ -14,7 +14,11 @@
 /// The rows that differ from what is listed. Of several rows of one endpoint, the last one counts, but
 /// one that names no endpoint hides none before it.
 /// An endpoint that is cold for longer than was known differs; one that warms up does not.
-pub(super) fn new_changes(listed: &Listed, rows: &[Row], now: Duration) -> Vec<ChangedRow> {
+pub(super) fn new_changes(
+    listed: &ListedEndpoints,
+    rows: &[Row],
+    now: Duration,
+) -> Vec<ChangedRow> {
     let mut last: BTreeMap<(&EndpointId, bool), &Row> = BTreeMap::new();
     for row in rows {
         let is_unreadable = matches!(row.entry, Entry::Malformed(_));
@@ -54,7 +58,11 @@
 
 /// The difference between a whole table and what is listed, since `revision`: rows that changed, and rows
 /// that are gone.
-pub(super) fn removed_and_changed(listed: &Listed, table: Rows, revision: Position) -> Rows {
+pub(super) fn removed_and_changed(
+    listed: &ListedEndpoints,
+    table: Rows,
+    revision: Position,
+) -> Rows {
     let present: BTreeSet<&EndpointId> = table.rows.iter().map(|row| &row.key).collect();
     let listed = listed.iter().filter(|(_, row)| row.lapses_at.is_none());
     let missing = listed.filter(|(id, _)| !present.contains(id));
--- a/crates/edge/src/roster/listed.rs
+++ b/crates/edge/src/roster/listed.rs
@@ -2,6 +2,7 @@
 
 use super::overwritten::Overwritten;
 use crate::feed::{ChangedRow, RowChange};
+use crate::load_reports::ReportKey;
 use crate::manifest::EndpointEntry;
 use crate::registry::Position;
 use sequoiaridge_core::EndpointId;
@@ -9,12 +10,14 @@
 use std::time::Duration;
 
 /// Listed endpoints by id.
-pub(super) type Listed = BTreeMap<EndpointId, ListedEndpoint>;
+pub(super) type ListedEndpoints = BTreeMap<EndpointId, ListedEndpoint>;
 
 /// An endpoint with its row and what limits its use.
 #[derive(Clone, Debug)]
 pub(super) struct ListedEndpoint {
     pub(super) entry: EndpointEntry,
+    /// Key in messages, which every choice of an endpoint needs.
+    pub(super) key: ReportKey,
     pub(super) position: Position,
     /// When the endpoint is no longer used, since its row vanished around an outage of the registry.
     pub(super) lapses_at: Option<Duration>,
