--- a/crates/edge/tests/news.rs
+++ b/crates/edge/tests/news.rs
@@ -258,3 +258,54 @@
         }
     }
 }
+
+/// Starts all routers without tables, with a share of them to which the registry does not answer for 2 s.
+/// Returns the time from the first router with a table to the last, and the measurements.
+fn start_of_all(routers: usize, domains: usize, silent: f64, seed: u64) -> (Duration, Outcome) {
+    let faults = [fault(FaultKind::Silent, 0.0, 2.0, silent)];
+    let fleet = Fleet::new(settings(routers, domains, 4.0), &faults, seed);
+    let outcome = fleet.without_tables().run(seconds(40.0), seconds(0.7));
+    let first = outcome.tables.iter().flatten().min().expect("a table");
+    let last = outcome.tables.iter().map(|at| at.unwrap_or(Duration::MAX));
+    let delay = last.max().unwrap_or_default().saturating_sub(*first);
+    (delay, outcome)
+}
+
+/// Guards against a start of all routers after which most of them serve only when the pause after a
+/// failed first call is over, up to 30 s later (sweeps at 300 routers: serving again after 30 s),
+/// although others have the table by then; and against requests that cost calls to the registry or
+/// fill the link of a router that has the table.
+#[test]
+fn routers_that_start_together_have_tables_soon_after_the_first() {
+    for (routers, domains, max_silent) in [(9, 4, 0.78), (86, 4, 0.97), (300, 6, 0.95)] {
+        for silent in [0.0, 0.5, 0.78, 0.9, 0.95, 0.97] {
+            if silent > max_silent {
+                continue;
+            }
+            for seed in 0..4 {
+                let (delay, outcome) = start_of_all(routers, domains, silent, seed);
+                let run = format!("{routers} routers, {silent} silent, seed {seed}");
+                assert!(delay < seconds(3.0), "{run}: {delay:?}");
+                // One call for each start, and those of the reader.
+                let calls = outcome.calls_between(0, 40);
+                let max_calls = routers as f64 * 1.4 + 45.0;
+                assert!((calls as f64) < max_calls, "{run}: {calls} calls");
+                let requests = outcome.peak_requests;
+                assert!(requests < 150, "{run}: {requests} requests");
+            }
+        }
+    }
+}
+
+/// Guards against a start of all that waits for a pause because the few tables in the fleet are too
+/// old to be given away: the registry answers 3 or 9 of 300 routers, and the first readers pause.
+#[test]
+fn few_tables_reach_300_routers_soon() {
+    for (silent, seed) in [0.97, 0.99]
+        .into_iter()
+        .flat_map(|s| (0..4).map(move |n| (s, n)))
+    {
+        let (delay, _) = start_of_all(300, 6, silent, seed);
+        assert!(delay < seconds(3.0), "{silent}, seed {seed}: {delay:?}");
+    }
+}
