--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -88,7 +88,6 @@
 mod stream_saves;
 mod stream_versions;
 mod sync;
-mod table_requests;
 mod take_up;
 mod terminations;
 mod upstream;
@@ -151,6 +150,5 @@
     MAX_VERSION_WINDOW, OriginSource, StreamId, StreamOrigin, StreamVersions, stream_holders,
     stream_id, stream_keepers, stream_owners,
 };
-pub use table_requests::TableRequests;
 pub use terminations::{Loss, LossOutcome, Run, Terminations};
 pub use version_history::{ServiceVersions, VersionHistory};
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -57,7 +57,6 @@
     };
     shared.wait_joined(join_wait).await;
     snapshot::fetch_at_start(&shared).await;
-    tokio::spawn(snapshot::fetch_missing(shared.clone()));
     for table in [Table::Configuration, Table::Endpoints] {
         tokio::spawn(follow_table(shared.clone(), registry.clone(), table));
     }
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -10,12 +10,11 @@
 use crate::endpoint_notices::peer_reported_leaving;
 use crate::feed::{ChangedRow, Feed};
 use crate::manifest::Manifest;
-use crate::registry::{Position, Table};
+use crate::registry::Position;
 use crate::saved_versions::{encode_versions, restore_versions};
 use crate::schedule::{FIRST_READERS, jittered};
 use crate::shared::{Contact, RoutingState, Shared};
 use crate::sync::{apply_evacuations, apply_manifest, replace_endpoints};
-use crate::table_requests::TableRequests;
 use bytes::Bytes;
 use rand::seq::IteratorRandom;
 use sequoiaridge_core::{EndpointId, Event, Version};
@@ -35,8 +34,6 @@
 const FIRST_DISCOVERY_WAIT: Duration = Duration::from_millis(2000);
 /// Pause between requests to two routers; drawn between half and the whole.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
-/// Interval at which a router without tables looks whether a request is due.
-const REQUEST_TICK: Duration = Duration::from_millis(50);
 /// Time after which a router reads the registry itself; drawn between half and the whole. Snapshots
 /// reach all routers of a failure domain within three seconds.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(6);
@@ -320,42 +317,6 @@
     false
 }
 
-/// Requests the tables that this router lacks from routers that have them, until it has both. It
-/// runs beside the reads of the registry, which may pause for long after a failure.
-pub(crate) async fn fetch_missing(shared: Arc<Shared>) {
-    let mut requests = TableRequests::default();
-    loop {
-        let (request, address) = {
-            let state = shared.lock_state();
-            let request = SnapshotRequest {
-                endpoints: state.endpoints.revision().is_none(),
-                version: state.configuration.revision().is_none().then_some(0),
-            };
-            if !request.endpoints && request.version.is_none() {
-                return;
-            }
-            let holds = |contact: &Contact| {
-                request.endpoints && contact.endpoints.is_some()
-                    || request.version.is_some() && contact.configuration.is_some()
-            };
-            let holders = state.contacts.values().filter(|c| holds(c)).count();
-            let is_due = requests.is_due(holders, state.routers(), shared.now());
-            let address = is_due.then(|| draw_peer(&state, &shared, holds)).flatten();
-            (request, address)
-        };
-        if let Some(address) = address {
-            fetch_from(&shared, address, request).await;
-            // The reads of a table that has arrived follow another schedule.
-            for table in [Table::Configuration, Table::Endpoints] {
-                if shared.lock_state().follower(table).revision().is_some() {
-                    shared.hints(table).notify_one();
-                }
-            }
-        }
-        tokio::time::sleep(REQUEST_TICK).await;
-    }
-}
-
 /// Number of routers of this failure domain whose ids come before this router's. It need not have
 /// heard from them: if the first one is gone, the next ones read once their timeout is over.
 fn routers_ahead(shared: &Shared) -> usize {
