Judge a run by the last start that is known to leave

By the logs: the request was sent by the row of a start that had just crashed, and ran on the next one, which had been leaving for 4.9 s when the answer ended. A copy of the store listed the crashed start again 1.4 s before, and the answer was judged by that start: left_ms=1416, drain_ms=2000, others_lost=false, crashed=false. The later start, whose departure was known all the time, decides now. A crash within the answer comes before the later start leaves, so that it is no planned end. The unit test states both; it needs a function that did not exist before.

--- a/crates/edge/src/departures.rs
+++ b/crates/edge/src/departures.rs
@@ -42,17 +42,21 @@
     }
 }
 
-/// The start on which a run ran that was sent by the row of `boot`, if the registry listed `listed` last: a later
-/// start took the place of the one in an old row, but an earlier one comes from a copy of the registry.
-pub fn start_of_run<'a>(boot: &'a str, listed: &'a str) -> &'a str {
-    let born = |boot: &str| boot.parse::<u64>().ok();
-    match (born(boot), born(listed)) {
-        (_, None) => boot,
-        (before, listed_born) if before < listed_born => listed,
-        _ => boot,
+/// The start on which a run ran that was sent by the row of `boot`, if `other` is another known start of the
+/// endpoint: a later one took the place of the one in an old row, but an earlier one comes from a copy of the registry.
+pub fn start_of_run<'a>(boot: &'a str, other: &'a str) -> &'a str {
+    if born(boot) < born(other) {
+        other
+    } else {
+        boot
     }
 }
 
+/// The time at which a start began, as its boot id says; `None` if it is not known.
+fn born(boot: &str) -> Option<u64> {
+    boot.parse().ok()
+}
+
 /// Endpoints that leave, from the moment at which this router knows of it until some time after
 /// their rows are gone. Each start is kept apart: a registry that came back from a copy may list an
 /// earlier start while the last answers of a later one still arrive.
@@ -120,6 +124,14 @@
         Some(stayed_until.map_or(Duration::MAX, |until| now.saturating_sub(until)))
     }
 
+    /// Boot id of the last start of an endpoint that is known to leave or to have left; empty if there is none. A
+    /// copy of the registry may list an earlier one again.
+    pub fn last_start(&self, id: &str) -> &str {
+        let starts = self.endpoints.get(id).map(|left| left.starts.keys());
+        let last = starts.and_then(|starts| starts.max_by_key(|boot| born(boot)));
+        last.map(String::as_str).unwrap_or_default()
+    }
+
     /// Whether a run at an endpoint was lost a moment ago.
     pub fn has_loss(&self, id: &str, now: Duration) -> bool {
         let lost_at = self.endpoints.get(id).and_then(|left| left.lost_at);
--- a/crates/edge/src/started_answer.rs
+++ b/crates/edge/src/started_answer.rs
@@ -200,6 +200,7 @@
     let entry = state.roster.get(endpoint);
     let listed = state.roster.last_boot(endpoint);
     let start = start_of_run(boot, &listed);
+    let start = start_of_run(start, state.departures.last_start(endpoint));
     let left_for = state.departures.left_for(endpoint, start, ended_at);
     let left_for = left_for.or_else(|| {
         let entry = entry.filter(|entry| state.roster.is_leaving(entry))?;
--- a/crates/edge/tests/answer_end.rs
+++ b/crates/edge/tests/answer_end.rs
@@ -113,6 +113,21 @@
     assert_eq!(start_of_run("2", "2"), "2");
 }
 
+/// Guards against a last answer that is cut because its request was sent by the row of an earlier start, which a copy
+/// of the registry lists again while the later one leaves (found by the soak, seed 1).
+#[test]
+fn the_last_start_that_left_ran_what_an_old_row_sent() {
+    let mut departures = Departures::new();
+    assert_eq!(departures.last_start("e"), "");
+    departures.record("e", "10", Some(ms(900)), ms(1000));
+    departures.record("e", "9", Some(ms(3900)), ms(4000));
+    let listed = start_of_run("9", "9");
+    let start = start_of_run(listed, departures.last_start("e"));
+    assert_eq!(departures.left_for("e", start, ms(5000)), Some(ms(4100)));
+    // A crash of the earlier start within the answer is no planned end: the later one left after it.
+    assert_eq!(departures.left_for("e", start, ms(800)), Some(ms(0)));
+}
+
 /// Guards against a last answer that is cut because the registry came back from a copy that lists the
 /// endpoint as it was before it left, with the same start (found by the soak, seeds 902 and 944) or an
 /// earlier one (seed 1).
