--- a/review/standins-2/src/crash_of_leaving_server.rs
+++ b/review/standins-2/src/crash_of_leaving_server.rs
@@ -54,7 +54,10 @@
         rate: None,
     };
     let address = router.address;
-    record.note(&format!("a client sends {method} /{route}/1 as {}", request.attempt));
+    record.note(&format!(
+        "a client sends {method} /{route}/1 as {}",
+        request.attempt
+    ));
     let sent = request.clone();
     let client = std::thread::spawn(move || ask(address, &sent));
     std::thread::sleep(Duration::from_millis(300));
@@ -96,7 +99,8 @@
         if broken { ": BROKEN, it ends early and looks complete" } else { "" }
     ));
     if !site.trouble && !(success && answer.complete && part == whole) {
-        site.record.note("without the disruption the answer should be whole");
+        site.record
+            .note("without the disruption the answer should be whole");
         return true;
     }
     broken
--- a/review/standins-2/src/leaving_after_freeze.rs
+++ b/review/standins-2/src/leaving_after_freeze.rs
@@ -55,8 +55,13 @@
     let (back, back_ms) = (Instant::now(), epoch_ms());
     record.note("router edge-nizwa-a-1 runs again (SIGCONT)");
 
-    let leaving: Vec<String> = servers.iter().take(LEAVING).map(|s| s.name.clone()).collect();
-    site.store.remove_after_read(back + LEAVE_FROM, leaving.clone());
+    let leaving: Vec<String> = servers
+        .iter()
+        .take(LEAVING)
+        .map(|s| s.name.clone())
+        .collect();
+    site.store
+        .remove_after_read(back + LEAVE_FROM, leaving.clone());
     let (sent, ended) = (Sent::default(), Arc::new(AtomicBool::new(false)));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
@@ -66,9 +71,15 @@
         .collect();
     sleep_until(back + Duration::from_millis(4500));
     ended.store(true, Ordering::Relaxed);
-    let answered: usize = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
+    let answered: usize = clients
+        .into_iter()
+        .map(|client| client.join().unwrap_or(0))
+        .sum();
     let sent = sent.lock().expect("what was sent");
-    record.note(&format!("{} requests were sent and {answered} answered with 200", sent.len()));
+    record.note(&format!(
+        "{} requests were sent and {answered} answered with 200",
+        sent.len()
+    ));
     let Some(left_ms) = site.store.removed_at() else {
         record.note("the servers' table was not read");
         std::process::exit(2);
@@ -91,14 +102,24 @@
     sent: &BTreeMap<String, u64>,
     back_ms: u64,
 ) -> bool {
-    let in_touch = if site.trouble { back_ms + CONTACT_MS } else { 0 };
+    let in_touch = if site.trouble {
+        back_ms + CONTACT_MS
+    } else {
+        0
+    };
     let mut late = 0;
     for server in leaving {
-        for line in server.log().lines().filter(|line| line.contains(" run attempt=")) {
+        for line in server
+            .log()
+            .lines()
+            .filter(|line| line.contains(" run attempt="))
+        {
             let (time, rest) = line.split_once(' ').unwrap_or(("0", ""));
             let at: u64 = time.parse().unwrap_or(0);
             let attempt = rest.split("attempt=").nth(1);
-            let attempt = attempt.and_then(|text| text.split(' ').next()).unwrap_or_default();
+            let attempt = attempt
+                .and_then(|text| text.split(' ').next())
+                .unwrap_or_default();
             let sent_at = sent.get(attempt).copied().unwrap_or(0);
             if at > left_ms + DRAIN_MS && sent_at >= in_touch {
                 late += 1;
@@ -138,7 +159,9 @@
             std::thread::sleep(PAUSE);
             continue;
         };
-        sent.lock().expect("what was sent").insert(ask.attempt.clone(), epoch_ms());
+        sent.lock()
+            .expect("what was sent")
+            .insert(ask.attempt.clone(), epoch_ms());
         if open.ask(&ask).is_some_and(|answer| answer.status == 200) {
             answered += 1;
             connection = Some(open);
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -78,13 +78,22 @@
             continue;
         }
         let after = request.header("last-event-id");
-        note(log, &format!("run attempt={attempt} target={} after={after}", request.target()));
+        note(
+            log,
+            &format!(
+                "run attempt={attempt} target={} after={after}",
+                request.target()
+            ),
+        );
         let work = parse_work(&request);
         let outcome = answer(&mut writer, &request, &work, args);
         let is_last = number(&work, "last") == 1;
         match &outcome {
             Ok(_) => note(log, &format!("ended attempt={attempt} outcome=whole")),
-            Err(error) => note(log, &format!("ended attempt={attempt} outcome=broken {error}")),
+            Err(error) => note(
+                log,
+                &format!("ended attempt={attempt} outcome=broken {error}"),
+            ),
         }
         if is_last && outcome.is_ok() {
             std::process::exit(0);
@@ -104,7 +113,9 @@
 }
 
 fn number(work: &BTreeMap<String, String>, name: &str) -> u64 {
-    work.get(name).and_then(|text| text.parse().ok()).unwrap_or(0)
+    work.get(name)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
 }
 
 /// Answers a request. Returns whether the connection can be used again.
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -59,7 +59,10 @@
         let status = Command::new("kill")
             .args(["-s", name, &self.child.id().to_string()])
             .status();
-        assert!(status.is_ok_and(|status| status.success()), "kill -s {name}");
+        assert!(
+            status.is_ok_and(|status| status.success()),
+            "kill -s {name}"
+        );
     }
 
     /// Kills the process at once.
@@ -113,7 +116,11 @@
         store.put("op", "config", &configuration(1));
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         let record = Record::create(&case.join("record.txt"));
-        record.note(if trouble { "with the disruption" } else { "without the disruption" });
+        record.note(if trouble {
+            "with the disruption"
+        } else {
+            "without the disruption"
+        });
         Site {
             store,
             store_address,
@@ -153,7 +160,10 @@
             server.address, server.born
         );
         self.store.put("servers", &server.name, &row);
-        self.record.note(&format!("the store lists server {} as {state}", server.name));
+        self.record.note(&format!(
+            "the store lists server {} as {state}",
+            server.name
+        ));
     }
 
     /// Starts a router with the command of the deploy file, and waits until it is ready.
@@ -187,7 +197,8 @@
     /// Copies what a server ran into the record.
     pub fn record_runs(&self, server: &Process) {
         for line in server.log().lines() {
-            self.record.note(&format!("server {} logged: {line}", server.name));
+            self.record
+                .note(&format!("server {} logged: {line}", server.name));
         }
     }
 
@@ -195,7 +206,8 @@
     pub fn record_log(&self, router: &Process, attempt: &str) {
         for line in router.log().lines().filter(|line| line.contains(attempt)) {
             let line: String = line.chars().take(400).collect();
-            self.record.note(&format!("router {} logged: {line}", router.name));
+            self.record
+                .note(&format!("router {} logged: {line}", router.name));
         }
     }
 }
--- a/review/standins-2/src/slow_reader_at_stop.rs
+++ b/review/standins-2/src/slow_reader_at_stop.rs
@@ -35,7 +35,10 @@
             wait: Duration::from_secs(9),
             rate: Some(RATE),
         };
-        record.note(&format!("a client sends {method} /{route}/1 as {} and reads {RATE} bytes a second", request.attempt));
+        record.note(&format!(
+            "a client sends {method} /{route}/1 as {} and reads {RATE} bytes a second",
+            request.attempt
+        ));
         let address = router.address;
         clients.push(std::thread::spawn(move || {
             let answer = connect(address).map(|stream| ask_on(stream, &request));
@@ -59,7 +62,11 @@
             answer.complete,
             answer.body.len(),
             answer.time.as_secs_f64(),
-            if lost { ": BROKEN, the channel ended without a complete answer" } else { "" }
+            if lost {
+                ": BROKEN, the channel ended without a complete answer"
+            } else {
+                ""
+            }
         ));
         site.record_log(&router, &request.attempt);
     }
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -77,10 +77,17 @@
         if !state.removal.as_ref().is_some_and(is_due) {
             return;
         }
-        for key in state.removal.take().map(|(_, keys)| keys).unwrap_or_default() {
+        for key in state
+            .removal
+            .take()
+            .map(|(_, keys)| keys)
+            .unwrap_or_default()
+        {
             state.version += 1;
             let version = state.version;
-            state.rows.insert(("servers".to_string(), key), (version, None));
+            state
+                .rows
+                .insert(("servers".to_string(), key), (version, None));
         }
         state.removed_at = Some(crate::server::epoch_ms());
         changed.notify_all();
@@ -149,7 +156,9 @@
         let rows = state.rows.iter().filter(|((name, key), (_, value))| {
             name == table && *key >= source && (to.is_empty() || *key < to) && value.is_some()
         });
-        let rows: Vec<String> = rows.map(|((_, key), row)| row_json(table, key, row)).collect();
+        let rows: Vec<String> = rows
+            .map(|((_, key), row)| row_json(table, key, row))
+            .collect();
         answer_json(&rows, state.version)
     }
 
@@ -234,7 +243,11 @@
         }
         for index in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * index) & 63) as usize];
-            text.push(if index <= group.len() { digit as char } else { '=' });
+            text.push(if index <= group.len() {
+                digit as char
+            } else {
+                '='
+            });
         }
     }
     text
