--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -116,6 +116,10 @@
     EndpointResting = 317, Info, "endpoint-resting";
     /// The time for which an endpoint asked for no requests has ended.
     EndpointRested = 318, Info, "endpoint-rested";
+    /// An endpoint named a limit on the requests that it gets from all routers.
+    EndpointLimited = 319, Info, "endpoint-limited";
+    /// The limit of an endpoint has ended.
+    EndpointUnlimited = 320, Info, "endpoint-unlimited";
     /// An endpoint is slower than usual and gets less work.
     EndpointSlow = 340, Info, "endpoint-slow";
     /// An endpoint is about as fast as usual again.
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request and an endpoint's answer, independent of the wire format.
 
+use crate::endpoint_limits::LimitNotice;
 use crate::placement::Subject;
 use crate::rest::RestRequest;
 use sequoiaridge_core::{ModelName, hash_parts};
@@ -96,7 +97,7 @@
 }
 
 /// What the head of an endpoint's answer says.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// Attempt that the answer belongs to.
     pub attempt: Option<AttemptId>,
@@ -112,6 +113,8 @@
     pub leaving: bool,
     /// Time for which an endpoint that refuses the request wants no requests from this router.
     pub rest: Option<RestRequest>,
+    /// The endpoint's limit on requests per second from all routers; `None` if it names none.
+    pub limit: Option<LimitNotice>,
     /// Load that the endpoint reports.
     pub load: Option<EndpointLoad>,
     /// Time for which the endpoint says that it stays cold.
--- /dev/null
+++ b/crates/edge/src/endpoint_limits/named.rs
@@ -0,0 +1,105 @@
+//! The limits that endpoints have named, as far as this router knows them.
+
+use sequoiaridge_core::EndpointId;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time after which a limit that no answer names any more is forgotten. An endpoint that gets no
+/// requests cannot say that its limit has ended.
+const VALIDITY: Duration = Duration::from_secs(60);
+
+/// What an answer says of its endpoint's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LimitNotice {
+    /// The endpoint takes this many requests per second from all routers together.
+    PerSecond(f64),
+    /// The limit cannot be parsed.
+    Malformed,
+}
+
+/// What the newest answer of an endpoint said.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NamedLimit {
+    /// Boot id of the start that sent the answer.
+    pub boot: String,
+    /// Requests per second; `None` if the answer named no limit any more.
+    pub per_second: Option<f64>,
+    /// When the answer was received.
+    pub at: Duration,
+}
+
+/// How the limit of an endpoint changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitChange {
+    /// The endpoint named a limit, or a different one than before.
+    Named,
+    /// It has no limit any more.
+    Ended,
+}
+
+/// The newest limits of endpoints. Without I/O; a limit holds for one start of its endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct NamedLimits {
+    limits: BTreeMap<EndpointId, NamedLimit>,
+}
+
+impl NamedLimits {
+    /// Creates a table without limits.
+    pub fn new() -> NamedLimits {
+        NamedLimits::default()
+    }
+
+    /// Records what an answer said. One that is older than the newest known is ignored, and so is one
+    /// without a limit from an endpoint that had none.
+    pub fn record(&mut self, id: &str, limit: NamedLimit) -> Option<LimitChange> {
+        let known = self.limits.get(id);
+        if known.is_some_and(|known| limit.at < known.at) {
+            return None;
+        }
+        let before = known
+            .filter(|known| known.boot == limit.boot)
+            .and_then(|known| known.per_second);
+        if known.is_none() && limit.per_second.is_none() {
+            return None;
+        }
+        let after = limit.per_second;
+        self.limits.insert(id.to_string(), limit);
+        match (before, after) {
+            (before, Some(_)) if before != after => Some(LimitChange::Named),
+            (Some(_), None) => Some(LimitChange::Ended),
+            _ => None,
+        }
+    }
+
+    /// The limit of a start of an endpoint in requests per second, if it has one.
+    pub fn per_second(&self, id: &str, boot: &str) -> Option<f64> {
+        let limit = self.limits.get(id)?;
+        limit.per_second.filter(|_| limit.boot == boot)
+    }
+
+    /// What is known of the limits of endpoints, in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = (&EndpointId, &NamedLimit)> {
+        self.limits.iter()
+    }
+
+    /// Removes what was named too long ago. Returns the endpoints whose limit is forgotten.
+    pub fn expire(&mut self, now: Duration) -> Vec<EndpointId> {
+        let old = |limit: &NamedLimit| now >= limit.at + VALIDITY;
+        let limits = self.limits.iter();
+        let limited = limits.filter(|(_, limit)| old(limit) && limit.per_second.is_some());
+        let forgotten = limited.map(|(id, _)| id.clone()).collect();
+        self.limits.retain(|_, limit| !old(limit));
+        forgotten
+    }
+
+    /// Number of endpoints with a limit.
+    pub fn len(&self) -> usize {
+        let limits = self.limits.values();
+        limits.filter(|limit| limit.per_second.is_some()).count()
+    }
+
+    /// Whether no endpoint has a limit.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- a/crates/edge/src/endpoint_notices.rs
+++ b/crates/edge/src/endpoint_notices.rs
@@ -1,5 +1,7 @@
-//! What endpoints announce in their answers: that they are leaving, or want to rest.
+//! What endpoints announce in their answers: that they are leaving, want to rest, or limit the requests that
+//! they take.
 
+use crate::endpoint_limits::{LimitChange, LimitNotice, NamedLimit};
 use crate::manifest::EndpointEntry;
 use crate::rest::{RestOutcome, RestRequest};
 use crate::shared::{RoutingState, Shared};
@@ -72,6 +74,65 @@
     );
 }
 
+/// Records the limit on requests that an answer names, or that it names none any more.
+pub(crate) fn endpoint_limit(
+    state: &mut RoutingState,
+    shared: &Shared,
+    attempt: &str,
+    entry: &EndpointEntry,
+    notice: Option<LimitNotice>,
+) {
+    let per_second = match notice {
+        Some(LimitNotice::Malformed) => {
+            shared.metrics.limits_ignored.inc();
+            return;
+        }
+        Some(LimitNotice::PerSecond(per_second)) => Some(per_second),
+        None => None,
+    };
+    let limit = NamedLimit {
+        boot: entry.boot(),
+        per_second,
+        at: shared.now(),
+    };
+    let change = state.limits.record(&entry.id, limit);
+    log_limit_change(attempt, &entry.id, change, per_second, "answer");
+}
+
+fn log_limit_change(
+    attempt: &str,
+    id: &str,
+    change: Option<LimitChange>,
+    per_second: Option<f64>,
+    source: &str,
+) {
+    match (change, per_second) {
+        (Some(LimitChange::Named), Some(limit)) => log_request(
+            Event::EndpointLimited,
+            attempt,
+            format_args!("endpoint={id} per_second={limit:.2} source={source}"),
+        ),
+        (Some(LimitChange::Ended), _) => log_request(
+            Event::EndpointUnlimited,
+            attempt,
+            format_args!("endpoint={id} source={source}"),
+        ),
+        _ => {}
+    }
+}
+
+/// Forgets the limits that no answer has named for a long time.
+pub(crate) fn expire_limits(state: &mut RoutingState, shared: &Shared) {
+    for id in state.limits.expire(shared.now()) {
+        log(
+            Event::EndpointUnlimited,
+            &format!("endpoint={id} source=age"),
+        );
+    }
+    let limited = i64::try_from(state.limits.len()).unwrap_or(i64::MAX);
+    shared.metrics.limited.set(limited);
+}
+
 /// Ends the rests whose time is up.
 pub(crate) fn expire_rests(state: &mut RoutingState, shared: &Shared) {
     for id in state.rests.expire(shared.now()) {
--- a/crates/edge/src/exchange_reports.rs
+++ b/crates/edge/src/exchange_reports.rs
@@ -2,7 +2,7 @@
 
 use crate::call::AnswerHead;
 use crate::crashes::{CrashSource, endpoint_unreachable, suspect_succeeded};
-use crate::endpoint_notices::{endpoint_leaving, endpoint_rest};
+use crate::endpoint_notices::{endpoint_leaving, endpoint_limit, endpoint_rest};
 use crate::exchange::Exchange;
 use crate::manifest::EndpointEntry;
 use crate::shared::RoutingState;
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 impl Exchange {
-    /// Records if the answer says that the endpoint leaves, for how long it asks for a rest, or how much
-    /// longer it is cold.
+    /// Records if the answer says that the endpoint leaves, for how long it asks for a rest, how much
+    /// longer it is cold, or how many requests it takes.
     pub(crate) fn apply_notices(&self, entry: &EndpointEntry, head: &AnswerHead) {
         if head.attempt.as_deref() != Some(self.call.attempt.as_str()) || head.misdirected {
             return;
@@ -30,6 +30,8 @@
         if let Some(asked) = head.rest {
             endpoint_rest(&mut shared.lock_state(), shared, attempt, &entry.id, asked);
         }
+        let mut state = shared.lock_state();
+        endpoint_limit(&mut state, shared, attempt, entry, head.limit);
     }
 
     /// Records the pace that an endpoint reported with an answer, also with one that refuses the request.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -120,6 +120,10 @@
     /// Messages with demand that were sent to other routers.
     pub(crate) demand_messages: Counter,
     pub(crate) resting: Gauge,
+    /// Endpoints whose limit on requests is in force.
+    pub(crate) limited: Gauge,
+    /// Limits that cannot be parsed.
+    pub(crate) limits_ignored: Counter,
     /// Failure domains that operators evacuate.
     pub(crate) evacuated: Gauge,
     /// Rows of operators that cannot be read or applied.
@@ -169,6 +173,8 @@
             room_requests: Family::default(),
             demand_messages: Counter::default(),
             resting: Gauge::default(),
+            limited: Gauge::default(),
+            limits_ignored: Counter::default(),
             evacuated: Gauge::default(),
             operator_rows_rejected: Counter::default(),
             endpoint_rows_rejected: Counter::default(),
@@ -300,6 +306,16 @@
             "Endpoints that asked this router for a rest that has not ended",
             self.resting.clone(),
         );
+        registry.register(
+            "limited",
+            "Endpoints that named a limit on the requests from all routers",
+            self.limited.clone(),
+        );
+        registry.register(
+            "limits_ignored",
+            "Answers whose limit on requests cannot be parsed",
+            self.limits_ignored.clone(),
+        );
         registry.register(
             "evacuated",
             "Failure domains that operators evacuate",
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -1,7 +1,7 @@
 //! One router: its listeners, background tasks, and graceful shutdown.
 
 use crate::answer_deadline::AnswerDeadline;
-use crate::endpoint_notices::expire_rests;
+use crate::endpoint_notices::{expire_limits, expire_rests};
 use crate::idle_timer::{IdleTimer, idle_limit};
 use crate::ingress;
 use crate::peers;
@@ -293,6 +293,7 @@
             note_versions(&mut state, now);
         }
         expire_rests(&mut state, &shared);
+        expire_limits(&mut state, &shared);
         let ended = state.quarantine.expire(now);
         let held = state.quarantine.held(now);
         state.probes.retain(|suspect| held.contains_key(&suspect));
--- a/crates/edge/src/shared/routing_state.rs
+++ b/crates/edge/src/shared/routing_state.rs
@@ -4,6 +4,7 @@
 use crate::cache_map::CacheMap;
 use crate::constraints::{ColdStarts, Evacuations, KnownRouters};
 use crate::departures::Departures;
+use crate::endpoint_limits::NamedLimits;
 use crate::follower::{Follower, Revision};
 use crate::health::Health;
 use crate::hot_subjects::HotSubjects;
@@ -79,6 +80,8 @@
     pub(crate) probes: QuarantineProbes,
     pub(crate) terminations: Terminations,
     pub(crate) rests: Rests,
+    /// Limits that endpoints named in answers.
+    pub(crate) limits: NamedLimits,
     pub(crate) departures: Departures,
     pub(crate) open_runs: OpenRuns,
     pub(crate) run_times: RunTimes,
@@ -129,6 +132,7 @@
             probes: QuarantineProbes::new(),
             terminations: Terminations::new(),
             rests: Rests::new(),
+            limits: NamedLimits::new(),
             departures: Departures::new(),
             open_runs: OpenRuns::default(),
             run_times: RunTimes::new(),
