Keep the limits that endpoints name, all routers together

Cause: no router read the limit. It is a sum over all routers, so none can keep it alone.

Change: routers tell each other limits with their age, also to those that start. A limited endpoint does not count in the mean load; while the others are crowded it takes what the bound leaves.

Ruled out: that retries, resumed streams or the router that restarts break it.

--- a/crates/edge/benches/endpoints.rs
+++ b/crates/edge/benches/endpoints.rs
@@ -140,6 +140,7 @@
                 avoid: health.is_paused(now) || health.is_failing(0.0),
                 resting: endpoint.resting,
                 excluded: false,
+                limit: None,
                 pace: paces.of_key(endpoint.key),
             });
         }
--- a/crates/edge/src/constraints/known_routers.rs
+++ b/crates/edge/src/constraints/known_routers.rs
@@ -28,6 +28,8 @@
     /// When the registry's list of routers was read.
     joined: Option<Duration>,
     others: BTreeSet<RouterId>,
+    /// Those of the others that said they are draining, and have not run without since.
+    draining: BTreeSet<RouterId>,
     /// When the last names were heard since one of them was new.
     heard: VecDeque<Duration>,
     /// When the last new name was heard.
@@ -43,6 +45,7 @@
             own: own.to_string(),
             joined: None,
             others: BTreeSet::new(),
+            draining: BTreeSet::new(),
             heard: VecDeque::new(),
             learned_at: Duration::ZERO,
             revision: 0,
@@ -80,11 +83,28 @@
     pub fn retain(&mut self, keep: impl Fn(&RouterId) -> bool) {
         let before = self.others.len();
         self.others.retain(keep);
+        let others = &self.others;
+        self.draining.retain(|id| others.contains(id));
         if self.others.len() != before {
             self.revision += 1;
         }
     }
 
+    /// Records whether another router says that it is draining.
+    pub fn note_draining(&mut self, id: &str, draining: bool) {
+        let is_new = if draining {
+            self.others.contains(id) && self.draining.insert(id.to_string())
+        } else {
+            self.draining.remove(id)
+        };
+        self.revision += u64::from(is_new);
+    }
+
+    /// Number of routers that are not known to drain, with this one.
+    pub fn staying(&self) -> usize {
+        self.others.len() - self.draining.len() + 1
+    }
+
     /// Number of routers, with this one.
     pub fn count(&self) -> usize {
         self.others.len() + 1
@@ -113,14 +133,28 @@
 
     /// Whether this router is among the first `count` by rendezvous hash of a start of an endpoint.
     pub(crate) fn is_among_first(&self, count: usize, endpoint: &str, boot: &str) -> bool {
-        if count >= self.count() {
-            return true;
-        }
-        let rank =
-            |router: &str| hash_parts(&[endpoint.as_bytes(), boot.as_bytes(), router.as_bytes()]);
+        let ahead = || self.ahead(self.others.iter(), endpoint, boot);
+        count >= self.count() || ahead().take(count).count() < count
+    }
+
+    /// Rank of this router by rendezvous hash of a start of an endpoint, from 0, among those that are not known
+    /// to drain.
+    pub(crate) fn rank_of_staying(&self, endpoint: &str, boot: &str) -> usize {
+        let staying = self.others.difference(&self.draining);
+        self.ahead(staying, endpoint, boot).count()
+    }
+
+    /// Those of some other routers that rank ahead of this one by rendezvous hash of a start of an endpoint.
+    fn ahead<'a>(
+        &'a self,
+        others: impl Iterator<Item = &'a RouterId>,
+        endpoint: &'a str,
+        boot: &'a str,
+    ) -> impl Iterator<Item = &'a RouterId> {
+        let rank = move |router: &str| {
+            hash_parts(&[endpoint.as_bytes(), boot.as_bytes(), router.as_bytes()])
+        };
         let own = (rank(&self.own), &self.own);
-        let others = self.others.iter();
-        let ahead = others.filter(|other| (rank(other), *other) > own);
-        ahead.take(count).count() < count
+        others.filter(move |other| (rank(other), *other) > own)
     }
 }
--- a/crates/edge/src/endpoint_notices.rs
+++ b/crates/edge/src/endpoint_notices.rs
@@ -1,7 +1,7 @@
 //! What endpoints announce in their answers: that they are leaving, want to rest, or limit the requests that
 //! they take.
 
-use crate::endpoint_limits::{LimitChange, LimitNotice, NamedLimit};
+use crate::endpoint_limits::{LimitChange, LimitNotice, LimitReport, NamedLimit};
 use crate::manifest::EndpointEntry;
 use crate::rest::{RestOutcome, RestRequest};
 use crate::shared::{RoutingState, Shared};
@@ -97,6 +97,35 @@
     };
     let change = state.limits.record(&entry.id, limit);
     log_limit_change(attempt, &entry.id, change, per_second, "answer");
+    if change.is_some() || state.limits.is_repeat_due(&entry.id, shared.now()) {
+        let report = LimitReport {
+            endpoint: entry.id.clone(),
+            boot: entry.boot(),
+            per_second,
+        };
+        state.limits.note_told(&entry.id, shared.now());
+        state.outbox.add_limit(report, shared.now());
+    }
+}
+
+/// Records a limit that another router heard of the given time ago.
+pub(crate) fn peer_reported_limit(
+    state: &mut RoutingState,
+    shared: &Shared,
+    report: LimitReport,
+    age: Duration,
+) {
+    let now = shared.now();
+    let per_second = report.per_second;
+    state.outbox.drop_limit(&report);
+    let limit = NamedLimit {
+        boot: report.boot,
+        per_second,
+        at: now.saturating_sub(age),
+    };
+    let change = state.limits.record(&report.endpoint, limit);
+    state.limits.note_told(&report.endpoint, now);
+    log_limit_change("", &report.endpoint, change, per_second, "router");
 }
 
 fn log_limit_change(
@@ -129,6 +158,7 @@
             &format!("endpoint={id} source=age"),
         );
     }
+    state.limit_senders.expire(shared.now());
     let limited = i64::try_from(state.limits.len()).unwrap_or(i64::MAX);
     shared.metrics.limited.set(limited);
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -113,7 +113,10 @@
 pub use demand_budget::{MAX_DEMAND_BYTES, demand_bytes, fit_demand};
 pub use departures::{Departures, start_of_run};
 pub use drain::{Drain, DrainRequest};
-pub use endpoint_limits::{LimitChange, LimitNotice, NamedLimit, NamedLimits};
+pub use endpoint_limits::{
+    LimitChange, LimitNotice, LimitReport, LimitRoom, LimitSenders, LimitShare, LimitedEndpoint,
+    NamedLimit, NamedLimits,
+};
 pub use endpoint_scan::{EndpointTables, ScannedEndpoint};
 pub use feed::{ChangedRow, Feed, MAX_FEED_CHANGES, RowChange};
 pub use follower::{Follower, Revision, TableDigest};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -56,6 +56,8 @@
     Region,
     /// It is cold and this router has sent its share.
     Cold,
+    /// It named a limit and this router has sent its share.
+    Limit,
 }
 
 impl Exclusion {
@@ -66,6 +68,7 @@
             Exclusion::Evacuated => "evacuated",
             Exclusion::Region => "region",
             Exclusion::Cold => "cold",
+            Exclusion::Limit => "limit",
         }
     }
 }
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -4,6 +4,7 @@
 use crate::cache_map::PrefixKey;
 use crate::constraints::{DomainKey, EvacuatedDomains};
 use crate::crash_sync::encoded_bytes;
+use crate::endpoint_limits::LimitReport;
 use crate::feed::Feed;
 use crate::follower::{Revision, TableDigest};
 use crate::hot_subjects::HotSubject;
@@ -29,13 +30,15 @@
 /// message.
 const MAX_CRASH_BYTES: usize = 400;
 const MIN_CRASH_BYTES: usize = 120;
-/// Limits per message: queued successes, and endpoints (leaving or unreachable).
+/// Most per message: queued successes, and endpoints (leaving, limited or unreachable, each).
 const MAX_SUCCESSES: usize = 2;
 const MAX_ENDPOINTS: usize = 4;
 /// Bytes for these endpoints among the other fields. Longer ids take from the bytes for prefixes.
 const ENDPOINT_BYTES: usize = 160;
 /// Most bytes of such an endpoint without its id and boot id: their lengths, and an age.
 const ENDPOINT_ENTRY_BYTES: usize = 10;
+/// Bytes of a limit without the ids and the age.
+const LIMIT_BYTES: usize = 9;
 /// Bytes of a load report that holds a pace only.
 const PACE_ENTRY_BYTES: usize = 8;
 /// Load reports that make room for the success of a part.
@@ -79,6 +82,8 @@
     pub succeeded: Vec<Aged<Suspect>>,
     /// Endpoints, with their boot ids, that announced in an answer that they are leaving.
     pub leaving: Vec<Aged<(EndpointId, String)>>,
+    /// Limits that endpoints named in answers, or that have ended.
+    pub limits: Vec<Aged<LimitReport>>,
     /// Digest of the crashes that all routers must know, as far as the sender knows them.
     pub crash_digest: u32,
     /// Endpoints that could not be reached.
@@ -152,6 +157,7 @@
             && self.crashes.is_empty()
             && self.succeeded.is_empty()
             && self.leaving.is_empty()
+            && self.limits.is_empty()
             && self.unreachable.is_empty())
     }
 
@@ -172,6 +178,7 @@
             crashes: aged_by(&self.crashes, delay),
             succeeded: aged_by(&self.succeeded, delay),
             leaving: aged_by(&self.leaving, delay),
+            limits: aged_by(&self.limits, delay),
             unreachable: self.unreachable_after(delay).to_vec(),
             feed: self.feed.clone(),
             ..base
@@ -190,6 +197,8 @@
     crashes: VecDeque<((Crash, Duration), u8)>,
     succeeded: VecDeque<((Suspect, Duration), u8)>,
     leaving: VecDeque<((LeavingStart, Duration), u8)>,
+    /// Each limit with the time at which the answer arrived.
+    limits: VecDeque<((LimitReport, Duration), u8)>,
     /// Whether an event must be sent at once, ahead of the next regular message.
     is_urgent: bool,
     /// Each endpoint with the time at which it could not be reached.
@@ -224,6 +233,19 @@
         self.is_urgent = true;
     }
 
+    /// Queues the limit of an endpoint, in place of an earlier one of the same endpoint.
+    pub(crate) fn add_limit(&mut self, report: LimitReport, at: Duration) {
+        let other = |queued: &LimitReport| queued.endpoint != report.endpoint;
+        self.limits.retain(|((queued, _), _)| other(queued));
+        self.limits.push_back(((report, at), SENDS_PER_EVENT));
+        trim(&mut self.limits);
+    }
+
+    /// Drops a queued limit that another router has told.
+    pub(crate) fn drop_limit(&mut self, report: &LimitReport) {
+        self.limits.retain(|((queued, _), _)| queued != report);
+    }
+
     /// Whether an event must be sent at once.
     pub(crate) fn is_urgent(&self) -> bool {
         self.is_urgent
@@ -273,6 +295,10 @@
             id.len() + boot.len()
         });
         message.leaving = aged(leaving, now);
+        let limits = take_fitting(&mut self.limits, &mut endpoint_bytes, |(report, _)| {
+            report.endpoint.len() + report.boot.len() + LIMIT_BYTES
+        });
+        message.limits = aged(limits, now);
         self.unreachable
             .retain(|((_, at), _)| now < *at + UNREACHABLE_TTL);
         let unreachable = take_fitting(&mut self.unreachable, &mut endpoint_bytes, |(id, _)| {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -212,6 +212,8 @@
         }
         if has_state {
             self.add_peer(id.clone(), address, &message.domain);
+            let mut state = self.shared.lock_state();
+            state.known_routers.note_draining(&id, message.draining);
         }
         if let Some((other, address, domain)) = message.known_peer.clone()
             && other != self.shared.settings.id
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -1,6 +1,7 @@
 //! Endpoint selection policy: bounded-load rendezvous hashing for prompts, shortest expected wait for
 //! plain services.
 
+use crate::endpoint_limits::LimitRoom;
 use sequoiaridge_core::{EndpointId, hash_parts};
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -32,6 +33,9 @@
     /// Whether its failure domain is evacuated. Like one that is leaving, it does not count towards the
     /// mean load.
     pub excluded: bool,
+    /// What the request may use, if the endpoint named a limit on the requests that it takes. Then it does not
+    /// count towards the mean load, since the others have to take what it does not.
+    pub limit: Option<LimitRoom>,
     /// How many times longer than usual work takes there; 1 is usual.
     pub pace: f64,
 }
@@ -92,6 +96,11 @@
 /// the limit, the requests for the resting endpoint would overload the others until they ask for a rest,
 /// too.
 const QUEUED_PER_SLOT: u32 = 1;
+/// Share of the slots of endpoints without a limit that are taken when the others get more than their limits, as
+/// far as the operators' bound allows that.
+const CROWDED_SHARE: f64 = 0.6;
+/// Share of its slots from which an endpoint gets no more requests while limited ones have room.
+const FULL_SHARE: f64 = 0.75;
 /// Fraction of the operators' load multiple that is used; the remainder allows for slightly stale counts.
 const MULTIPLE_MARGIN: f64 = 0.875;
 /// Load multiple where the operators set none.
@@ -130,10 +139,18 @@
     /// Returns `None` if no endpoint takes the prompt.
     pub fn for_prompt(&self, subject: &Subject, candidates: &[Candidate<'_>]) -> Option<Choice> {
         let mean = mean_load(candidates);
-        let usable = usable(candidates.iter().filter(|c| c.eligible));
+        let mut usable = usable(candidates.iter().filter(|c| c.eligible));
         let bound = mean * self.multiple + self.slack;
+        let is_crowded = is_crowded(&usable);
+        if !is_crowded {
+            usable.retain(|c| c.limit != Some(LimitRoom::Overdraft));
+        }
         let available = usable.iter().copied();
         let mut available: Vec<&Candidate<'_>> = available.filter(|c| has_room(c, bound)).collect();
+        // Rather a slot at a limited endpoint, which copies the prompt, than a queue at one that has it cached.
+        if is_crowded && available.iter().any(|c| c.limit.is_some()) {
+            available.retain(|c| load(c) < f64::from(c.slots) * FULL_SHARE);
+        }
         if available.is_empty() {
             // Slow endpoints with short queues are better than a refusal.
             let open = usable
@@ -146,7 +163,12 @@
         let holders: Vec<&Candidate<'_>> = available.iter().copied().filter(holds).collect();
         let by_rank = |candidate: &&Candidate<'_>| rank(subject.key, candidate.id);
         let best = if holders.is_empty() {
-            available.into_iter().max_by_key(by_rank)
+            // What is left of a limit is kept for prompts that its endpoint has cached. In a large fleet, a router may
+            // send to few of the limited endpoints, and most of its share would be lost.
+            let keeps = self.request_hash.is_none() && !is_crowded;
+            available
+                .into_iter()
+                .max_by_key(|c| (!keeps || c.limit.is_none(), by_rank(c)))
         } else {
             let order = |candidate: &&Candidate<'_>| {
                 let load = Reverse(in_thousandths(load(candidate)));
@@ -222,9 +244,14 @@
         work: Duration,
         candidates: &[Candidate<'_>],
     ) -> Option<Choice> {
-        let others_rest = candidates.iter().any(|c| c.resting && !c.excluded);
+        let others_rest = candidates
+            .iter()
+            .any(|c| (c.resting || c.limit.is_some()) && !c.excluded);
         let mean = mean_load(candidates);
-        let usable = usable(candidates.iter().filter(|c| c.eligible));
+        let mut usable = usable(candidates.iter().filter(|c| c.eligible));
+        if !is_crowded(&usable) {
+            usable.retain(|c| c.limit != Some(LimitRoom::Overdraft));
+        }
         let best = if self.draws {
             let bound = mean * self.multiple + self.slack;
             draw_by_wait(request_hash, work, &usable, bound)
@@ -317,10 +344,25 @@
     available
 }
 
+/// Whether the endpoints without a limit have so few free slots that the others are to take what the operators'
+/// bound leaves beyond their limits.
+fn is_crowded(usable: &[&Candidate<'_>]) -> bool {
+    let unlimited = usable.iter().filter(|c| c.limit.is_none());
+    let (load, slots) = unlimited.fold((0.0, 0.0), |(sum, slots), c| {
+        (sum + load(c), slots + f64::from(c.slots))
+    });
+    load >= slots * CROWDED_SHARE
+}
+
 /// Mean of the requests outstanding at the usable candidates and those that rest. Without the latter, each resting
-/// endpoint would raise the bound, and with it the load of the others.
+/// endpoint would raise the bound, and with it the load of the others. Limited endpoints count only if all are.
 fn mean_load(candidates: &[Candidate<'_>]) -> f64 {
-    let accepting = || candidates.iter().filter(|c| !c.leaving && !c.excluded);
+    let accepts = |c: &&Candidate<'_>| !c.leaving && !c.excluded;
+    let all_limited = candidates.iter().filter(accepts).all(|c| c.limit.is_some());
+    let accepting = || {
+        let accepting = candidates.iter().filter(accepts);
+        accepting.filter(|c| all_limited || c.limit.is_none())
+    };
     let all_avoided = accepting().all(|c| c.resting || c.avoid);
     let counted = accepting().filter(|c| c.resting || all_avoided || !c.avoid);
     let (sum, count) = counted.fold((0, 0), |(sum, count), candidate| {
--- a/crates/edge/src/room_watch.rs
+++ b/crates/edge/src/room_watch.rs
@@ -117,8 +117,14 @@
         if endpoint.leaving || endpoint.resting || endpoint.health.is_misdirected(entry) {
             continue;
         }
+        // A limited endpoint holds as many requests as its limit admits.
+        let slots = if state.is_limited(entry) {
+            entry.slots.min(endpoint.work.requests.max(1))
+        } else {
+            entry.slots
+        };
         let room = EndpointRoom {
-            slots: entry.slots,
+            slots,
             requests: endpoint.work.requests,
             pace: paces.of_key(endpoint.key),
         };
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -3,6 +3,7 @@
 use crate::admission::EndpointQueue;
 use crate::cache_map::prefixes;
 use crate::call::Prompt;
+use crate::endpoint_limits::LimitRoom;
 use crate::endpoint_scan::EndpointTables;
 use crate::exchange::Exchange;
 use crate::manifest::EndpointEntry;
@@ -48,7 +49,8 @@
         }
         self.refresh_paces(&mut state, now);
         let prefixes = self.call.prompt.as_ref().map(prefixes).unwrap_or_default();
-        let constraints = self.constraints(&mut state, now);
+        let limits = state.limited_endpoints(&self.service, now);
+        let constraints = self.constraints(&mut state, &limits, now);
         let cached = state.cache.cached(&prefixes, now);
         let mut errors = 0.0;
         let mut candidates: Vec<Candidate<'_>> = Vec::new();
@@ -62,6 +64,7 @@
         };
         let mut excluded = SortedWalk::new(&constraints);
         let mut holders = SortedWalk::new(&cached);
+        let mut limited = SortedWalk::new(&limits);
         for endpoint in tables.scan(|entry| entry.service == self.service, now) {
             let (entry, health) = (endpoint.entry, endpoint.health);
             if self.tried.contains(&entry.id) || health.is_misdirected(entry) {
@@ -86,6 +89,7 @@
                 avoid: health.is_paused(now),
                 resting: endpoint.resting,
                 excluded: constraint == Some(&Exclusion::Evacuated),
+                limit: limited.find(&entry.id).copied(),
                 pace: paces.of_key(endpoint.key),
             });
             if health.errors() > 0.0 {
@@ -165,6 +169,7 @@
         let unread = u32::try_from(unread).unwrap_or(u32::MAX);
         self.count_prompt(cached_tokens);
         state.loads.begin(&entry.id, unread, now);
+        state.record_limited_send(&entry, now);
         let newly_used = state.cache.record(&prefixes, &entry.id, now);
         state.outbox.add_prefixes(newly_used, &entry.id);
         let guard = LoadGuard {
@@ -190,16 +195,25 @@
         version.is_none_or(|version| *version == entry.version)
     }
 
-    /// The endpoints of the service that the operators' constraints keep from this request, each with
-    /// the first constraint that does.
+    /// The endpoints of the service that the operators' constraints or their own limits keep from this
+    /// request, each with the first constraint that does.
     fn constraints(
         &self,
         state: &mut RoutingState,
+        limits: &BTreeMap<EndpointId, LimitRoom>,
         now: Duration,
     ) -> BTreeMap<EndpointId, Exclusion> {
         let regions = &self.shared.settings.regions;
-        let mut constraints = BTreeMap::new();
+        let exhausted = limits
+            .iter()
+            .filter(|(_, room)| **room == LimitRoom::Exhausted);
+        let mut constraints: BTreeMap<EndpointId, Exclusion> = exhausted
+            .map(|(id, _)| (id.clone(), Exclusion::Limit))
+            .collect();
         let cold_limit = state.cold_limit(&self.service);
+        if !constraints.is_empty() {
+            self.shared.metrics.excluded(Exclusion::Limit);
+        }
         if state.evacuations.is_empty() && self.homes.allow_all() && cold_limit.is_none() {
             return constraints;
         }
@@ -231,16 +245,16 @@
         constraints
     }
 
-    /// Logs that the operators' constraints keep the request from all endpoints, and returns why it is
-    /// refused. If the limit on cold endpoints keeps some of them, another router may have share left.
+    /// Logs that constraints keep the request from all endpoints, and returns why it is refused. If the limit
+    /// on cold endpoints or one that endpoints named keeps some of them, another router may have share left.
     fn refuse_constrained(&self, constraints: &BTreeMap<EndpointId, Exclusion>) -> RefusalReason {
         let count = |cause| constraints.values().filter(|c| **c == cause).count();
-        let cold = count(Exclusion::Cold);
+        let (cold, limited) = (count(Exclusion::Cold), count(Exclusion::Limit));
         log_request(
             Event::CallConstrained,
             &self.call.attempt,
             format_args!(
-                "service={} evacuated={} region={} cold={cold}",
+                "service={} evacuated={} region={} cold={cold} limited={limited}",
                 self.service,
                 count(Exclusion::Evacuated),
                 count(Exclusion::Region),
@@ -248,6 +262,8 @@
         );
         if cold > 0 {
             RefusalReason::ColdLimit
+        } else if limited > 0 {
+            RefusalReason::Overload
         } else {
             RefusalReason::NoEndpoint
         }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of one router share.
 
 mod cold_limit;
+mod endpoint_limit;
 mod routing_state;
 
 pub(crate) use routing_state::{Contact, RoutingState, SMALL_FLEET};
--- a/crates/edge/src/shared/routing_state.rs
+++ b/crates/edge/src/shared/routing_state.rs
@@ -4,7 +4,7 @@
 use crate::cache_map::CacheMap;
 use crate::constraints::{ColdStarts, Evacuations, KnownRouters};
 use crate::departures::Departures;
-use crate::endpoint_limits::NamedLimits;
+use crate::endpoint_limits::{LimitSenders, NamedLimits};
 use crate::follower::{Follower, Revision};
 use crate::health::Health;
 use crate::hot_subjects::HotSubjects;
@@ -82,6 +82,8 @@
     pub(crate) rests: Rests,
     /// Limits that endpoints named in answers.
     pub(crate) limits: NamedLimits,
+    /// Requests to the endpoints that named one.
+    pub(crate) limit_senders: LimitSenders,
     pub(crate) departures: Departures,
     pub(crate) open_runs: OpenRuns,
     pub(crate) run_times: RunTimes,
@@ -133,6 +135,7 @@
             terminations: Terminations::new(),
             rests: Rests::new(),
             limits: NamedLimits::new(),
+            limit_senders: LimitSenders::new(),
             departures: Departures::new(),
             open_runs: OpenRuns::default(),
             run_times: RunTimes::new(),
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -7,7 +7,8 @@
 
 use crate::constraints::EvacuatedDomains;
 use crate::crashes::{CrashSource, record_crash};
-use crate::endpoint_notices::peer_reported_leaving;
+use crate::endpoint_limits::LimitReport;
+use crate::endpoint_notices::{peer_reported_leaving, peer_reported_limit};
 use crate::feed::{ChangedRow, Feed};
 use crate::manifest::Manifest;
 use crate::registry::Position;
@@ -86,6 +87,8 @@
     crashes: Vec<Aged<Crash>>,
     /// Endpoints that announced that they are leaving, with their boot ids.
     leaving: Vec<(EndpointId, String)>,
+    /// Limits that endpoints named.
+    limits: Vec<Aged<LimitReport>>,
     /// History of the services' software versions; empty if it cannot be encoded.
     versions: Vec<u8>,
     /// The evacuated domains; `None` if the sender knows no set yet.
@@ -181,6 +184,7 @@
         .flat_map(|f| state.quarantine.crashes(*f, now));
     let crashes = crashes.take(MAX_CRASHES).collect();
     let leaving = state.roster.announced_leaving();
+    let limits = state.limits.reports(now);
     let evacuations = state.evacuations.known().cloned();
     drop(state);
     if endpoints.is_none() && configuration.is_none() {
@@ -192,6 +196,7 @@
         configuration,
         crashes,
         leaving,
+        limits,
         versions,
         evacuations,
     };
@@ -379,6 +384,10 @@
     for (id, boot) in &snapshot.leaving {
         peer_reported_leaving(&mut state, shared, id, boot, Duration::ZERO);
     }
+    for limit in snapshot.limits {
+        let age = limit.age();
+        peer_reported_limit(&mut state, shared, limit.value, age);
+    }
     // Before the configuration, which makes this router read only later changes of the table.
     if let Some(set) = snapshot.evacuations {
         apply_evacuations(&mut state, shared, set);
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -5,7 +5,7 @@
 pub(crate) use configuration::{apply_configuration, apply_evacuations, apply_manifest};
 
 use crate::crashes::{CrashSource, record_crash, record_own_crashes, suspect_succeeded};
-use crate::endpoint_notices::peer_reported_leaving;
+use crate::endpoint_notices::{peer_reported_leaving, peer_reported_limit};
 use crate::feed::{ChangedRow, Feed, MAX_FEED_CHANGES};
 use crate::follower::TableDigest;
 use crate::load::PeerRouter;
@@ -113,6 +113,10 @@
         let (id, boot) = leaving.value;
         peer_reported_leaving(&mut state, shared, &id, &boot, age);
     }
+    for limit in message.limits {
+        let age = limit.age() + delay;
+        peer_reported_limit(&mut state, shared, limit.value, age);
+    }
     for success in message.succeeded {
         let age = success.age() + delay;
         suspect_succeeded(
--- a/crates/edge/tests/fleet_parts/mod.rs
+++ b/crates/edge/tests/fleet_parts/mod.rs
@@ -46,6 +46,7 @@
         avoid: false,
         resting: false,
         excluded: false,
+        limit: None,
         pace: 1.0,
     }
 }
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -28,6 +28,7 @@
             avoid: false,
             resting: false,
             excluded: false,
+            limit: None,
             pace: 1.0,
         })
         .collect()
--- a/crates/edge/tests/rest.rs
+++ b/crates/edge/tests/rest.rs
@@ -140,6 +140,7 @@
                 avoid: false,
                 resting: rests[router].until(id, now).is_some(),
                 excluded: false,
+                limit: None,
                 pace: 1.0,
             });
             let candidates: Vec<Candidate<'_>> = candidates.collect();
