--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -68,8 +68,8 @@
 }
 
 /// Probes whether the endpoint of a run terminated: one that only lost a connection can be reached.
-async fn probe(shared: &Shared, run: &Run, address: SocketAddr) {
-    if is_reachable(address).await {
+async fn probe(shared: &Arc<Shared>, run: &Run, address: SocketAddr) {
+    if is_reachable(shared.clone(), address).await {
         shared
             .lock_state()
             .terminations
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -6,6 +6,7 @@
 use crate::hold_time::HoldTime;
 use crate::manifest::EndpointEntry;
 use crate::selection::Placed;
+use crate::shared::Shared;
 use crate::started_answer::StartedAnswer;
 use crate::terminations::Loss;
 use crate::upstream::{SILENCE, SendError, is_reachable};
@@ -16,6 +17,7 @@
 use sequoiaridge_log::log_request;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 impl Exchange {
@@ -54,9 +56,7 @@
         let choice = &placed.choice;
         let once = !self.route.kind.repeatable();
         let shared = self.shared.clone();
-        let connection = shared
-            .pool
-            .acquire(&entry.id, entry.address, once, shared.now());
+        let connection = shared.pool.acquire(&shared, &entry.id, entry.address, once);
         let mut connection = match connection.await {
             Ok(connection) => connection,
             Err(_) => {
@@ -111,7 +111,7 @@
         let silent =
             Outcome::MayHaveRun(RefusalReason::EndpointSilent, RetryReason::EndpointSilent);
         let sent = shared.now();
-        let answer = while_reachable(entry.address, connection.send(request));
+        let answer = while_reachable(&shared, entry.address, connection.send(request));
         let answer = tokio::time::timeout(time_left, answer).await;
         let response = match answer {
             Ok(Some(Ok(response))) => response,
@@ -205,7 +205,11 @@
 
 /// Waits for `answer`. Returns `None` if the endpoint at `address` sends nothing for [`SILENCE`]
 /// and then cannot be reached.
-async fn while_reachable<T>(address: SocketAddr, answer: impl Future<Output = T>) -> Option<T> {
+async fn while_reachable<T>(
+    shared: &Arc<Shared>,
+    address: SocketAddr,
+    answer: impl Future<Output = T>,
+) -> Option<T> {
     let mut answer = pin!(answer);
     loop {
         tokio::select! {
@@ -214,7 +218,7 @@
         }
         tokio::select! {
             output = answer.as_mut() => return Some(output),
-            reachable = is_reachable(address) => if !reachable {
+            reachable = is_reachable(shared.clone(), address) => if !reachable {
                 return None;
             },
         }
--- /dev/null
+++ b/crates/edge/src/network.rs
@@ -0,0 +1,5 @@
+//! Connections to endpoints over the network.
+
+mod dialer;
+
+pub use dialer::{Dialer, Dialing, SystemDialer};
--- a/crates/edge/src/router.rs
+++ b/crates/edge/src/router.rs
@@ -4,6 +4,7 @@
 use crate::endpoint_notices::{expire_limits, expire_rests};
 use crate::idle_timer::{IdleTimer, idle_limit};
 use crate::ingress;
+use crate::network::{Dialer, SystemDialer};
 use crate::peers;
 use crate::quarantine_page;
 use crate::reader;
@@ -62,10 +63,26 @@
     ///
     /// An address cannot be bound.
     pub async fn start(
+        settings: EdgeSettings,
+        clock: Arc<dyn Clock>,
+        dialect: Arc<dyn Dialect>,
+        registry: Arc<dyn Registry>,
+    ) -> io::Result<EdgeRouter> {
+        let dialer = Arc::new(SystemDialer);
+        EdgeRouter::start_with_dialer(settings, clock, dialect, registry, dialer).await
+    }
+
+    /// Starts a router that opens its connections to endpoints with a dialer.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be bound.
+    pub async fn start_with_dialer(
         mut settings: EdgeSettings,
         clock: Arc<dyn Clock>,
         dialect: Arc<dyn Dialect>,
         registry: Arc<dyn Registry>,
+        dialer: Arc<dyn Dialer>,
     ) -> io::Result<EdgeRouter> {
         let callers = TcpListener::bind(settings.callers).await?;
         // Port 0 in the settings means any free port, so it names no address.
@@ -82,7 +99,7 @@
         }
         settings.peers = socket.local_addr()?;
         let (feeds, to_tell) = mpsc::unbounded_channel();
-        let shared = Arc::new(Shared::new(settings, clock, dialect, feeds));
+        let shared = Arc::new(Shared::new(settings, clock, dialect, dialer, feeds));
         if let Some(readiness) = readiness {
             tokio::spawn(accept(callers, shared.clone(), Port::Callers));
             tokio::spawn(accept(readiness, shared.clone(), Port::Readiness));
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -11,6 +11,7 @@
 use crate::feed::Feed;
 use crate::manifest::Route;
 use crate::metrics::Metrics;
+use crate::network::Dialer;
 use crate::registry::{Dialect, Era, Table};
 use crate::settings::EdgeSettings;
 use crate::stream_versions::StreamId;
@@ -35,6 +36,7 @@
     pub(crate) settings: EdgeSettings,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) dialer: Arc<dyn Dialer>,
     pub(crate) metrics: Metrics,
     pub(crate) pool: ConnectionPool,
     /// Bytes that bodies may take.
@@ -76,6 +78,7 @@
         settings: EdgeSettings,
         clock: Arc<dyn Clock>,
         dialect: Arc<dyn Dialect>,
+        dialer: Arc<dyn Dialer>,
         feeds: mpsc::UnboundedSender<Option<Feed>>,
     ) -> Shared {
         let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -95,6 +98,7 @@
             endpoint_overfull: Notify::new(),
             clock,
             dialect,
+            dialer,
             metrics: Metrics::new(),
             pool: ConnectionPool::default(),
             bytes: ByteBudget::new(
--- a/crates/edge/src/silence_watch.rs
+++ b/crates/edge/src/silence_watch.rs
@@ -1,8 +1,10 @@
 //! Detection of endpoints that fall silent while they send an answer.
 
+use crate::shared::Shared;
 use crate::upstream::{SILENCE, is_reachable};
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use tokio::time::{Instant, Sleep};
 
@@ -32,6 +34,7 @@
     /// Ready once the endpoint is silent and cannot be reached.
     pub(crate) fn poll_unreachable(
         &mut self,
+        shared: &Arc<Shared>,
         address: SocketAddr,
         cx: &mut Context<'_>,
     ) -> Poll<()> {
@@ -49,7 +52,7 @@
             if due > Instant::now() {
                 self.timer.as_mut().reset(due);
             } else {
-                self.check = Some(Box::pin(is_reachable(address)));
+                self.check = Some(Box::pin(is_reachable(shared.clone(), address)));
             }
         }
     }
--- a/crates/edge/src/started_answer.rs
+++ b/crates/edge/src/started_answer.rs
@@ -132,7 +132,7 @@
         Box::pin(async move {
             let ended_at = shared.now();
             progress.end(ended_at);
-            let refuses = is_refusing(address).await;
+            let refuses = is_refusing(&shared, address).await;
             let gather = || end_evidence(&shared, &endpoint, &boot, refuses, (&progress, ended_at));
             let mut evidence = gather();
             // Other answers that ended before the endpoint did may not have been read to their ends.
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -118,9 +118,12 @@
     }
 
     fn poll_unreachable(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        match &mut self.origin {
-            Some(origin) => origin.watch.poll_unreachable(origin.address, cx),
-            None => Poll::Pending,
+        match (&mut self.origin, &self.exchange) {
+            (Some(origin), Some(exchange)) => {
+                let (shared, address) = (&exchange.shared, origin.address);
+                origin.watch.poll_unreachable(shared, address, cx)
+            }
+            _ => Poll::Pending,
         }
     }
 
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::bounded_io::{BoundedIo, ReadBudget};
 use crate::call::AttemptId;
+use crate::shared::Shared;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -13,7 +14,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -120,18 +121,19 @@
     /// There is no idle connection and no new one opened.
     pub(crate) async fn acquire(
         &self,
+        shared: &Shared,
         endpoint: &EndpointId,
         address: SocketAddr,
         once: bool,
-        now: Duration,
     ) -> Result<Connection, SendError> {
+        let now = shared.now();
         while let Some(mut connection) = self.take(endpoint, once, now) {
             let ready = tokio::time::timeout(READY_TIME, connection.sender.ready());
             if matches!(ready.await, Ok(Ok(()))) {
                 return Ok(connection);
             }
         }
-        connect(endpoint, address).await
+        connect(shared, endpoint, address).await
     }
 
     /// Returns a connection to the pool after its answer was read completely. `idle` is the idle timeout
@@ -199,28 +201,34 @@
 
 /// Whether an endpoint accepts connections. This distinguishes an endpoint that is down from one that is
 /// only slow.
-pub(crate) async fn is_reachable(address: SocketAddr) -> bool {
-    open_stream(address).await.is_some()
+pub(crate) async fn is_reachable(shared: Arc<Shared>, address: SocketAddr) -> bool {
+    open_stream(&shared, address).await.is_some()
 }
 
 /// Whether an endpoint refuses connections, because its process has ended.
-pub(crate) async fn is_refusing(address: SocketAddr) -> bool {
-    let opened = tokio::time::timeout(CONNECT_TIMEOUTS[0], TcpStream::connect(address)).await;
+pub(crate) async fn is_refusing(shared: &Shared, address: SocketAddr) -> bool {
+    let dialing = shared.dialer.dial(address);
+    let opened = tokio::time::timeout(CONNECT_TIMEOUTS[0], dialing).await;
     matches!(opened, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
 /// Opens a connection. A try that times out is repeated, one that is refused is not.
-async fn open_stream(address: SocketAddr) -> Option<TcpStream> {
+async fn open_stream(shared: &Shared, address: SocketAddr) -> Option<TcpStream> {
     for time in CONNECT_TIMEOUTS {
-        if let Ok(opened) = tokio::time::timeout(time, TcpStream::connect(address)).await {
+        if let Ok(opened) = tokio::time::timeout(time, shared.dialer.dial(address)).await {
             return opened.ok();
         }
     }
     None
 }
 
-async fn connect(endpoint: &EndpointId, address: SocketAddr) -> Result<Connection, SendError> {
-    let stream = open_stream(address).await.ok_or(SendError::Connect)?;
+async fn connect(
+    shared: &Shared,
+    endpoint: &EndpointId,
+    address: SocketAddr,
+) -> Result<Connection, SendError> {
+    let opened = open_stream(shared, address).await;
+    let stream = opened.ok_or(SendError::Connect)?;
     set_tcp_timeouts(&stream).map_err(|_| SendError::Connect)?;
     let (stream, budget) = BoundedIo::new(stream);
     let (sender, connection) = http1::Builder::new()
