Reach endpoints through other routers while the own links are lost

What callers saw: 503 at routers that were partitioned from all servers (54 of 297 first tries served, the others 872 of 885), or no answer until their deadline where connections hang.

Cause: a router knew no way to an endpoint but its own connection, and took each failed connection for the end of an endpoint.

Change: after failed connections to three endpoints without one that opens, a router asks another one. If that reaches the endpoint, the links are lost, and connections go through such a router (a tunnel, authenticated, one hop) until two direct ones open. Endpoints are not reported as unreachable meanwhile, and requests not as lost with them.

Ruled out: that late detection or the reports to other routers explain the refusals; each had tried all servers within 130 ms.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -120,6 +120,12 @@
     EndpointLimited = 319, Info, "endpoint-limited";
     /// The limit of an endpoint has ended.
     EndpointUnlimited = 320, Info, "endpoint-unlimited";
+    /// The links to the endpoints are lost, and another router reaches them.
+    LinksLost = 321, Warn, "links-lost";
+    /// The links to the endpoints are back.
+    LinksBack = 322, Info, "links-back";
+    /// A connection to an endpoint broke that another router had asked for.
+    TunnelBroke = 323, Info, "tunnel-broke";
     /// An endpoint is slower than usual and gets less work.
     EndpointSlow = 340, Info, "endpoint-slow";
     /// An endpoint is about as fast as usual again.
--- a/crates/edge/src/bounded_io.rs
+++ b/crates/edge/src/bounded_io.rs
@@ -1,12 +1,12 @@
 //! A connection that limits how much may be read before the head of an answer is complete.
 
+use crate::network::Link;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Largest number of bytes before the head of an answer is complete. The parser limits one head, but any
 /// number of informational (1xx) heads may precede it, and all of them are parsed before the task yields.
@@ -42,15 +42,15 @@
     }
 }
 
-/// A TCP stream with a read budget.
+/// A connection to an endpoint with a read budget.
 pub(crate) struct BoundedIo {
-    stream: TcpStream,
+    stream: Link,
     budget: ReadBudget,
 }
 
 impl BoundedIo {
     /// Wraps a stream. The returned budget controls how much may be read from it.
-    pub(crate) fn new(stream: TcpStream) -> (BoundedIo, ReadBudget) {
+    pub(crate) fn new(stream: Link) -> (BoundedIo, ReadBudget) {
         let budget = ReadBudget::new();
         let io = BoundedIo {
             stream,
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -1,10 +1,10 @@
 //! Requests and parts of prompts that crash endpoints: recording, sharing, clearing, saving and
 //! logging.
 
+use crate::network::is_reachable;
 use crate::registry::{Registry, Saved, Table};
 use crate::shared::{RoutingState, Shared, is_later_era};
 use crate::terminations::{Loss, LossOutcome, Run};
-use crate::upstream::is_reachable;
 use sequoiaridge_core::Event;
 use sequoiaridge_log::{log, log_request};
 use sequoiaridge_policy::{Aged, Crash, QuarantineState, SYNC_MIN_CRASHES, Suspect};
@@ -85,9 +85,11 @@
     let now = shared.now();
     let mut state = shared.lock_state();
     let until = state.health.record_failure(endpoint, now);
-    state.outbox.add_unreachable(endpoint, now);
-    let runs = state.terminations.record_end(endpoint, boot, now);
-    record_own_crashes(&mut state, shared, &runs);
+    if !state.isolation.is_isolated() {
+        state.outbox.add_unreachable(endpoint, now);
+        let runs = state.terminations.record_end(endpoint, boot, now);
+        record_own_crashes(&mut state, shared, &runs);
+    }
     drop(state);
     log_request(
         Event::EndpointDown,
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -5,11 +5,12 @@
 use crate::call::{Attempt, Call, Prompt};
 use crate::hold_time::HoldTime;
 use crate::manifest::EndpointEntry;
+use crate::network::is_alive;
 use crate::selection::Placed;
 use crate::shared::Shared;
 use crate::started_answer::StartedAnswer;
 use crate::terminations::Loss;
-use crate::upstream::{SILENCE, SendError, is_reachable};
+use crate::upstream::{SILENCE, SendError};
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
@@ -111,7 +112,12 @@
         let silent =
             Outcome::MayHaveRun(RefusalReason::EndpointSilent, RetryReason::EndpointSilent);
         let sent = shared.now();
-        let answer = while_reachable(&shared, entry.address, connection.send(request));
+        let answer = while_alive(
+            &shared,
+            entry.address,
+            connection.direct,
+            connection.send(request),
+        );
         let answer = tokio::time::timeout(time_left, answer).await;
         let response = match answer {
             Ok(Some(Ok(response))) => response,
@@ -205,9 +211,10 @@
 
 /// Waits for `answer`. Returns `None` if the endpoint at `address` sends nothing for [`SILENCE`]
 /// and then cannot be reached.
-async fn while_reachable<T>(
+async fn while_alive<T>(
     shared: &Arc<Shared>,
     address: SocketAddr,
+    direct: bool,
     answer: impl Future<Output = T>,
 ) -> Option<T> {
     let mut answer = pin!(answer);
@@ -218,7 +225,7 @@
         }
         tokio::select! {
             output = answer.as_mut() => return Some(output),
-            reachable = is_reachable(shared.clone(), address) => if !reachable {
+            alive = is_alive(shared.clone(), address, direct) => if !alive {
                 return None;
             },
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -133,7 +133,7 @@
     Field, FieldPath, Finding, Section, Severity, check_manifest, manifest_differences,
 };
 pub use metrics::example_metrics;
-pub use network::{Dialer, Dialing, SystemDialer};
+pub use network::{Dialer, Dialing, Isolation, SystemDialer};
 pub use open_runs::{OpenRuns, RunProgress};
 pub use pace::{EFFECTIVE_PACE, PaceChange, PaceEntry, Paces, Stall, StreamSampler};
 pub use peer_message::{Outbox, PeerMessage};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -123,6 +123,10 @@
     /// Messages with demand that were sent to other routers.
     pub(crate) demand_messages: Counter,
     pub(crate) resting: Gauge,
+    /// 1 while the links to the endpoints are lost.
+    pub(crate) links_lost: Gauge,
+    /// Connections to endpoints that are open for other routers.
+    pub(crate) tunnels: Gauge,
     /// Endpoints whose limit on requests is in force.
     pub(crate) limited: Gauge,
     /// Limits that cannot be parsed.
@@ -176,6 +180,8 @@
             room_requests: Family::default(),
             demand_messages: Counter::default(),
             resting: Gauge::default(),
+            links_lost: Gauge::default(),
+            tunnels: Gauge::default(),
             limited: Gauge::default(),
             limits_ignored: Counter::default(),
             evacuated: Gauge::default(),
@@ -309,6 +315,16 @@
             "Endpoints that asked this router for a rest that has not ended",
             self.resting.clone(),
         );
+        registry.register(
+            "links_lost",
+            "1 while this router reaches endpoints only through other routers",
+            self.links_lost.clone(),
+        );
+        registry.register(
+            "tunnels",
+            "Connections to endpoints that are open for other routers",
+            self.tunnels.clone(),
+        );
         registry.register(
             "limited",
             "Endpoints that named a limit on the requests from all routers",
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -72,6 +72,8 @@
     pub endpoints: Option<TableDigest>,
     /// Whether the sender is draining.
     pub draining: bool,
+    /// Whether the sender has lost its links to the endpoints.
+    pub isolated: bool,
     /// The sender's outstanding work; `None` if the message does not report it.
     pub work: Option<Vec<(EndpointId, Work)>>,
     /// Prompt prefixes with the endpoints that cached them.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -175,6 +175,8 @@
             endpoints: None,
             configuration: None,
             heard: None,
+            draining: false,
+            isolated: false,
         });
         contact.address = address;
     }
@@ -240,6 +242,8 @@
             contact.heard = Some(now);
             if has_state {
                 contact.link = message.link_mbps;
+                contact.draining = message.draining;
+                contact.isolated = message.isolated;
                 contact.endpoints = message.endpoints.map(|digest| digest.revision);
                 contact.configuration = message.configuration.map(|digest| digest.revision.version);
             }
--- a/crates/edge/src/peers/rounds.rs
+++ b/crates/edge/src/peers/rounds.rs
@@ -412,6 +412,7 @@
             configuration: state.configuration.digest(now),
             endpoints: state.endpoints.digest(now),
             draining: self.shared.is_draining(),
+            isolated: state.isolation.is_isolated(),
             crash_digest: state.quarantine.digest(),
             evacuations: state.evacuations.known().cloned(),
             ..PeerMessage::default()
--- a/crates/edge/src/shared/routing_state.rs
+++ b/crates/edge/src/shared/routing_state.rs
@@ -10,6 +10,7 @@
 use crate::hot_subjects::HotSubjects;
 use crate::load::Loads;
 use crate::manifest::SoftwareVersion;
+use crate::network::Isolation;
 use crate::open_runs::OpenRuns;
 use crate::peer_message::Outbox;
 use crate::quarantine_probe::QuarantineProbes;
@@ -73,6 +74,8 @@
     pub(crate) admission: Admission,
     pub(crate) hot_subjects: HotSubjects,
     pub(crate) health: Health,
+    /// Whether the links to the endpoints are lost.
+    pub(crate) isolation: Isolation,
     pub(crate) cache: CacheMap,
     pub(crate) outbox: Outbox,
     pub(crate) retries: RetryWindow,
@@ -125,6 +128,7 @@
             admission: Admission::new(settings.shares_room),
             hot_subjects: HotSubjects::new(),
             health: Health::new(),
+            isolation: Isolation::new(),
             cache: CacheMap::with_window(settings.reuse_window),
             outbox: Outbox::default(),
             retries,
@@ -224,4 +228,7 @@
     pub(crate) configuration: Option<Version>,
     /// When it was last heard.
     pub(crate) heard: Option<Duration>,
+    /// Whether it said that it is draining, and that it has lost its links to the endpoints.
+    pub(crate) draining: bool,
+    pub(crate) isolated: bool,
 }
--- a/crates/edge/src/silence_watch.rs
+++ b/crates/edge/src/silence_watch.rs
@@ -1,7 +1,8 @@
 //! Detection of endpoints that fall silent while they send an answer.
 
+use crate::network::is_alive;
 use crate::shared::Shared;
-use crate::upstream::{SILENCE, is_reachable};
+use crate::upstream::SILENCE;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -36,6 +37,7 @@
         &mut self,
         shared: &Arc<Shared>,
         address: SocketAddr,
+        direct: bool,
         cx: &mut Context<'_>,
     ) -> Poll<()> {
         loop {
@@ -52,7 +54,7 @@
             if due > Instant::now() {
                 self.timer.as_mut().reset(due);
             } else {
-                self.check = Some(Box::pin(is_reachable(shared.clone(), address)));
+                self.check = Some(Box::pin(is_alive(shared.clone(), address, direct)));
             }
         }
     }
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -11,6 +11,7 @@
 use crate::endpoint_notices::{peer_reported_leaving, peer_reported_limit};
 use crate::feed::{ChangedRow, Feed};
 use crate::manifest::Manifest;
+use crate::network;
 use crate::registry::Position;
 use crate::saved_versions::{encode_versions, restore_versions};
 use crate::schedule::{FIRST_READERS, jittered};
@@ -133,10 +134,10 @@
     slots: &Semaphore,
 ) -> Result<(), LinkError> {
     let mut stream = FrameStream::accept(stream, keys, &Default::default()).await?;
-    let Some(Frame::SnapshotPull { endpoints, version }) =
-        stream.recv_within(FETCH_TIMEOUT).await?
-    else {
-        return Ok(());
+    let (endpoints, version) = match stream.recv_within(FETCH_TIMEOUT).await? {
+        Some(Frame::SnapshotPull { endpoints, version }) => (endpoints, version),
+        Some(Frame::Tunnel { address }) => return network::serve(shared, stream, address).await,
+        _ => return Ok(()),
     };
     let slot = slots.try_acquire();
     let request = SnapshotRequest { endpoints, version };
--- a/crates/edge/src/started_answer.rs
+++ b/crates/edge/src/started_answer.rs
@@ -4,10 +4,11 @@
 use crate::call::AnswerHead;
 use crate::crashes::{attempt_lost, attempt_unreachable};
 use crate::departures::start_of_run;
+use crate::network::is_refusing;
 use crate::open_runs::RunProgress;
 use crate::shared::Shared;
 use crate::terminations::{Loss, Run};
-use crate::upstream::{Connection, is_refusing};
+use crate::upstream::Connection;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, header};
 use hyper::body::{Body, Incoming};
@@ -171,6 +172,10 @@
 
     /// Records that the run ended without a complete answer and that its endpoint cannot be reached.
     pub(crate) fn gone(&mut self) {
+        if self.shared.lock_state().isolation.is_isolated() {
+            // The link is lost, and nothing shows that the endpoint is.
+            return self.lost(Loss::Abandoned);
+        }
         if let Some(run) = self.run.take() {
             self.note_loss(Loss::ConnectionLost);
             attempt_unreachable(&self.shared, &run);
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -99,7 +99,9 @@
             AnswerBody::Arriving(arriving) => arriving,
         };
         let framing = Framing::of(&answer.headers, &arriving.body);
+        let direct = arriving.connection.direct;
         let origin = Origin::new(answer.endpoint, answer.address, &answer.head, framing);
+        let origin = Origin { direct, ..origin };
         let deadline = Instant::now() + exchange.time_left();
         due.set(Some(deadline));
         let deadline = Box::pin(tokio::time::sleep_until(deadline));
@@ -121,7 +123,8 @@
         match (&mut self.origin, &self.exchange) {
             (Some(origin), Some(exchange)) => {
                 let (shared, address) = (&exchange.shared, origin.address);
-                origin.watch.poll_unreachable(shared, address, cx)
+                let direct = origin.direct;
+                origin.watch.poll_unreachable(shared, address, direct, cx)
             }
             _ => Poll::Pending,
         }
--- a/crates/edge/src/stream_body/origin.rs
+++ b/crates/edge/src/stream_body/origin.rs
@@ -13,6 +13,8 @@
 pub(super) struct Origin {
     pub(super) endpoint: EndpointId,
     pub(super) address: SocketAddr,
+    /// Whether its connection does not pass through another router.
+    pub(super) direct: bool,
     pub(super) watch: SilenceWatch,
     pub(super) idle: Option<Duration>,
     pub(super) close: bool,
@@ -32,6 +34,7 @@
         Origin {
             endpoint,
             address,
+            direct: true,
             watch: SilenceWatch::new(),
             idle: head.idle,
             close: head.close,
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::bounded_io::{BoundedIo, ReadBudget};
 use crate::call::AttemptId;
+use crate::network::open;
 use crate::shared::Shared;
 use bytes::Bytes;
 use http::{Request, Response};
@@ -12,15 +13,11 @@
 use sequoiaridge_core::EndpointId;
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::BTreeMap;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// Connect timeouts, one for each try. Round trips take some ms, and TCP retransmits a lost SYN only after
-/// a second, so a second connection opens sooner.
-const CONNECT_TIMEOUTS: [Duration; 2] = [Duration::from_millis(120), Duration::from_millis(250)];
 /// TCP user timeout, after which unacknowledged data ends a connection: two retransmissions at the usual
 /// timeouts of TCP.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -68,6 +65,8 @@
     refused: Vec<AttemptId>,
     /// Whether the connection carried a request before.
     pub(crate) used: bool,
+    /// Whether it does not pass through another router.
+    pub(crate) direct: bool,
 }
 
 impl Connection {
@@ -121,7 +120,7 @@
     /// There is no idle connection and no new one opened.
     pub(crate) async fn acquire(
         &self,
-        shared: &Shared,
+        shared: &Arc<Shared>,
         endpoint: &EndpointId,
         address: SocketAddr,
         once: bool,
@@ -169,6 +168,11 @@
         self.table().remove(endpoint);
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn clear(&self) {
+        self.table().clear();
+    }
+
     /// Closes connections that have been idle for too long.
     pub(crate) fn expire(&self, now: Duration) {
         let mut table = self.table();
@@ -199,38 +203,14 @@
     }
 }
 
-/// Whether an endpoint accepts connections. This distinguishes an endpoint that is down from one that is
-/// only slow.
-pub(crate) async fn is_reachable(shared: Arc<Shared>, address: SocketAddr) -> bool {
-    open_stream(&shared, address).await.is_some()
-}
-
-/// Whether an endpoint refuses connections, because its process has ended.
-pub(crate) async fn is_refusing(shared: &Shared, address: SocketAddr) -> bool {
-    let dialing = shared.dialer.dial(address);
-    let opened = tokio::time::timeout(CONNECT_TIMEOUTS[0], dialing).await;
-    matches!(opened, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
-}
-
-/// Opens a connection. A try that times out is repeated, one that is refused is not.
-async fn open_stream(shared: &Shared, address: SocketAddr) -> Option<TcpStream> {
-    for time in CONNECT_TIMEOUTS {
-        if let Ok(opened) = tokio::time::timeout(time, shared.dialer.dial(address)).await {
-            return opened.ok();
-        }
-    }
-    None
-}
-
 async fn connect(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     endpoint: &EndpointId,
     address: SocketAddr,
 ) -> Result<Connection, SendError> {
-    let opened = open_stream(shared, address).await;
-    let stream = opened.ok_or(SendError::Connect)?;
-    set_tcp_timeouts(&stream).map_err(|_| SendError::Connect)?;
-    let (stream, budget) = BoundedIo::new(stream);
+    let link = open(shared, address).await.ok_or(SendError::Connect)?;
+    let direct = link.is_direct();
+    let (stream, budget) = BoundedIo::new(link);
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_READ_BUFFER)
         .handshake(TokioIo::new(stream))
@@ -244,11 +224,12 @@
         budget,
         refused: Vec::new(),
         used: false,
+        direct,
     })
 }
 
 /// Makes the kernel end a connection whose peer has vanished without closing it.
-fn set_tcp_timeouts(stream: &TcpStream) -> std::io::Result<()> {
+pub(crate) fn set_tcp_timeouts(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -5,6 +5,7 @@
     ChatKey, ClassName, CustomerId, EndpointId, Fingerprint, ModelName, Refusal, Version,
 };
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// An HTTP header. Its value need not be UTF-8.
@@ -101,6 +102,17 @@
     pub hold: Duration,
 }
 
+/// Whether a router could open a connection to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reach {
+    /// The connection is open.
+    Opened,
+    /// It was refused.
+    Refused,
+    /// Nothing answered, or the router does not connect there.
+    Silent,
+}
+
 /// A message on a TCP connection between routers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
@@ -175,6 +187,14 @@
         /// Hash of the boot id that the endpoint had before the crash.
         boot: u64,
     },
+    /// Requests a connection to an endpoint. If it opens, its bytes follow in both directions as
+    /// `Chunk`s, and an `End` once the endpoint has closed it in order.
+    Tunnel {
+        /// Address of the endpoint.
+        address: SocketAddr,
+    },
+    /// Response to a `Tunnel`.
+    TunnelReach(Reach),
 }
 
 impl Frame {
@@ -197,6 +217,8 @@
             Frame::SnapshotPull { .. } => "snapshot-pull",
             Frame::SnapshotPush { .. } => "snapshot-push",
             Frame::Strike { .. } => "strike",
+            Frame::Tunnel { .. } => "tunnel",
+            Frame::TunnelReach(_) => "tunnel-reach",
         }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use datagram::{MAX_DATAGRAM, Opener, Sealer};
 pub use error::{LinkError, WireError};
-pub use frame::{CallFrame, Frame, Header, IndexEntry, TurnRequest, VersionedChange};
+pub use frame::{CallFrame, Frame, Header, IndexEntry, Reach, TurnRequest, VersionedChange};
 pub use key::{KeyError, PeerKeys};
 pub use link_pool::{Link, LinkPool, LinkPoolConfig};
 pub use stream::{FrameReader, FrameStream, FrameWriter, StreamConfig};
