Let nothing wait at endpoints that say that they are brittle

Cause: a plain service took requests without a bound on what waits, so its servers had to reject some; one that says it is brittle crashes then.

Change: the notice is read. While a service is brittle, no endpoint gets more requests than it has slots, and one that rejects a request is left alone for a second. What would wait is refused at once.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -126,6 +126,10 @@
     LinksBack = 322, Info, "links-back";
     /// A connection to an endpoint broke that another router had asked for.
     TunnelBroke = 323, Info, "tunnel-broke";
+    /// The endpoints of a service say that they crash if they have to reject requests.
+    ServiceBrittle = 324, Warn, "service-brittle";
+    /// The endpoints of a service no longer say so.
+    ServiceSound = 325, Info, "service-sound";
     /// An endpoint is slower than usual and gets less work.
     EndpointSlow = 340, Info, "endpoint-slow";
     /// An endpoint is about as fast as usual again.
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -115,6 +115,9 @@
     pub rest: Option<RestRequest>,
     /// The endpoint's limit on requests per second from all routers; `None` if it names none.
     pub limit: Option<LimitNotice>,
+    /// Requests that the endpoint can reject in a second for want of room before it crashes; `None` if it
+    /// does not say that it is brittle.
+    pub brittle: Option<u32>,
     /// Load that the endpoint reports.
     pub load: Option<EndpointLoad>,
     /// Time for which the endpoint says that it stays cold.
--- a/crates/edge/src/endpoint_notices.rs
+++ b/crates/edge/src/endpoint_notices.rs
@@ -1,6 +1,8 @@
 //! What endpoints announce in their answers: that they are leaving, want to rest, or limit the requests that
 //! they take.
 
+use crate::brittle_services::REJECTION_PAUSE;
+use crate::call::AnswerHead;
 use crate::endpoint_limits::{LimitChange, LimitNotice, LimitReport, NamedLimit};
 use crate::manifest::EndpointEntry;
 use crate::rest::{RestOutcome, RestRequest};
@@ -108,6 +110,33 @@
     }
 }
 
+/// Records whether an endpoint says that it crashes if it has to reject requests, and leaves it alone for a
+/// while if it has rejected one.
+pub(crate) fn endpoint_brittle(
+    state: &mut RoutingState,
+    shared: &Shared,
+    entry: &EndpointEntry,
+    head: &AnswerHead,
+) {
+    let (now, service) = (shared.now(), &entry.service);
+    if state.brittle.record(service, head.brittle.is_some(), now) {
+        let event = if head.brittle.is_some() {
+            Event::ServiceBrittle
+        } else {
+            Event::ServiceSound
+        };
+        log(
+            event,
+            &format!("service={service} rejections={:?}", head.brittle),
+        );
+    }
+    if head.brittle.is_some() && head.not_run {
+        let rest = RestRequest::For(REJECTION_PAUSE);
+        state.rests.request(&entry.id, rest, now, &mut rand::rng());
+        state.outbox.add_unreachable(&entry.id, now);
+    }
+}
+
 /// Records a limit that another router heard of the given time ago.
 pub(crate) fn peer_reported_limit(
     state: &mut RoutingState,
--- a/crates/edge/src/exchange_reports.rs
+++ b/crates/edge/src/exchange_reports.rs
@@ -2,7 +2,7 @@
 
 use crate::call::AnswerHead;
 use crate::crashes::{CrashSource, endpoint_unreachable, suspect_succeeded};
-use crate::endpoint_notices::{endpoint_leaving, endpoint_limit, endpoint_rest};
+use crate::endpoint_notices::{endpoint_brittle, endpoint_leaving, endpoint_limit, endpoint_rest};
 use crate::exchange::Exchange;
 use crate::manifest::EndpointEntry;
 use crate::shared::RoutingState;
@@ -32,6 +32,7 @@
         }
         let mut state = shared.lock_state();
         endpoint_limit(&mut state, shared, attempt, entry, head.limit);
+        endpoint_brittle(&mut state, shared, entry, head);
     }
 
     /// Records the pace that an endpoint reported with an answer, also with one that refuses the request.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod answer_deadline;
 mod answer_end;
 mod bounded_io;
+mod brittle_services;
 mod buffered_answer;
 mod byte_budget;
 mod cache_map;
@@ -103,6 +104,7 @@
     WaitLimit, split_room,
 };
 pub use answer_end::{AnswerEnd, EndEvidence};
+pub use brittle_services::BrittleServices;
 pub use byte_budget::{ByteBudget, Reservation};
 pub use cache_map::{CacheMap, Prefix, PrefixKey, prefixes};
 pub use call::{AnswerHead, Attempt, AttemptId, Call, EndpointLoad, Part, PartId, Prompt};
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -87,6 +87,8 @@
     /// Set where the request counts of plain services are stale: an endpoint is drawn by a hash of the request
     /// instead of the one with the shortest wait, which all routers would choose until newer counts arrive.
     pub draws: bool,
+    /// Whether the endpoints must not have to reject requests, so that none may wait there.
+    pub brittle: bool,
 }
 
 /// Number of slots for which an endpoint may queue one request. Requests last about a second, so the last
@@ -128,6 +130,7 @@
             spread: 1,
             resumes: false,
             draws: false,
+            brittle: false,
         }
     }
 
@@ -146,7 +149,8 @@
             usable.retain(|c| c.limit != Some(LimitRoom::Overdraft));
         }
         let available = usable.iter().copied();
-        let mut available: Vec<&Candidate<'_>> = available.filter(|c| has_room(c, bound)).collect();
+        let mut available: Vec<&Candidate<'_>> =
+            available.filter(|c| self.has_room(c, bound)).collect();
         // Rather a slot at a limited endpoint, which copies the prompt, than a queue at one that has it cached.
         if is_crowded && available.iter().any(|c| c.limit.is_some()) {
             available.retain(|c| load(c) < f64::from(c.slots) * FULL_SHARE);
@@ -156,7 +160,7 @@
             let open = usable
                 .iter()
                 .copied()
-                .filter(|c| f64::from(c.requests) < bound && c.requests < max_requests(c));
+                .filter(|c| f64::from(c.requests) < bound && c.requests < self.max_requests(c));
             available.extend(open.min_by(|a, b| load(a).total_cmp(&load(b))));
         }
         let holds = |candidate: &&Candidate<'_>| candidate.cached >= subject.tokens;
@@ -193,7 +197,7 @@
                     needs = self.needs(&replicas, mean, bound);
                 }
                 if picks && is_spread {
-                    let open = replicas.into_iter().filter(|c| has_room(c, bound));
+                    let open = replicas.into_iter().filter(|c| self.has_room(c, bound));
                     best = less_loaded_of_two(request_hash, open).unwrap_or(best);
                 }
             }
@@ -215,7 +219,7 @@
             return None;
         }
         let usable = usable.iter().copied();
-        let free = usable.filter(|candidate| candidate.requests < max_requests(candidate));
+        let free = usable.filter(|candidate| candidate.requests < self.max_requests(candidate));
         match self.request_hash {
             Some(request_hash) => less_loaded_of_two(request_hash, free),
             None => free.min_by_key(|candidate| candidate.requests),
@@ -235,6 +239,19 @@
         (more > 0).then_some(replicas.len() + more)
     }
 
+    /// Whether an endpoint can take one more request within a load bound.
+    fn has_room(&self, candidate: &Candidate<'_>, bound: f64) -> bool {
+        let load = load(candidate);
+        load < bound && load < f64::from(self.max_requests(candidate))
+    }
+
+    /// Requests that an endpoint may hold: its slots and a short queue, unless it is brittle.
+    fn max_requests(&self, candidate: &Candidate<'_>) -> u32 {
+        let queued = candidate.slots.div_ceil(SLOTS_PER_QUEUED);
+        let queued = if self.brittle { 0 } else { queued };
+        candidate.slots.saturating_add(queued)
+    }
+
     /// Chooses an endpoint for a request to a plain service: the one with the shortest expected wait, or one
     /// drawn by its slots and that wait. Returns `None` if no candidate takes requests, or if the chosen one is full
     /// while another one rests.
@@ -263,7 +280,8 @@
             usable.iter().copied().min_by_key(|c| cost(c))
         }?;
         let full = best.requests >= best.slots.saturating_mul(1 + QUEUED_PER_SLOT);
-        (!others_rest || !full).then(|| choice(best, mean))
+        let waits = self.brittle && best.requests >= best.slots;
+        (!waits && (!others_rest || !full)).then(|| choice(best, mean))
     }
 }
 
@@ -314,18 +332,6 @@
     (load * 1000.0) as u64
 }
 
-/// Whether an endpoint can take one more request within a load bound.
-fn has_room(candidate: &Candidate<'_>, bound: f64) -> bool {
-    let load = load(candidate);
-    load < bound && load < f64::from(max_requests(candidate))
-}
-
-/// Requests that an endpoint may hold: its slots and a short queue.
-fn max_requests(candidate: &Candidate<'_>) -> u32 {
-    let queued = candidate.slots.div_ceil(SLOTS_PER_QUEUED);
-    candidate.slots.saturating_add(queued)
-}
-
 /// The endpoint from which the chosen one should copy cached tokens, and how many that one has.
 fn copy_source(choice: &Choice, candidates: &[Candidate<'_>]) -> Option<(EndpointId, u64)> {
     let reachable = candidates.iter().filter(|candidate| !candidate.avoid);
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -118,6 +118,7 @@
         }
         let mut placement = Placement::with_bound(self.shared.settings.load_multiple);
         placement.resumes = self.version.is_some();
+        placement.brittle = state.brittle.is_brittle(&self.service, now);
         placement.draws = state.is_large() && state.admission.is_on(&self.service, now);
         let subject = self.call.prompt.as_ref().map(Prompt::subject);
         let key = subject.as_ref().map_or(0, |subject| subject.key);
--- a/crates/edge/src/shared/routing_state.rs
+++ b/crates/edge/src/shared/routing_state.rs
@@ -1,6 +1,7 @@
 //! What routing decisions read, behind one lock.
 
 use crate::admission::Admission;
+use crate::brittle_services::BrittleServices;
 use crate::cache_map::CacheMap;
 use crate::constraints::{ColdStarts, Evacuations, KnownRouters};
 use crate::departures::Departures;
@@ -83,6 +84,8 @@
     pub(crate) probes: QuarantineProbes,
     pub(crate) terminations: Terminations,
     pub(crate) rests: Rests,
+    /// Services whose endpoints must not have to reject requests.
+    pub(crate) brittle: BrittleServices,
     /// Limits that endpoints named in answers.
     pub(crate) limits: NamedLimits,
     /// Requests to the endpoints that named one.
@@ -138,6 +141,7 @@
             probes: QuarantineProbes::new(),
             terminations: Terminations::new(),
             rests: Rests::new(),
+            brittle: BrittleServices::new(),
             limits: NamedLimits::new(),
             limit_senders: LimitSenders::new(),
             departures: Departures::new(),
