Watch resumed streams by the connection that they came over

Cause: a stream that goes on through another router was watched as if its connection were direct, so that a pause of 500 ms while the links are lost ended it though its endpoint could be reached.

Change: the origin of a resumed stream takes that from its connection.

Result: by reading; the tests of lost links pass before and after.

--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -101,7 +101,7 @@
         let framing = Framing::of(&answer.headers, &arriving.body);
         let direct = arriving.connection.direct;
         let origin = Origin::new(answer.endpoint, answer.address, &answer.head, framing);
-        let origin = Origin { direct, ..origin };
+        let origin = origin.with_direct(direct);
         let deadline = Instant::now() + exchange.time_left();
         due.set(Some(deadline));
         let deadline = Box::pin(tokio::time::sleep_until(deadline));
@@ -312,7 +312,7 @@
                 };
                 let framing = Framing::of(&answer.headers, &arriving.body);
                 let origin = Origin::new(answer.endpoint, answer.address, &answer.head, framing);
-                self.origin = Some(origin);
+                self.origin = Some(origin.with_direct(arriving.connection.direct));
                 self.source = Source::Arriving(arriving);
                 true
             }
--- a/crates/edge/src/stream_body/origin.rs
+++ b/crates/edge/src/stream_body/origin.rs
@@ -43,4 +43,9 @@
             stall: StallWatch::new(),
         }
     }
+
+    /// Sets whether the connection does not pass through another router.
+    pub(super) fn with_direct(self, direct: bool) -> Origin {
+        Origin { direct, ..self }
+    }
 }
