Do nothing for answers of endpoints that never had a limit

Cause: each answer built the boot id of its endpoint and looked it up, though nearly all name no limit.

Change: such answers return at once; a check that stood twice in open.rs is called instead.

Result: behaviour as before; the tests of limits, lost links and brittle services pass.

--- a/crates/edge/src/endpoint_limits/named.rs
+++ b/crates/edge/src/endpoint_limits/named.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Whether an endpoint has a limit, or had one of late.
+    pub fn is_known(&self, id: &str) -> bool {
+        self.limits.contains_key(id)
+    }
+
     /// The limit of a start of an endpoint in requests per second, if it has one.
     pub fn per_second(&self, id: &str, boot: &str) -> Option<f64> {
         let limit = self.limits.get(id)?;
--- a/crates/edge/src/endpoint_notices.rs
+++ b/crates/edge/src/endpoint_notices.rs
@@ -84,6 +84,10 @@
     entry: &EndpointEntry,
     notice: Option<LimitNotice>,
 ) {
+    // Nearly all answers name no limit, of endpoints that never had one.
+    if notice.is_none() && !state.limits.is_known(&entry.id) {
+        return;
+    }
     let per_second = match notice {
         Some(LimitNotice::Malformed) => {
             shared.metrics.limits_ignored.inc();
--- a/crates/edge/src/network/open.rs
+++ b/crates/edge/src/network/open.rs
@@ -35,7 +35,7 @@
 /// Whether an endpoint that has been silent on a connection may still answer on it. A direct connection is lost
 /// with the links, although the endpoint can be reached through another router.
 pub(crate) async fn is_alive(shared: Arc<Shared>, address: SocketAddr, direct: bool) -> bool {
-    let is_reachable = reach(&shared, address).await.0 == Reach::Opened;
+    let is_reachable = is_reachable(shared.clone(), address).await;
     is_reachable && !(direct && shared.lock_state().isolation.is_isolated())
 }
 
