Judge a late start of a leaving endpoint by when the one before left

Cause: the server crashed, came back and left while the store listed its earlier start as draining. Its row named the new start only 4 s later. The router took that row for the moment at which the start began to leave, so the planned end came too early for one (left_ms=1539 of drain_ms=2000) and counted as a crash. The class of fault: the time of a report is taken for the time of the event.

Change: a start that takes the place of a leaving one was never listed as staying, so its time runs from when the one before left.

--- a/crates/edge/src/departures.rs
+++ b/crates/edge/src/departures.rs
@@ -100,6 +100,15 @@
         starts.insert(boot.to_string(), departure);
     }
 
+    /// Records that a start with a boot id is leaving that the registry lists in place of one that was leaving as
+    /// well. It was never listed as staying, so it may have left as early as the one before. See "Streams that
+    /// break off" in docs/platform.md.
+    pub fn record_next(&mut self, id: &str, boot: &str, now: Duration) {
+        let starts = self.endpoints.get(id).map(|left| left.starts.values());
+        let before = starts.and_then(|starts| starts.max_by_key(|start| start.noted_at));
+        self.record(id, boot, before.and_then(|start| start.stayed_until), now);
+    }
+
     /// Records that a run at an endpoint was lost.
     pub fn record_loss(&mut self, id: &str, now: Duration) {
         if let Some(departure) = self.endpoints.get_mut(id) {
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -39,6 +39,8 @@
     Joined(EndpointId),
     /// The endpoint restarted under the same id.
     Restarted(EndpointId),
+    /// The endpoint restarted under the same id, and this start takes no new requests, nor did the one before.
+    RestartedLeaving(EndpointId),
     /// The endpoint takes no new requests.
     Leaving(EndpointId),
     /// The row is gone, and so is the endpoint.
@@ -489,7 +491,11 @@
             return Some(RosterChange::Joined(id));
         };
         if before.entry.born != born {
-            return Some(RosterChange::Restarted(id));
+            return Some(if leaving && before.entry.leaving {
+                RosterChange::RestartedLeaving(id)
+            } else {
+                RosterChange::Restarted(id)
+            });
         }
         (leaving && !before.entry.leaving).then_some(RosterChange::Leaving(id))
     }
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -386,15 +386,13 @@
                 log(Event::EndpointJoined, &detail);
             }
             RosterChange::Restarted(id) => {
-                let boot = state
-                    .roster
-                    .get(&id)
-                    .map_or_else(String::new, EndpointEntry::boot);
-                let runs = state.terminations.record_restart(&id, &boot, shared.now());
-                record_own_crashes(state, shared, &runs);
-                forget_endpoint(state, shared, &id);
+                note_restart(state, shared, &id);
                 note_listed_start(state, &id, stayed_until, now);
-                log(Event::EndpointRestarted, &format!("endpoint={id}"));
+            }
+            RosterChange::RestartedLeaving(id) => {
+                note_restart(state, shared, &id);
+                let boot = state.roster.last_boot(&id);
+                state.departures.record_next(&id, &boot, now);
             }
             RosterChange::Leaving(id) => {
                 let boot = state.roster.last_boot(&id);
@@ -417,6 +415,16 @@
     }
 }
 
+/// Drops what held for the start of an endpoint before the one that is listed now, and attributes its end.
+fn note_restart(state: &mut RoutingState, shared: &Shared, id: &EndpointId) {
+    let entry = state.roster.get(id);
+    let boot = entry.map_or_else(String::new, EndpointEntry::boot);
+    let runs = state.terminations.record_restart(id, &boot, shared.now());
+    record_own_crashes(state, shared, &runs);
+    forget_endpoint(state, shared, id);
+    log(Event::EndpointRestarted, &format!("endpoint={id}"));
+}
+
 /// Records that a start that was not listed before is leaving, if it is.
 fn note_listed_start(
     state: &mut RoutingState,
--- a/crates/edge/tests/answer_end.rs
+++ b/crates/edge/tests/answer_end.rs
@@ -128,6 +128,20 @@
     assert_eq!(departures.left_for("e", start, ms(800)), Some(ms(0)));
 }
 
+/// Guards against a last answer that is cut because the row of a leaving endpoint named its start late (found by the
+/// soak, seed 1).
+#[test]
+fn a_start_that_was_never_listed_as_staying_left_with_the_one_before() {
+    let mut departures = Departures::new();
+    departures.record("e", "1", Some(ms(900)), ms(1000));
+    departures.record_next("e", "2", ms(3000));
+    departures.record_next("e", "3", ms(4000));
+    assert_eq!(departures.left_for("e", "2", ms(5000)), Some(ms(4100)));
+    assert_eq!(departures.left_for("e", "3", ms(5000)), Some(ms(4100)));
+    departures.record_next("f", "2", ms(3000));
+    assert_eq!(departures.left_for("f", "2", ms(3000)), Some(Duration::MAX));
+}
+
 /// Guards against a last answer that is cut because the registry came back from a copy that lists the
 /// endpoint as it was before it left, with the same start (found by the soak, seeds 902 and 944) or an
 /// earlier one (seed 1).
--- a/crates/edge/tests/roster.rs
+++ b/crates/edge/tests/roster.rs
@@ -100,6 +100,25 @@
     assert_eq!(changes, [RosterChange::Restarted("e1".to_string())]);
 }
 
+/// Guards against a start that seems to leave only once its row, which is late, names it.
+#[test]
+fn a_restart_while_leaving_is_told_from_one_that_begins_to_leave() {
+    let restarts = [false, true].map(|left_before| {
+        let mut roster = roster();
+        let before = row("e1", 6, Entry::Endpoint(entry("e1", left_before)));
+        roster.apply(rows(6, vec![before]), false, NOW);
+        let again = EndpointEntry {
+            born: Some(2),
+            ..entry("e1", true)
+        };
+        let row = row("e1", 7, Entry::Endpoint(again));
+        roster.apply(rows(7, vec![row]), false, NOW)
+    });
+    let id = || "e1".to_string();
+    assert_eq!(restarts[0], [RosterChange::Restarted(id())]);
+    assert_eq!(restarts[1], [RosterChange::RestartedLeaving(id())]);
+}
+
 /// Guards against messages between routers for every heartbeat of an endpoint.
 #[test]
 fn a_heartbeat_is_not_a_change() {
