Give a silent endpoint 1.5 s before it counts as gone

What callers saw: while a sound server stopped for 1.1 s and went on, an order got 504 and a read was run a second time at another server, while the first one still worked on it.

Cause: after 500 ms without a byte a router opened a connection, and after 370 ms took one that did not open for the end of the endpoint. The same sign stands for a crash, for a lost path and for a short stop. The kernel's own limit for unacknowledged data was 1 s. The class of fault: a time-out that is taken for evidence.

Change: what the check shows is told apart. A refused connection is an end at once; one that opens gives the endpoint its time; one that does not open is tried again until 1.5 s without a byte have passed, while new requests avoid the endpoint. An endpoint that was out of reach, and is then listed with a later start, has crashed, however short its silence was. TCP gives up unacknowledged data after 1.5 s as well.

--- a/crates/edge/src/exchange/answer.rs
+++ b/crates/edge/src/exchange/answer.rs
@@ -99,7 +99,6 @@
             head: head.clone(),
             body,
             endpoint: entry.id.clone(),
-            address: entry.address,
         };
         if streams {
             return Outcome::Answer(Box::new(answer(AnswerBody::Arriving(Box::new(arriving)))));
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -5,7 +5,7 @@
 use crate::call::{Attempt, Call, Prompt};
 use crate::hold_time::HoldTime;
 use crate::manifest::EndpointEntry;
-use crate::network::is_alive;
+use crate::network::AwaitedStart;
 use crate::selection::Placed;
 use crate::shared::Shared;
 use crate::started_answer::StartedAnswer;
@@ -112,12 +112,14 @@
         let silent =
             Outcome::MayHaveRun(RefusalReason::EndpointSilent, RetryReason::EndpointSilent);
         let sent = shared.now();
-        let answer = while_alive(
-            &shared,
-            entry.address,
-            connection.direct,
-            connection.send(request),
-        );
+        let awaited = AwaitedStart {
+            endpoint: entry.id.clone(),
+            boot: entry.boot(),
+            address: entry.address,
+            direct: connection.direct,
+            paused: false,
+        };
+        let answer = while_alive(&shared, awaited, connection.send(request));
         let answer = tokio::time::timeout(time_left, answer).await;
         let response = match answer {
             Ok(Some(Ok(response))) => response,
@@ -209,12 +211,10 @@
         .join(",")
 }
 
-/// Waits for `answer`. Returns `None` if the endpoint at `address` sends nothing for [`SILENCE`]
-/// and then cannot be reached.
+/// Waits for `answer`. Returns `None` if the endpoint sends nothing for [`SILENCE`] and is then taken for gone.
 async fn while_alive<T>(
     shared: &Arc<Shared>,
-    address: SocketAddr,
-    direct: bool,
+    mut awaited: AwaitedStart,
     answer: impl Future<Output = T>,
 ) -> Option<T> {
     let mut answer = pin!(answer);
@@ -225,9 +225,7 @@
         }
         tokio::select! {
             output = answer.as_mut() => return Some(output),
-            alive = is_alive(shared.clone(), address, direct) => if !alive {
-                return None;
-            },
+            alive = awaited.clone().outlive_silence(shared.clone()) => awaited = alive?,
         }
     }
 }
--- a/crates/edge/src/network.rs
+++ b/crates/edge/src/network.rs
@@ -6,6 +6,7 @@
 mod isolation;
 mod link;
 mod open;
+mod silence;
 mod tunnel;
 
 pub use dialer::{Dialer, Dialing, SystemDialer};
@@ -13,4 +14,5 @@
 
 pub(crate) use gateway::serve;
 pub(crate) use link::Link;
-pub(crate) use open::{is_alive, is_reachable, is_refusing, open};
+pub(crate) use open::{is_reachable, is_refusing, open};
+pub(crate) use silence::AwaitedStart;
--- a/crates/edge/src/network/open.rs
+++ b/crates/edge/src/network/open.rs
@@ -32,19 +32,12 @@
     reach(&shared, address).await.0 == Reach::Opened
 }
 
-/// Whether an endpoint that has been silent on a connection may still answer on it. A direct connection is lost
-/// with the links, although the endpoint can be reached through another router.
-pub(crate) async fn is_alive(shared: Arc<Shared>, address: SocketAddr, direct: bool) -> bool {
-    let is_reachable = is_reachable(shared.clone(), address).await;
-    is_reachable && !(direct && shared.lock_state().isolation.is_isolated())
-}
-
 /// Whether an endpoint refuses connections, because its process has ended.
 pub(crate) async fn is_refusing(shared: &Arc<Shared>, address: SocketAddr) -> bool {
     reach(shared, address).await.0 == Reach::Refused
 }
 
-async fn reach(shared: &Arc<Shared>, address: SocketAddr) -> (Reach, Option<Link>) {
+pub(super) async fn reach(shared: &Arc<Shared>, address: SocketAddr) -> (Reach, Option<Link>) {
     let is_isolated = shared.lock_state().isolation.is_isolated();
     if is_isolated && let Some((reach, tunnel)) = open_tunnel(shared, address).await {
         return (reach, tunnel.map(Link::Tunnel));
--- a/crates/edge/src/silence_watch.rs
+++ b/crates/edge/src/silence_watch.rs
@@ -1,25 +1,29 @@
 //! Detection of endpoints that fall silent while they send an answer.
 
-use crate::network::is_alive;
+use crate::network::AwaitedStart;
 use crate::shared::Shared;
 use crate::upstream::SILENCE;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use tokio::time::{Instant, Sleep};
 
-/// Detects an endpoint that stops sending and can no longer be reached.
+/// A check that is under way.
+type Check = Pin<Box<dyn Future<Output = Option<AwaitedStart>> + Send>>;
+
+/// Detects an endpoint that stops sending and is taken for gone.
 pub(crate) struct SilenceWatch {
+    awaited: AwaitedStart,
     timer: Pin<Box<Sleep>>,
     last: Instant,
-    check: Option<Pin<Box<dyn Future<Output = bool> + Send>>>,
+    check: Option<Check>,
 }
 
 impl SilenceWatch {
     /// Starts to watch an endpoint that has just sent something.
-    pub(crate) fn new() -> SilenceWatch {
+    pub(crate) fn new(awaited: AwaitedStart) -> SilenceWatch {
         SilenceWatch {
+            awaited,
             timer: Box::pin(tokio::time::sleep(SILENCE)),
             last: Instant::now(),
             check: None,
@@ -30,22 +34,18 @@
     pub(crate) fn restart(&mut self) {
         self.last = Instant::now();
         self.check = None;
+        self.awaited.paused = false;
     }
 
-    /// Ready once the endpoint is silent and cannot be reached.
-    pub(crate) fn poll_unreachable(
-        &mut self,
-        shared: &Arc<Shared>,
-        address: SocketAddr,
-        direct: bool,
-        cx: &mut Context<'_>,
-    ) -> Poll<()> {
+    /// Ready once the endpoint is silent and taken for gone.
+    pub(crate) fn poll_gone(&mut self, shared: &Arc<Shared>, cx: &mut Context<'_>) -> Poll<()> {
         loop {
             if let Some(check) = &mut self.check {
-                let reachable = ready!(check.as_mut().poll(cx));
+                let awaited = ready!(check.as_mut().poll(cx));
                 self.check = None;
-                if !reachable {
-                    return Poll::Ready(());
+                match awaited {
+                    Some(awaited) => self.awaited = awaited,
+                    None => return Poll::Ready(()),
                 }
                 self.timer.as_mut().reset(Instant::now() + SILENCE);
             }
@@ -54,7 +54,8 @@
             if due > Instant::now() {
                 self.timer.as_mut().reset(due);
             } else {
-                self.check = Some(Box::pin(is_alive(shared.clone(), address, direct)));
+                let check = self.awaited.clone().outlive_silence(shared.clone());
+                self.check = Some(Box::pin(check));
             }
         }
     }
--- a/crates/edge/src/started_answer.rs
+++ b/crates/edge/src/started_answer.rs
@@ -4,7 +4,7 @@
 use crate::call::AnswerHead;
 use crate::crashes::{attempt_lost, attempt_unreachable};
 use crate::departures::start_of_run;
-use crate::network::is_refusing;
+use crate::network::{AwaitedStart, is_refusing};
 use crate::open_runs::RunProgress;
 use crate::shared::Shared;
 use crate::terminations::{Loss, Run};
@@ -26,7 +26,6 @@
     pub(crate) head: AnswerHead,
     pub(crate) body: AnswerBody,
     pub(crate) endpoint: EndpointId,
-    pub(crate) address: SocketAddr,
 }
 
 /// What marks the end of an answer's body.
@@ -81,6 +80,20 @@
     pub(crate) guard: LoadGuard,
 }
 
+impl ArrivingBody {
+    /// The start of an endpoint that sends the body.
+    pub(crate) fn awaited_start(&self) -> AwaitedStart {
+        let run = self.guard.run.as_ref();
+        AwaitedStart {
+            endpoint: self.guard.endpoint.clone(),
+            boot: run.map(|run| run.boot.clone()).unwrap_or_default(),
+            address: self.guard.address,
+            direct: self.connection.direct,
+            paused: false,
+        }
+    }
+}
+
 /// Future that returns what the end of an answer's connection means.
 pub(crate) type EndCheck = Pin<Box<dyn Future<Output = AnswerEnd> + Send>>;
 
--- a/crates/edge/src/stream_body.rs
+++ b/crates/edge/src/stream_body.rs
@@ -8,6 +8,7 @@
 use crate::answer_deadline::AnswerDeadline;
 use crate::answer_end::AnswerEnd;
 use crate::exchange::Exchange;
+use crate::silence_watch::SilenceWatch;
 use crate::started_answer::{AnswerBody, ArrivingBody, EndCheck, Framing, StartedAnswer};
 use crate::terminations::Loss;
 use bytes::Bytes;
@@ -99,9 +100,8 @@
             AnswerBody::Arriving(arriving) => arriving,
         };
         let framing = Framing::of(&answer.headers, &arriving.body);
-        let direct = arriving.connection.direct;
-        let origin = Origin::new(answer.endpoint, answer.address, &answer.head, framing);
-        let origin = origin.with_direct(direct);
+        let watch = SilenceWatch::new(arriving.awaited_start());
+        let origin = Origin::new(answer.endpoint, watch, &answer.head, framing);
         let deadline = Instant::now() + exchange.time_left();
         due.set(Some(deadline));
         let deadline = Box::pin(tokio::time::sleep_until(deadline));
@@ -119,13 +119,9 @@
         }
     }
 
-    fn poll_unreachable(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         match (&mut self.origin, &self.exchange) {
-            (Some(origin), Some(exchange)) => {
-                let (shared, address) = (&exchange.shared, origin.address);
-                let direct = origin.direct;
-                origin.watch.poll_unreachable(shared, address, direct, cx)
-            }
+            (Some(origin), Some(exchange)) => origin.watch.poll_gone(&exchange.shared, cx),
             _ => Poll::Pending,
         }
     }
@@ -311,8 +307,9 @@
                     return false;
                 };
                 let framing = Framing::of(&answer.headers, &arriving.body);
-                let origin = Origin::new(answer.endpoint, answer.address, &answer.head, framing);
-                self.origin = Some(origin.with_direct(arriving.connection.direct));
+                let watch = SilenceWatch::new(arriving.awaited_start());
+                let origin = Origin::new(answer.endpoint, watch, &answer.head, framing);
+                self.origin = Some(origin);
                 self.source = Source::Arriving(arriving);
                 true
             }
@@ -349,7 +346,7 @@
         let Poll::Ready(frame) = Pin::new(&mut arriving.body).poll_frame(cx) else {
             arriving.guard.progress.wait();
             self.poll_stall(cx);
-            ready!(self.poll_unreachable(cx));
+            ready!(self.poll_gone(cx));
             return Poll::Ready(self.resume_or_end(Failure::Unreachable));
         };
         if matches!(frame, Some(Ok(_))) {
--- a/crates/edge/src/stream_body/origin.rs
+++ b/crates/edge/src/stream_body/origin.rs
@@ -6,15 +6,11 @@
 use crate::silence_watch::SilenceWatch;
 use crate::started_answer::Framing;
 use sequoiaridge_core::EndpointId;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The endpoint that sends a stream, with the connection reuse that its answer allows.
 pub(super) struct Origin {
     pub(super) endpoint: EndpointId,
-    pub(super) address: SocketAddr,
-    /// Whether its connection does not pass through another router.
-    pub(super) direct: bool,
     pub(super) watch: SilenceWatch,
     pub(super) idle: Option<Duration>,
     pub(super) close: bool,
@@ -27,15 +23,13 @@
     /// Creates the origin of a stream of which only the head has arrived.
     pub(super) fn new(
         endpoint: EndpointId,
-        address: SocketAddr,
+        watch: SilenceWatch,
         head: &AnswerHead,
         framing: Framing,
     ) -> Origin {
         Origin {
             endpoint,
-            address,
-            direct: true,
-            watch: SilenceWatch::new(),
+            watch,
             idle: head.idle,
             close: head.close,
             framing,
@@ -43,9 +37,4 @@
             stall: StallWatch::new(),
         }
     }
-
-    /// Sets whether the connection does not pass through another router.
-    pub(super) fn with_direct(self, direct: bool) -> Origin {
-        Origin { direct, ..self }
-    }
 }
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -18,9 +18,10 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// TCP user timeout, after which unacknowledged data ends a connection: two retransmissions at the usual
-/// timeouts of TCP.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Longest silence of an endpoint to which connections do not open that may still go on.
+pub(crate) const MAX_PAUSE: Duration = Duration::from_millis(1500);
+/// TCP user timeout, after which unacknowledged data ends a connection. An endpoint that pauses acknowledges nothing.
+const UNACKED_TIMEOUT: Duration = MAX_PAUSE;
 /// Time without data from an endpoint after which the router checks whether it is reachable. Streams send
 /// an event about every 30 ms, and most answers of plain services arrive within this time.
 pub(crate) const SILENCE: Duration = Duration::from_millis(500);
