Probe a silent connection only when a short stop must be over

Cause, by reading: keep-alive probes were sent after 1 s without a byte, and were meant to give up after the second unanswered one. A request whose answer takes longer than a second lost its connection if its endpoint stopped while that probe was under way.

Change: the first probe comes after 2 s, when a stop of up to 1.5 s that began with the silence is over. A connection that is dead while nothing on it is unacknowledged is found after 3 s in place of 2 s; one with a request on its way, after 1.5 s.

--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -25,7 +25,10 @@
 /// Time without data from an endpoint after which the router checks whether it is reachable. Streams send
 /// an event about every 30 ms, and most answers of plain services arrive within this time.
 pub(crate) const SILENCE: Duration = Duration::from_millis(500);
-/// Time after which TCP probes an idle peer, and interval between the probes.
+/// Time without a byte after which TCP probes a peer. The user timeout is shorter, so a single probe that is lost in a
+/// pause ends the connection, whatever the number of probes: it is sent only once the pause must be over.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(2);
+/// Time for which TCP waits for the answer to a probe.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Largest number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
@@ -234,9 +237,9 @@
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
+        .with_time(KEEPALIVE_TIME)
         .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(2);
+        .with_retries(1);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
 }
