Log when an endpoint is avoided because it is silent

Cause: a router keeps new requests from an endpoint to which no connection opens, and no line told of it unless the endpoint then counted as down.

Change: event 326, endpoint-silent, once for each time. No decision changes; silent_pause, cut_off and catalogues pass.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -130,6 +130,8 @@
     ServiceBrittle = 324, Warn, "service-brittle";
     /// The endpoints of a service no longer say so.
     ServiceSound = 325, Info, "service-sound";
+    /// An endpoint with work of this router is silent, and no connection to it opens.
+    EndpointSilent = 326, Warn, "endpoint-silent";
     /// An endpoint is slower than usual and gets less work.
     EndpointSlow = 340, Info, "endpoint-slow";
     /// An endpoint is about as fast as usual again.
--- a/crates/edge/src/network/silence.rs
+++ b/crates/edge/src/network/silence.rs
@@ -4,7 +4,8 @@
 use crate::departures::start_of_run;
 use crate::shared::Shared;
 use crate::upstream::{MAX_PAUSE, SILENCE};
-use sequoiaridge_core::EndpointId;
+use sequoiaridge_core::{EndpointId, Event};
+use sequoiaridge_log::log;
 use sequoiaridge_wire::Reach;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -40,8 +41,7 @@
                     Reach::Opened => return !self.is_lost(&shared),
                     Reach::Silent => self.paused = true,
                 }
-                let now = shared.now();
-                shared.lock_state().health.suspect(&self.endpoint, now);
+                avoid(&shared, &self.endpoint);
                 tokio::time::sleep(RECHECK_PAUSE).await;
             }
         };
@@ -59,3 +59,15 @@
         is_replaced || self.direct && state.isolation.is_isolated()
     }
 }
+
+/// Keeps new requests from an endpoint that is out of reach, until shortly after the next check.
+fn avoid(shared: &Shared, endpoint: &EndpointId) {
+    let now = shared.now();
+    let mut state = shared.lock_state();
+    let is_new = !state.health.is_paused(endpoint, now);
+    state.health.suspect(endpoint, now);
+    drop(state);
+    if is_new {
+        log(Event::EndpointSilent, &format!("endpoint={endpoint}"));
+    }
+}
