Draw endpoints of brittle services by chance where counts are old

Cause: plain services get each request at the endpoint with the shortest wait by the counts that the router knows. In a large fleet these are some 500 ms old, and the same at all routers, so the endpoint that had few requests gets those of all until its next report. Queues hide that from services whose endpoints let many wait. The earlier trial with a rate for each endpoint did not help, since it kept that choice. The class of fault: the same decision at all routers by the same old news.

Change: where counts are old, endpoints of a brittle service are drawn by chance, weighted by their expected wait, as services with admission do it already.

--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -269,7 +269,9 @@
         if !is_crowded(&usable) {
             usable.retain(|c| c.limit != Some(LimitRoom::Overdraft));
         }
-        let best = if self.draws {
+        // Old counts send the requests of all routers to the same endpoint, which rejects what does not fit.
+        let has_old_counts = self.request_hash.is_some();
+        let best = if self.draws || self.brittle && has_old_counts {
             let bound = mean * self.multiple + self.slack;
             draw_by_wait(request_hash, work, &usable, bound)
         } else {
